Lay out tables, inputs, effects, outcomes and client interfaces

Cause: the repository is empty; the parts that go side by side need one vocabulary first. Ruled out: one message type with optional fields (an error in a field name would pass unseen).

--- /dev/null
+++ b/sniperudder/__init__.py
@@ -0,0 +1,3 @@
+"""A router for language-model pipelines over mixed accelerators."""
+
+__version__ = '0.1.0'
--- /dev/null
+++ b/sniperudder/effects/__init__.py
@@ -0,0 +1,35 @@
+"""What the decision core asks the outside to do, as typed records."""
+
+from sniperudder.effects._endpoints import CancelStream
+from sniperudder.effects._endpoints import SendStep
+from sniperudder.effects._endpoints import Step
+from sniperudder.effects._peers import SendBeat
+from sniperudder.effects._platform import Condition
+from sniperudder.effects._platform import ListInstances
+from sniperudder.effects._platform import Row
+from sniperudder.effects._platform import Scan
+from sniperudder.effects._platform import Transact
+from sniperudder.effects._platform import Write
+from sniperudder.effects._replies import EmitToken
+from sniperudder.effects._replies import Finish
+from sniperudder.effects._replies import Note
+from sniperudder.effects._services import AskService
+from sniperudder.effects._services import CallService
+
+__all__ = [
+    'AskService',
+    'CallService',
+    'CancelStream',
+    'Condition',
+    'EmitToken',
+    'Finish',
+    'ListInstances',
+    'Note',
+    'Row',
+    'Scan',
+    'SendBeat',
+    'SendStep',
+    'Step',
+    'Transact',
+    'Write',
+]
--- /dev/null
+++ b/sniperudder/effects/_endpoints.py
@@ -0,0 +1,59 @@
+"""Work for model engines."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Step:
+    """One pass of one stream through the layers of one stage.
+
+    Attributes
+    ----------
+    request : str
+    attempt : int
+    position : int
+        Index of the token that this pass produces, from 0.
+    first_layer, end_layer : int
+        Layers to run, ``[first_layer, end_layer)``.
+    model, version : str
+    rank : int
+    prefill : bool
+        Whether the payload is the whole text so far and not the last
+        token or the output of the stage before.
+    payload : str
+        Text, token or output of the stage before.
+    last : bool
+        Whether this is the last stage, which gives a token.
+    deadline_s : float
+        Time left for the whole answer, seconds.
+    """
+
+    request: str
+    attempt: int
+    position: int
+    first_layer: int
+    end_layer: int
+    model: str
+    version: str
+    rank: int
+    prefill: bool
+    payload: str
+    last: bool
+    deadline_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SendStep:
+    """Send a step to an endpoint, in one call with others if possible."""
+
+    endpoint: str
+    step: Step
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CancelStream:
+    """Drop what an endpoint holds of an attempt; no answer is needed."""
+
+    endpoint: str
+    request: str
+    attempt: int
--- /dev/null
+++ b/sniperudder/effects/_peers.py
@@ -0,0 +1,20 @@
+"""Messages to other entry instances."""
+
+import dataclasses
+import typing
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SendBeat:
+    """Send a heartbeat; answered by ``BeatReturned`` or ``BeatLost``.
+
+    Attributes
+    ----------
+    peer : str
+    address : str
+    beat : sniperudder.inputs.Beat
+    """
+
+    peer: str
+    address: str
+    beat: typing.Any
--- /dev/null
+++ b/sniperudder/endpoints/__init__.py
@@ -0,0 +1,7 @@
+"""Clients of model engines."""
+
+from sniperudder.endpoints._client import EngineClient
+
+__all__ = [
+    'EngineClient',
+]
--- /dev/null
+++ b/sniperudder/errors.py
@@ -0,0 +1,29 @@
+"""The library's exceptions, all under one base."""
+
+__all__ = [
+    'SniperudderError',
+    'SettingsError',
+    'SyntaxProblem',
+    'InvariantBroken',
+    'UnknownName',
+]
+
+
+class SniperudderError(Exception):
+    """Base of every exception that this library raises on purpose."""
+
+
+class SettingsError(SniperudderError):
+    """The settings file has one or more mistakes."""
+
+
+class SyntaxProblem(SniperudderError):
+    """A query, command or scenario does not follow its grammar."""
+
+
+class InvariantBroken(SniperudderError):
+    """A promise that must always hold was about to be broken."""
+
+
+class UnknownName(SniperudderError):
+    """A name refers to nothing that exists."""
--- /dev/null
+++ b/sniperudder/outcomes/__init__.py
@@ -0,0 +1,23 @@
+"""Numbered result codes and the tagged outcomes that carry them."""
+
+from sniperudder.outcomes._codes import Code
+from sniperudder.outcomes._codes import describe_code
+from sniperudder.outcomes._codes import Execution
+from sniperudder.outcomes._codes import list_codes
+from sniperudder.outcomes._outcomes import Answered
+from sniperudder.outcomes._outcomes import Failed
+from sniperudder.outcomes._outcomes import InDoubt
+from sniperudder.outcomes._outcomes import Outcome
+from sniperudder.outcomes._outcomes import Refused
+
+__all__ = [
+    'Answered',
+    'Code',
+    'Execution',
+    'Failed',
+    'InDoubt',
+    'Outcome',
+    'Refused',
+    'describe_code',
+    'list_codes',
+]
--- /dev/null
+++ b/sniperudder/services/__init__.py
@@ -0,0 +1,7 @@
+"""Clients of plain services."""
+
+from sniperudder.services._client import ServiceClient
+
+__all__ = [
+    'ServiceClient',
+]
--- /dev/null
+++ b/sniperudder/tables/_configuration.py
@@ -0,0 +1,62 @@
+"""The versioned configuration that operators change."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Change:
+    """One committed change of the configuration.
+
+    Attributes
+    ----------
+    version : int
+        Its place in the order of all changes, from 1.
+    command_id : str
+        Identifier of the command that made it.
+    operator : str
+    kind : str
+        Name of the intent's class, see ``sniperudder.intents``.
+    body : str
+        The intent as JSON.
+    """
+
+    version: int
+    command_id: str
+    operator: str
+    kind: str
+    body: str
+
+
+@dataclasses.dataclass(slots=True)
+class Configuration:
+    """The configuration in force at this instance.
+
+    Attributes
+    ----------
+    version : int
+        Number of the last change applied.
+    withdrawn : set of str
+        Endpoints that receive no new work.
+    stopping : set of str
+        Instances that operators asked to stop.
+    shed_ranks : dict of Rank to float
+        Share of arrivals refused, 0 to 1.
+    shed_organisations, shed_models : dict of str to float
+        Share of arrivals refused, 0 to 1.
+    allowed_ranks : dict of str to frozenset of Rank
+        Ranks that may run on an endpoint; absent means all.
+    floors : dict of Rank to float
+        Floors that replace those of the settings.
+    weights : dict of str to float
+        Weights of organisations.
+    """
+
+    version: int = 0
+    withdrawn: set = dataclasses.field(default_factory=set)
+    stopping: set = dataclasses.field(default_factory=set)
+    shed_ranks: dict = dataclasses.field(default_factory=dict)
+    shed_organisations: dict = dataclasses.field(default_factory=dict)
+    shed_models: dict = dataclasses.field(default_factory=dict)
+    allowed_ranks: dict = dataclasses.field(default_factory=dict)
+    floors: dict = dataclasses.field(default_factory=dict)
+    weights: dict = dataclasses.field(default_factory=dict)
--- /dev/null
+++ b/sniperudder/tables/_requests.py
@@ -0,0 +1,87 @@
+"""Requests for tokens and the chain that serves each."""
+
+import dataclasses
+import enum
+
+from sniperudder.tables import _ranks
+
+
+class RequestState(enum.Enum):
+    """Where a request is in its life."""
+
+    QUEUED = 'queued'
+    RUNNING = 'running'
+    DONE = 'done'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Stage:
+    """One stage of a chain.
+
+    Attributes
+    ----------
+    endpoint : str
+    first_layer, end_layer : int
+        The stage runs the layers ``[first_layer, end_layer)``.
+    """
+
+    endpoint: str
+    first_layer: int
+    end_layer: int
+
+
+@dataclasses.dataclass(slots=True)
+class Request:
+    """A request for a streamed answer of a model.
+
+    Attributes
+    ----------
+    name : str
+        Identifier, unique in the fleet.
+    organisation : str
+    rank : Rank
+    model : str
+    prompt : str
+    max_tokens : int
+    arrived_at, deadline : float
+        Seconds on the instance's clock.
+    fingerprint : str
+        Digest of organisation and content.
+    state : RequestState
+    attempt : int
+        Number of the current attempt, from 1; 0 before the first.
+    chain : tuple of Stage
+        Stages of the current attempt.
+    version : str
+        Version of the model that the attempt uses.
+    stage : int
+        Index of the stage whose step is awaited.
+    tokens : list of str
+        Tokens given to the caller; its length is the position of the
+        token awaited.
+    started_at : float or None
+        When the first step was sent, seconds.
+    not_before : float
+        Earliest time of the next attempt, seconds.
+    charged : float
+        Work charged to the organisation so far, tokens.
+    """
+
+    name: str
+    organisation: str
+    rank: _ranks.Rank
+    model: str
+    prompt: str
+    max_tokens: int
+    arrived_at: float
+    deadline: float
+    fingerprint: str = ''
+    state: RequestState = RequestState.QUEUED
+    attempt: int = 0
+    chain: tuple = ()
+    version: str = ''
+    stage: int = 0
+    tokens: list = dataclasses.field(default_factory=list)
+    started_at: float | None = None
+    not_before: float = 0.0
+    charged: float = 0.0
--- /dev/null
+++ b/sniperudder/tables/_tables.py
@@ -0,0 +1,151 @@
+"""All tables of an instance and their construction."""
+
+import dataclasses
+import random
+
+from sniperudder.tables import _configuration
+from sniperudder.tables import _ranks
+
+
+def _default_ranks():
+    return {
+        _ranks.Rank.URGENT: _ranks.RankPolicy(0.2, 2.0, 1000, 60.0),
+        _ranks.Rank.MIDDLE: _ranks.RankPolicy(0.1, 10.0, 1000, 120.0),
+        _ranks.Rank.LEAST: _ranks.RankPolicy(0.1, 600.0, 1000, 3600.0),
+    }
+
+
+@dataclasses.dataclass(slots=True)
+class Policy:
+    """Limits and times from the settings, in force from the start.
+
+    Attributes
+    ----------
+    ranks : dict of Rank to RankPolicy
+    heartbeat_s : float
+        Time between heartbeats to one peer.
+    poll_s : float
+        Time between checks of the configuration's head.
+    freshness_s : float
+        Age of the last confirmation after which no new work is sent.
+    suspect_s : float
+        Silence after which a peer counts as suspect.
+    max_attempts : int
+        Attempts of one request.
+    retry_share : float
+        Retries allowed as a share of first attempts.
+    step_timeout_s : float
+        Longest wait for one step of an endpoint.
+    order_timeout_s : float
+        Longest wait for a service's answer.
+    platform_timeout_s : float
+        Longest wait for an answer of the platform.
+    drain_s : float
+        Longest duration of a planned stop.
+    """
+
+    ranks: dict = dataclasses.field(default_factory=_default_ranks)
+    heartbeat_s: float = 0.5
+    poll_s: float = 1.0
+    freshness_s: float = 2.0
+    suspect_s: float = 2.0
+    max_attempts: int = 5
+    retry_share: float = 0.2
+    step_timeout_s: float = 10.0
+    order_timeout_s: float = 10.0
+    platform_timeout_s: float = 2.0
+    drain_s: float = 3600.0
+
+
+@dataclasses.dataclass(slots=True)
+class Tables:
+    """The one data structure that all systems share.
+
+    Attributes
+    ----------
+    me : str
+        Name of this instance.
+    data_centre : str
+    rng : random.Random
+        The only source of randomness.
+    policy : Policy
+    config : Configuration
+    changes : list of Change
+        Changes applied, oldest first.
+    instances, endpoints, models, services, organisations : dict
+        Records by name. ``instances`` holds this instance too.
+    requests, orders : dict
+        Records of work that is not done, by name.
+    queues : dict of Rank to dict of str to deque of str
+        Names of queued requests by rank and organisation.
+    suspicions : dict of str to Suspicion
+        By fingerprint.
+    confirmed_at : float
+        Latest time at which the configuration was certainly current.
+    platform_at : float
+        Latest time at which the platform certainly answered.
+    next_poll_at, next_list_at : float
+        When the next check of the configuration's head and of the
+        platform's list of instances is due, seconds.
+    poll_pending : bool
+        Whether a check of the head awaits its answer.
+    stopping : bool
+        Whether this instance takes no new work because it stops.
+    counters : dict of str to int
+        Counts of what was decided, for metrics.
+    """
+
+    me: str
+    data_centre: str
+    rng: random.Random
+    policy: Policy
+    config: _configuration.Configuration
+    changes: list = dataclasses.field(default_factory=list)
+    instances: dict = dataclasses.field(default_factory=dict)
+    endpoints: dict = dataclasses.field(default_factory=dict)
+    models: dict = dataclasses.field(default_factory=dict)
+    services: dict = dataclasses.field(default_factory=dict)
+    organisations: dict = dataclasses.field(default_factory=dict)
+    requests: dict = dataclasses.field(default_factory=dict)
+    orders: dict = dataclasses.field(default_factory=dict)
+    queues: dict = dataclasses.field(default_factory=dict)
+    suspicions: dict = dataclasses.field(default_factory=dict)
+    confirmed_at: float = float('-inf')
+    platform_at: float = float('-inf')
+    next_poll_at: float = float('-inf')
+    poll_pending: bool = False
+    next_list_at: float = float('-inf')
+    stopping: bool = False
+    counters: dict = dataclasses.field(default_factory=dict)
+
+
+def create_tables(me, data_centre, seed=0, policy=None):
+    """Return the empty tables of an instance.
+
+    Parameters
+    ----------
+    me : str
+        Name of the instance.
+    data_centre : str
+    seed : int
+        Seed of the random source.
+    policy : Policy, optional
+
+    Returns
+    -------
+    Tables
+
+    Examples
+    --------
+    >>> T = create_tables('entry-1', 'milan')
+    >>> T.me, T.config.version
+    ('entry-1', 0)
+    """
+    return Tables(
+        me=me,
+        data_centre=data_centre,
+        rng=random.Random(seed),
+        policy=policy or Policy(),
+        config=_configuration.Configuration(),
+        queues={rank: {} for rank in _ranks.RANKS},
+    )
