--- a/sniperudder/inputs/_endpoints.py
+++ b/sniperudder/inputs/_endpoints.py
@@ -1,6 +1,7 @@
 """Answers and reports of model engines."""
 
 import dataclasses
+import typing
 
 from sniperudder.inputs import _transports
 
@@ -54,6 +55,11 @@
     call : str
         Identifier of the call that failed, shared by all its steps.
     detail : str
+    refused : bool
+        Whether the engine answered that it did not run the step, or
+        this instance held it back.
+    step : Step or None
+        The step, where it may have to be sent again.
     """
 
     endpoint: str
@@ -64,6 +70,8 @@
     crashed: bool = False
     call: str = ''
     detail: str = ''
+    refused: bool = False
+    step: typing.Any = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/sniperudder/systems/requests/_health.py
@@ -0,0 +1,73 @@
+"""What this instance believes about its endpoints."""
+
+from sniperudder import effects
+from sniperudder import tables
+
+_SMOOTHING = 0.2
+_BACKOFF_S = 0.5
+_BACKOFF_MAX_S = 30.0
+_FAILURES_ALLOWED = 2
+
+
+def record_load(T, inp, now):
+    """Take in the load report of an engine; handles ``LoadReported``."""
+    ep = T.endpoints.get(inp.endpoint)
+    if ep is None:
+        return []
+    ep.reported_streams = inp.streams
+    ep.reported_own = ep.streams
+    ep.reported_at = now
+    ep.boot = inp.boot
+    if ep.crashed_boot is not None and inp.boot != ep.crashed_boot:
+        ep.crashed_boot = None
+        ep.retry_at = min(ep.retry_at, now)
+    return []
+
+
+def record_success(T, ep, elapsed_s):
+    """Take in a step that an endpoint ran in ``elapsed_s`` seconds."""
+    ep.failures = 0
+    if ep.state is tables.EndpointState.PROBING:
+        ep.state = tables.EndpointState.UP
+    if ep.step_s:
+        ep.step_s += _SMOOTHING * (elapsed_s - ep.step_s)
+    else:
+        ep.step_s = elapsed_s
+
+
+def record_failure(T, ep, crashed, now):
+    """Take in a failed call; may set the endpoint aside.
+
+    Returns
+    -------
+    list of Note
+    """
+    if ep.state is tables.EndpointState.DOWN:
+        return []
+    ep.failures += 1
+    probing = ep.state is tables.EndpointState.PROBING
+    if not crashed and not probing and ep.failures < _FAILURES_ALLOWED:
+        return []
+    ep.state = tables.EndpointState.DOWN
+    if crashed:
+        ep.crashed_boot = ep.boot
+    backoff_s = min(_BACKOFF_MAX_S, _BACKOFF_S * 2 ** (ep.failures - 1))
+    ep.retry_at = now + backoff_s * (0.5 + T.rng.random())
+    return [effects.Note('endpoint:down', ep.name)]
+
+
+def run_health(T, now):
+    """Let endpoints that were set aside be tried again.
+
+    A crashed engine must first report a new run: the identifier of the
+    run tells one crash from the next.
+    """
+    notes = []
+    for ep in T.endpoints.values():
+        if ep.state is not tables.EndpointState.DOWN or now < ep.retry_at:
+            continue
+        if ep.crashed_boot is not None:
+            continue
+        ep.state = tables.EndpointState.PROBING
+        notes.append(effects.Note('endpoint:probe', ep.name))
+    return notes
--- a/sniperudder/tables/_endpoints.py
+++ b/sniperudder/tables/_endpoints.py
@@ -57,6 +57,8 @@
         Streams of this instance that the engine holds at present.
     reported_streams : int
         All streams, by the last load report.
+    reported_own : int
+        Streams of this instance when the last report came.
     reported_at : float
         Time of the last load report, seconds.
     step_s : float
@@ -67,6 +69,11 @@
         Consecutive failures.
     last_sent_at : float
         When the last new stream was sent, seconds.
+    boot : str
+        Identifier of the engine's run, from its last load report.
+    crashed_boot : str or None
+        The run that crashed; the endpoint stays down until a report
+        names another one.
     """
 
     name: str
@@ -83,11 +90,14 @@
     state: EndpointState = EndpointState.UP
     streams: int = 0
     reported_streams: int = 0
+    reported_own: int = 0
     reported_at: float = 0.0
     step_s: float = 0.0
     retry_at: float = 0.0
     failures: int = 0
     last_sent_at: float = 0.0
+    boot: str = ''
+    crashed_boot: str | None = None
 
 
 @dataclasses.dataclass(slots=True)
--- a/sniperudder/tables/_requests.py
+++ b/sniperudder/tables/_requests.py
@@ -59,12 +59,21 @@
     tokens : list of str
         Tokens given to the caller; its length is the position of the
         token awaited.
-    started_at : float or None
-        When the first step was sent, seconds.
+    maybe_ran : bool
+        Whether an endpoint ran, or may have run, a step of it.
     not_before : float
         Earliest time of the next attempt, seconds.
     charged : float
         Work charged to the organisation so far, tokens.
+    begun_at : float
+        When the current attempt began, seconds.
+    resent : bool
+        Whether the awaited step was sent again to an endpoint that
+        deduplicates.
+    yields : int
+        How often it gave way to more urgent work.
+    failures : int
+        Attempts that ended because an endpoint failed.
     """
 
     name: str
@@ -82,6 +91,10 @@
     version: str = ''
     stage: int = 0
     tokens: list = dataclasses.field(default_factory=list)
-    started_at: float | None = None
+    maybe_ran: bool = False
     not_before: float = 0.0
     charged: float = 0.0
+    begun_at: float = 0.0
+    resent: bool = False
+    yields: int = 0
+    failures: int = 0
--- a/sniperudder/tables/_tables.py
+++ b/sniperudder/tables/_tables.py
@@ -93,6 +93,16 @@
         Whether this instance takes no new work because it stops.
     counters : dict of str to int
         Counts of what was decided, for metrics.
+    virtual : dict of Rank to float
+        Virtual time of the fair queue of each rank, tokens.
+    running : dict of Rank to int
+        Streams of each rank that hold slots.
+    timers : list of (float, str)
+        Heap of times at which a request must be looked at, seconds.
+    retry_tokens : float
+        Retries that the retry budget allows now.
+    service_s : float
+        Smoothed time for which a stream holds its slots, seconds.
     """
 
     me: str
@@ -117,6 +127,11 @@
     next_list_at: float = float('-inf')
     stopping: bool = False
     counters: dict = dataclasses.field(default_factory=dict)
+    virtual: dict = dataclasses.field(default_factory=dict)
+    running: dict = dataclasses.field(default_factory=dict)
+    timers: list = dataclasses.field(default_factory=list)
+    retry_tokens: float = 10.0
+    service_s: float = 1.0
 
 
 def create_tables(me, data_centre, seed=0, policy=None):
@@ -148,4 +163,6 @@
         policy=policy or Policy(),
         config=_configuration.Configuration(),
         queues={rank: {} for rank in _ranks.RANKS},
+        virtual=dict.fromkeys(_ranks.RANKS, 0.0),
+        running=dict.fromkeys(_ranks.RANKS, 0),
     )
