--- /dev/null
+++ b/sniperudder/instance/_calls.py
@@ -0,0 +1,137 @@
+"""Threads that call the platform, services and peers."""
+
+import concurrent.futures
+
+from sniperudder import effects
+from sniperudder import inputs
+
+_PLATFORM_THREADS = 8
+_SERVICE_THREADS = 32
+_BEAT_THREADS = 16
+_LOAD_THREADS = 8
+_LOAD_TIMEOUT_S = 1.0
+
+
+class OutsideCalls:
+    """Turns effects into calls and their answers into inputs.
+
+    Parameters
+    ----------
+    runtime : Runtime
+    platform : PlatformClient
+    services : ServiceClient
+    engines : EngineClient
+    peers : PeerClient or None
+    """
+
+    __slots__ = (
+        'runtime',
+        'platform',
+        'services',
+        'engines',
+        'peers',
+        'pools',
+    )
+
+    def __init__(self, runtime, platform, services, engines, peers):
+        self.runtime = runtime
+        self.platform = platform
+        self.services = services
+        self.engines = engines
+        self.peers = peers
+        self.pools = {
+            'platform': _create_pool(_PLATFORM_THREADS),
+            'services': _create_pool(_SERVICE_THREADS),
+            'peers': _create_pool(_BEAT_THREADS),
+            'loads': _create_pool(_LOAD_THREADS),
+        }
+
+    def transact(self, effect):
+        """Run a transaction."""
+        self.pools['platform'].submit(self._transact, effect)
+
+    def scan(self, effect):
+        """Read rows."""
+        self.pools['platform'].submit(self._scan, effect)
+
+    def list_instances(self, effect):
+        """Read the platform's list of instances."""
+        self.pools['platform'].submit(self._list_instances)
+
+    def call_service(self, effect):
+        """Call a service."""
+        self.pools['services'].submit(self._call_service, effect)
+
+    def ask_service(self, effect):
+        """Ask a service what became of a key."""
+        self.pools['services'].submit(self._ask_service, effect)
+
+    def send_beat(self, effect):
+        """Send a heartbeat."""
+        self.pools['peers'].submit(self._send_beat, effect)
+
+    def read_loads(self):
+        """Ask every engine for its load."""
+        for ep in list(self.runtime.T.endpoints.values()):
+            self.pools['loads'].submit(self._read_load, ep)
+
+    def _transact(self, effect):
+        sent_at = self.runtime.read_clock()
+        timeout_s = self.runtime.T.policy.platform_timeout_s
+        outcome = self.platform.transact(effect, timeout_s)
+        self.runtime.submit(
+            inputs.TransactReturned(effect.purpose, outcome, sent_at)
+        )
+
+    def _scan(self, effect):
+        sent_at = self.runtime.read_clock()
+        timeout_s = self.runtime.T.policy.platform_timeout_s
+        rows = self.platform.scan(effect, timeout_s)
+        self.runtime.submit(inputs.ScanReturned(effect.purpose, rows, sent_at))
+
+    def _list_instances(self):
+        timeout_s = self.runtime.T.policy.platform_timeout_s
+        listed = self.platform.list_instances(timeout_s)
+        self.runtime.submit(inputs.InstancesListed(listed))
+
+    def _call_service(self, effect):
+        timeout_s = self.runtime.T.policy.order_timeout_s
+        self.runtime.submit(self.services.call(effect, timeout_s))
+
+    def _ask_service(self, effect):
+        timeout_s = self.runtime.T.policy.order_timeout_s
+        self.runtime.submit(self.services.ask(effect, timeout_s))
+
+    def _send_beat(self, effect):
+        sent_at = self.runtime.read_clock()
+        timeout_s = self.runtime.T.policy.heartbeat_s
+        beat = self.peers.exchange(effect.address, effect.beat, timeout_s)
+        if beat is None:
+            self.runtime.submit(inputs.BeatLost(effect.peer))
+        else:
+            self.runtime.submit(inputs.BeatReturned(beat, sent_at))
+
+    def _read_load(self, ep):
+        report = self.engines.read_load(ep, _LOAD_TIMEOUT_S)
+        if report is not None:
+            self.runtime.submit(report)
+
+
+def create_calls(runtime, platform, services, engines, peers):
+    """Return the callers of the outside, their effects routed."""
+    calls = OutsideCalls(runtime, platform, services, engines, peers)
+    runtime.routes.update(
+        {
+            effects.AskService: calls.ask_service,
+            effects.CallService: calls.call_service,
+            effects.ListInstances: calls.list_instances,
+            effects.Scan: calls.scan,
+            effects.SendBeat: calls.send_beat,
+            effects.Transact: calls.transact,
+        }
+    )
+    return calls
+
+
+def _create_pool(threads):
+    return concurrent.futures.ThreadPoolExecutor(threads)
--- /dev/null
+++ b/sniperudder/instance/_engines.py
@@ -0,0 +1,135 @@
+"""Threads that send steps to engines, many streams to a call."""
+
+import queue
+import threading
+
+from sniperudder import effects
+from sniperudder import inputs
+from sniperudder.systems import requests
+
+# Calls under way to one engine. While one runs, the steps that become
+# ready gather for the next.
+_CALLS_PER_ENGINE = 2
+_STEPS_PER_CALL = 256
+_CANCEL_TIMEOUT_S = 2.0
+
+
+class EngineSender:
+    """Sends the steps and cancels of one endpoint.
+
+    Parameters
+    ----------
+    runtime : Runtime
+    client : EngineClient
+    ep : Endpoint
+    timeout_s : float
+        Longest wait for one call, seconds.
+    """
+
+    __slots__ = ('runtime', 'client', 'ep', 'timeout_s', 'steps', 'cancels')
+
+    def __init__(self, runtime, client, ep, timeout_s):
+        self.runtime = runtime
+        self.client = client
+        self.ep = ep
+        self.timeout_s = timeout_s
+        self.steps = queue.SimpleQueue()
+        self.cancels = queue.SimpleQueue()
+
+    def start(self):
+        """Start the threads."""
+        for _ in range(_CALLS_PER_ENGINE):
+            _start_thread(self._run_steps, f'steps {self.ep.name}')
+        _start_thread(self._run_cancels, f'cancels {self.ep.name}')
+
+    def _run_steps(self):
+        while True:
+            steps = _take_all(self.steps)
+            ready = [step for step in steps if self._may_send(step)]
+            if not ready:
+                continue
+            answers = self.client.send_steps(self.ep, ready, self.timeout_s)
+            for answer in answers:
+                self.runtime.submit(answer)
+
+    def _may_send(self, step):
+        # Only the first step of an attempt gives out new work.
+        if not (step.prefill and step.first_layer == 0):
+            return True
+        now = self.runtime.read_clock()
+        if self.runtime.ask(requests.may_start, step, now):
+            return True
+        held = inputs.StepFailed(
+            self.ep.name,
+            step.request,
+            step.attempt,
+            step.position,
+            inputs.Delivery.NOT_SENT,
+            detail='held back',
+            refused=True,
+        )
+        self.runtime.submit(held)
+        return False
+
+    def _run_cancels(self):
+        while True:
+            cancels = _take_all(self.cancels)
+            self.client.cancel_streams(self.ep, cancels, _CANCEL_TIMEOUT_S)
+
+
+class EngineSenders:
+    """Routes steps and cancels to the sender of their endpoint."""
+
+    __slots__ = ('senders',)
+
+    def __init__(self, senders):
+        self.senders = senders
+
+    def send_step(self, effect):
+        """Queue a step."""
+        self.senders[effect.endpoint].steps.put(effect.step)
+
+    def cancel_stream(self, effect):
+        """Queue a cancel."""
+        self.senders[effect.endpoint].cancels.put(effect)
+
+
+def create_senders(runtime, client):
+    """Start the senders of all endpoints and route their effects.
+
+    Parameters
+    ----------
+    runtime : Runtime
+    client : EngineClient
+
+    Returns
+    -------
+    EngineSenders
+    """
+    timeout_s = runtime.T.policy.step_timeout_s
+    senders = EngineSenders(
+        {
+            ep.name: EngineSender(runtime, client, ep, timeout_s)
+            for ep in runtime.T.endpoints.values()
+        }
+    )
+    runtime.routes[effects.SendStep] = senders.send_step
+    runtime.routes[effects.CancelStream] = senders.cancel_stream
+    for sender in senders.senders.values():
+        sender.start()
+    return senders
+
+
+def _take_all(pending):
+    items = [pending.get()]
+    while len(items) < _STEPS_PER_CALL:
+        try:
+            items.append(pending.get_nowait())
+        except queue.Empty:
+            break
+    return items
+
+
+def _start_thread(function, name):
+    thread = threading.Thread(target=function, name=name, daemon=True)
+    thread.start()
