--- a/sniperudder/errors.py
+++ b/sniperudder/errors.py
@@ -14,7 +14,17 @@
 
 
 class SettingsError(SniperudderError):
-    """The settings file has one or more mistakes."""
+    """The settings file has one or more mistakes.
+
+    Attributes
+    ----------
+    mistakes : tuple of sniperudder.settings.Mistake
+        All mistakes that were found, in the order of the file.
+    """
+
+    def __init__(self, mistakes=()):
+        self.mistakes = tuple(mistakes)
+        super().__init__('\n'.join(str(item) for item in self.mistakes))
 
 
 class SyntaxProblem(SniperudderError):
--- /dev/null
+++ b/sniperudder/logs/__init__.py
@@ -0,0 +1,19 @@
+"""Logs of events by eliot, and their time line."""
+
+from sniperudder.logs._log import close_log
+from sniperudder.logs._log import create_log
+from sniperudder.logs._log import Log
+from sniperudder.logs._log import write_note
+from sniperudder.logs._tasks import continue_task
+from sniperudder.logs._tasks import make_task
+from sniperudder.logs._tasks import TASK_HEADER
+
+__all__ = [
+    'Log',
+    'TASK_HEADER',
+    'close_log',
+    'continue_task',
+    'create_log',
+    'make_task',
+    'write_note',
+]
--- /dev/null
+++ b/sniperudder/settings/_kinds.py
@@ -0,0 +1,184 @@
+"""Kinds of values: how text is read, and what is allowed."""
+
+import abc
+import ipaddress
+import math
+import re
+
+
+class Kind(abc.ABC):
+    """How the text of one key becomes a value."""
+
+    __slots__ = ()
+
+    @abc.abstractmethod
+    def read(self, text):
+        """Return the value of a text.
+
+        Raises
+        ------
+        ValueError
+            If the text is not allowed.
+        """
+
+    @abc.abstractmethod
+    def describe(self):
+        """Return what is allowed, in words."""
+
+
+class Text(Kind):
+    """Text that matches a pattern as a whole."""
+
+    __slots__ = ('_pattern', '_words')
+
+    def __init__(self, pattern, words):
+        self._pattern = re.compile(pattern, re.ASCII)
+        self._words = words
+
+    def read(self, text):
+        if self._pattern.fullmatch(text) is None:
+            raise ValueError(text)
+        return text
+
+    def describe(self):
+        return self._words
+
+
+class Address(Kind):
+    """An IP number and a port."""
+
+    __slots__ = ()
+
+    def read(self, text):
+        host, _, port = text.rpartition(':')
+        if not re.fullmatch('[0-9]{1,5}', port, re.ASCII):
+            raise ValueError(text)
+        if not 1 <= int(port) <= 65535:
+            raise ValueError(text)
+        if host.startswith('[') and host.endswith(']'):
+            ipaddress.IPv6Address(host[1:-1])
+        else:
+            ipaddress.IPv4Address(host)
+        return text
+
+    def describe(self):
+        return 'IP number and port, such as 192.0.2.7:8080 or [2001:db8::7]:80'
+
+
+class Addresses(Kind):
+    """One or more addresses, with commas between."""
+
+    __slots__ = ()
+
+    def read(self, text):
+        parts = [part.strip() for part in text.split(',')]
+        return [Address().read(part) for part in parts]
+
+    def describe(self):
+        return 'one or more addresses (IP number and port), commas between'
+
+
+class Whole(Kind):
+    """A whole number in a range."""
+
+    __slots__ = ('_high', '_low')
+
+    def __init__(self, low, high):
+        self._low = low
+        self._high = high
+
+    def read(self, text):
+        if not re.fullmatch('-?[0-9]{1,19}', text, re.ASCII):
+            raise ValueError(text)
+        value = int(text)
+        if not self._low <= value <= self._high:
+            raise ValueError(text)
+        return value
+
+    def describe(self):
+        return f'a whole number from {self._low} to {self._high}'
+
+
+class Number(Kind):
+    """A number in a range, brought to the unit used inside.
+
+    Parameters
+    ----------
+    low, high : float
+        Range in the unit of the file.
+    per_unit : float
+        How many of the file's unit make one of the unit inside.
+    """
+
+    __slots__ = ('_high', '_low', '_per_unit')
+
+    def __init__(self, low, high, per_unit=1):
+        self._low = low
+        self._high = high
+        self._per_unit = per_unit
+
+    def read(self, text):
+        if '_' in text:
+            raise ValueError(text)
+        value = float(text)
+        if not math.isfinite(value) or not self._low <= value <= self._high:
+            raise ValueError(text)
+        return value / self._per_unit
+
+    def describe(self):
+        return f'a number from {self._low:g} to {self._high:g}'
+
+
+class Flag(Kind):
+    """Yes or no."""
+
+    __slots__ = ()
+
+    def read(self, text):
+        if text not in ('yes', 'no'):
+            raise ValueError(text)
+        return text == 'yes'
+
+    def describe(self):
+        return 'yes or no'
+
+
+class Choice(Kind):
+    """A member of an enumeration, by its name in lower case."""
+
+    __slots__ = ('_members',)
+
+    def __init__(self, enumeration):
+        self._members = {item.name.lower(): item for item in enumeration}
+
+    def read(self, text):
+        if text not in self._members:
+            raise ValueError(text)
+        return self._members[text]
+
+    def describe(self):
+        return 'one of ' + ', '.join(self._members)
+
+
+class Digest(Kind):
+    """A SHA-256 digest in hexadecimal."""
+
+    __slots__ = ()
+
+    def read(self, text):
+        if not re.fullmatch('[0-9a-fA-F]{64}', text, re.ASCII):
+            raise ValueError(text)
+        return bytes.fromhex(text)
+
+    def describe(self):
+        return '64 hexadecimal digits (SHA-256)'
+
+
+NAME_PATTERN = '[A-Za-z0-9][A-Za-z0-9._-]{0,62}'
+NAME = Text(NAME_PATTERN, 'a name of up to 63 letters, digits, ".", "_", "-"')
+PATH = Text('[^\\0\\n]+', 'a path')
+VARIABLE = Text('[A-Za-z_][A-Za-z0-9_]*', 'the name of a variable')
+ADDRESS = Address()
+ADDRESSES = Addresses()
+FLAG = Flag()
+DIGEST = Digest()
--- a/sniperudder/tables/_endpoints.py
+++ b/sniperudder/tables/_endpoints.py
@@ -52,6 +52,8 @@
         Whether a repeated step is recognised by the engine.
     checks_fencing : bool
         Whether the engine refuses orders with an old fencing number.
+    checks_orders_sender : bool
+        Whether the engine checks who gives it orders.
     state : EndpointState
     streams : int
         Streams of this instance that the engine holds at present.
@@ -80,6 +82,7 @@
     max_streams: int
     deduplicates: bool = False
     checks_fencing: bool = True
+    checks_orders_sender: bool = False
     state: EndpointState = EndpointState.UP
     streams: int = 0
     reported_streams: int = 0
