Add the order system

Cause: calls to plain services had tables and inputs but no decisions. Change: sniperudder/systems/orders, a pure system of claims, calls, questions, stored results and releases; CallService gains start_by, an absolute time, since a length of time from a frozen process says nothing; ServiceTold gains started, since a call that still runs is not unrun.

--- a/sniperudder/effects/_services.py
+++ b/sniperudder/effects/_services.py
@@ -17,7 +17,11 @@
         Idempotency key, scoped to the organisation.
     body : str
     deadline_s : float
-        Time after which the service must not start the call, seconds.
+        Time left until ``start_by`` when the effect was made, seconds.
+    start_by : float
+        Time on the instance's clock after which the client must not
+        send the call (it then reports ``NOT_SENT``) and the service
+        must not start it; the client passes it on as wall-clock time.
     """
 
     order: str
@@ -25,6 +29,7 @@
     key: str
     body: str
     deadline_s: float
+    start_by: float = float('inf')
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/sniperudder/inputs/_services.py
+++ b/sniperudder/inputs/_services.py
@@ -41,6 +41,9 @@
     status : int
         HTTP status of the stored answer.
     body : str
+    started : bool
+        Whether the service has begun to run the key; such a call is not
+        found until it has ended.
     """
 
     order: str
@@ -48,3 +51,4 @@
     found: bool = False
     status: int = 0
     body: str = ''
+    started: bool = False
--- /dev/null
+++ b/sniperudder/systems/orders/_calls.py
@@ -0,0 +1,195 @@
+"""Calls of services and questions to them."""
+
+from sniperudder import effects
+from sniperudder import errors
+from sniperudder import inputs
+from sniperudder import outcomes
+from sniperudder.systems.orders import _claims
+from sniperudder.systems.orders import _endings
+from sniperudder.systems.orders import _rows
+from sniperudder.systems.orders import _timing
+from sniperudder.tables import OrderState
+
+_MIN_CALLS = 4
+_MAX_STALE_CHECKS = 5
+
+
+def may_call(T, call, now):
+    """Return whether a call may still be sent.
+
+    Asked by the client's thread right before the bytes leave, since the
+    process may have been frozen since the system decided.
+
+    Parameters
+    ----------
+    T : Tables
+    call : CallService
+    now : float
+        Seconds.
+    """
+    withdrawn = call.address in T.config.withdrawn
+    in_time = now < call.start_by
+    return in_time and not withdrawn and _timing.may_send(T, now)
+
+
+def run_calling(T, order, now):
+    """Call the service if nothing speaks against it."""
+    service = T.services[order.service]
+    if order.left and not order.exposed:
+        code = outcomes.Code.LEFT_BEFORE_START
+        return _endings.end_not_run(T, order, now, code)
+    if now >= _timing.compute_start_by(order, service):
+        return _miss_start(T, order, now)
+    if not _timing.may_send(T, now):
+        return _await_freshness(T, order, now)
+    address = _choose_worker(T, order, service)
+    if address is None:
+        return _end_unreachable(T, order, now)
+    return _send_call(T, order, service, address, now)
+
+
+def run_asking(T, order, now):
+    """Ask the service what became of the key."""
+    if order.holds and now >= order.ends_at:
+        return _endings.end_in_doubt(T, order, now)
+    service = T.services[order.service]
+    _timing.await_service(T, order, now)
+    order.asked_at = now
+    address = T.rng.choice(service.addresses)
+    return [effects.AskService(order.name, address, _format_key(order))]
+
+
+def handle_returned(T, order, inp, now):
+    """Take the answer of a service, or the news that none came."""
+    if inp.delivery is None:
+        if order.result is not None or not order.exposed:
+            return []
+        return _endings.take_result(T, order, now, inp.status, inp.body)
+    if order.state is not OrderState.CALLING or not order.pending:
+        return []
+    if inp.address and inp.address != order.address:
+        return []
+    order.pending = 0
+    if inp.delivery is inputs.Delivery.LOST:
+        return handle_lost(T, order, now)
+    order.exposed = order.lost
+    return _retry_call(T, order, now)
+
+
+def handle_lost(T, order, now):
+    """Go on after a call of which nothing is known."""
+    order.lost = True
+    service = T.services[order.service]
+    if service.repeatable or service.deduplicates:
+        return _retry_call(T, order, now)
+    if not service.lookup:
+        return _endings.end_in_doubt(T, order, now)
+    _endings.enter(order, OrderState.ASKING, now)
+    return []
+
+
+def handle_told(T, order, inp, now):
+    """Take what the service says of the key."""
+    order.pending = 0
+    if inp.answered and inp.found:
+        order.repeated = not order.holds
+        return _endings.take_result(T, order, now, inp.status, inp.body)
+    if not inp.answered or inp.started or not _is_settled(T, order):
+        return _ask_again(T, order, now)
+    # The service has not run the key and will not run it any more.
+    if not order.holds:
+        _claims.begin_claim(T, order, now, order.row_version)
+        return []
+    order.exposed = False
+    order.lost = False
+    code = outcomes.Code.SERVICE_UNREACHABLE
+    return _endings.end_not_run(T, order, now, code)
+
+
+def _is_settled(T, order):
+    since = order.claimed_at if order.holds else order.seen_at
+    return order.asked_at >= since + T.services[order.service].settle_s
+
+
+def _ask_again(T, order, now):
+    if order.holds:
+        _timing.delay_retry(T, order, now)
+        return []
+    order.state = OrderState.WAITING
+    _timing.delay_poll(T, order, now)
+    return []
+
+
+def _miss_start(T, order, now):
+    if order.exposed:
+        return _endings.end_in_doubt(T, order, now)
+    if now < order.deadline and not order.answered:
+        _claims.begin_claim(T, order, now, order.row_version, order.takes_over)
+        return []
+    code = outcomes.Code.DEADLINE_BEFORE_START
+    return _endings.end_not_run(T, order, now, code)
+
+
+def _await_freshness(T, order, now):
+    if order.failures < _MAX_STALE_CHECKS:
+        _timing.delay_poll(T, order, now)
+        return []
+    if order.exposed:
+        return _endings.end_in_doubt(T, order, now)
+    code = outcomes.Code.NOT_FRESH
+    return _endings.end_not_run(T, order, now, code)
+
+
+def _choose_worker(T, order, service):
+    withdrawn = T.config.withdrawn
+    allowed = [a for a in service.addresses if a not in withdrawn]
+    others = [a for a in allowed if a != order.address]
+    candidates = others or allowed
+    return T.rng.choice(candidates) if candidates else None
+
+
+def _send_call(T, order, service, address, now):
+    safe = service.repeatable or service.deduplicates
+    if order.exposed and not safe:
+        raise errors.InvariantBroken(f'{order.name} would be called twice')
+    if not order.holds and not service.repeatable:
+        raise errors.InvariantBroken(f'{order.name} has no claim')
+    start_by = _timing.compute_start_by(order, service)
+    order.exposed = True
+    order.tries += 1
+    order.address = address
+    _timing.await_service(T, order, now)
+    return [
+        effects.CallService(
+            order=order.name,
+            address=address,
+            key=_format_key(order),
+            body=order.body,
+            deadline_s=start_by - now,
+            start_by=start_by,
+        )
+    ]
+
+
+def _retry_call(T, order, now):
+    workers = len(T.services[order.service].addresses)
+    if order.tries >= max(_MIN_CALLS, 2 * workers):
+        return _end_unreachable(T, order, now)
+    if order.lost or order.tries >= workers:
+        _timing.delay_retry(T, order, now)
+    else:
+        order.next_at = now
+    return []
+
+
+def _end_unreachable(T, order, now):
+    if order.exposed:
+        return _endings.end_in_doubt(T, order, now)
+    code = outcomes.Code.SERVICE_UNREACHABLE
+    return _endings.end_not_run(T, order, now, code)
+
+
+def _format_key(order):
+    return _rows.format_service_key(
+        order.organisation, order.service, order.key
+    )
--- a/sniperudder/tables/_orders.py
+++ b/sniperudder/tables/_orders.py
@@ -10,13 +10,12 @@
     """Where an order is in its life at this instance."""
 
     CLAIMING = 'claiming'
-    READING = 'reading'
+    WAITING = 'waiting'
     CALLING = 'calling'
     ASKING = 'asking'
     STORING = 'storing'
-    WAITING = 'waiting'
+    MARKING = 'marking'
     RELEASING = 'releasing'
-    DONE = 'done'
 
 
 @dataclasses.dataclass(slots=True)
@@ -40,20 +39,57 @@
     arrived_at, deadline : float
         Seconds on the instance's clock.
     state : OrderState
+    holds : bool
+        Whether the claim's row is known to be this order's.
+    takes_over : bool
+        Whether the claim replaces the claim of another order, which
+        may have been run.
     claimed_at : float or None
-        When the claim that this order holds was requested, seconds.
+        When the claim with this nonce was first requested, seconds.
+    may_be_claimed : bool
+        Whether a request for the claim may have taken effect.
+    claim_lost : bool
+        Whether such a request brought no answer.
+    base_version : int
+        Version of the row that the claim replaces; 0 for none.
     row_version : int
         Version of the claim's row as last seen.
+    row_doubtful : bool
+        Whether the row, as last seen, was in doubt.
+    seen_at : float
+        When that version was first seen, seconds.
+    asked_at : float
+        When the service was last asked for the key, seconds.
+    exposed : bool
+        Whether a call was sent that may have been run.
+    lost : bool
+        Whether a call ended without it being known what became of it.
     tries : int
         Calls made so far.
+    address : str
+        Worker of the last call.
+    failures : int
+        Failures in a row of the present step.
+    pending : int
+        Serial number of the answer that is awaited; 0 for none.
+    serial : int
+        Last serial number given out.
     result : str or None
     status : int
         HTTP status of the service's answer.
+    result_at : float
+        When the result was known, seconds.
+    repeated : bool
+        Whether the result is that of another order with the same key.
     answered : bool
         Whether the caller has its outcome already.
+    left : bool
+        Whether the caller has gone.
+    ends_at : float
+        When work in the background is given up, seconds.
     next_at : float
-        When the next step is due, seconds; infinity while waiting for
-        an answer.
+        When the next step is due, or an awaited answer is overdue,
+        seconds.
     """
 
     name: str
@@ -67,10 +103,28 @@
     arrived_at: float
     deadline: float
     state: OrderState = OrderState.CLAIMING
+    holds: bool = False
+    takes_over: bool = False
     claimed_at: float | None = None
+    may_be_claimed: bool = False
+    claim_lost: bool = False
+    base_version: int = 0
     row_version: int = 0
+    row_doubtful: bool = False
+    seen_at: float = 0.0
+    asked_at: float = float('-inf')
+    exposed: bool = False
+    lost: bool = False
     tries: int = 0
+    address: str = ''
+    failures: int = 0
+    pending: int = 0
+    serial: int = 0
     result: str | None = None
     status: int = 0
+    result_at: float = 0.0
+    repeated: bool = False
     answered: bool = False
+    left: bool = False
+    ends_at: float = float('inf')
     next_at: float = float('inf')
