--- a/sniperudder/systems/orders/_calls.py
+++ b/sniperudder/systems/orders/_calls.py
@@ -27,9 +27,12 @@
     now : float
         Seconds.
     """
-    withdrawn = call.address in T.config.withdrawn
-    in_time = now < call.start_by
-    return in_time and not withdrawn and _timing.may_send(T, now)
+    order = T.orders.get(call.order)
+    if order is None or order.state is not OrderState.CALLING:
+        return False
+    if call.address != order.address or call.address in T.config.withdrawn:
+        return False
+    return now < call.start_by and _timing.may_send(T, now)
 
 
 def run_calling(T, order, now):
--- /dev/null
+++ b/sniperudder/systems/orders/tests/_mutants.py
@@ -0,0 +1,234 @@
+"""Naive variants of the order system, which the checker must catch."""
+
+import contextlib
+import dataclasses
+from unittest import mock
+
+from sniperudder import inputs
+from sniperudder import outcomes
+from sniperudder.systems.orders import _calls
+from sniperudder.systems.orders import _claims
+from sniperudder.systems.orders import _endings
+from sniperudder.systems.orders import _purposes
+from sniperudder.systems.orders import _rows
+from sniperudder.systems.orders import _steps
+from sniperudder.systems.orders import _timing
+from sniperudder.tables import OrderState
+
+_TAKEOVER_S = 2.0
+
+
+def _replace_answer(purpose, handle):
+    state, _ = _steps._PLATFORM[purpose]
+    return mock.patch.dict(_steps._PLATFORM, {purpose: (state, handle)})
+
+
+def skip_read_back():
+    """Take a lost answer to the claim for a success."""
+
+    def handle(T, order, outcome, now):
+        if isinstance(outcome, inputs.Unknown):
+            order.holds = True
+            order.row_version = order.base_version + 1
+            _endings.enter(order, OrderState.CALLING, now)
+            return []
+        return _claims.handle_claimed(T, order, outcome, now)
+
+    return _replace_answer(_purposes.ClaimOrder, handle)
+
+
+def claim_without_condition():
+    """Write the claim whatever the row holds."""
+    real = _claims.run_claiming
+
+    def run(T, order, now):
+        return [
+            dataclasses.replace(effect, conditions=())
+            for effect in real(T, order, now)
+        ]
+
+    return mock.patch.dict(_steps._RUN, {OrderState.CLAIMING: run})
+
+
+def take_over_after_time():
+    """Take over any claim that has not changed for a while."""
+    real = _claims._await_other
+
+    def wait(T, order, row, now):
+        if now - order.seen_at >= _TAKEOVER_S:
+            _claims.begin_claim(T, order, now, row.version)
+            return []
+        return real(T, order, row, now)
+
+    return mock.patch.object(_claims, '_await_other', wait)
+
+
+def release_after_sending():
+    """Take a call that brought no answer for one that was not sent."""
+
+    def handle(T, order, now):
+        order.exposed = False
+        return _calls._end_unreachable(T, order, now)
+
+    return mock.patch.object(_calls, 'handle_lost', handle)
+
+
+def resend_after_loss():
+    """Send again whatever the service is."""
+
+    def handle(T, order, now):
+        order.exposed = False
+        return _calls._retry_call(T, order, now)
+
+    return mock.patch.object(_calls, 'handle_lost', handle)
+
+
+def ignore_start_limit():
+    """Send a call however old the claim is."""
+
+    def compute(order, service):
+        return order.deadline
+
+    return mock.patch.object(_timing, 'compute_start_by', compute)
+
+
+def settle_at_once():
+    """Believe at once that a call that was not found will not run."""
+    return mock.patch.object(_calls, '_is_settled', lambda T, order: True)
+
+
+def ignore_running_calls():
+    """Take a call that still runs for one that was not run."""
+    real = _calls.handle_told
+
+    def handle(T, order, inp, now):
+        return real(T, order, dataclasses.replace(inp, started=False), now)
+
+    return mock.patch.object(_calls, 'handle_told', handle)
+
+
+def share_keys():
+    """Give services the caller's key without the organisation."""
+
+    def format_key(order):
+        return order.key
+
+    return mock.patch.object(_calls, '_format_key', format_key)
+
+
+def share_rows():
+    """Keep one row for a key of all organisations."""
+
+    def format_key(organisation, service, key):
+        return f'order/{service}/{key}'
+
+    return mock.patch.object(_rows, 'format_row_key', format_key)
+
+
+def ignore_digest():
+    """Give the stored result to orders with another body."""
+    return mock.patch.object(_rows, 'digest_body', lambda body: '')
+
+
+def repeat_nonces():
+    """Draw nonces that a replaced process draws again."""
+    real = _claims.begin_claim
+
+    def begin(T, order, now, base_version=0, takes_over=False):
+        real(T, order, now, base_version, takes_over)
+        order.nonce = f'{T.me}/{order.base_version}'
+
+    return mock.patch.object(_claims, 'begin_claim', begin)
+
+
+def refuse_without_release():
+    """Refuse and forget a claim that may have been written."""
+
+    def run(T, order, now):
+        _endings.drop(T, order)
+        return []
+
+    return mock.patch.dict(_steps._RUN, {OrderState.RELEASING: run})
+
+
+def release_unfenced():
+    """Forget an unknown claim that the platform does not hold yet."""
+    real = _endings.run_releasing
+
+    def run(T, order, now):
+        if not order.holds:
+            _endings.drop(T, order)
+            return []
+        return real(T, order, now)
+
+    return mock.patch.dict(_steps._RUN, {OrderState.RELEASING: run})
+
+
+def refuse_while_calling():
+    """Say at the deadline that a call under way was not run."""
+    real = _steps._meet_deadline
+
+    def meet(T, order, now):
+        calling = order.state is OrderState.CALLING and order.pending
+        if calling and not order.answered and now >= order.deadline:
+            order.exposed = False
+            code = outcomes.Code.DEADLINE_BEFORE_START
+            return _endings.end_not_run(T, order, now, code)
+        return real(T, order, now)
+
+    return mock.patch.object(_steps, '_meet_deadline', meet)
+
+
+def release_for_leavers():
+    """Release the claim when the caller leaves during the call."""
+    real = _steps.handle_departure
+
+    def handle(T, inp, now):
+        order = T.orders.get(inp.request)
+        if order is not None and not order.answered:
+            order.exposed = False
+        return real(T, inp, now)
+
+    return mock.patch.dict(_steps.HANDLERS, {inputs.CallerLeft: handle})
+
+
+def forget_results():
+    """Answer the caller and store nothing."""
+
+    def run(T, order, now):
+        return _endings._end_stored(T, order)
+
+    return mock.patch.dict(_steps._RUN, {OrderState.STORING: run})
+
+
+def skip_check_before_sending():
+    """Send what was decided before the process was frozen."""
+    from sniperudder.systems import orders
+
+    stack = contextlib.ExitStack()
+    stack.enter_context(
+        mock.patch.object(orders, 'may_call', lambda T, call, now: True)
+    )
+    return stack
+
+
+MUTANTS = (
+    skip_read_back,
+    claim_without_condition,
+    take_over_after_time,
+    release_after_sending,
+    resend_after_loss,
+    ignore_start_limit,
+    settle_at_once,
+    ignore_running_calls,
+    share_keys,
+    share_rows,
+    ignore_digest,
+    repeat_nonces,
+    refuse_without_release,
+    release_unfenced,
+    refuse_while_calling,
+    release_for_leavers,
+    forget_results,
+    skip_check_before_sending,
+)
--- /dev/null
+++ b/sniperudder/testing/__init__.py
@@ -0,0 +1,1 @@
+"""Fakes at the interfaces, for tests."""
--- /dev/null
+++ b/sniperudder/testing/_orderchecks.py
@@ -0,0 +1,150 @@
+"""Promises about orders, checked by what callers and services saw."""
+
+from sniperudder import outcomes
+from sniperudder.testing import _orders
+
+# Longest time that a key stays in doubt after all faults have ended and
+# its caller has sent it again.
+RESOLUTION_S = _orders.SETTLE_S + 4.0
+
+_RISKY = _orders.SERVICE_FAULTS | {_orders.FaultKind.KILL}
+
+
+def check_orders(world):
+    """Return what is wrong with a finished run, one sentence each.
+
+    Parameters
+    ----------
+    world : OrderWorld
+
+    Returns
+    -------
+    list of str
+    """
+    found = []
+    runs = _list_runs(world)
+    found += _check_once(runs)
+    found += _check_not_run(world, runs)
+    found += _check_results(world, runs)
+    found += _check_conflicts(world)
+    found += _check_finished(world)
+    found += _check_resolved(world)
+    return found
+
+
+def _list_runs(world):
+    by_name = {attempt.name: attempt for attempt in world.tries}
+    return [
+        (by_name[run.order], run)
+        for stand in world.services.values()
+        for run in stand.log
+    ]
+
+
+def _identify(attempt):
+    plan = attempt.plan
+    return plan.organisation, plan.service, plan.key
+
+
+def _check_once(runs):
+    found = []
+    seen = {}
+    for attempt, run in runs:
+        if run.service == _orders.REPEATABLE:
+            continue
+        identity = _identify(attempt)
+        if identity in seen:
+            found.append(
+                f'{identity} ran twice: {seen[identity]} and {run.order}'
+            )
+        seen[identity] = run.order
+    return found
+
+
+def _check_not_run(world, runs):
+    ran = {run.order for _, run in runs}
+    return [
+        f'{attempt.name} was refused as not run but ran'
+        for attempt in world.tries
+        for outcome in attempt.outcomes
+        if isinstance(outcome, outcomes.Refused) and attempt.name in ran
+    ]
+
+
+def _check_results(world, runs):
+    found = []
+    results = {}
+    for attempt, run in runs:
+        results.setdefault(_identify(attempt), {})[run.result] = run.body
+    for attempt in world.tries:
+        for outcome in attempt.outcomes:
+            if not isinstance(outcome, outcomes.Answered):
+                continue
+            known = results.get(_identify(attempt), {})
+            if known.get(outcome.body) != attempt.plan.body:
+                found.append(
+                    f'{attempt.name} got a result of another order: '
+                    f'{outcome.body}'
+                )
+    return found
+
+
+def _check_conflicts(world):
+    found = []
+    bodies = {}
+    for attempt in world.tries:
+        known = bodies.setdefault(_identify(attempt), set())
+        known.add(attempt.plan.body)
+    for attempt in world.tries:
+        for outcome in attempt.outcomes:
+            if outcome.code != outcomes.Code.IDEMPOTENCY_CONFLICT:
+                continue
+            if len(bodies[_identify(attempt)]) < 2:
+                found.append(f'{attempt.name} conflicts with itself')
+    return found
+
+
+def _check_finished(world):
+    found = []
+    for attempt in world.tries:
+        if len(attempt.outcomes) > 1:
+            found.append(f'{attempt.name} got several outcomes')
+        if not attempt.outcomes and not attempt.broken:
+            found.append(f'{attempt.name} got no outcome')
+    for entry in world.entries:
+        for name, order in entry.T.orders.items():
+            found.append(f'{name} stays in {order.state.value}')
+    return found
+
+
+def _check_resolved(world):
+    found = []
+    risky = any(fault.kind in _RISKY for fault in world.scenario.faults)
+    finals = {}
+    for attempt in world.tries:
+        if attempt.final and attempt.outcomes:
+            finals.setdefault(_identify(attempt), []).append(attempt)
+    for identity, attempts in finals.items():
+        if identity[1] == _orders.PLAIN and risky:
+            continue
+        found += _check_settled(identity, attempts)
+    return found
+
+
+def _check_settled(identity, attempts):
+    found = []
+    answered = 0
+    for attempt in attempts:
+        outcome = attempt.outcomes[0]
+        if outcome.code == outcomes.Code.IDEMPOTENCY_CONFLICT:
+            continue
+        if not isinstance(outcome, outcomes.Answered):
+            found.append(f'{identity} is not settled: {outcome}')
+            continue
+        answered += 1
+        elapsed_s = attempt.ended_at - attempt.sent_at
+        if elapsed_s > RESOLUTION_S:
+            found.append(f'{identity} was settled after {elapsed_s:.1f} s')
+    if not answered:
+        found.append(f'{identity} brought no result')
+    return found
--- /dev/null
+++ b/sniperudder/testing/_rowstore.py
@@ -0,0 +1,56 @@
+"""A small stand-in for the table service, without time or network."""
+
+from sniperudder import effects
+from sniperudder import inputs
+
+
+class RowStore:
+    """Rows with versions; every transaction is serialisable.
+
+    Attributes
+    ----------
+    rows : dict of str to Row
+    counts : dict of str to int
+        Transactions with writes, rows written, transactions without
+        writes, and conflicts.
+    """
+
+    __slots__ = ('rows', 'counts')
+
+    def __init__(self):
+        self.rows = {}
+        self.counts = {
+            'write_transactions': 0,
+            'rows_written': 0,
+            'read_transactions': 0,
+            'conflicts': 0,
+        }
+
+    def transact(self, call):
+        """Run a transaction and return its outcome."""
+        kind = 'write_transactions' if call.writes else 'read_transactions'
+        self.counts[kind] += 1
+        for condition in call.conditions:
+            row = self.rows.get(condition.key)
+            version = 0 if row is None else row.version
+            if version != condition.version:
+                self.counts['conflicts'] += 1
+                return inputs.Conflicted(self._list_rows(call))
+        for write in call.writes:
+            self._write(write)
+        rows = tuple(self.rows[key] for key in call.reads if key in self.rows)
+        return inputs.Committed(rows)
+
+    def _write(self, write):
+        self.counts['rows_written'] += 1
+        if write.value is None:
+            self.rows.pop(write.key, None)
+            return
+        row = self.rows.get(write.key)
+        version = 1 if row is None else row.version + 1
+        self.rows[write.key] = effects.Row(write.key, write.value, version)
+
+    def _list_rows(self, call):
+        keys = [condition.key for condition in call.conditions]
+        keys += [key for key in call.reads if key not in keys]
+        return tuple(self.rows[key] for key in keys if key in self.rows)
