Keep results that a frozen process learns late

Ruled out: loss of the answer by the service (its log shows the run). Change: an overdue answer gets one more second of running time before it counts as lost; calls that may have been run are counted, so that a late 'not sent' releases the claim; the world spreads a thawed process's work over 0.3 s and freezes and kills between decision and deed.

--- a/sniperudder/systems/orders/_calls.py
+++ b/sniperudder/systems/orders/_calls.py
@@ -38,7 +38,7 @@
 def run_calling(T, order, now):
     """Call the service if nothing speaks against it."""
     service = T.services[order.service]
-    if order.left and not order.exposed:
+    if order.left and not order.open_calls:
         code = outcomes.Code.LEFT_BEFORE_START
         return _endings.end_not_run(T, order, now, code)
     if now >= _timing.compute_start_by(order, service):
@@ -65,23 +65,23 @@
 def handle_returned(T, order, inp, now):
     """Take the answer of a service, or the news that none came."""
     if inp.delivery is None:
-        if order.result is not None or not order.exposed:
-            return []
+        if order.result is not None or not order.open_calls:
+            return [effects.Note('order:late-answer', order.name)]
         return _endings.take_result(T, order, now, inp.status, inp.body)
-    if order.state is not OrderState.CALLING or not order.pending:
-        return []
-    if inp.address and inp.address != order.address:
+    if inp.delivery is inputs.Delivery.NOT_SENT and order.open_calls:
+        order.open_calls -= 1
+    if order.state is not OrderState.CALLING:
+        return _reconsider(T, order, now)
+    if not order.pending or inp.address != order.address:
         return []
     order.pending = 0
     if inp.delivery is inputs.Delivery.LOST:
         return handle_lost(T, order, now)
-    order.exposed = order.lost
     return _retry_call(T, order, now)
 
 
 def handle_lost(T, order, now):
     """Go on after a call of which nothing is known."""
-    order.lost = True
     service = T.services[order.service]
     if service.repeatable or service.deduplicates:
         return _retry_call(T, order, now)
@@ -103,8 +103,7 @@
     if not order.holds:
         _claims.begin_claim(T, order, now, order.row_version)
         return []
-    order.exposed = False
-    order.lost = False
+    order.open_calls = 0
     code = outcomes.Code.SERVICE_UNREACHABLE
     return _endings.end_not_run(T, order, now, code)
 
@@ -124,7 +123,7 @@
 
 
 def _miss_start(T, order, now):
-    if order.exposed:
+    if order.open_calls:
         return _endings.end_in_doubt(T, order, now)
     if now < order.deadline and not order.answered:
         _claims.begin_claim(T, order, now, order.row_version, order.takes_over)
@@ -137,7 +136,7 @@
     if order.failures < _MAX_STALE_CHECKS:
         _timing.delay_poll(T, order, now)
         return []
-    if order.exposed:
+    if order.open_calls:
         return _endings.end_in_doubt(T, order, now)
     code = outcomes.Code.NOT_FRESH
     return _endings.end_not_run(T, order, now, code)
@@ -153,12 +152,12 @@
 
 def _send_call(T, order, service, address, now):
     safe = service.repeatable or service.deduplicates
-    if order.exposed and not safe:
+    if order.open_calls and not safe:
         raise errors.InvariantBroken(f'{order.name} would be called twice')
     if not order.holds and not service.repeatable:
         raise errors.InvariantBroken(f'{order.name} has no claim')
     start_by = _timing.compute_start_by(order, service)
-    order.exposed = True
+    order.open_calls += 1
     order.tries += 1
     order.address = address
     _timing.await_service(T, order, now)
@@ -178,15 +177,28 @@
     workers = len(T.services[order.service].addresses)
     if order.tries >= max(_MIN_CALLS, 2 * workers):
         return _end_unreachable(T, order, now)
-    if order.lost or order.tries >= workers:
+    if order.open_calls or order.tries >= workers:
         _timing.delay_retry(T, order, now)
     else:
         order.next_at = now
     return []
 
 
+def _reconsider(T, order, now):
+    """Act on the news that an overdue call was not sent after all."""
+    if order.open_calls or order.result is not None or not order.holds:
+        return []
+    if order.state not in (OrderState.ASKING, OrderState.MARKING):
+        return []
+    if order.answered:
+        code = outcomes.Code.SERVICE_UNREACHABLE
+        return _endings.end_not_run(T, order, now, code)
+    _endings.enter(order, OrderState.CALLING, now)
+    return []
+
+
 def _end_unreachable(T, order, now):
-    if order.exposed:
+    if order.open_calls:
         return _endings.end_in_doubt(T, order, now)
     code = outcomes.Code.SERVICE_UNREACHABLE
     return _endings.end_not_run(T, order, now, code)
--- a/sniperudder/systems/orders/_endings.py
+++ b/sniperudder/systems/orders/_endings.py
@@ -16,7 +16,7 @@
     """Give the caller its one outcome."""
     if order.answered:
         raise errors.InvariantBroken(f'{order.name} is answered twice')
-    if order.exposed and isinstance(outcome, outcomes.Refused):
+    if order.open_calls and isinstance(outcome, outcomes.Refused):
         raise errors.InvariantBroken(f'{order.name} may have been run')
     order.answered = True
     return [effects.Finish(order.name, outcome)]
@@ -31,7 +31,7 @@
 
 def end_not_run(T, order, now, code, detail=''):
     """Refuse an order that was certainly not run; release its claim."""
-    if order.exposed:
+    if order.open_calls:
         raise errors.InvariantBroken(f'{order.name} may have been run')
     out = []
     if not order.answered:
@@ -101,7 +101,7 @@
 
 def run_releasing(T, order, now):
     """Write into the row that the order was not run."""
-    if order.exposed or order.takes_over:
+    if order.open_calls or order.takes_over:
         raise errors.InvariantBroken(f'{order.name} may have been run')
     row = _make_row(T, order, _rows.RowState.RELEASED)
     return _write_row(T, order, now, _purposes.ReleaseOrder, row)
@@ -225,7 +225,10 @@
     if content is None or content.nonce != order.nonce:
         drop(T, order)
         return []
-    if content.state is not _rows.RowState.CLAIMED:
+    marked = content.state is _rows.RowState.IN_DOUBT
+    releasing = order.state is OrderState.RELEASING
+    outdated = content.state is _rows.RowState.CLAIMED
+    if not outdated and not (marked and releasing):
         drop(T, order)
         return []
     order.holds = True
--- a/sniperudder/systems/orders/_steps.py
+++ b/sniperudder/systems/orders/_steps.py
@@ -14,6 +14,8 @@
 from sniperudder.tables import OrderState
 
 _MAX_STEPS = 10
+_FROZEN_S = 0.5
+_GRACE_S = 1.0
 
 _RUN = {
     OrderState.CLAIMING: _claims.run_claiming,
@@ -63,7 +65,7 @@
     if order is None or order.answered:
         return []
     order.left = True
-    if order.exposed or order.state is OrderState.STORING:
+    if order.open_calls or order.state is OrderState.STORING:
         return []
     if order.state in (OrderState.WAITING, OrderState.ASKING):
         return _end_waiting(T, order)
@@ -146,6 +148,11 @@
 def _take_step(T, order, now):
     if not order.pending:
         return _RUN[order.state](T, order, now)
+    if not order.overdue or now > order.next_at + _FROZEN_S:
+        # Where this process was frozen, its threads report at once now.
+        order.overdue = True
+        order.next_at = now + _GRACE_S
+        return []
     order.pending = 0
     if order.state is OrderState.CALLING:
         return _calls.handle_lost(T, order, now)
@@ -164,7 +171,7 @@
         return _endings.answer_order(order)
     if now < order.deadline:
         return []
-    if order.exposed:
+    if order.open_calls:
         code = outcomes.Code.ORDER_IN_PROGRESS
         return _endings.finish(order, outcomes.InDoubt(code))
     if order.state in (OrderState.WAITING, OrderState.ASKING):
--- a/sniperudder/systems/orders/_timing.py
+++ b/sniperudder/systems/orders/_timing.py
@@ -56,6 +56,7 @@
 def _await(order, overdue_at):
     order.serial += 1
     order.pending = order.serial
+    order.overdue = False
     order.next_at = overdue_at + _ANSWER_SLACK_S
     return order.serial
 
--- a/sniperudder/systems/orders/tests/_mutants.py
+++ b/sniperudder/systems/orders/tests/_mutants.py
@@ -6,6 +6,7 @@
 
 from sniperudder import inputs
 from sniperudder import outcomes
+from sniperudder.systems import orders
 from sniperudder.systems.orders import _calls
 from sniperudder.systems.orders import _claims
 from sniperudder.systems.orders import _endings
@@ -14,6 +15,7 @@
 from sniperudder.systems.orders import _steps
 from sniperudder.systems.orders import _timing
 from sniperudder.tables import OrderState
+from sniperudder.testing import _orders
 
 _TAKEOVER_S = 2.0
 
@@ -67,7 +69,7 @@
     """Take a call that brought no answer for one that was not sent."""
 
     def handle(T, order, now):
-        order.exposed = False
+        order.open_calls = 0
         return _calls._end_unreachable(T, order, now)
 
     return mock.patch.object(_calls, 'handle_lost', handle)
@@ -77,7 +79,7 @@
     """Send again whatever the service is."""
 
     def handle(T, order, now):
-        order.exposed = False
+        order.open_calls = 0
         return _calls._retry_call(T, order, now)
 
     return mock.patch.object(_calls, 'handle_lost', handle)
@@ -171,7 +173,7 @@
     def meet(T, order, now):
         calling = order.state is OrderState.CALLING and order.pending
         if calling and not order.answered and now >= order.deadline:
-            order.exposed = False
+            order.open_calls = 0
             code = outcomes.Code.DEADLINE_BEFORE_START
             return _endings.end_not_run(T, order, now, code)
         return real(T, order, now)
@@ -186,7 +188,7 @@
     def handle(T, inp, now):
         order = T.orders.get(inp.request)
         if order is not None and not order.answered:
-            order.exposed = False
+            order.open_calls = 0
         return real(T, inp, now)
 
     return mock.patch.dict(_steps.HANDLERS, {inputs.CallerLeft: handle})
@@ -201,14 +203,19 @@
     return mock.patch.dict(_steps._RUN, {OrderState.STORING: run})
 
 
-def skip_check_before_sending():
-    """Send what was decided before the process was frozen."""
-    from sniperudder.systems import orders
+def send_after_thaw():
+    """Send what was decided before a freeze, with the time left then."""
+
+    def compute(world, entry, call):
+        return world.now + call.deadline_s
 
     stack = contextlib.ExitStack()
     stack.enter_context(
         mock.patch.object(orders, 'may_call', lambda T, call, now: True)
     )
+    stack.enter_context(
+        mock.patch.object(_orders.OrderWorld, 'compute_wall_deadline', compute)
+    )
     return stack
 
 
@@ -230,5 +237,5 @@
     refuse_while_calling,
     release_for_leavers,
     forget_results,
-    skip_check_before_sending,
+    send_after_thaw,
 )
--- a/sniperudder/tables/_orders.py
+++ b/sniperudder/tables/_orders.py
@@ -60,10 +60,8 @@
         When that version was first seen, seconds.
     asked_at : float
         When the service was last asked for the key, seconds.
-    exposed : bool
-        Whether a call was sent that may have been run.
-    lost : bool
-        Whether a call ended without it being known what became of it.
+    open_calls : int
+        Calls made that may have been run.
     tries : int
         Calls made so far.
     address : str
@@ -72,6 +70,8 @@
         Failures in a row of the present step.
     pending : int
         Serial number of the answer that is awaited; 0 for none.
+    overdue : bool
+        Whether that answer has been given a last delay.
     serial : int
         Last serial number given out.
     result : str or None
@@ -113,12 +113,12 @@
     row_doubtful: bool = False
     seen_at: float = 0.0
     asked_at: float = float('-inf')
-    exposed: bool = False
-    lost: bool = False
+    open_calls: int = 0
     tries: int = 0
     address: str = ''
     failures: int = 0
     pending: int = 0
+    overdue: bool = False
     serial: int = 0
     result: str | None = None
     status: int = 0
--- a/sniperudder/testing/_orderchecks.py
+++ b/sniperudder/testing/_orderchecks.py
@@ -7,7 +7,10 @@
 # its caller has sent it again.
 RESOLUTION_S = _orders.SETTLE_S + 4.0
 
-_RISKY = _orders.SERVICE_FAULTS | {_orders.FaultKind.KILL}
+_RISKY = _orders.SERVICE_FAULTS | {
+    _orders.FaultKind.KILL,
+    _orders.FaultKind.KILL_MIDWAY,
+}
 
 
 def check_orders(world):
--- a/sniperudder/testing/_orderplans.py
+++ b/sniperudder/testing/_orderplans.py
@@ -9,9 +9,18 @@
 _SPANS_S = (1.0, 5.0, 20.0)
 
 
-def draw_scenario(seed, entries=3):
+def draw_scenario(seed, entries=3, services=None, kinds=None):
     """Return the scenario that belongs to a seed.
 
+    Parameters
+    ----------
+    seed : int
+    entries : int
+    services : sequence of str, optional
+        Kinds of services; one or two at random where none are given.
+    kinds : sequence of FaultKind, optional
+        Kinds of faults; one to four at random where none are given.
+
     Examples
     --------
     >>> draw_scenario(5) == draw_scenario(5)
@@ -19,13 +28,15 @@
     """
     rng = random.Random(seed)
     span_s = rng.choice(_SPANS_S)
-    services = rng.sample(_orders.KINDS, rng.randint(1, 2))
+    services = services or rng.sample(_orders.KINDS, rng.randint(1, 2))
+    kinds = kinds or rng.sample(list(_orders.FaultKind), rng.randint(1, 4))
     plans = tuple(
         _draw_plan(rng, entries, span_s, services)
         for _ in range(rng.randint(1, 8))
     )
     faults = tuple(
-        _draw_fault(rng, entries, span_s) for _ in range(rng.randint(0, 10))
+        _draw_fault(rng, entries, span_s, kinds)
+        for _ in range(rng.randint(0, 10))
     )
     return _orders.Scenario(seed, plans, faults, entries)
 
@@ -46,9 +57,9 @@
     )
 
 
-def _draw_fault(rng, entries, span_s):
+def _draw_fault(rng, entries, span_s, kinds):
     return _orders.Fault(
-        kind=rng.choice(list(_orders.FaultKind)),
+        kind=rng.choice(kinds),
         at=rng.uniform(0.0, span_s),
         duration_s=rng.choice((0.3, 2.0, 12.0)) * rng.random(),
         entry=rng.randrange(entries),
--- a/sniperudder/testing/_orders.py
+++ b/sniperudder/testing/_orders.py
@@ -21,14 +21,18 @@
 _PLATFORM_DELAY_S = 0.02
 _SERVICE_DELAY_S = 0.01
 _RUN_S = 0.2
+_LONG_RUN_S = 8.0
+_LONG_FREEZE_S = 10.0
 _LATE_S = 6.0
 _SLOW_S = 3.0
 _CALLER_PAUSE_S = 0.5
 _CLOCK_ERROR_S = 0.5
 _GRACE_S = 60.0
+_HIT_SHARE = 0.2
+_THREAD_LAG_S = 0.3
 
 PLATFORM_TIMEOUT_S = 0.5
-ORDER_TIMEOUT_S = 2.0
+ORDER_TIMEOUT_S = 1.0
 SETTLE_S = 4.0
 HEAL_S = 60.0
 
@@ -44,6 +48,8 @@
 
     KILL = 'kill'
     FREEZE = 'freeze'
+    KILL_MIDWAY = 'kill between decision and deed'
+    FREEZE_MIDWAY = 'freeze between decision and deed'
     STALE = 'stale'
     PLATFORM_DOWN = 'platform down'
     PLATFORM_SLOW = 'platform slow'
@@ -52,6 +58,7 @@
     SERVICE_LOSES = 'service loses answers'
     SERVICE_CRASHES = 'service crashes before the run'
     SERVICE_LATE = 'service runs late'
+    SERVICE_SLOW = 'service runs for long'
 
 
 SERVICE_FAULTS = frozenset(
@@ -59,6 +66,7 @@
         FaultKind.SERVICE_LOSES,
         FaultKind.SERVICE_CRASHES,
         FaultKind.SERVICE_LATE,
+        FaultKind.SERVICE_SLOW,
     }
 )
 
@@ -194,7 +202,6 @@
             for kind in KINDS
         }
         self.entries = [self._create_entry(i) for i in range(scenario.entries)]
-        self.retired = []
         self.tries = []
         self.calm_at = _find_calm(scenario)
 
@@ -270,17 +277,24 @@
 
     def _start_fault(self, fault):
         entry = self.entries[fault.entry % len(self.entries)]
-        until = self.now + fault.duration_s
         match fault.kind:
             case FaultKind.KILL:
-                entry.dead = True
-                self.retired.append(entry)
-                self.entries[entry.index] = self._create_entry(entry.index)
+                self._kill(entry)
             case FaultKind.FREEZE:
-                entry.frozen_until = max(entry.frozen_until, until)
-                self._schedule(until, self._thaw, entry)
+                self._freeze(entry, fault.duration_s)
             case FaultKind.STALE:
-                entry.stale_until = until
+                entry.stale_until = self.now + fault.duration_s
+
+    def _kill(self, entry):
+        if entry.dead:
+            return
+        entry.dead = True
+        self.entries[entry.index] = self._create_entry(entry.index)
+
+    def _freeze(self, entry, duration_s):
+        until = self.now + duration_s
+        entry.frozen_until = max(entry.frozen_until, until)
+        self._schedule(until, self._thaw, entry)
 
     def _thaw(self, entry):
         if entry.dead or self.now < entry.frozen_until:
@@ -289,7 +303,8 @@
         entry.backlog = []
         self.rng.shuffle(backlog)
         for function, arguments in backlog:
-            function(*arguments)
+            at = self.now + _THREAD_LAG_S * self.rng.random()
+            self._schedule(at, self._on_entry, entry, function, *arguments)
 
     def _on_entry(self, entry, function, *arguments):
         """Run a step of a process; later where it is frozen."""
@@ -328,22 +343,37 @@
 
     def _perform(self, entry, results):
         for effect in results:
-            match effect:
-                case effects.Transact():
-                    self._begin_transaction(entry, effect)
-                case effects.CallService():
-                    self._schedule(
-                        self.now,
-                        self._on_entry,
-                        entry,
-                        self._begin_call,
-                        entry,
-                        effect,
-                    )
-                case effects.AskService():
-                    self._begin_question(entry, effect)
-                case effects.Finish():
-                    self._end_try(effect)
+            self._disturb(entry)
+            self._schedule(
+                self.now,
+                self._on_entry,
+                entry,
+                self._perform_one,
+                entry,
+                effect,
+            )
+
+    def _perform_one(self, entry, effect):
+        match effect:
+            case effects.Transact():
+                self._begin_transaction(entry, effect)
+            case effects.CallService():
+                self._begin_call(entry, effect)
+            case effects.AskService():
+                self._begin_question(entry, effect)
+            case effects.Finish():
+                self._end_try(effect)
+
+    def _disturb(self, entry):
+        """Perhaps hit a process in the middle of a step."""
+        if self._is_hit(FaultKind.KILL_MIDWAY):
+            self._schedule(self.now, self._kill, entry)
+        if self._is_hit(FaultKind.FREEZE_MIDWAY):
+            duration_s = _LONG_FREEZE_S * self.rng.random()
+            self._schedule(self.now, self._freeze, entry, duration_s)
+
+    def _is_hit(self, kind):
+        return self.has_fault(kind) and self.rng.random() < _HIT_SHARE
 
     def _end_try(self, effect):
         attempt = self.tries[int(effect.request.removeprefix('try-'))]
@@ -397,47 +427,55 @@
         if refused:
             self._answer_call(entry, call, inputs.Delivery.NOT_SENT, 0.0)
             return
-        wall_deadline = call.start_by - entry.ahead_s
-        wall_deadline += self.rng.uniform(-_CLOCK_ERROR_S, _CLOCK_ERROR_S)
-        delay_s = _SERVICE_DELAY_S * self.rng.uniform(0.5, 2.0)
+        wall_deadline = self.compute_wall_deadline(entry, call)
         crashes = self.has_fault(FaultKind.SERVICE_CRASHES)
+        travel_s = _SERVICE_DELAY_S * self.rng.uniform(0.5, 2.0)
         if crashes and self.rng.random() < 0.6:
-            self._answer_call(entry, call, inputs.Delivery.LOST, delay_s)
+            self._answer_call(entry, call, inputs.Delivery.LOST, travel_s)
             return
+        patience_s = ORDER_TIMEOUT_S
         late = self.has_fault(FaultKind.SERVICE_LATE)
         if late and self.rng.random() < 0.6:
-            delay_s = _LATE_S * self.rng.random()
+            travel_s = _LATE_S * self.rng.random()
+            patience_s *= self.rng.random()
         self._schedule(
-            self.now + delay_s,
+            self.now + travel_s,
             self._run_call,
             entry,
             call,
             wall_deadline,
-            delay_s,
+            patience_s - travel_s,
         )
-        if delay_s > ORDER_TIMEOUT_S:
-            self._answer_call(
-                entry, call, inputs.Delivery.LOST, ORDER_TIMEOUT_S
-            )
+        if travel_s > patience_s:
+            self._answer_call(entry, call, inputs.Delivery.LOST, patience_s)
 
-    def _run_call(self, entry, call, wall_deadline, delay_s):
+    def compute_wall_deadline(self, entry, call):
+        """Return the latest start that the service reads in the call."""
+        error_s = self.rng.uniform(-_CLOCK_ERROR_S, _CLOCK_ERROR_S)
+        return call.start_by - entry.ahead_s + error_s
+
+    def _run_call(self, entry, call, wall_deadline, patience_s):
         stand = self.services[_find_kind(call.address)]
         duration_s = _RUN_S * self.rng.uniform(0.1, 2.0)
+        slow = self.has_fault(FaultKind.SERVICE_SLOW)
+        if slow and self.rng.random() < 0.6:
+            duration_s = _LONG_RUN_S * self.rng.random()
         run = stand.run(call, self.now, duration_s, wall_deadline)
-        if delay_s > ORDER_TIMEOUT_S:
+        if patience_s < 0.0:
             return
         if run is None:
-            self._answer_call(entry, call, inputs.Delivery.NOT_SENT, delay_s)
+            self._answer_call(entry, call, inputs.Delivery.NOT_SENT, 0.0)
             return
+        wait_s = max(0.0, run.ended_at - self.now)
         loses = self.has_fault(FaultKind.SERVICE_LOSES)
         if loses and self.rng.random() < 0.6:
-            wait_s = duration_s * self.rng.random()
-            self._answer_call(entry, call, inputs.Delivery.LOST, wait_s)
+            patience_s = min(patience_s, wait_s * self.rng.random())
+        if wait_s > patience_s:
+            self._answer_call(entry, call, inputs.Delivery.LOST, patience_s)
             return
         answer = inputs.ServiceReturned(
             call.order, 200, run.result, None, call.address
         )
-        wait_s = max(0.0, run.ended_at - self.now)
         self._schedule(self.now + wait_s, self._deliver, entry, answer)
 
     def _answer_call(self, entry, call, delivery, delay_s):
@@ -514,4 +552,4 @@
     """Return the time at which all faults and plans are over."""
     ends = [fault.at + fault.duration_s for fault in scenario.faults]
     ends += [plan.at for plan in scenario.plans]
-    return max(ends, default=0.0)
+    return max(ends, default=0.0) + _LONG_FREEZE_S
