--- a/sniperudder/core/_core.py
+++ b/sniperudder/core/_core.py
@@ -1,9 +1,10 @@
 """The way of an input to its system, and the order of the systems."""
 
 from sniperudder import inputs
+from sniperudder.systems import drain
 from sniperudder.systems import requests
 
-_SYSTEMS = (requests,)
+_SYSTEMS = (drain, requests)
 _TICKS = (requests.run_requests,)
 
 _HANDLERS = {}
--- a/sniperudder/effects/_endpoints.py
+++ b/sniperudder/effects/_endpoints.py
@@ -18,8 +18,10 @@
     model, version : str
     rank : int
     prefill : bool
-        Whether the payload is the whole text so far and not the last
-        token or the output of the stage before.
+        Whether this is the first pass of the attempt: the first stage
+        gets the whole text so far, and every stage begins with an
+        empty state. An engine refuses any other step of an attempt
+        that it does not hold.
     payload : str
         Text, token or output of the stage before.
     last : bool
--- a/sniperudder/systems/requests/_dispatch.py
+++ b/sniperudder/systems/requests/_dispatch.py
@@ -141,6 +141,7 @@
     req.chain = chain
     req.version = model.version
     req.begun_at = now
+    req.first_position = len(req.tokens)
     T.running[req.rank] += 1
     for stage in chain:
         ep = T.endpoints[stage.endpoint]
@@ -168,8 +169,7 @@
     req.stage = stage_index
     req.resent = False
     stage = req.chain[stage_index]
-    prefill = payload is None
-    if prefill:
+    if payload is None:
         payload = req.prompt + ''.join(req.tokens)
     step = effects.Step(
         request=req.name,
@@ -180,7 +180,7 @@
         model=req.model,
         version=req.version,
         rank=int(req.rank),
-        prefill=prefill,
+        prefill=len(req.tokens) == req.first_position,
         payload=payload,
         last=stage_index == len(req.chain) - 1,
         deadline_s=req.deadline - now,
--- /dev/null
+++ b/sniperudder/systems/requests/tests/test_requests.py
@@ -0,0 +1,161 @@
+"""Small cases of requests over fake engines."""
+
+import testtools
+
+from sniperudder import inputs
+from sniperudder import outcomes
+from sniperudder.systems.requests.tests import _fleets
+from sniperudder import tables
+
+
+class TestAnswers(testtools.TestCase):
+    def test_chain_answers_whole(self):
+        fleet = _fleets.create_fleet()
+        fleet.send_request('entry-0', _fleets.make_arrival(1))
+        fleet.clock.run_until(5.0)
+        heard = fleet.heard['req-1']
+        self.assertIsInstance(heard.outcome, outcomes.Answered)
+        self.assertEqual(5, len(heard.tokens))
+        self.assertEqual([], _fleets.check_promises(fleet))
+
+    def test_slots_are_given_back(self):
+        fleet = _fleets.create_fleet()
+        for number in range(30):
+            fleet.send_request('entry-0', _fleets.make_arrival(number))
+        fleet.clock.run_until(20.0)
+        T = fleet.entries['entry-0']
+        self.assertEqual({}, T.requests)
+        self.assertEqual(0, sum(T.running.values()))
+        self.assertEqual(
+            [0], sorted({e.streams for e in T.endpoints.values()})
+        )
+        held = [engine.count_streams() for engine in fleet.engines.values()]
+        self.assertEqual([0, 0, 0, 0], held)
+
+    def test_crash_of_a_stage_resumes(self):
+        fleet = _fleets.create_fleet()
+        arrival = _fleets.make_arrival(1, max_tokens=40)
+        fleet.send_request('entry-0', arrival)
+        T = fleet.entries['entry-0']
+        fleet.clock.run_until(0.2)
+        stage = T.requests['req-1'].chain[1]
+        fleet.engines[stage.endpoint].crash(3.0)
+        fleet.clock.run_until(20.0)
+        heard = fleet.heard['req-1']
+        self.assertIsInstance(heard.outcome, outcomes.Answered)
+        self.assertEqual([], _fleets.check_promises(fleet))
+        attempts = {r.attempt for e in fleet.engines.values() for r in e.log}
+        self.assertEqual({1, 2}, attempts)
+
+    def test_late_answer_of_an_old_attempt_is_dropped(self):
+        fleet = _fleets.create_fleet()
+        fleet.step_timeout_s = 0.3
+        arrival = _fleets.make_arrival(1, max_tokens=20)
+        fleet.send_request('entry-0', arrival)
+        fleet.clock.run_until(0.1)
+        for engine in fleet.engines.values():
+            engine.slow = 50.0
+        fleet.clock.run_until(1.0)
+        for engine in fleet.engines.values():
+            engine.slow = 1.0
+        fleet.clock.run_until(30.0)
+        self.assertEqual([], _fleets.check_promises(fleet))
+        T = fleet.entries['entry-0']
+        self.assertGreater(T.counters['late_steps'], 0)
+
+    def test_caller_that_leaves_frees_the_engines(self):
+        fleet = _fleets.create_fleet()
+        arrival = _fleets.make_arrival(1, max_tokens=1000)
+        fleet.send_request('entry-0', arrival)
+        fleet.clock.run_until(0.5)
+        fleet.submit('entry-0', inputs.CallerLeft('req-1'))
+        fleet.clock.run_until(1.0)
+        held = [engine.count_streams() for engine in fleet.engines.values()]
+        self.assertEqual([0, 0, 0, 0], held)
+        self.assertEqual(
+            outcomes.Code.CALLER_LEFT, fleet.heard['req-1'].outcome.code
+        )
+
+
+class TestRefusals(testtools.TestCase):
+    def _refuse(self, fleet, **fields):
+        fleet.send_request('entry-0', _fleets.make_arrival(1, **fields))
+        fleet.clock.run_until(1.0)
+        outcome = fleet.heard['req-1'].outcome
+        self.assertIsInstance(outcome, outcomes.Refused)
+        self.assertEqual([], _fleets.check_promises(fleet))
+        return outcome.code
+
+    def test_model_without_chain(self):
+        fleet = _fleets.create_fleet(copies=1)
+        T = fleet.entries['entry-0']
+        T.config.withdrawn.add('ep-4-0')
+        self.assertEqual(outcomes.Code.NO_ENDPOINT, self._refuse(fleet))
+
+    def test_stopping_instance(self):
+        fleet = _fleets.create_fleet()
+        fleet.submit('entry-0', inputs.StopRequested())
+        self.assertEqual(outcomes.Code.STOPPING, self._refuse(fleet))
+
+    def test_shed_rank(self):
+        fleet = _fleets.create_fleet()
+        T = fleet.entries['entry-0']
+        T.config.shed_ranks[tables.Rank.LEAST] = 1.0
+        code = self._refuse(fleet, rank=tables.Rank.LEAST)
+        self.assertEqual(outcomes.Code.SHED, code)
+
+    def test_instance_with_stale_configuration(self):
+        fleet = _fleets.create_fleet()
+        fleet.confirm = False
+        fleet.entries['entry-0'].confirmed_at = -100.0
+        self.assertEqual(outcomes.Code.NOT_FRESH, self._refuse(fleet))
+
+    def test_queued_request_past_its_wait(self):
+        fleet = _fleets.create_fleet(copies=1, streams=1)
+        long = _fleets.make_arrival(0, max_tokens=1000)
+        fleet.send_request('entry-0', long)
+        fleet.send_request('entry-0', _fleets.make_arrival(1))
+        fleet.clock.run_until(5.0)
+        outcome = fleet.heard['req-1'].outcome
+        self.assertEqual(outcomes.Code.TARGET_UNREACHABLE, outcome.code)
+        self.assertEqual([], _fleets.check_promises(fleet))
+
+
+class TestPoison(testtools.TestCase):
+    def test_content_stops_after_its_second_crash(self):
+        fleet = _fleets.create_fleet(copies=4)
+        poison = {'prompt': 'say \0poison now'}
+        fleet.send_request('entry-0', _fleets.make_arrival(1, **poison))
+        for number in range(2, 8):
+            arrival = _fleets.make_arrival(number, max_tokens=20)
+            fleet.send_request('entry-0', arrival)
+        fleet.clock.run_until(30.0)
+        fleet.send_request('entry-0', _fleets.make_arrival(9, **poison))
+        fleet.clock.run_until(60.0)
+        crashes = sum(len(e.crashes) for e in fleet.engines.values())
+        self.assertEqual(2, crashes)
+        code = fleet.heard['req-1'].outcome.code
+        self.assertEqual(outcomes.Code.CRASHED_ENDPOINTS, code)
+        code = fleet.heard['req-9'].outcome.code
+        self.assertEqual(outcomes.Code.CONTENT_CONDEMNED, code)
+        for number in range(2, 8):
+            outcome = fleet.heard[f'req-{number}'].outcome
+            self.assertIsInstance(outcome, outcomes.Answered)
+
+
+class TestGivingWay(testtools.TestCase):
+    def test_least_rank_stream_yields_and_resumes(self):
+        fleet = _fleets.create_fleet(copies=1, streams=2)
+        for number in range(2):
+            arrival = _fleets.make_arrival(
+                number, rank=tables.Rank.LEAST, max_tokens=50
+            )
+            fleet.send_request('entry-0', arrival)
+        fleet.clock.run_until(0.5)
+        fleet.send_request('entry-0', _fleets.make_arrival(7))
+        fleet.clock.run_until(30.0)
+        T = fleet.entries['entry-0']
+        self.assertEqual(1, T.counters['yields'])
+        ended = [h.outcome for h in fleet.heard.values()]
+        self.assertEqual([outcomes.Answered()] * 3, ended)
+        self.assertEqual([], _fleets.check_promises(fleet))
--- a/sniperudder/tables/_requests.py
+++ b/sniperudder/tables/_requests.py
@@ -67,6 +67,8 @@
         Work charged to the organisation so far, tokens.
     begun_at : float
         When the current attempt began, seconds.
+    first_position : int
+        Position of the first token of the current attempt.
     resent : bool
         Whether the awaited step was sent again to an endpoint that
         deduplicates.
@@ -95,6 +97,7 @@
     not_before: float = 0.0
     charged: float = 0.0
     begun_at: float = 0.0
+    first_position: int = 0
     resent: bool = False
     yields: int = 0
     failures: int = 0
--- /dev/null
+++ b/sniperudder/testing/_engines.py
@@ -0,0 +1,232 @@
+"""Model engines in virtual time.
+
+An engine runs iterations: all steps that wait when one begins are run
+together, up to a batch limit, in the time ``base_s`` plus ``step_s``
+for each step plus ``prefill_s`` for each character of a prompt.
+"""
+
+import dataclasses
+import hashlib
+import itertools
+
+from sniperudder import inputs
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Speed:
+    """Times of one iteration of an engine, seconds."""
+
+    base_s: float = 0.01
+    step_s: float = 0.0005
+    prefill_s: float = 0.000002
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunRecord:
+    """One step that an engine ran, as its own log shows it."""
+
+    time: float
+    engine: str
+    request: str
+    attempt: int
+    position: int
+    first_layer: int
+    end_layer: int
+
+
+@dataclasses.dataclass(slots=True)
+class _Waiting:
+    step: object
+    answer: object
+    alive: bool = True
+
+
+class FakeEngine:
+    """One engine.
+
+    Parameters
+    ----------
+    clock : VirtualTime
+    ep : Endpoint
+        What it holds.
+    speed : Speed
+
+    Attributes
+    ----------
+    log : list of RunRecord
+    boot : str
+    up : bool
+    slow : float
+        Factor on all times.
+    poison : str
+        A prompt that holds this text crashes the engine.
+    """
+
+    def __init__(self, clock, ep, speed):
+        self.clock = clock
+        self.ep = ep
+        self.speed = speed
+        self.log = []
+        self.up = True
+        self.slow = 1.0
+        self.poison = '\0poison'
+        self.crashes = []
+        self._boots = itertools.count(1)
+        self._restart()
+
+    def _restart(self):
+        self.up = True
+        self.boot = f'boot-{next(self._boots)}'
+        self.positions = {}
+        self.states = {}
+        self._waiting = []
+        self._busy = False
+
+    def take_step(self, step, answer):
+        """Take a step; ``answer`` gets its result or failure."""
+        if not self.up:
+            answer(self._fail(step, inputs.Delivery.NOT_SENT))
+            return
+        reason = self._find_refusal(step)
+        if reason:
+            failed = self._fail(step, inputs.Delivery.NOT_SENT)
+            answer(dataclasses.replace(failed, refused=True, detail=reason))
+            return
+        key = (step.request, step.attempt)
+        self.positions[key] = step.position
+        self._waiting.append(_Waiting(step, answer))
+        if not self._busy:
+            self._busy = True
+            self.clock.call_in(0.0, self._begin, self.boot)
+
+    def cancel(self, request, attempt):
+        """Drop an attempt."""
+        self.positions.pop((request, attempt), None)
+        self.states.pop((request, attempt), None)
+
+    def count_streams(self):
+        """Return the number of streams held."""
+        return len(self.positions)
+
+    def crash(self, down_s):
+        """Lose all that is in flight; come back after ``down_s``."""
+        if not self.up:
+            return
+        self.up = False
+        self.crashes.append((self.clock.now, tuple(self.positions)))
+        waiting, self._waiting = self._waiting, []
+        for item in waiting:
+            self._drop(item)
+        self.clock.call_in(down_s, self._restart)
+
+    def _drop(self, item):
+        failed = self._fail(item.step, inputs.Delivery.LOST)
+        item.answer(dataclasses.replace(failed, crashed=True))
+
+    def _find_refusal(self, step):
+        layers = (step.first_layer, step.end_layer)
+        if layers != (self.ep.first_layer, self.ep.end_layer):
+            return 'wrong layers'
+        last = self.positions.get((step.request, step.attempt))
+        if last is None:
+            if not step.prefill:
+                return 'unknown attempt'
+            if len(self.positions) >= self.ep.max_streams:
+                return 'busy'
+            return ''
+        if step.position != last + 1:
+            return 'out of order'
+        return ''
+
+    def _begin(self, boot):
+        if boot != self.boot or not self.up:
+            return
+        batch = self._waiting
+        time_s = self.speed.base_s
+        for item in batch:
+            time_s += self.speed.step_s
+            if item.step.prefill and item.step.first_layer == 0:
+                time_s += self.speed.prefill_s * len(item.step.payload)
+        self.clock.call_in(time_s * self.slow, self._end, boot, len(batch))
+
+    def _end(self, boot, count):
+        if boot != self.boot or not self.up:
+            return
+        poisoned = any(
+            self.poison in item.step.payload for item in self._waiting[:count]
+        )
+        if poisoned:
+            self.crash(1.0)
+            return
+        batch = self._waiting[:count]
+        self._waiting = self._waiting[count:]
+        for item in batch:
+            item.answer(self._run(item.step))
+        if self._waiting:
+            self._begin(boot)
+        else:
+            self._busy = False
+
+    def _run(self, step):
+        self.log.append(
+            RunRecord(
+                self.clock.now,
+                self.ep.name,
+                step.request,
+                step.attempt,
+                step.position,
+                step.first_layer,
+                step.end_layer,
+            )
+        )
+        key = (step.request, step.attempt)
+        text = step.payload
+        if step.first_layer == 0:
+            text = self.states.get(key, '') + step.payload
+            self.states[key] = text
+            text = digest_text(text)
+        output = run_layers(text, step.first_layer, step.end_layer)
+        return inputs.StepReturned(
+            self.ep.name,
+            step.request,
+            step.attempt,
+            step.position,
+            step.first_layer,
+            step.end_layer,
+            f' {output[:4]}' if step.last else output,
+            elapsed_s=self.speed.base_s * self.slow,
+        )
+
+    def _fail(self, step, delivery):
+        return inputs.StepFailed(
+            self.ep.name,
+            step.request,
+            step.attempt,
+            step.position,
+            delivery,
+            step=step,
+        )
+
+
+def digest_text(text):
+    """Return the input of the first layer."""
+    return hashlib.md5(text.encode(), usedforsecurity=False).hexdigest()
+
+
+def run_layers(hidden, first, end):
+    """Return the output of the layers ``[first, end)``."""
+    for layer in range(first, end):
+        text = f'{layer}/{hidden}'
+        hidden = hashlib.md5(text.encode(), usedforsecurity=False).hexdigest()
+    return hidden
+
+
+def predict_tokens(prompt, layers, count):
+    """Return the tokens that any correct chain answers with."""
+    text = prompt
+    tokens = []
+    for _ in range(count):
+        token = f' {run_layers(digest_text(text), 0, layers)[:4]}'
+        tokens.append(token)
+        text += token
+    return tokens
