Add stand-ins and HTTP clients of the outside systems

Cause: no process can be run end to end until the platform, the engines and a plain service have something that takes their place, and the clients behind the abstract classes exist.

--- /dev/null
+++ b/sniperudder/endpoints/_http.py
@@ -0,0 +1,178 @@
+"""A client of the engines' JSON protocol, see docs/ENDPOINTS.md."""
+
+import json
+
+from sniperudder.endpoints import _client
+from sniperudder import inputs
+from sniperudder import transports
+
+_OK = 200
+_NOT_SENT = inputs.Delivery.NOT_SENT
+_LOST = inputs.Delivery.LOST
+_HEADERS = {'Content-Type': 'application/json'}
+
+
+class HttpEngineClient(_client.EngineClient):
+    """Calls engines over HTTP.
+
+    Parameters
+    ----------
+    transport : sniperudder.transports.HttpTransport
+    """
+
+    def __init__(self, transport):
+        self._transport = transport
+
+    def send_steps(self, ep, steps, timeout_s):
+        """See base class."""
+        body = {'steps': [_encode_step(step) for step in steps]}
+        reply = self._exchange('POST', ep, '/v1/steps', timeout_s, body)
+        if isinstance(reply, transports.NoReply):
+            return [
+                _make_failure(
+                    ep,
+                    step,
+                    reply.call,
+                    reply.delivery,
+                    reply.detail,
+                    reply.crashed,
+                )
+                for step in steps
+            ]
+        results = _index_results(reply)
+        return [_read_result(ep, step, reply, results) for step in steps]
+
+    def cancel_streams(self, ep, cancels, timeout_s):
+        """See base class."""
+        streams = [
+            {'request': cancel.request, 'attempt': cancel.attempt}
+            for cancel in cancels
+        ]
+        body = {'streams': streams}
+        self._exchange('POST', ep, '/v1/cancel', timeout_s, body)
+
+    def read_load(self, ep, timeout_s):
+        """See base class."""
+        value = _decode(self._exchange('GET', ep, '/v1/load', timeout_s))
+        try:
+            streams, boot = value['streams'], value['boot']
+        except (KeyError, TypeError):
+            return None
+        if type(streams) is not int or type(boot) is not str or streams < 0:
+            return None
+        return inputs.LoadReported(ep.name, streams, boot)
+
+    def _exchange(self, method, ep, path, timeout_s, body=None):
+        data = None if body is None else json.dumps(body).encode()
+        return self._transport.exchange(
+            method, ep.address, path, timeout_s, data, _HEADERS
+        )
+
+
+def _encode_step(step):
+    return {
+        'request': step.request,
+        'attempt': step.attempt,
+        'position': step.position,
+        'first_layer': step.first_layer,
+        'end_layer': step.end_layer,
+        'model': step.model,
+        'version': step.version,
+        'rank': int(step.rank),
+        'prefill': step.prefill,
+        'payload': step.payload,
+        'last': step.last,
+        'deadline_s': step.deadline_s,
+    }
+
+
+def _decode(reply):
+    """Return the value of a good answer, or None."""
+    if isinstance(reply, transports.NoReply) or reply.status != _OK:
+        return None
+    try:
+        return json.loads(reply.body)
+    except ValueError:
+        return None
+
+
+def _index_results(reply):
+    """Return results by request, attempt and position.
+
+    What is told twice counts as not told.
+    """
+    value = _decode(reply)
+    try:
+        listed = value['results']
+        keys = [_make_key(result) for result in listed]
+    except (KeyError, TypeError):
+        return {}
+    return {
+        key: result
+        for key, result in zip(keys, listed, strict=True)
+        if keys.count(key) == 1
+    }
+
+
+def _make_key(result):
+    return result['request'], result['attempt'], result['position']
+
+
+def _read_result(ep, step, reply, results):
+    if reply.not_run:
+        detail = f'refused with {reply.status}'
+        return _make_failure(ep, step, reply.call, _NOT_SENT, detail)
+    result = results.get((step.request, step.attempt, step.position))
+    if result is None:
+        detail = f'no result in an answer of {reply.status}'
+        return _make_failure(ep, step, reply.call, _LOST, detail)
+    if result.get('status') == 'not_run':
+        detail = str(result.get('detail', ''))
+        return _make_failure(ep, step, reply.call, _NOT_SENT, detail)
+    if not _is_result_of(step, result):
+        detail = str(result.get('detail', 'result of another step'))
+        return _make_failure(ep, step, reply.call, _LOST, detail)
+    return inputs.StepReturned(
+        endpoint=ep.name,
+        request=step.request,
+        attempt=step.attempt,
+        position=step.position,
+        first_layer=step.first_layer,
+        end_layer=step.end_layer,
+        output=result['output'],
+        finished=result['finished'],
+        elapsed_s=reply.elapsed_s,
+    )
+
+
+def _is_result_of(step, result):
+    return (
+        result.get('status') == 'ran'
+        and result.get('first_layer') == step.first_layer
+        and result.get('end_layer') == step.end_layer
+        and type(result.get('output')) is str
+        and type(result.get('finished')) is bool
+    )
+
+
+def _make_failure(ep, step, call, delivery, detail='', crashed=False):
+    return inputs.StepFailed(
+        endpoint=ep.name,
+        request=step.request,
+        attempt=step.attempt,
+        position=step.position,
+        delivery=delivery,
+        crashed=crashed,
+        call=call,
+        detail=detail,
+    )
+
+
+def create_engine_client(transport=None):
+    """Return a client of all engines.
+
+    Parameters
+    ----------
+    transport : sniperudder.transports.HttpTransport, optional
+    """
+    return HttpEngineClient(transport or transports.create_transport())
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small programs that take the place of the outside systems in tests."""
--- /dev/null
+++ b/standins/platform.py
@@ -0,0 +1,200 @@
+"""The platform: table service, object store and list of instances."""
+
+import bisect
+import json
+import threading
+import time
+
+import defopt
+
+from standins import serving
+
+__all__ = ['Platform', 'main']
+
+_HISTORY_S = 120.0
+
+
+class Platform(serving.Standin):
+    """The platform's services, kept in memory.
+
+    Parameters
+    ----------
+    scan_lag_s : float
+        Age of what scans tell, seconds.
+    list_lag_s : float
+        Age of what the list of instances tells, seconds.
+    crash : callable, optional
+    """
+
+    def __init__(self, scan_lag_s=0.0, list_lag_s=0.0, crash=None):
+        super().__init__(crash)
+        self._scan_lag_s = scan_lag_s
+        self._list_lag_s = list_lag_s
+        self._lock = threading.Lock()
+        self._rows = _History()
+        self._instances = _History()
+        self._objects = {}
+        self._log = []
+
+    def answer(self, call):
+        """See base class."""
+        if call.path == '/transactions':
+            return self._transact(call)
+        if call.path == '/rows':
+            return self._scan(call.query)
+        if call.path.startswith('/objects/'):
+            return self._answer_object(call)
+        if call.path == '/instances' or call.path.startswith('/instances/'):
+            return self._answer_instances(call)
+        if call.path == '/log':
+            return serving.answer_json(self._log)
+        return serving.answer_not_run(404, 'no such path')
+
+    def _transact(self, call):
+        body = json.loads(call.body)
+        name = call.headers.get('x-call-id', '')
+        conditions = [(c['key'], c['version']) for c in body['conditions']]
+        writes = [(w['key'], w['value']) for w in body['writes']]
+        keys = list(body['reads'])
+        with self._lock:
+            committed = all(
+                self._rows.version(key) == version
+                for key, version in conditions
+            )
+            if committed:
+                for key, value in writes:
+                    self._rows.write(key, value)
+            else:
+                keys += [key for key, _ in conditions]
+            self._log.append(
+                {
+                    'call': name,
+                    'committed': committed,
+                    'writes': body['writes'] if committed else [],
+                }
+            )
+            rows = [self._rows.read(key) for key in dict.fromkeys(keys)]
+        return serving.answer_json(
+            {
+                'committed': committed,
+                'rows': [row for row in rows if row],
+            }
+        )
+
+    def _scan(self, query):
+        prefix, after = query.get('prefix', ''), query.get('after', '')
+        limit = int(query['limit'])
+        lag = max(self._scan_lag_s, self.gate.faults.lag_s)
+        with self._lock:
+            rows = self._rows.scan(prefix, after, limit, lag)
+        return serving.answer_json({'rows': rows})
+
+    def _answer_object(self, call):
+        name = call.path.removeprefix('/objects/')
+        with self._lock:
+            if call.method == 'PUT':
+                self._objects[name] = call.body
+                return serving.answer_json({'stored': len(call.body)})
+            data = self._objects.get(name)
+        if data is None:
+            return serving.answer_not_run(404, 'no such object')
+        return serving.Answer(200, data)
+
+    def _answer_instances(self, call):
+        name = call.path.removeprefix('/instances').removeprefix('/')
+        with self._lock:
+            if call.method == 'PUT':
+                given = json.loads(call.body)
+                entry = {
+                    'name': name,
+                    'address': given['address'],
+                    'data_centre': given['data_centre'],
+                    'leaving': bool(given.get('leaving', False)),
+                }
+                self._instances.write(name, json.dumps(entry))
+                return serving.answer_json({})
+            if call.method == 'DELETE':
+                self._instances.write(name, None)
+                return serving.answer_json({})
+            lag = max(self._list_lag_s, self.gate.faults.lag_s)
+            rows = self._instances.scan('', '', len(self._instances), lag)
+        listed = [json.loads(row['value']) for row in rows]
+        return serving.answer_json({'instances': listed})
+
+
+class _History:
+    """Rows with their versions, now and some time ago."""
+
+    def __init__(self):
+        self._states = {}
+        self._keys = []
+
+    def __len__(self):
+        return len(self._keys)
+
+    def version(self, key):
+        """Return the version of a row; 0 where it is absent."""
+        row = self.read(key)
+        return row['version'] if row else 0
+
+    def read(self, key):
+        """Return a row as it stands, or None."""
+        states = self._states.get(key)
+        return _make_row(key, states[-1]) if states else None
+
+    def write(self, key, value):
+        """Give a row a value; None deletes it.
+
+        The versions go on from a deleted row to one of the same key.
+        """
+        states = self._states.get(key)
+        if states is None:
+            bisect.insort(self._keys, key)
+            states = self._states[key] = []
+        now = time.monotonic()
+        version = states[-1][1] + 1 if states else 1
+        states.append((now, version, value))
+        while len(states) > 1 and states[1][0] < now - _HISTORY_S:
+            del states[0]
+
+    def scan(self, prefix, after, limit, lag_s):
+        """Return the rows as they stood ``lag_s`` seconds ago."""
+        until = time.monotonic() - lag_s
+        rows = []
+        start = bisect.bisect_left(self._keys, prefix)
+        if after:
+            start = max(start, bisect.bisect_right(self._keys, after))
+        for key in self._keys[start:]:
+            if len(rows) == limit or not key.startswith(prefix):
+                break
+            states = [s for s in self._states[key] if s[0] <= until]
+            row = _make_row(key, states[-1]) if states else None
+            if row:
+                rows.append(row)
+        return rows
+
+
+def _make_row(key, state):
+    _, version, value = state
+    if value is None:
+        return None
+    return {'key': key, 'value': value, 'version': version}
+
+
+def main(*, port: int = 0, scan_lag_s: float = 0.0, list_lag_s: float = 0.0):
+    """Serve the platform's stand-in.
+
+    Parameters
+    ----------
+    port : int
+        Port on 127.0.0.1; 0 takes a free one.
+    scan_lag_s : float
+        Age of what scans tell, seconds.
+    list_lag_s : float
+        Age of what the list of instances tells, seconds.
+    """
+    serving.run_server(Platform(scan_lag_s, list_lag_s), port)
+
+
+if __name__ == '__main__':
+    defopt.run(main)
