Serve one request end to end through separate processes

Cause: decision core, clients and stand-ins existed side by side. Change: assembly of an entry from its settings; handlers of several systems for one input; a call of a service is checked again right before it is sent. Not yet connected: membership and configuration.

--- a/sniperudder/core/_core.py
+++ b/sniperudder/core/_core.py
@@ -2,15 +2,19 @@
 
 from sniperudder import inputs
 from sniperudder.systems import drain
+from sniperudder.systems import orders
 from sniperudder.systems import requests
 
-_SYSTEMS = (drain, requests)
-_TICKS = (requests.run_requests,)
+_SYSTEMS = (drain, orders, requests)
+_TICKS = (orders.run_orders, requests.run_requests)
 
+# An input may concern several systems: a caller that left may have
+# asked for tokens or for an order.
 _HANDLERS = {}
 _PURPOSES = {}
 for _system in _SYSTEMS:
-    _HANDLERS.update(_system.HANDLERS)
+    for _kind, _handler in _system.HANDLERS.items():
+        _HANDLERS.setdefault(_kind, []).append(_handler)
     _PURPOSES.update(_system.PURPOSES)
 
 
@@ -34,10 +38,11 @@
         If a promise was about to be broken; nothing was done.
     """
     if isinstance(inp, inputs.TransactReturned | inputs.ScanReturned):
-        handler = _PURPOSES[type(inp.purpose)]
-    else:
-        handler = _HANDLERS[type(inp)]
-    return handler(T, inp, now)
+        return _PURPOSES[type(inp.purpose)](T, inp, now)
+    result = []
+    for handler in _HANDLERS[type(inp)]:
+        result.extend(handler(T, inp, now))
+    return result
 
 
 def run_tick(T, now):
--- a/sniperudder/instance/_assembly.py
+++ b/sniperudder/instance/_assembly.py
@@ -15,7 +15,6 @@
 from sniperudder.instance import _engines
 from sniperudder.instance import _runtime
 from sniperudder import logs
-from sniperudder import metrics
 from sniperudder import platform
 from sniperudder import services
 from sniperudder import settings as settings_module
@@ -34,7 +33,6 @@
     settings : Settings
     runtime : Runtime
     calls : OutsideCalls
-    metrics : Metrics
     caller_server : cheroot.wsgi.Server
     stopping : threading.Event
         Set when a planned stop was asked for.
@@ -43,7 +41,6 @@
     settings: settings_module.Settings
     runtime: _runtime.Runtime
     calls: _calls.OutsideCalls
-    metrics: metrics.Metrics
     caller_server: typing.Any
     stopping: threading.Event
 
@@ -82,21 +79,16 @@
         engines,
         None,
     )
-    M = metrics.create_metrics()
     application = callers.create_application(
         runtime,
         lambda presented: settings_module.find_key(settings, presented),
-        lambda: metrics.render_metrics(M),
-        lambda: _explain_unready(runtime),
-        lambda *args: metrics.record_latency(M, *args),
+        is_ready=lambda: _explain_unready(runtime),
     )
     server = callers.create_server(
         mine.caller_address, application, mine.threads
     )
     server.prepare()
-    return EntryInstance(
-        settings, runtime, calls, M, server, threading.Event()
-    )
+    return EntryInstance(settings, runtime, calls, server, threading.Event())
 
 
 def run_instance(settings):
--- a/sniperudder/instance/_calls.py
+++ b/sniperudder/instance/_calls.py
@@ -4,6 +4,7 @@
 
 from sniperudder import effects
 from sniperudder import inputs
+from sniperudder.systems import orders
 
 _PLATFORM_THREADS = 8
 _SERVICE_THREADS = 32
@@ -95,6 +96,11 @@
         self.runtime.submit(inputs.InstancesListed(listed))
 
     def _call_service(self, effect):
+        # The process may have been frozen since the core decided.
+        now = self.runtime.read_clock()
+        if not self.runtime.ask(orders.may_call, effect, now):
+            self.runtime.submit(_hold_back(effect))
+            return
         timeout_s = self.runtime.T.policy.order_timeout_s
         self.runtime.submit(self.services.call(effect, timeout_s))
 
@@ -133,5 +139,13 @@
     return calls
 
 
+def _hold_back(effect):
+    return inputs.ServiceReturned(
+        effect.order,
+        delivery=inputs.Delivery.NOT_SENT,
+        address=effect.address,
+    )
+
+
 def _create_pool(threads):
     return concurrent.futures.ThreadPoolExecutor(threads)
