Prove the promises about orders; each proof failed first

Change: named cases, a hypothesis run, fixed seeds, and 20 naive variants (tests/_mutants.py) that test_mutants.py applies one by one; the checker must name the broken promise. measurements/orders.py soaks and counts.

--- /dev/null
+++ b/measurements/__init__.py
@@ -0,0 +1,1 @@
+"""Programs that measure; each prints what it found."""
--- /dev/null
+++ b/measurements/orders.py
@@ -0,0 +1,117 @@
+"""Runs of the order systems over random faults, and their cost.
+
+``python -m measurements.orders soak SECONDS SEED`` runs scenarios from a
+seed on until the time is up; its status is 1 where a promise was broken.
+``python -m measurements.orders writes`` counts calls to the platform.
+``python -m measurements.orders resolution SCENARIOS SEED`` tells how long
+keys stay in doubt after the faults have ended.
+"""
+
+import collections
+import sys
+import time
+
+import defopt
+
+from sniperudder import outcomes
+from sniperudder.testing import _orderchecks
+from sniperudder.testing import _orderplans
+from sniperudder.testing import _orders
+
+_ORDERS = 200
+_REPEATS = 3
+
+
+def soak(seconds: float, seed: int):
+    """Run scenarios until the time is up.
+
+    Parameters
+    ----------
+    seconds : float
+        Wall-clock time.
+    seed : int
+        Seed of the first scenario; the others follow it.
+    """
+    first = seed
+    broken = 0
+    simulated_s = 0.0
+    runs = 0
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        world = _run(seed)
+        found = _orderchecks.check_orders(world)
+        simulated_s += world.now
+        runs += sum(len(stand.log) for stand in world.services.values())
+        if found:
+            broken += 1
+            print(f'seed {seed}: {found}')
+        seed += 1
+    print(
+        f'seeds {first}..{seed - 1}: {broken} broken, '
+        f'{simulated_s / 3600:.1f} h simulated, {runs} runs at services'
+    )
+    sys.exit(1 if broken else 0)
+
+
+def writes():
+    """Count the platform's transactions for an order without faults."""
+    for service in _orders.KINDS:
+        for repeats in (0, _REPEATS):
+            _count(service, repeats)
+
+
+def resolution(scenarios: int, seed: int):
+    """Tell how long keys stay in doubt after the faults have ended.
+
+    Parameters
+    ----------
+    scenarios : int
+    seed : int
+        Seed of the first scenario; the others follow it.
+    """
+    times = collections.defaultdict(list)
+    for number in range(seed, seed + scenarios):
+        for attempt in _run(number).tries:
+            if not attempt.final or not attempt.outcomes:
+                continue
+            if isinstance(attempt.outcomes[0], outcomes.Answered):
+                elapsed_s = attempt.ended_at - attempt.sent_at
+                times[attempt.plan.service].append(elapsed_s)
+    for service, values in sorted(times.items()):
+        values.sort()
+        print(
+            f'{service}: {len(values)} keys, '
+            f'median {values[len(values) // 2]:.2f} s, '
+            f'worst {values[-1]:.2f} s'
+        )
+
+
+def _run(seed):
+    return _orders.OrderWorld(_orderplans.draw_scenario(seed)).run()
+
+
+def _count(service, repeats):
+    plans = tuple(
+        _orders.Plan(
+            at=0.01 * number,
+            organisation='north',
+            service=service,
+            key=str(number),
+            body='{}',
+            repeats=repeats,
+        )
+        for number in range(_ORDERS)
+    )
+    scenario = _orders.Scenario(1, plans, final_repeats=False)
+    world = _orders.OrderWorld(scenario).run()
+    counts = world.store.counts
+    print(
+        f'{service}, {repeats} repeats: a key costs '
+        f'{counts["write_transactions"] / _ORDERS:.2f} conditional writes '
+        f'({counts["conflicts"] / _ORDERS:.2f} of them refused), '
+        f'{counts["read_transactions"] / _ORDERS:.2f} reads'
+    )
+
+
+if __name__ == '__main__':
+    defopt.run([soak, writes, resolution])
--- a/sniperudder/systems/orders/tests/_mutants.py
+++ b/sniperudder/systems/orders/tests/_mutants.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import dataclasses
+import typing
 from unittest import mock
 
 from sniperudder import inputs
@@ -16,6 +17,7 @@
 from sniperudder.systems.orders import _timing
 from sniperudder.tables import OrderState
 from sniperudder.testing import _orders
+from sniperudder.testing._orders import FaultKind as Kind
 
 _TAKEOVER_S = 2.0
 
@@ -194,6 +196,16 @@
     return mock.patch.dict(_steps.HANDLERS, {inputs.CallerLeft: handle})
 
 
+def release_taken_over_claims():
+    """Forget that a claim took the place of one that may have run."""
+    real = _claims.begin_claim
+
+    def begin(T, order, now, base_version=0, takes_over=False):
+        real(T, order, now, base_version)
+
+    return mock.patch.object(_claims, 'begin_claim', begin)
+
+
 def forget_results():
     """Answer the caller and store nothing."""
 
@@ -219,23 +231,62 @@
     return stack
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Mutant:
+    """A naive variant and where its fault shows.
+
+    Attributes
+    ----------
+    apply : callable
+        Gives a context manager in which the variant is in force.
+    breaks : str
+        Part of the sentence that the checker must say.
+    services : tuple of str or None
+        Kinds of services to try; None for all.
+    kinds : tuple of FaultKind or None
+        Kinds of faults to try; None for all.
+    """
+
+    apply: typing.Any
+    breaks: str
+    services: tuple | None = None
+    kinds: tuple | None = None
+
+
+_TWICE = 'ran twice'
+_UNTRUE = 'was refused as not run but ran'
+_CROSSED = 'got a result of another order'
+_UNSETTLED = 'is not settled'
+
+_PLAIN = (_orders.PLAIN,)
+_LOOKUP = (_orders.LOOKUP,)
+_DEDUPLICATING = (_orders.DEDUPLICATING,)
+_PLATFORM = (Kind.PLATFORM_LOSES, Kind.PLATFORM_SLOW, Kind.PLATFORM_DOWN)
+_CALLS = (Kind.SERVICE_LOSES, Kind.SERVICE_LATE, Kind.SERVICE_CRASHES)
+_RUNS = (Kind.SERVICE_SLOW, Kind.SERVICE_LOSES, Kind.KILL_MIDWAY)
+_LATE_STARTS = (Kind.SERVICE_REFUSES, Kind.FREEZE, Kind.SERVICE_LATE)
+_RELEASES = (Kind.SERVICE_SLOW, Kind.SERVICE_REFUSES)
+_PROCESSES = (Kind.FREEZE_MIDWAY, Kind.KILL_MIDWAY)
+
 MUTANTS = (
-    skip_read_back,
-    claim_without_condition,
-    take_over_after_time,
-    release_after_sending,
-    resend_after_loss,
-    ignore_start_limit,
-    settle_at_once,
-    ignore_running_calls,
-    share_keys,
-    share_rows,
-    ignore_digest,
-    repeat_nonces,
-    refuse_without_release,
-    release_unfenced,
-    refuse_while_calling,
-    release_for_leavers,
-    forget_results,
-    send_after_thaw,
+    Mutant(skip_read_back, _TWICE, _PLAIN, _PLATFORM),
+    Mutant(claim_without_condition, _TWICE),
+    Mutant(take_over_after_time, _TWICE, _PLAIN, _PROCESSES),
+    Mutant(release_after_sending, _UNTRUE, _PLAIN, _CALLS),
+    Mutant(release_after_sending, _TWICE, _PLAIN, _CALLS),
+    Mutant(resend_after_loss, _TWICE, _PLAIN, _CALLS),
+    Mutant(ignore_start_limit, _TWICE, _LOOKUP, _LATE_STARTS),
+    Mutant(settle_at_once, _TWICE, _LOOKUP, _CALLS),
+    Mutant(ignore_running_calls, _TWICE, _LOOKUP, _RUNS),
+    Mutant(share_keys, _CROSSED, _DEDUPLICATING),
+    Mutant(share_rows, _CROSSED),
+    Mutant(ignore_digest, _CROSSED),
+    Mutant(repeat_nonces, _TWICE, _PLAIN),
+    Mutant(refuse_without_release, _UNSETTLED, _PLAIN, _PLATFORM),
+    Mutant(release_unfenced, _UNSETTLED, _PLAIN, _PLATFORM),
+    Mutant(refuse_while_calling, _UNTRUE, _PLAIN, _CALLS),
+    Mutant(release_for_leavers, _UNTRUE, _PLAIN),
+    Mutant(release_taken_over_claims, _CROSSED, _DEDUPLICATING, _RELEASES),
+    Mutant(forget_results, _UNSETTLED, _PLAIN, _PLATFORM),
+    Mutant(send_after_thaw, _TWICE, _LOOKUP, _PROCESSES),
 )
--- /dev/null
+++ b/sniperudder/systems/orders/tests/test_mutants.py
@@ -0,0 +1,39 @@
+"""The checker catches naive variants of the order system."""
+
+import testtools
+
+from sniperudder.systems.orders.tests import _mutants
+from sniperudder.testing import _orderchecks
+from sniperudder.testing import _orderplans
+from sniperudder.testing import _orders
+
+_MAX_SEEDS = 500
+
+
+def find_seed(mutant, max_seeds=_MAX_SEEDS):
+    """Return the first seed that shows a variant's fault, and what.
+
+    Returns
+    -------
+    (int, list of str) or None
+    """
+    with mutant.apply():
+        for seed in range(max_seeds):
+            scenario = _orderplans.draw_scenario(
+                seed, services=mutant.services, kinds=mutant.kinds
+            )
+            world = _orders.OrderWorld(scenario).run()
+            found = _orderchecks.check_orders(world)
+            if any(mutant.breaks in sentence for sentence in found):
+                return seed, found
+    return None
+
+
+class MutantsTest(testtools.TestCase):
+    def test_each_variant_is_caught(self):
+        missed = [
+            mutant.apply.__name__
+            for mutant in _mutants.MUTANTS
+            if find_seed(mutant) is None
+        ]
+        self.assertEqual([], missed)
--- /dev/null
+++ b/sniperudder/systems/orders/tests/test_orders.py
@@ -0,0 +1,395 @@
+import testtools
+
+from sniperudder import effects
+from sniperudder import errors
+from sniperudder import inputs
+from sniperudder.outcomes import Code
+from sniperudder.systems import orders
+from sniperudder.systems.orders.tests import _bench
+from sniperudder.tables import OrderState
+
+_LOST = inputs.Delivery.LOST
+_NOT_SENT = inputs.Delivery.NOT_SENT
+
+
+class PlainPathTest(testtools.TestCase):
+    def test_claim_goes_before_the_call(self):
+        bench = _bench.Bench()
+        bench.send()
+        self.assertEqual(0, bench.count(effects.CallService))
+        bench.commit()
+        self.assertEqual(1, bench.count(effects.CallService))
+
+    def test_result_is_stored_before_the_answer(self):
+        bench = _bench.Bench()
+        bench.send()
+        bench.commit()
+        self.assertEqual([], _bench.list_codes(bench.answer_call()))
+        self.assertEqual([Code.ANSWERED], _bench.list_codes(bench.commit()))
+        self.assertEqual({}, bench.T.orders)
+
+    def test_answer_does_not_wait_long_for_the_store(self):
+        bench = _bench.Bench()
+        bench.send()
+        bench.commit()
+        bench.answer_call()
+        self.assertEqual(
+            [Code.ANSWERED], _bench.list_codes(bench.pass_time(1.5))
+        )
+        self.assertEqual(OrderState.STORING, bench.T.orders['order-1'].state)
+
+    def test_server_error_is_a_result(self):
+        bench = _bench.Bench()
+        bench.send()
+        bench.commit()
+        bench.answer_call('broken', status=500)
+        bench.commit()
+        outcome = bench.find(effects.Finish).outcome
+        self.assertEqual((500, 'broken'), (outcome.status, outcome.body))
+
+    def test_service_key_holds_the_organisation(self):
+        bench = _bench.Bench()
+        bench.send(organisation='north/1', key='a b')
+        bench.commit()
+        call = bench.find(effects.CallService)
+        self.assertEqual('north%2F1/compressors/a%20b', call.key)
+
+    def test_unknown_service_is_refused(self):
+        bench = _bench.Bench()
+        results = bench.send(service='none')
+        self.assertEqual([Code.UNKNOWN_SERVICE], _bench.list_codes(results))
+
+    def test_name_that_is_in_use_is_a_fault(self):
+        bench = _bench.Bench()
+        bench.send()
+        self.assertRaises(errors.InvariantBroken, bench.send)
+
+
+class RepeatTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.first = _bench.Bench()
+        self.second = _bench.Bench(self.first.store, 'entry-2')
+        self.first.send()
+        self.first.commit()
+
+    def finish_first(self):
+        self.first.answer_call()
+        self.first.commit()
+
+    def test_repeat_gets_the_stored_result(self):
+        self.finish_first()
+        self.second.send('order-2')
+        results = self.second.commit()
+        self.assertEqual([Code.STORED_RESULT], _bench.list_codes(results))
+        self.assertEqual('receipt', results[0].outcome.body)
+        self.assertEqual(0, self.second.count(effects.CallService))
+
+    def test_repeat_waits_for_the_first(self):
+        self.second.send('order-2')
+        self.assertEqual([], _bench.list_codes(self.second.commit()))
+        self.finish_first()
+        self.second.pass_time(1.0)
+        results = self.second.commit()
+        self.assertEqual([Code.STORED_RESULT], _bench.list_codes(results))
+
+    def test_repeat_never_takes_over_a_plain_claim(self):
+        self.second.send('order-2')
+        self.second.commit()
+        for _ in range(10):
+            self.second.pass_time(2.0)
+            if self.second.T.orders:
+                self.second.commit()
+        self.assertEqual(0, self.second.count(effects.CallService))
+        self.assertEqual(
+            [Code.ORDER_IN_PROGRESS], _bench.list_codes(self.second.effects)
+        )
+
+    def test_other_body_is_a_conflict(self):
+        self.second.send('order-2', body='{}')
+        results = self.second.commit()
+        self.assertEqual(
+            [Code.IDEMPOTENCY_CONFLICT], _bench.list_codes(results)
+        )
+
+    def test_other_organisation_is_another_order(self):
+        self.second.send('order-2', organisation='south')
+        self.second.commit()
+        self.assertEqual(1, self.second.count(effects.CallService))
+
+    def test_order_in_doubt_is_told_at_once(self):
+        self.first.fail_call(_LOST)
+        self.first.commit()
+        self.second.send('order-2')
+        results = self.second.commit()
+        self.assertEqual([Code.ORDER_IN_DOUBT], _bench.list_codes(results))
+
+    def test_row_that_cannot_be_read_is_in_doubt(self):
+        call = self.first.find(effects.Transact)
+        key = call.writes[0].key
+        row = effects.Row(key, 'nonsense', 9)
+        self.first.store.rows[key] = row
+        self.second.send('order-2')
+        results = self.second.commit()
+        self.assertEqual([Code.ORDER_IN_DOUBT], _bench.list_codes(results))
+
+
+class PlatformFaultTest(testtools.TestCase):
+    def test_lost_answer_is_read_back(self):
+        bench = _bench.Bench()
+        bench.send()
+        bench.commit_unheard()
+        self.assertEqual(0, bench.count(effects.CallService))
+        bench.pass_time(0.2)
+        bench.commit()
+        self.assertEqual(1, bench.count(effects.CallService))
+
+    def test_no_claim_means_not_run(self):
+        bench = _bench.Bench()
+        bench.send()
+        bench.give_outcome(inputs.NotSent())
+        results = bench.pass_time(21.0)
+        self.assertEqual(
+            [Code.PLATFORM_UNAVAILABLE], _bench.list_codes(results)
+        )
+        self.assertEqual({}, bench.T.orders)
+
+    def test_claim_of_a_refused_order_is_released(self):
+        bench = _bench.Bench()
+        bench.send()
+        bench.commit_unheard()
+        bench.pass_time(21.0)
+        bench.commit()
+        bench.commit()
+        self.assertEqual({}, bench.T.orders)
+        other = _bench.Bench(bench.store, 'entry-2')
+        other.send('order-2')
+        other.commit()
+        other.commit()
+        self.assertEqual(1, other.count(effects.CallService))
+
+    def test_late_claim_cannot_follow_its_release(self):
+        bench = _bench.Bench()
+        bench.send()
+        claim = bench.find(effects.Transact)
+        bench.give_outcome(inputs.Unknown())
+        bench.pass_time(21.0)
+        bench.commit()
+        self.assertEqual({}, bench.T.orders)
+        outcome = bench.store.transact(claim)
+        self.assertIsInstance(outcome, inputs.Conflicted)
+
+    def test_lost_answer_to_the_result_is_settled(self):
+        bench = _bench.Bench()
+        bench.send()
+        bench.commit()
+        bench.answer_call()
+        bench.commit_unheard()
+        bench.pass_time(0.2)
+        self.assertEqual([Code.ANSWERED], _bench.list_codes(bench.commit()))
+
+    def test_storing_is_given_up_at_last(self):
+        bench = _bench.Bench()
+        bench.send()
+        bench.commit()
+        bench.answer_call()
+        bench.give_outcome(inputs.NotSent())
+        bench.pass_time(3700.0)
+        self.assertEqual({}, bench.T.orders)
+        self.assertEqual('order:give-up', bench.find(effects.Note).event)
+
+
+class ServiceFaultTest(testtools.TestCase):
+    def test_lost_call_is_not_repeated(self):
+        bench = _bench.Bench()
+        bench.send()
+        bench.commit()
+        results = bench.fail_call(_LOST)
+        self.assertEqual([Code.ORDER_IN_DOUBT], _bench.list_codes(results))
+        bench.commit()
+        bench.pass_time(30.0)
+        self.assertEqual(1, bench.count(effects.CallService))
+
+    def test_unsent_call_is_tried_again_and_then_refused(self):
+        bench = _bench.Bench()
+        bench.send()
+        bench.commit()
+        for _ in range(4):
+            bench.fail_call(_NOT_SENT)
+            bench.pass_time(1.0)
+        self.assertEqual(4, bench.count(effects.CallService))
+        self.assertEqual(
+            [Code.SERVICE_UNREACHABLE], _bench.list_codes(bench.effects)
+        )
+        bench.commit()
+        self.assertEqual({}, bench.T.orders)
+
+    def test_deduplicating_service_gets_the_same_key_again(self):
+        bench = _bench.Bench(deduplicates=True)
+        bench.send()
+        bench.commit()
+        first = bench.find(effects.CallService)
+        bench.fail_call(_LOST)
+        bench.pass_time(1.0)
+        self.assertEqual(2, bench.count(effects.CallService))
+        self.assertEqual(first.key, bench.find(effects.CallService).key)
+
+    def test_repeatable_service_needs_no_claim(self):
+        bench = _bench.Bench(repeatable=True)
+        bench.send()
+        bench.fail_call(_LOST)
+        bench.pass_time(1.0)
+        bench.answer_call()
+        self.assertEqual(0, bench.count(effects.Transact))
+        self.assertEqual([Code.ANSWERED], _bench.list_codes(bench.effects))
+
+    def test_overdue_call_that_was_not_sent_is_released(self):
+        bench = _bench.Bench()
+        bench.send()
+        bench.commit()
+        bench.pass_time(22.0)
+        bench.pass_time(1.0)
+        bench.fail_call(_NOT_SENT)
+        self.assertEqual(OrderState.RELEASING, bench.T.orders['order-1'].state)
+
+    def test_invariant_forbids_a_second_call(self):
+        bench = _bench.Bench()
+        bench.send()
+        bench.commit()
+        order = bench.T.orders['order-1']
+        order.pending = 0
+        order.next_at = bench.now
+        self.assertRaises(errors.InvariantBroken, bench.pass_time, 0.1)
+
+    def test_invariant_forbids_a_release_after_a_call(self):
+        bench = _bench.Bench()
+        bench.send()
+        bench.commit()
+        order = bench.T.orders['order-1']
+        order.state = OrderState.RELEASING
+        order.pending = 0
+        order.next_at = bench.now
+        self.assertRaises(errors.InvariantBroken, bench.pass_time, 0.1)
+
+
+class LookupTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.bench = _bench.Bench(lookup=True, settle_s=4.0)
+        self.bench.send()
+        self.bench.commit()
+
+    def test_found_result_is_stored_and_given(self):
+        self.bench.fail_call(_LOST)
+        self.bench.give(
+            inputs.ServiceTold('order-1', True, True, 200, 'receipt')
+        )
+        results = self.bench.commit()
+        self.assertEqual([Code.ANSWERED], _bench.list_codes(results))
+
+    def test_key_that_is_not_found_is_believed_after_settling(self):
+        self.bench.fail_call(_LOST)
+        nothing = inputs.ServiceTold('order-1', True)
+        self.assertEqual([], _bench.list_codes(self.bench.give(nothing)))
+        self.bench.pass_time(4.5)
+        results = self.bench.give(nothing)
+        self.assertEqual(
+            [Code.SERVICE_UNREACHABLE], _bench.list_codes(results)
+        )
+
+    def test_call_that_still_runs_is_not_unrun(self):
+        self.bench.fail_call(_LOST)
+        self.bench.pass_time(4.5)
+        running = inputs.ServiceTold('order-1', True, started=True)
+        self.assertEqual([], _bench.list_codes(self.bench.give(running)))
+
+    def test_repeat_asks_in_place_of_a_dead_holder(self):
+        other = _bench.Bench(
+            self.bench.store, 'entry-2', lookup=True, settle_s=4.0
+        )
+        other.send('order-2')
+        other.commit()
+        other.pass_time(1.5)
+        other.commit()
+        self.assertEqual(1, other.count(effects.AskService))
+        other.give(inputs.ServiceTold('order-2', True, True, 200, 'receipt'))
+        results = other.commit()
+        self.assertEqual([Code.STORED_RESULT], _bench.list_codes(results))
+
+    def test_old_claim_is_renewed_before_the_call(self):
+        bench = _bench.Bench(lookup=True, settle_s=4.0)
+        bench.send()
+        bench.commit_unheard()
+        bench.pass_time(3.0)
+        bench.commit()
+        self.assertEqual(0, bench.count(effects.CallService))
+        bench.commit()
+        self.assertEqual(1, bench.count(effects.CallService))
+        call = bench.find(effects.CallService)
+        self.assertEqual(bench.now + 2.0, call.start_by)
+
+
+class CallerLeftTest(testtools.TestCase):
+    def test_order_that_was_not_sent_is_released(self):
+        bench = _bench.Bench()
+        bench.send()
+        results = bench.give(inputs.CallerLeft('order-1'))
+        self.assertEqual([Code.LEFT_BEFORE_START], _bench.list_codes(results))
+        bench.commit()
+        self.assertEqual({}, bench.T.orders)
+        self.assertEqual(0, bench.count(effects.CallService))
+
+    def test_order_that_was_sent_is_finished_and_stored(self):
+        bench = _bench.Bench()
+        bench.send()
+        bench.commit()
+        self.assertEqual([], bench.give(inputs.CallerLeft('order-1')))
+        bench.answer_call()
+        self.assertEqual([Code.ANSWERED], _bench.list_codes(bench.commit()))
+
+    def test_request_that_is_no_order_is_ignored(self):
+        bench = _bench.Bench()
+        self.assertEqual([], bench.give(inputs.CallerLeft('request-1')))
+
+
+class SendingTest(testtools.TestCase):
+    def test_stopping_instance_takes_no_order(self):
+        bench = _bench.Bench()
+        bench.T.stopping = True
+        self.assertEqual([Code.STOPPING], _bench.list_codes(bench.send()))
+
+    def test_stopping_instance_finishes_its_orders(self):
+        bench = _bench.Bench()
+        bench.send()
+        bench.T.stopping = True
+        bench.commit()
+        self.assertEqual(1, bench.count(effects.CallService))
+
+    def test_stale_instance_does_not_send(self):
+        bench = _bench.Bench()
+        bench.send()
+        bench.T.confirmed_at = bench.now - 60.0
+        bench.commit()
+        for _ in range(10):
+            bench.pass_time(2.0, fresh=False)
+        self.assertEqual(0, bench.count(effects.CallService))
+        self.assertEqual([Code.NOT_FRESH], _bench.list_codes(bench.effects))
+
+    def test_withdrawn_worker_gets_no_call(self):
+        bench = _bench.Bench()
+        bench.send()
+        bench.T.config.withdrawn.add(_bench.ADDRESS)
+        results = bench.commit()
+        self.assertEqual(
+            [Code.SERVICE_UNREACHABLE], _bench.list_codes(results)
+        )
+
+    def test_frozen_call_is_checked_again(self):
+        bench = _bench.Bench()
+        bench.send()
+        bench.commit()
+        call = bench.find(effects.CallService)
+        self.assertTrue(orders.may_call(bench.T, call, bench.now))
+        self.assertFalse(orders.may_call(bench.T, call, call.start_by))
+        bench.T.config.withdrawn.add(call.address)
+        self.assertFalse(orders.may_call(bench.T, call, bench.now))
--- /dev/null
+++ b/sniperudder/systems/orders/tests/test_promises.py
@@ -0,0 +1,73 @@
+"""Randomised runs over the order systems of several entries."""
+
+import hypothesis
+from hypothesis import strategies as st
+import testtools
+
+from sniperudder.testing import _orderchecks
+from sniperudder.testing import _orderplans
+from sniperudder.testing import _orders
+
+_SEEDS = 1000
+_EXAMPLES = 300
+_ENTRIES = 3
+
+
+def _times(longest_s):
+    return st.floats(0.0, longest_s, allow_nan=False).map(
+        lambda value: round(value, 3)
+    )
+
+
+_PLANS = st.builds(
+    _orders.Plan,
+    at=_times(10.0),
+    organisation=st.sampled_from(('north', 'south')),
+    service=st.sampled_from(_orders.KINDS),
+    key=st.sampled_from('ab'),
+    body=st.sampled_from(('{"boxes":1}', '{"boxes":2}')),
+    deadline_s=_times(15.0),
+    entry=st.integers(0, _ENTRIES - 1),
+    twin=st.booleans(),
+    repeats=st.integers(0, 2),
+    patience_s=st.none() | _times(5.0),
+)
+_FAULTS = st.builds(
+    _orders.Fault,
+    kind=st.sampled_from(list(_orders.FaultKind)),
+    at=_times(10.0),
+    duration_s=_times(12.0),
+    entry=st.integers(0, _ENTRIES - 1),
+)
+_SCENARIOS = st.builds(
+    _orders.Scenario,
+    seed=st.integers(0, 2**32),
+    plans=st.lists(_PLANS, min_size=1, max_size=6).map(tuple),
+    faults=st.lists(_FAULTS, max_size=8).map(tuple),
+    entries=st.just(_ENTRIES),
+)
+
+
+class PromisesTest(testtools.TestCase):
+    @hypothesis.settings(
+        max_examples=_EXAMPLES, derandomize=True, deadline=None
+    )
+    @hypothesis.given(_SCENARIOS)
+    def test_scenarios_that_shrink(self, scenario):
+        world = _orders.OrderWorld(scenario).run()
+        self.assertEqual([], _orderchecks.check_orders(world))
+
+    def test_fixed_seeds(self):
+        for seed in range(_SEEDS):
+            scenario = _orderplans.draw_scenario(seed)
+            world = _orders.OrderWorld(scenario).run()
+            found = _orderchecks.check_orders(world)
+            self.assertEqual([], found, f'seed {seed}')
+
+    def test_same_scenario_gives_the_same_run(self):
+        for seed in range(20):
+            scenario = _orderplans.draw_scenario(seed)
+            first = _orders.OrderWorld(scenario).run()
+            second = _orders.OrderWorld(scenario).run()
+            self.assertEqual(first.tries, second.tries)
+            self.assertEqual(first.store.rows, second.store.rows)
--- a/sniperudder/testing/_orders.py
+++ b/sniperudder/testing/_orders.py
@@ -124,12 +124,24 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Scenario:
-    """Callers' plans and faults; ``seed`` decides all else."""
+    """Callers' plans and faults; ``seed`` decides all else.
+
+    Attributes
+    ----------
+    seed : int
+    plans : tuple of Plan
+    faults : tuple of Fault
+    entries : int
+        Number of entries.
+    final_repeats : bool
+        Whether all keys are sent once more after the faults have ended.
+    """
 
     seed: int
     plans: tuple
     faults: tuple = ()
     entries: int = 3
+    final_repeats: bool = True
 
 
 @dataclasses.dataclass(slots=True)
@@ -211,7 +223,8 @@
             self._schedule(plan.at, self._start_plan, plan)
         for fault in self.scenario.faults:
             self._schedule(fault.at, self._start_fault, fault)
-        self._schedule(self.calm_at + HEAL_S, self._repeat_all)
+        if self.scenario.final_repeats:
+            self._schedule(self.calm_at + HEAL_S, self._repeat_all)
         self._schedule(0.0, self._tick)
         end = self.calm_at + 2 * HEAL_S + _GRACE_S
         while self.events and self.events[0][0] < end:
