--- /dev/null
+++ b/measurements/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the decision core in virtual time."""
--- /dev/null
+++ b/measurements/_fleets.py
@@ -0,0 +1,115 @@
+"""The fleet that policies are measured on."""
+
+import dataclasses
+
+from sniperudder import tables
+from sniperudder import testing
+
+LAYERS = 8
+STAGES = 2
+
+# Three kinds of accelerators; the factor is on every time.
+_KINDS = {'fast': 1.0, 'medium': 2.0, 'slow': 4.0}
+_BASE = testing.Speed(base_s=0.03, step_s=0.001, prefill_s=0.00002)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Size:
+    """Size of a measured fleet.
+
+    Attributes
+    ----------
+    entries : int
+    copies : int
+        Endpoints of each kind and stage.
+    streams : int
+        Streams that each endpoint batches.
+    organisations : int
+    lag_s : float
+        Age of load reports, seconds.
+    """
+
+    entries: int = 9
+    copies: int = 2
+    streams: int = 8
+    organisations: int = 10
+    lag_s: float = 1.0
+
+
+def create_fleet(size, seed, configure=None):
+    """Return a fleet of entries before endpoints of unequal speed.
+
+    Parameters
+    ----------
+    size : Size
+    seed : int
+    configure : callable, optional
+        Called with each entry's tables, to choose a policy.
+
+    Returns
+    -------
+    StreamFleet
+    """
+    clock = testing.VirtualTime()
+    engines = {}
+    for ep, speed in _list_endpoints(size):
+        engines[ep.name] = testing.FakeEngine(clock, ep, speed)
+    cores = {}
+    for number in range(size.entries):
+        T = _create_core(f'entry-{number}', seed * 1000 + number, size)
+        cores[T.me] = T
+    for T in cores.values():
+        for name in cores:
+            T.instances[name] = tables.Instance(
+                name, 'h:1', 'dc', state=tables.InstanceState.LIVE
+            )
+        if configure is not None:
+            configure(T)
+    return testing.StreamFleet(clock, cores, engines, size.lag_s)
+
+
+def compute_bound(size):
+    """Return the most tokens a second that the fleet can give.
+
+    A stream is at one of its stages at a time, so that with every slot
+    taken each endpoint batches its share ``n`` of the streams and gives
+    ``n`` passes in one iteration of ``n`` steps.
+    """
+    total = 0.0
+    share = size.streams / STAGES
+    for ep, speed in _list_endpoints(size):
+        if ep.first_layer == 0:
+            total += share / (speed.base_s + share * speed.step_s)
+    return total
+
+
+def _list_endpoints(size):
+    pairs = []
+    width = LAYERS // STAGES
+    for kind, factor in _KINDS.items():
+        speed = testing.Speed(
+            _BASE.base_s * factor,
+            _BASE.step_s * factor,
+            _BASE.prefill_s * factor,
+        )
+        for first in range(0, LAYERS, width):
+            for number in range(size.copies):
+                name = f'{kind}-{first}-{number}'
+                ep = _create_endpoint(name, kind, first, first + width, size)
+                pairs.append((ep, speed))
+    return pairs
+
+
+def _create_endpoint(name, kind, first, end, size):
+    return tables.Endpoint(
+        name, 'h:1', 'dc', kind, 'm', '1', first, end, size.streams
+    )
+
+
+def _create_core(name, seed, size):
+    T = tables.create_tables(name, 'dc', seed)
+    T.confirmed_at = 0.0
+    T.models['m'] = tables.Model('m', LAYERS)
+    for ep, _ in _list_endpoints(size):
+        T.endpoints[ep.name] = ep
+    return T
