Take an answer with a cut Content-Length for lost

Cause: breaking the answer after each byte showed that a head which ends in 'Content-Length: ' with no digits was taken for a whole empty answer: http.client then reads until the connection ends, and a broken connection ends too. Breaks in the status line were not told as broken connections. A missing length alone was refused already, so that the check for the header's presence was the fault.

--- a/sniperudder/transports/_http.py
+++ b/sniperudder/transports/_http.py
@@ -16,6 +16,7 @@
 _CALL_HEADER = 'X-Call-Id'
 _EXECUTION_HEADER = 'X-Execution'
 _NOT_RUN = 'not-run'
+_PROTOCOL = 'HTTP/'
 
 # Raised before the first byte is handed to the socket.
 _NOT_SENT_ERRORS = (
@@ -198,7 +199,10 @@
     """Whether the end of the answer can be told from a broken one."""
     if response.status == http.client.NO_CONTENT:
         return True
-    return response.chunked or 'Content-Length' in response.headers
+    # A head that broke off may end in a length with no digits, which
+    # http.client takes for an answer that lasts until the connection ends.
+    length = response.headers.get('Content-Length', '')
+    return response.chunked or length.isdecimal()
 
 
 def _release(response):
@@ -217,7 +221,13 @@
 def _is_broken(error):
     """Whether an error means that the connection ended early."""
     cause = error.args[-1] if error.args else None
-    return isinstance(cause, (ConnectionError, http.client.IncompleteRead))
+    if isinstance(cause, (ConnectionError, http.client.IncompleteRead)):
+        return True
+    if not isinstance(cause, http.client.BadStatusLine):
+        return False
+    # A status line that was cut, and not the words of another protocol.
+    line = cause.line.strip("'")
+    return line.startswith(_PROTOCOL) or _PROTOCOL.startswith(line)
 
 
 def create_transport(pool_size=64, max_answer_bytes=16 * 1024 * 1024):
