Test the clients against broken exchanges and odd answers

Cause: NOT_SENT must be true at every point of an exchange, and no crossed, cut or odd answer may pass for a result.

--- a/sniperudder/endpoints/_http.py
+++ b/sniperudder/endpoints/_http.py
@@ -1,5 +1,6 @@
 """A client of the engines' JSON protocol, see docs/ENDPOINTS.md."""
 
+import collections
 import json
 
 from sniperudder.endpoints import _client
@@ -104,14 +105,14 @@
     value = _decode(reply)
     try:
         listed = value['results']
-        keys = [_make_key(result) for result in listed]
+        counts = collections.Counter(_make_key(result) for result in listed)
+        return {
+            _make_key(result): result
+            for result in listed
+            if counts[_make_key(result)] == 1
+        }
     except (KeyError, TypeError):
         return {}
-    return {
-        key: result
-        for key, result in zip(keys, listed, strict=True)
-        if keys.count(key) == 1
-    }
 
 
 def _make_key(result):
--- /dev/null
+++ b/sniperudder/services/tests/test_http.py
@@ -0,0 +1,181 @@
+import json
+import threading
+
+import testtools
+
+from sniperudder import effects
+from sniperudder import inputs
+from sniperudder import services
+from standins import relay
+from standins import service
+from standins import serving
+
+_NOT_SENT = inputs.Delivery.NOT_SENT
+_LOST = inputs.Delivery.LOST
+_TIMEOUT_S = 5.0
+_SHORT_S = 0.3
+
+
+class _Odd(serving.Standin):
+    """Answers with what it is given."""
+
+    def __init__(self, answer):
+        super().__init__()
+        self._answer = answer
+
+    def answer(self, call):
+        return self._answer
+
+
+class TestServiceClient(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.client = services.create_service_client()
+
+    def start(self, standin):
+        self.standin = standin
+        server = serving.create_server(standin)
+        self.addCleanup(server.stop)
+        self.address = server.address
+
+    def call(self, key='key-1', timeout_s=_TIMEOUT_S, deadline_s=10.0):
+        call = effects.CallService(
+            'o1', self.address, key, '{"swatch": 7}', deadline_s
+        )
+        return self.client.call(call, timeout_s)
+
+    def ask(self, key='key-1'):
+        call = effects.AskService('o1', self.address, key)
+        return self.client.ask(call, _TIMEOUT_S)
+
+    def read_log(self):
+        return [entry['key'] for entry in self.standin.log]
+
+    def test_result(self):
+        self.start(service.Service())
+        result = self.call()
+        self.assertEqual((200, None), (result.status, result.delivery))
+        self.assertEqual(1, json.loads(result.body)['number'])
+        self.assertEqual(self.address, result.address)
+
+    def test_repeat(self):
+        self.start(service.Service())
+        self.assertNotEqual(self.call().body, self.call().body)
+        self.start(service.Service(deduplicates=True))
+        self.assertEqual(self.call().body, self.call().body)
+        self.assertEqual(['key-1'], self.read_log())
+
+    def test_ask(self):
+        self.start(service.Service(lookup=True))
+        told = inputs.ServiceTold('o1', answered=True)
+        self.assertEqual(told, self.ask())
+        body = self.call().body
+        told = inputs.ServiceTold('o1', True, True, 200, body)
+        self.assertEqual(told, self.ask())
+        self.start(service.Service())
+        self.assertFalse(self.ask().answered)
+
+    def test_odd_keys(self):
+        self.start(service.Service(lookup=True))
+        for key in ('a/b', 'a%2Fb', 'é', ' a\r\nX-A: b', '?a#b', '..'):
+            self.assertFalse(self.ask(key).found)
+            self.assertEqual(200, self.call(key).status)
+            self.assertTrue(self.ask(key).found)
+
+    def test_faults(self):
+        cases = (
+            ({'refuse': True}, _NOT_SENT, False),
+            ({'hang_up': True}, _LOST, False),
+            ({'lose_answers': 1}, _LOST, True),
+            ({'cut_answers': 1}, _LOST, True),
+            ({'delay_s': 4 * _SHORT_S}, _LOST, True),
+        )
+        self.start(service.Service())
+        for number, (faults, delivery, ran) in enumerate(cases):
+            self.standin.gate.update(faults)
+            timeout_s = _SHORT_S if 'delay_s' in faults else _TIMEOUT_S
+            result = self.call(f'key-{number}', timeout_s)
+            self.standin.gate.update({})
+            self.assertEqual((delivery, 0), (result.delivery, result.status))
+            self.assertEqual(ran, f'key-{number}' in self.read_log())
+
+    def test_expired_call_is_not_run(self):
+        self.start(service.Service())
+        self.standin.gate.update({'slow_s': 0.1})
+        result = self.call(deadline_s=0.05)
+        self.assertEqual(_NOT_SENT, result.delivery)
+        self.assertEqual([], self.read_log())
+
+    def test_running_call_has_no_result(self):
+        self.start(
+            service.Service(deduplicates=True, lookup=True, work_s=60.0)
+        )
+        self.call(timeout_s=_SHORT_S)
+        self.assertEqual(_LOST, self.call().delivery)
+        self.assertFalse(self.ask().answered)
+
+    def test_crossed_answer(self):
+        self.start(service.Service())
+        self.call('key-1')
+        self.standin.gate.update({'cross_answers': 1})
+        self.assertEqual(_LOST, self.call('key-2').delivery)
+
+    def test_breaks_at_each_point(self):
+        self.start(service.Service())
+        link = relay.create_relay(self.address)
+        self.addCleanup(link.close)
+        self.address = link.address
+        self.call('whole-000')
+        totals = {
+            'request_limit': link.request_bytes,
+            'answer_limit': link.answer_bytes,
+        }
+        for name, total in totals.items():
+            for limit in range(0, total, 5):
+                link.update(relay.Link(**{name: limit}))
+                self.client = services.create_service_client()
+                key = f'{name[:5]}-{limit:03}'
+                result = self.call(key)
+                if result.delivery is _NOT_SENT:
+                    self.assertNotIn(key, self.read_log())
+                else:
+                    self.assertEqual(_LOST, result.delivery)
+
+    def test_unreachable(self):
+        self.address = '127.0.0.1:1'
+        self.assertEqual(_NOT_SENT, self.call().delivery)
+        self.assertFalse(self.ask().answered)
+
+    def test_statuses(self):
+        cases = (
+            (serving.Answer(200, b''), None),
+            (serving.Answer(422, b'no'), None),
+            (serving.Answer(429, b''), _LOST),
+            (serving.Answer(500, b''), _LOST),
+            (serving.Answer(200, b'\xff'), _LOST),
+            (serving.Answer(200, b'', key='key-2'), _LOST),
+            (serving.Answer(429, b'', not_run=True), _NOT_SENT),
+        )
+        for answer, delivery in cases:
+            self.start(_Odd(answer))
+            result = self.call()
+            self.assertEqual(delivery, result.delivery, answer)
+            status = 0 if delivery else answer.status
+            self.assertEqual(status, result.status)
+
+    def test_odd_lookups(self):
+        found = {'found': True, 'status': 200, 'body': ''}
+        values = [found | {name: None} for name in found]
+        values += [None, [], {}, {'found': 1, 'status': 200, 'body': ''}]
+        for value in values:
+            self.start(_Odd(serving.answer_json(value)))
+            self.assertFalse(self.ask().answered, value)
+
+    def test_one_key_at_once(self):
+        self.start(service.Service(deduplicates=True, work_s=0.1))
+        threads = [threading.Thread(target=self.call) for _ in range(4)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        self.assertEqual(['key-1'], self.read_log())
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -120,7 +120,7 @@
                 cost_s += step_cost_s
             self._note_load()
         if any(result['status'] == 'ran' for result in results):
-            time.sleep(self._options.step_ms / 1e3 + cost_s)
+            self.gate.pause(self._options.step_ms / 1e3 + cost_s)
         return serving.answer_json({'results': results})
 
     def _run_step(self, step):
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -83,6 +83,19 @@
         self._crash = crash or _exit
         self._changed = threading.Condition()
         self._thaw_at = 0.0
+        self._closed = False
+
+    def close(self):
+        """End all pauses, as the process stops."""
+        with self._changed:
+            self._closed = True
+            self._changed.notify_all()
+
+    def pause(self, duration_s):
+        """Wait, but not for longer than the process lasts."""
+        if duration_s > 0:
+            with self._changed:
+                self._changed.wait_for(lambda: self._closed, duration_s)
 
     def update(self, wanted):
         """Change the faults in force.
@@ -123,14 +136,14 @@
         """Wait for the end of a freeze and for slowness."""
         with self._changed:
             left = self._thaw_at - time.monotonic()
-            while left > 0:
+            while left > 0 and not self._closed:
                 self._changed.wait(left)
                 left = self._thaw_at - time.monotonic()
-        time.sleep(self.faults.slow_s)
+        self.pause(self.faults.slow_s)
 
     def pause_answer(self):
         """Wait as long as answers are to be late."""
-        time.sleep(self.faults.delay_s)
+        self.pause(self.faults.delay_s)
 
     def crash_if(self, moment):
         """End the process if it is to crash at this moment."""
--- a/standins/service.py
+++ b/standins/service.py
@@ -33,7 +33,7 @@
         self._lookup = lookup
         self._work_s = work_s
         self._lock = threading.Lock()
-        self._log = []
+        self.log = []
         self._results = {}
 
     def answer(self, call):
@@ -43,7 +43,7 @@
         if call.path.startswith('/result/') and self._lookup:
             return self._tell(call.path.removeprefix('/result/'))
         if call.path == '/log':
-            return serving.answer_json(self._log)
+            return serving.answer_json(self.log)
         return serving.answer_not_run(404, 'no such path')
 
     def _run(self, call):
@@ -53,13 +53,13 @@
         with self._lock:
             known = key in self._results
             if not (known and self._deduplicates):
-                number = len(self._log) + 1
+                number = len(self.log) + 1
                 text = call.body.decode()
-                self._log.append({'number': number, 'key': key, 'body': text})
+                self.log.append({'number': number, 'key': key, 'body': text})
                 self._results[key] = None
         if known and self._deduplicates:
             return self._repeat(key)
-        time.sleep(self._work_s)
+        self.gate.pause(self._work_s)
         result = json.dumps({'number': number, 'key': key})
         with self._lock:
             self._results[key] = result
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -26,6 +26,7 @@
 _THREADS = 128
 _IDLE_TIMEOUT_S = 300
 _SHUTDOWN_TIMEOUT_S = 1
+_TICK_S = 0.1
 _CONTROL_PATHS = ('/faults', '/healthz', '/v1/log', '/log')
 
 
@@ -210,6 +211,7 @@
         self.timeout = _IDLE_TIMEOUT_S
         self.keep_alive_conn_limit = 1000
         self.request_queue_size = 1024
+        self.expiration_interval = _TICK_S
         self.shutdown_timeout = _SHUTDOWN_TIMEOUT_S
 
     @property
@@ -217,6 +219,11 @@
         """The ``host:port`` at which it listens."""
         return f'{_HOST}:{self.bind_addr[1]}'
 
+    def stop(self):
+        """End all pauses and close all connections."""
+        self.standin.gate.close()
+        super().stop()
+
     def error_log(self, msg='', level=20, traceback=False):
         """Say nothing of connections that broke."""
 
@@ -244,5 +251,4 @@
         signal.signal(number, lambda *_: stopped.set())
     print('ready', made.bind_addr[1], flush=True)
     stopped.wait()
-    standin.gate.update({})
     made.stop()
