--- a/sniperudder/clocks/_lamport.py
+++ b/sniperudder/clocks/_lamport.py
@@ -8,6 +8,14 @@
 
     An event that may have caused another one has the lower value.
 
+    Parameters
+    ----------
+    read_least : callable, optional
+        Returns the least value of the next event. With a wall clock
+        here, events that did not cause each other come out near the
+        order of their times, and a process that starts again does not
+        fall behind its earlier events.
+
     Examples
     --------
     >>> clock = LamportClock()
@@ -18,9 +26,10 @@
     8
     """
 
-    __slots__ = ('_lock', '_value')
+    __slots__ = ('_lock', '_read_least', '_value')
 
-    def __init__(self):
+    def __init__(self, read_least=None):
+        self._read_least = read_least
         self._lock = threading.Lock()
         self._value = 0
 
@@ -30,8 +39,9 @@
 
     def advance(self):
         """Return the value of a new event of this process."""
+        least = self._read_least() if self._read_least else 0
         with self._lock:
-            self._value += 1
+            self._value = max(self._value + 1, least)
             return self._value
 
     def observe(self, value):
--- a/sniperudder/logs/__init__.py
+++ b/sniperudder/logs/__init__.py
@@ -1,5 +1,7 @@
 """Logs of events by eliot, and their time line."""
 
+from sniperudder.logs._events import read_timeline
+from sniperudder.logs._events import Timeline
 from sniperudder.logs._log import close_log
 from sniperudder.logs._log import create_log
 from sniperudder.logs._log import Log
@@ -7,13 +9,19 @@
 from sniperudder.logs._tasks import continue_task
 from sniperudder.logs._tasks import make_task
 from sniperudder.logs._tasks import TASK_HEADER
+from sniperudder.logs._timeline import render_svg
+from sniperudder.logs._timeline import render_text
 
 __all__ = [
     'Log',
     'TASK_HEADER',
+    'Timeline',
     'close_log',
     'continue_task',
     'create_log',
     'make_task',
+    'read_timeline',
+    'render_svg',
+    'render_text',
     'write_note',
 ]
--- a/sniperudder/logs/_log.py
+++ b/sniperudder/logs/_log.py
@@ -4,12 +4,15 @@
 import json
 import sys
 import threading
+import time
 import typing
 
 import eliot
 
 from sniperudder import clocks
 
+_NS_PER_US = 1000
+
 
 class _Destination:
     """Writes each of eliot's messages as one line of JSON."""
@@ -93,7 +96,7 @@
     'endpoint:down'
     """
     stream, owned = _open_stream(stream_or_path)
-    clock = clocks.LamportClock()
+    clock = clocks.LamportClock(read_least=_read_wall_us)
     destination = _Destination(stream, instance, clock)
     eliot.add_destinations(destination)
     return Log(instance, clock, stream, destination, owned)
@@ -123,6 +126,10 @@
     )
 
 
+def _read_wall_us():
+    return time.time_ns() // _NS_PER_US
+
+
 def _open_stream(stream_or_path):
     if stream_or_path == '-':
         return sys.stderr, False
--- a/sniperudder/logs/_tasks.py
+++ b/sniperudder/logs/_tasks.py
@@ -8,7 +8,7 @@
 TASK_HEADER = 'X-Eliot-Task'
 
 _TASK = re.compile(
-    r'(?P<task>[0-9a-f-]{36}@(?:/[0-9]{1,9}){1,20});(?P<clock>[0-9]{1,15})',
+    r'(?P<task>[0-9a-f-]{36}@(?:/[0-9]{1,9}){1,20});(?P<clock>[0-9]{1,18})',
     re.ASCII,
 )
 
--- /dev/null
+++ b/sniperudder/metrics/__init__.py
@@ -0,0 +1,21 @@
+"""Metrics of one instance: times by hdrhistogram, and counters."""
+
+from sniperudder.metrics._metrics import count_event
+from sniperudder.metrics._metrics import create_metrics
+from sniperudder.metrics._metrics import Metrics
+from sniperudder.metrics._metrics import read_quantile
+from sniperudder.metrics._metrics import record_time
+from sniperudder.metrics._metrics import set_gauge
+from sniperudder.metrics._metrics import Timing
+from sniperudder.metrics._prometheus import render_metrics
+
+__all__ = [
+    'Metrics',
+    'Timing',
+    'count_event',
+    'create_metrics',
+    'read_quantile',
+    'record_time',
+    'render_metrics',
+    'set_gauge',
+]
--- /dev/null
+++ b/sniperudder/metrics/_prometheus.py
@@ -0,0 +1,92 @@
+"""Export in the text format that Prometheus scrapes."""
+
+from sniperudder.metrics import _metrics
+
+CONTENT_TYPE = 'text/plain; version=0.0.4; charset=utf-8'
+
+_PREFIX = 'sniperudder'
+_PERCENTILES = (50, 95, 99, 99.9)
+_US_PER_S = 1_000_000
+
+_HELP = {
+    _metrics.Timing.FIRST_TOKEN: 'Time from arrival to the first token.',
+    _metrics.Timing.BETWEEN_TOKENS: 'Time between two tokens.',
+    _metrics.Timing.TOTAL: 'Time from arrival to the end of the answer.',
+}
+
+
+def render_metrics(M, counters=None):
+    """Return all metrics as text.
+
+    Parameters
+    ----------
+    M : Metrics
+    counters : dict of str to int, optional
+        Counters kept elsewhere, such as those of the tables.
+
+    Returns
+    -------
+    str
+
+    Notes
+    -----
+    The lock is held for one histogram at a time.
+    """
+    lines = []
+    for timing in _metrics.Timing:
+        lines += _render_timing(M, timing)
+    with M.lock:
+        counts = dict(M.counters)
+        gauges = dict(M.gauges)
+    for name, value in (counters or {}).items():
+        counts[name] = counts.get(name, 0) + value
+    lines += _render_values('events_total', 'counter', 'event', counts)
+    lines += _render_values('level', 'gauge', 'subject', gauges)
+    return '\n'.join(lines) + '\n'
+
+
+def _render_timing(M, timing):
+    with M.lock:
+        found = [item for item in M.times if item.timing is timing]
+    if not found:
+        return []
+    name = f'{_PREFIX}_{timing.value}_seconds'
+    lines = [f'# HELP {name} {_HELP[timing]}', f'# TYPE {name} summary']
+    found.sort(key=lambda item: (item.rank, item.organisation))
+    for series in found:
+        lines += _render_series(M, name, series)
+    return lines
+
+
+def _render_series(M, name, series):
+    with M.lock:
+        times = M.times[series]
+        quantiles = times.histogram.get_percentile_to_value_dict(_PERCENTILES)
+        count = times.histogram.get_total_count()
+        total_s = times.total_s
+    rank = series.rank.name.lower()
+    organisation = _escape(series.organisation)
+    labels = f'rank="{rank}",organisation="{organisation}"'
+    lines = [
+        f'{name}{{{labels},quantile="{percentile / 100:g}"}} '
+        f'{value_us / _US_PER_S:g}'
+        for percentile, value_us in quantiles.items()
+    ]
+    lines.append(f'{name}_sum{{{labels}}} {total_s:.6f}')
+    lines.append(f'{name}_count{{{labels}}} {count}')
+    return lines
+
+
+def _render_values(suffix, kind, label, values):
+    if not values:
+        return []
+    name = f'{_PREFIX}_{suffix}'
+    lines = [f'# TYPE {name} {kind}']
+    for key in sorted(values):
+        lines.append(f'{name}{{{label}="{_escape(key)}"}} {values[key]}')
+    return lines
+
+
+def _escape(text):
+    text = text.replace('\\', '\\\\').replace('"', '\\"')
+    return text.replace('\n', '\\n')
--- a/sniperudder/outcomes/__init__.py
+++ b/sniperudder/outcomes/__init__.py
@@ -9,6 +9,7 @@
 from sniperudder.outcomes._outcomes import InDoubt
 from sniperudder.outcomes._outcomes import Outcome
 from sniperudder.outcomes._outcomes import Refused
+from sniperudder.outcomes._pages import render_codes
 
 __all__ = [
     'Answered',
@@ -20,4 +21,5 @@
     'Refused',
     'describe_code',
     'list_codes',
+    'render_codes',
 ]
--- /dev/null
+++ b/sniperudder/outcomes/_pages.py
@@ -0,0 +1,37 @@
+"""The table of result codes for the docs."""
+
+from sniperudder.outcomes import _codes
+
+_HEAD = """\
+# Result codes
+
+Every refusal and failure carries one of these numbers: to callers in the
+body of the answer, in logs, and in operators' queries. The class says what
+is known about the work: *not run* means that it certainly did not run and
+may be sent again; *ran* that it ran, at least in part; *in doubt* that
+nobody can tell yet.
+
+`sniperudder codes` prints the table; `make docs` renders this page from
+the code, and a test holds the two together.
+
+| code | name | class | HTTP | meaning |
+|---:|---|---|---:|---|
+"""
+
+
+def render_codes():
+    """Return the page of result codes in Markdown.
+
+    Returns
+    -------
+    str
+    """
+    lines = [_render_entry(entry) for entry in _codes.list_codes()]
+    return _HEAD + ''.join(lines)
+
+
+def _render_entry(entry):
+    return (
+        f'| {int(entry.code)} | `{entry.code.name}` '
+        f'| {entry.execution.value} | {entry.status} | {entry.meaning} |\n'
+    )
