--- a/sniperudder/logs/_events.py
+++ b/sniperudder/logs/_events.py
@@ -131,19 +131,26 @@
         fields = json.loads(line)
         return Event(
             clock=int(fields['clock']),
-            instance=str(fields['instance']),
+            instance=_clean_text(fields['instance']),
             sequence=int(fields['sequence']),
             time=float(fields['timestamp']),
-            kind=_describe_kind(fields),
-            subject=str(fields.get('subject', '')),
-            detail=_describe_detail(fields),
-            task=str(fields['task_uuid']),
+            kind=_clean_text(_describe_kind(fields)),
+            subject=_clean_text(fields.get('subject', '')),
+            detail=_clean_text(_describe_detail(fields)),
+            task=_clean_text(fields['task_uuid']),
             level=tuple(int(n) for n in fields['task_level']),
         )
     except (KeyError, TypeError, ValueError):
         return None
 
 
+def _clean_text(value):
+    """Replace what XML and terminals cannot take, line breaks too."""
+    return ''.join(
+        char if char.isprintable() else '\ufffd' for char in str(value)
+    )
+
+
 def _describe_kind(fields):
     if 'action_type' in fields:
         return f'{fields["action_type"]} {fields["action_status"]}'
@@ -180,11 +187,27 @@
     list of Arrow
     """
     arrows = []
-    latest = {}
+    siblings = {}
     for index, event in enumerate(events):
-        if len(event.level) > 1 and event.level[-1] == 1:
-            start = latest.get((event.task, event.level[:-2]))
-            if start is not None and events[start].instance != event.instance:
+        start = _find_sender(siblings, event)
+        if start is not None:
+            if events[start].instance != event.instance:
                 arrows.append(Arrow(start, index))
-        latest[event.task, event.level[:-1]] = index
+        place = event.task, event.level[:-1]
+        siblings.setdefault(place, []).append((event.level[-1], index))
     return arrows
+
+
+def _find_sender(siblings, event):
+    """Return the index of the latest event before the reserved place.
+
+    None where the event does not start a continued action.
+    """
+    if len(event.level) < 2 or event.level[-1] != 1:
+        return None
+    reserved = event.level[-2]
+    place = event.task, event.level[:-2]
+    for number, index in reversed(siblings.get(place, ())):
+        if number < reserved:
+            return index
+    return None
--- a/sniperudder/logs/_timeline.py
+++ b/sniperudder/logs/_timeline.py
@@ -54,8 +54,7 @@
         event.subject,
         event.detail,
     )
-    # A line break in a field must not look like another event.
-    return '  '.join(part for part in parts if part).replace('\n', '\\n')
+    return '  '.join(part for part in parts if part)
 
 
 def _render_time(seconds):
@@ -154,9 +153,19 @@
     time = _add(root, 'text', x=8, y=y + 4, fill=_INK)
     time.text = _render_time(event.time)
     group = _add(root, 'g')
-    _add(group, 'title').text = _clean(_render_line(event, 0))
+    _add(group, 'title').text = _render_line(event, 0)
     _add(group, 'circle', cx=x, cy=y, r=_MARK_PX, fill=_choose_colour(lane))
-    label = _add(group, 'text', x=x + 9, y=y + 4, fill=_INK)
+    # The white outline keeps labels legible where arrows cross them.
+    label = _add(
+        group,
+        'text',
+        x=x + 9,
+        y=y + 4,
+        fill=_INK,
+        stroke='white',
+        stroke_width=3,
+        paint_order='stroke',
+    )
     label.text = _shorten(f'{event.kind} {event.subject} {event.detail}')
 
 
@@ -198,12 +207,7 @@
 
 
 def _shorten(text):
-    text = ' '.join(_clean(text).split())
+    text = ' '.join(text.split())
     if len(text) <= _MAX_LABEL:
         return text
     return text[: _MAX_LABEL - 1] + '…'
-
-
-def _clean(text):
-    """Drop the control characters that XML does not allow."""
-    return ''.join(char for char in text if char >= ' ')
