--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SECONDS ?= 60
 SEED ?= 1
 
-.PHONY: setup check format lint test demo binary thrift soak measure
+.PHONY: setup check docs format lint test demo binary thrift soak measure
 
 setup: $(VENV)/installed
 
@@ -25,3 +25,20 @@
 
 test: setup
 	$(BIN)/python -m pytest -q
+
+# Renders the pages that the code holds; tests compare them.
+docs: setup
+	$(BIN)/python -m sniperudder codes --markdown > docs/CODES.md
+	$(BIN)/python -c 'from sniperudder import settings; \
+	  print(settings.render_settings(), end="")' > docs/SETTINGS.md
+
+# One archive with the program and the libraries of this environment.
+binary: setup
+	rm -rf build
+	$(BIN)/python tools/packages.py requirements.lock build/site
+	$(BIN)/pip install --quiet --no-index --no-deps --no-build-isolation \
+	  --target build/site .
+	mkdir -p dist
+	$(BIN)/shiv --site-packages build/site --reproducible --compressed \
+	  --python '/usr/bin/env python3.11' \
+	  --entry-point sniperudder.commands:main --output-file dist/sniperudder
--- a/sniperudder/commands/_local.py
+++ b/sniperudder/commands/_local.py
@@ -15,7 +15,8 @@
     """Run an entry instance until it is told to stop.
 
     SIGTERM and SIGINT ask for a planned stop: the instance takes no new
-    work, ends what is in flight, and exits.
+    work, ends what is in flight, and exits. A second one stops it at
+    once.
 
     Parameters
     ----------
@@ -26,7 +27,9 @@
     # Only this command needs the servers, which take memory.
     from sniperudder import instance
 
-    return instance.run_instance(loaded) or Status.DONE
+    if instance.run_instance(loaded):
+        return Status.UNFINISHED
+    return Status.DONE
 
 
 def check_config(config):
--- a/sniperudder/commands/_main.py
+++ b/sniperudder/commands/_main.py
@@ -28,6 +28,7 @@
   6    in doubt: it is unknown whether the command was taken;
        repeat it with the same --id
   7    a file or an address could not be used
+  8    the time for a planned stop ran out before the work was done
   130  interrupted
 
 environment:
--- a/sniperudder/commands/_status.py
+++ b/sniperudder/commands/_status.py
@@ -16,6 +16,7 @@
     PARTIAL = 5
     IN_DOUBT = 6
     FILE = 7
+    UNFINISHED = 8
     INTERRUPTED = 130
 
 
