Write the log from a thread of its own

Cause: a reader of standard error that stalls would have held up every thread that logs a decision, and with it the instance. Change: lines go into a bounded buffer; a thread writes what gathered in 5 ms. Lines that find it full are dropped, which the sequence numbers show; the end of the process writes what waits.

--- a/sniperudder/logs/_log.py
+++ b/sniperudder/logs/_log.py
@@ -1,5 +1,6 @@
 """Writing the log of one process as JSON lines."""
 
+import contextlib
 import dataclasses
 import json
 import sys
@@ -10,6 +11,7 @@
 import eliot
 
 from sniperudder import clocks
+from sniperudder.logs import _writer
 
 _NS_PER_US = 1000
 
@@ -17,10 +19,10 @@
 class _Destination:
     """Writes each of eliot's messages as one line of JSON."""
 
-    __slots__ = ('_clock', '_instance', '_lock', '_sequence', '_stream')
+    __slots__ = ('_clock', '_instance', '_lock', '_sequence', '_writer')
 
-    def __init__(self, stream, instance, clock):
-        self._stream = stream
+    def __init__(self, writer, instance, clock):
+        self._writer = writer
         self._instance = instance
         self._clock = clock
         self._lock = threading.Lock()
@@ -36,8 +38,7 @@
                 'clock': self._clock.advance(),
                 **message,
             }
-            self._stream.write(json.dumps(stamped, default=str) + '\n')
-            self._stream.flush()
+            self._writer.write_line(json.dumps(stamped, default=str))
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -49,6 +50,7 @@
     instance : str
     clock : sniperudder.clocks.LamportClock
     stream : file
+    writer : sniperudder.logs._writer.LineWriter
     destination : callable
         Where eliot sends its messages.
     owned : bool
@@ -58,6 +60,7 @@
     instance: str
     clock: clocks.LamportClock
     stream: typing.TextIO
+    writer: _writer.LineWriter
     destination: _Destination
     owned: bool
 
@@ -66,8 +69,9 @@
     """Send eliot's messages of this process to a stream or file.
 
     Each line carries, besides eliot's fields, ``instance``, ``sequence``
-    (from 1, without gaps), ``clock`` (Lamport) and ``timestamp`` (wall
-    time, seconds).
+    (from 1; a gap shows lines that could not be written), ``clock``
+    (Lamport) and ``timestamp`` (wall time, seconds). A thread writes the
+    lines, so that a stalled reader of the log holds up nobody.
 
     Parameters
     ----------
@@ -97,15 +101,20 @@
     """
     stream, owned = _open_stream(stream_or_path)
     clock = clocks.LamportClock(read_least=_read_wall_us)
-    destination = _Destination(stream, instance, clock)
+    writer = _writer.LineWriter(stream)
+    destination = _Destination(writer, instance, clock)
     eliot.add_destinations(destination)
-    return Log(instance, clock, stream, destination, owned)
+    return Log(instance, clock, stream, writer, destination, owned)
 
 
 def close_log(log):
-    """Stop writing to a log."""
-    eliot.remove_destination(log.destination)
-    if log.owned:
+    """Write what waits, for a few seconds at most, and end the log.
+
+    Closing it again does nothing.
+    """
+    with contextlib.suppress(ValueError):
+        eliot.remove_destination(log.destination)
+    if log.writer.close() and log.owned:
         log.stream.close()
 
 
