Add the query and command language

Change: sniperudder/queries with a lark grammar, typed records, rows from the tables, evaluation in parts with mergeable groups, tables and JSON, dry runs; a ring of refusals in Tables; SyntaxProblem carries line and column; result codes 110 to 113.

--- a/sniperudder/errors.py
+++ b/sniperudder/errors.py
@@ -18,7 +18,21 @@
 
 
 class SyntaxProblem(SniperudderError):
-    """A query, command or scenario does not follow its grammar."""
+    """A query, command or scenario does not follow its grammar.
+
+    Parameters
+    ----------
+    problem : str
+        What is wrong and what was expected, in one sentence.
+    line, column : int
+        Where it was found, both from 1.
+    """
+
+    def __init__(self, problem, line=1, column=1):
+        super().__init__(f'line {line}, column {column}: {problem}')
+        self.problem = problem
+        self.line = line
+        self.column = column
 
 
 class InvariantBroken(SniperudderError):
--- a/sniperudder/outcomes/_codes.py
+++ b/sniperudder/outcomes/_codes.py
@@ -24,6 +24,10 @@
     IDEMPOTENCY_CONFLICT = 107
     UNKNOWN_ROUTE = 108
     FORBIDDEN = 109
+    BAD_SYNTAX = 110
+    TOO_MANY_GUESSES = 111
+    NO_CHAIN_LEFT = 112
+    UNKNOWN_SUBJECT = 113
 
     QUEUE_FULL = 200
     TARGET_UNREACHABLE = 201
@@ -92,6 +96,30 @@
     ),
     _entry(Code.UNKNOWN_ROUTE, _N, 404, 'No such path or method.'),
     _entry(Code.FORBIDDEN, _N, 403, 'The key does not allow this.'),
+    _entry(
+        Code.BAD_SYNTAX,
+        _N,
+        400,
+        'The query or command does not follow the grammar.',
+    ),
+    _entry(
+        Code.TOO_MANY_GUESSES,
+        _N,
+        429,
+        'Too many wrong keys came from this address.',
+    ),
+    _entry(
+        Code.NO_CHAIN_LEFT,
+        _N,
+        409,
+        'The command would leave a model or rank with no chain.',
+    ),
+    _entry(
+        Code.UNKNOWN_SUBJECT,
+        _N,
+        404,
+        'The command names something that does not exist.',
+    ),
     _entry(Code.QUEUE_FULL, _N, 429, 'The queue of this rank is full.'),
     _entry(
         Code.TARGET_UNREACHABLE,
--- /dev/null
+++ b/sniperudder/queries/__init__.py
@@ -0,0 +1,106 @@
+"""The query and command language of operators.
+
+A query is parsed, evaluated at each instance over plain rows, and its
+parts are combined at the instance that was asked. A command is parsed
+into a typed record. See docs/QUERIES.md.
+"""
+
+from sniperudder.queries._columns import Column
+from sniperudder.queries._columns import get_columns
+from sniperudder.queries._columns import Kind
+from sniperudder.queries._columns import TABLES
+from sniperudder.queries._commands import AllowRanks
+from sniperudder.queries._commands import Change
+from sniperudder.queries._commands import Command
+from sniperudder.queries._commands import PlanCommand
+from sniperudder.queries._commands import ReturnEndpoint
+from sniperudder.queries._commands import SetFloor
+from sniperudder.queries._commands import SetWeight
+from sniperudder.queries._commands import ShedModel
+from sniperudder.queries._commands import ShedOrganisation
+from sniperudder.queries._commands import ShedRank
+from sniperudder.queries._commands import StopInstance
+from sniperudder.queries._commands import VerifyCommand
+from sniperudder.queries._commands import WatchCommand
+from sniperudder.queries._commands import WithdrawEndpoint
+from sniperudder.queries._formats import format_command
+from sniperudder.queries._formats import format_query
+from sniperudder.queries._parser import parse_command
+from sniperudder.queries._parser import parse_query
+from sniperudder.queries._partials import combine_partials
+from sniperudder.queries._partials import decode_partial
+from sniperudder.queries._partials import encode_partial
+from sniperudder.queries._partials import evaluate_partial
+from sniperudder.queries._partials import Partial
+from sniperudder.queries._partials import Result
+from sniperudder.queries._plans import CommandPlan
+from sniperudder.queries._plans import Objection
+from sniperudder.queries._plans import plan_command
+from sniperudder.queries._problems import create_problem
+from sniperudder.queries._problems import describe_choice
+from sniperudder.queries._records import Aggregate
+from sniperudder.queries._records import Comparison
+from sniperudder.queries._records import Condition
+from sniperudder.queries._records import Conjunction
+from sniperudder.queries._records import Disjunction
+from sniperudder.queries._records import Match
+from sniperudder.queries._records import Membership
+from sniperudder.queries._records import Negation
+from sniperudder.queries._records import Ordering
+from sniperudder.queries._records import Query
+from sniperudder.queries._records import Range
+from sniperudder.queries._refusals import record_refusal
+from sniperudder.queries._rendering import render_json
+from sniperudder.queries._rendering import render_table
+from sniperudder.queries._rows import list_rows
+
+__all__ = [
+    'Aggregate',
+    'AllowRanks',
+    'Change',
+    'Column',
+    'Command',
+    'CommandPlan',
+    'Comparison',
+    'Condition',
+    'Conjunction',
+    'Disjunction',
+    'Kind',
+    'Match',
+    'Membership',
+    'Negation',
+    'Objection',
+    'Ordering',
+    'Partial',
+    'PlanCommand',
+    'Query',
+    'Range',
+    'Result',
+    'ReturnEndpoint',
+    'SetFloor',
+    'SetWeight',
+    'ShedModel',
+    'ShedOrganisation',
+    'ShedRank',
+    'StopInstance',
+    'TABLES',
+    'VerifyCommand',
+    'WatchCommand',
+    'WithdrawEndpoint',
+    'combine_partials',
+    'create_problem',
+    'decode_partial',
+    'describe_choice',
+    'encode_partial',
+    'evaluate_partial',
+    'format_command',
+    'format_query',
+    'get_columns',
+    'list_rows',
+    'parse_command',
+    'parse_query',
+    'plan_command',
+    'record_refusal',
+    'render_json',
+    'render_table',
+]
--- /dev/null
+++ b/sniperudder/queries/_formats.py
@@ -0,0 +1,113 @@
+"""Queries and commands written back as text."""
+
+from sniperudder.queries import _commands
+from sniperudder.queries import _records
+
+
+def format_query(query):
+    """Return the text that parses to a query.
+
+    Examples
+    --------
+    >>> from sniperudder import queries
+    >>> format_query(queries.parse_query('count requests by rank'))
+    'show count() of requests by rank'
+    """
+    items = query.columns + tuple(a.label for a in query.aggregates)
+    parts = [f'show {", ".join(items)} of {query.table}']
+    if query.groups:
+        parts.append(f'by {", ".join(query.groups)}')
+    if query.where is not None:
+        parts.append(f'where {_format_condition(query.where)}')
+    if query.since_s is not None:
+        parts.append(f'since {_format_number(query.since_s)}s')
+    if query.order:
+        words = (
+            f'{o.column} {"desc" if o.descending else "asc"}'
+            for o in query.order
+        )
+        parts.append(f'order by {", ".join(words)}')
+    if query.limit is not None:
+        parts.append(f'limit {query.limit}')
+    return ' '.join(parts)
+
+
+def _format_number(number):
+    # No exponent: the grammar has none.
+    return f'{number:.9f}'.rstrip('0').rstrip('.')
+
+
+def _format_value(value):
+    if isinstance(value, bool):
+        return 'true' if value else 'false'
+    if isinstance(value, str):
+        return f'"{value}"'
+    return _format_number(value)
+
+
+def _format_condition(condition):
+    match condition:
+        case _records.Comparison(column, operator, value):
+            return f'{column} {operator} {_format_value(value)}'
+        case _records.Range(column, low, high):
+            return f'{column} in {_format_value(low)}..{_format_value(high)}'
+        case _records.Membership(column, values):
+            return f'{column} in ({", ".join(map(_format_value, values))})'
+        case _records.Match(column, pattern):
+            return f'{column} ~ "{pattern}"'
+        case _records.Negation(inner):
+            return f'not ({_format_condition(inner)})'
+        case _records.Conjunction(conditions):
+            return _join_conditions('and', conditions)
+        case _records.Disjunction(conditions):
+            return _join_conditions('or', conditions)
+
+
+def _join_conditions(word, conditions):
+    return f' {word} '.join(f'({_format_condition(c)})' for c in conditions)
+
+
+def format_command(command):
+    """Return the text that parses to a command.
+
+    Examples
+    --------
+    >>> format_command(_commands.WithdrawEndpoint('engine-1', True))
+    'withdraw endpoint "engine-1" force'
+    """
+    match command:
+        case _commands.WithdrawEndpoint(endpoint, force):
+            return f'withdraw endpoint "{endpoint}"{_format_force(force)}'
+        case _commands.ReturnEndpoint(endpoint):
+            return f'return endpoint "{endpoint}"'
+        case _commands.StopInstance(instance):
+            return f'stop instance "{instance}"'
+        case _commands.ShedRank(rank, share):
+            return f'shed rank {rank.name.lower()} {_format_share(share)}'
+        case _commands.ShedOrganisation(name, share):
+            return f'shed organisation "{name}" {_format_share(share)}'
+        case _commands.ShedModel(name, share):
+            return f'shed model "{name}" {_format_share(share)}'
+        case _commands.AllowRanks(endpoint, ranks, force):
+            words = ', '.join(rank.name.lower() for rank in ranks)
+            tail = _format_force(force)
+            return f'allow endpoint "{endpoint}" ranks {words}{tail}'
+        case _commands.SetFloor(rank, share):
+            return f'floor rank {rank.name.lower()} {_format_share(share)}'
+        case _commands.SetWeight(name, weight):
+            number = _format_number(weight)
+            return f'weight organisation "{name}" {number}'
+        case _commands.PlanCommand(inner):
+            return f'plan {format_command(inner)}'
+        case _commands.VerifyCommand(command_id):
+            return f'verify "{command_id}"'
+        case _commands.WatchCommand(command_id):
+            return f'watch "{command_id}"'
+
+
+def _format_force(force):
+    return ' force' if force else ''
+
+
+def _format_share(share):
+    return f'{_format_number(share * 100)}%'
--- /dev/null
+++ b/sniperudder/queries/_problems.py
@@ -0,0 +1,63 @@
+"""Errors of a parser, told to people."""
+
+import lark
+
+from sniperudder import errors
+
+
+def describe_choice(choices):
+    """Return words joined for people.
+
+    Examples
+    --------
+    >>> describe_choice(['up', 'down', 'gone'])
+    'up, down or gone'
+    """
+    *first, last = choices
+    return f'{", ".join(first)} or {last}' if first else last
+
+
+def create_problem(text, error, labels):
+    """Return the problem that stands behind an error of lark.
+
+    Parameters
+    ----------
+    text : str
+        What was parsed.
+    error : lark.UnexpectedInput
+    labels : dict of str to str
+        What people call the grammar's terminals; a terminal that is
+        not in it is a keyword.
+
+    Returns
+    -------
+    SyntaxProblem
+    """
+    expected = _describe_expected(error, labels)
+    at_end = isinstance(error, lark.UnexpectedToken) and (
+        error.token.type == '$END'
+    )
+    if at_end:
+        *_, last = text.split('\n')
+        line, column = text.count('\n') + 1, len(last.rstrip()) + 1
+        found = 'the end'
+    else:
+        line, column = error.line, error.column
+        found = _quote_word(text, line, column)
+    return errors.SyntaxProblem(
+        f'found {found}, expected {expected}', line, column
+    )
+
+
+def _describe_expected(error, labels):
+    if isinstance(error, lark.UnexpectedToken):
+        names = error.accepts or error.expected
+    else:
+        names = error.allowed or set()
+    words = {labels.get(name, f'"{name.lower()}"') for name in names}
+    return describe_choice(sorted(words)) if words else 'something else'
+
+
+def _quote_word(text, line, column):
+    rest = text.split('\n')[line - 1][column - 1 :]
+    return f'"{rest.split()[0]}"' if rest.split() else 'the end of the line'
--- /dev/null
+++ b/sniperudder/queries/_rows.py
@@ -0,0 +1,212 @@
+"""Plain typed rows made from an instance's tables."""
+
+import math
+
+from sniperudder.outcomes import describe_code
+from sniperudder.tables import Rank
+from sniperudder.tables import RequestState
+
+_CONFIG_MAPS = (
+    'shed_ranks',
+    'shed_organisations',
+    'shed_models',
+    'allowed_ranks',
+    'floors',
+    'weights',
+)
+
+
+def list_rows(T, table, now):
+    """Return the rows of one table at this instance.
+
+    Parameters
+    ----------
+    T : Tables
+    table : str
+    now : float
+        Seconds on the instance's clock.
+
+    Returns
+    -------
+    iterator of tuple
+        Values in the order of the table's columns; None where there is
+        no value.
+
+    Raises
+    ------
+    KeyError
+        If no such table exists.
+
+    Notes
+    -----
+    Linear in the number of records.
+    """
+    return _LISTS[table](T, now)
+
+
+def _age(now, at):
+    """Return the time since `at`, None where it never was."""
+    return None if at is None or math.isinf(at) else now - at
+
+
+def _measure_left(work, now):
+    """Return the time until the deadline, None where there is none."""
+    return None if math.isinf(work.deadline) else work.deadline - now
+
+
+def _list_requests(T, now):
+    for req in T.requests.values():
+        started_at = req.started_at
+        endpoint = req.chain[req.stage].endpoint if req.chain else ''
+        yield (
+            T.me,
+            req.name,
+            req.organisation,
+            req.rank.name.lower(),
+            req.model,
+            req.state.value,
+            endpoint,
+            req.attempt,
+            len(req.tokens),
+            (now if started_at is None else started_at) - req.arrived_at,
+            now - req.arrived_at,
+            _measure_left(req, now),
+        )
+
+
+def _list_orders(T, now):
+    for order in T.orders.values():
+        yield (
+            T.me,
+            order.name,
+            order.organisation,
+            order.rank.name.lower(),
+            order.service,
+            order.key,
+            order.state.value,
+            order.tries,
+            now - order.arrived_at,
+            _measure_left(order, now),
+        )
+
+
+def _list_endpoints(T, now):
+    for ep in T.endpoints.values():
+        yield (
+            T.me,
+            ep.name,
+            ep.data_centre,
+            ep.accelerator,
+            ep.model,
+            ep.version,
+            ep.first_layer,
+            ep.end_layer,
+            ep.state.value,
+            ep.name in T.config.withdrawn,
+            ep.streams,
+            ep.reported_streams,
+            ep.max_streams,
+            ep.failures,
+            ep.step_s,
+            _age(now, ep.reported_at or None),
+            _age(now, ep.last_sent_at or None),
+        )
+
+
+def _list_instances(T, now):
+    for inst in T.instances.values():
+        yield (
+            T.me,
+            inst.name,
+            inst.data_centre,
+            inst.state.value,
+            inst.listed,
+            inst.config_version,
+            inst.streams,
+            inst.incarnation,
+            _age(now, inst.heard_at),
+            _age(now, inst.platform_at),
+        )
+
+
+def _list_organisations(T, now):
+    counts = {name: [0, 0, 0] for name in T.organisations}
+    for req in T.requests.values():
+        running = req.state is not RequestState.QUEUED
+        counts.setdefault(req.organisation, [0, 0, 0])[running] += 1
+    for order in T.orders.values():
+        counts.setdefault(order.organisation, [0, 0, 0])[2] += 1
+    for name, (queued, running, orders) in counts.items():
+        yield (T.me, name, _get_weight(T, name), queued, running, orders)
+
+
+def _get_weight(T, name):
+    if name in T.config.weights:
+        return T.config.weights[name]
+    org = T.organisations.get(name)
+    return org.weight if org else 1.0
+
+
+def _list_refusals(T, now):
+    for refusal in T.refusals:
+        entry = describe_code(refusal.code)
+        yield (
+            T.me,
+            refusal.name,
+            refusal.organisation,
+            refusal.rank.name.lower(),
+            refusal.target,
+            int(refusal.code),
+            entry.code.name.lower(),
+            entry.execution.value,
+            refusal.detail,
+            now - refusal.at,
+        )
+
+
+def _list_intents(T, now):
+    for change in T.changes:
+        yield (
+            T.me,
+            change.version,
+            change.command_id,
+            change.operator,
+            change.kind,
+            change.body,
+            change.version <= T.config.version,
+        )
+
+
+def _list_config(T, now):
+    config = T.config
+    for name in sorted(config.withdrawn):
+        yield (T.me, config.version, 'withdrawn', name, 'true')
+    for name in sorted(config.stopping):
+        yield (T.me, config.version, 'stopping', name, 'true')
+    for setting in _CONFIG_MAPS:
+        for name, value in getattr(config, setting).items():
+            yield (
+                T.me,
+                config.version,
+                setting,
+                name.name.lower() if isinstance(name, Rank) else name,
+                _format_value(value),
+            )
+
+
+def _format_value(value):
+    if isinstance(value, frozenset):
+        return ', '.join(rank.name.lower() for rank in sorted(value))
+    return f'{value:g}'
+
+
+_LISTS = {
+    'requests': _list_requests,
+    'orders': _list_orders,
+    'endpoints': _list_endpoints,
+    'instances': _list_instances,
+    'organisations': _list_organisations,
+    'refusals': _list_refusals,
+    'intents': _list_intents,
+    'config': _list_config,
+}
--- /dev/null
+++ b/sniperudder/queries/tests/test_plans.py
@@ -0,0 +1,88 @@
+"""Tests of dry runs."""
+
+import testtools
+
+from sniperudder.outcomes import Code
+from sniperudder import queries
+from sniperudder.queries.tests import fleets
+from sniperudder.tables import EndpointState
+from sniperudder.tables import Rank
+
+
+class PlanTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.T = fleets.create_fleet()
+
+    def _plan(self, text):
+        return queries.plan_command(self.T, queries.parse_command(text))
+
+    def _codes(self, text):
+        return [o.code for o in self._plan(text).objections]
+
+    def test_withdrawal_tells_work_and_capacity(self):
+        plan = self._plan('withdraw endpoint milan-1')
+        self.assertEqual([], plan.objections)
+        rows = {row[0]: row[2:] for row in plan.result.rows}
+        self.assertEqual(('no', 'yes'), rows['withdrawn'])
+        self.assertEqual((1, 0), rows['urgent streams here that finish first'])
+        self.assertEqual((8, 8), rows['streams that the fleet can hold'])
+        self.assertEqual(
+            (11, 'not enough'), rows['streams in the fleet, as reported']
+        )
+
+    def test_last_of_a_layer_is_refused_unless_forced(self):
+        plan = self._plan('withdraw endpoint milan-3')
+        self.assertEqual(
+            [Code.NO_CHAIN_LEFT] * 3, [o.code for o in plan.objections]
+        )
+        self.assertEqual([], plan.list_refusals(force=True))
+
+    def test_down_and_withdrawn_endpoints_do_not_count(self):
+        self.T.endpoints['milan-2'].state = EndpointState.DOWN
+        self.assertNotEqual([], self._codes('withdraw endpoint milan-1'))
+        self.T.endpoints['milan-2'].state = EndpointState.UP
+        self.T.config.withdrawn.add('milan-2')
+        self.assertNotEqual([], self._codes('withdraw endpoint milan-1'))
+
+    def test_versions_do_not_mix(self):
+        self.T.endpoints['milan-2'].version = '2'
+        self.assertNotEqual([], self._codes('withdraw endpoint milan-1'))
+
+    def test_overlapping_ranges_make_no_chain(self):
+        ep = fleets.create_endpoint('milan-4', 1, 4)
+        self.T.endpoints[ep.name] = ep
+        self.assertNotEqual([], self._codes('withdraw endpoint milan-3'))
+
+    def test_a_rank_without_chain_is_refused(self):
+        codes = self._codes('allow endpoint milan-3 ranks urgent, middle')
+        self.assertEqual([Code.NO_CHAIN_LEFT], codes)
+        self.T.config.allowed_ranks['milan-3'] = frozenset({Rank.URGENT})
+        codes = self._codes('withdraw endpoint milan-3')
+        self.assertEqual([Code.NO_CHAIN_LEFT], codes)
+
+    def test_unknown_subjects_cannot_be_forced(self):
+        for text in (
+            'withdraw endpoint milan-9 force',
+            'stop instance entry-9',
+            'weight organisation nobody 2',
+            'shed model nothing 5%',
+        ):
+            plan = self._plan(text)
+            (refusal,) = plan.list_refusals(force=True)
+            self.assertEqual(Code.UNKNOWN_SUBJECT, refusal.code)
+
+    def test_every_change_has_a_plan(self):
+        for text in (
+            'return endpoint milan-1',
+            'stop instance entry-1',
+            'shed rank least 50%',
+            'shed organisation studio-rossi 100%',
+            'shed model weave 20%',
+            'allow endpoint milan-1 ranks urgent',
+            'floor rank middle 20%',
+            'weight organisation studio-rossi 2',
+        ):
+            plan = self._plan(text)
+            self.assertNotEqual([], plan.result.rows)
+            queries.render_table(plan.result)
--- a/sniperudder/tables/__init__.py
+++ b/sniperudder/tables/__init__.py
@@ -14,6 +14,7 @@
 from sniperudder.tables._ranks import Rank
 from sniperudder.tables._ranks import RankPolicy
 from sniperudder.tables._ranks import RANKS
+from sniperudder.tables._refusals import Refusal
 from sniperudder.tables._requests import Request
 from sniperudder.tables._requests import RequestState
 from sniperudder.tables._requests import Stage
@@ -37,6 +38,7 @@
     'RANKS',
     'Rank',
     'RankPolicy',
+    'Refusal',
     'Request',
     'RequestState',
     'Service',
--- a/sniperudder/tables/_tables.py
+++ b/sniperudder/tables/_tables.py
@@ -1,11 +1,14 @@
 """All tables of an instance and their construction."""
 
+import collections
 import dataclasses
 import random
 
 from sniperudder.tables import _configuration
 from sniperudder.tables import _ranks
 
+_MAX_REFUSALS = 4096
+
 
 def _default_ranks():
     return {
@@ -15,6 +18,10 @@
     }
 
 
+def _create_ring():
+    return collections.deque(maxlen=_MAX_REFUSALS)
+
+
 @dataclasses.dataclass(slots=True)
 class Policy:
     """Limits and times from the settings, in force from the start.
@@ -93,6 +100,8 @@
         Whether this instance takes no new work because it stops.
     counters : dict of str to int
         Counts of what was decided, for metrics.
+    refusals : deque of Refusal
+        The latest outcomes other than whole answers, oldest first.
     """
 
     me: str
@@ -117,6 +126,9 @@
     next_list_at: float = float('-inf')
     stopping: bool = False
     counters: dict = dataclasses.field(default_factory=dict)
+    refusals: collections.deque = dataclasses.field(
+        default_factory=_create_ring
+    )
 
 
 def create_tables(me, data_centre, seed=0, policy=None):
