Parse commands into the intents of operators

Change: commands parse to SubmitIntent, PlanIntent, VerifyCommand and WatchCommand around an intent; a service's worker can be withdrawn by its address.

--- a/sniperudder/outcomes/_codes.py
+++ b/sniperudder/outcomes/_codes.py
@@ -24,10 +24,13 @@
     IDEMPOTENCY_CONFLICT = 107
     UNKNOWN_ROUTE = 108
     FORBIDDEN = 109
-    BAD_SYNTAX = 110
-    TOO_MANY_GUESSES = 111
-    NO_CHAIN_LEFT = 112
-    UNKNOWN_SUBJECT = 113
+    UNKNOWN_ENDPOINT = 110
+    UNKNOWN_INSTANCE = 111
+    MODEL_UNCOVERED = 112
+    BAD_SYNTAX = 113
+    TOO_MANY_GUESSES = 114
+    UNKNOWN_ORGANISATION = 115
+    COMMAND_LOST = 116
 
     QUEUE_FULL = 200
     TARGET_UNREACHABLE = 201
@@ -50,6 +53,7 @@
 
     ORDER_IN_DOUBT = 400
     ORDER_IN_PROGRESS = 401
+    COMMAND_IN_DOUBT = 402
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -96,6 +100,14 @@
     ),
     _entry(Code.UNKNOWN_ROUTE, _N, 404, 'No such path or method.'),
     _entry(Code.FORBIDDEN, _N, 403, 'The key does not allow this.'),
+    _entry(Code.UNKNOWN_ENDPOINT, _N, 404, 'No such endpoint.'),
+    _entry(Code.UNKNOWN_INSTANCE, _N, 404, 'No such entry instance.'),
+    _entry(
+        Code.MODEL_UNCOVERED,
+        _N,
+        409,
+        'The command would leave a model without endpoints.',
+    ),
     _entry(
         Code.BAD_SYNTAX,
         _N,
@@ -108,17 +120,12 @@
         429,
         'Too many wrong keys came from this address.',
     ),
+    _entry(Code.UNKNOWN_ORGANISATION, _N, 404, 'No such organisation.'),
     _entry(
-        Code.NO_CHAIN_LEFT,
+        Code.COMMAND_LOST,
         _N,
         409,
-        'The command would leave a model or rank with no chain.',
-    ),
-    _entry(
-        Code.UNKNOWN_SUBJECT,
-        _N,
-        404,
-        'The command names something that does not exist.',
+        'Another command changed the same subject first.',
     ),
     _entry(Code.QUEUE_FULL, _N, 429, 'The queue of this rank is full.'),
     _entry(
@@ -209,6 +216,12 @@
         409,
         'The order with this key is still being run; repeat later.',
     ),
+    _entry(
+        Code.COMMAND_IN_DOUBT,
+        _D,
+        504,
+        'It is unknown whether the command was taken; repeat with its id.',
+    ),
 )
 
 _TABLE = {entry.code: entry for entry in _ENTRIES}
--- a/sniperudder/queries/__init__.py
+++ b/sniperudder/queries/__init__.py
@@ -9,21 +9,13 @@
 from sniperudder.queries._columns import get_columns
 from sniperudder.queries._columns import Kind
 from sniperudder.queries._columns import TABLES
-from sniperudder.queries._commands import AllowRanks
-from sniperudder.queries._commands import Change
 from sniperudder.queries._commands import Command
-from sniperudder.queries._commands import PlanCommand
-from sniperudder.queries._commands import ReturnEndpoint
-from sniperudder.queries._commands import SetFloor
-from sniperudder.queries._commands import SetWeight
-from sniperudder.queries._commands import ShedModel
-from sniperudder.queries._commands import ShedOrganisation
-from sniperudder.queries._commands import ShedRank
-from sniperudder.queries._commands import StopInstance
+from sniperudder.queries._commands import PlanIntent
+from sniperudder.queries._commands import SubmitIntent
 from sniperudder.queries._commands import VerifyCommand
 from sniperudder.queries._commands import WatchCommand
-from sniperudder.queries._commands import WithdrawEndpoint
 from sniperudder.queries._formats import format_command
+from sniperudder.queries._formats import format_intent
 from sniperudder.queries._formats import format_query
 from sniperudder.queries._parser import parse_command
 from sniperudder.queries._parser import parse_query
@@ -33,9 +25,9 @@
 from sniperudder.queries._partials import evaluate_partial
 from sniperudder.queries._partials import Partial
 from sniperudder.queries._partials import Result
-from sniperudder.queries._plans import CommandPlan
+from sniperudder.queries._plans import IntentPlan
 from sniperudder.queries._plans import Objection
-from sniperudder.queries._plans import plan_command
+from sniperudder.queries._plans import plan_intent
 from sniperudder.queries._problems import create_problem
 from sniperudder.queries._problems import describe_choice
 from sniperudder.queries._records import Aggregate
@@ -56,15 +48,13 @@
 
 __all__ = [
     'Aggregate',
-    'AllowRanks',
-    'Change',
     'Column',
     'Command',
-    'CommandPlan',
     'Comparison',
     'Condition',
     'Conjunction',
     'Disjunction',
+    'IntentPlan',
     'Kind',
     'Match',
     'Membership',
@@ -72,21 +62,14 @@
     'Objection',
     'Ordering',
     'Partial',
-    'PlanCommand',
+    'PlanIntent',
     'Query',
     'Range',
     'Result',
-    'ReturnEndpoint',
-    'SetFloor',
-    'SetWeight',
-    'ShedModel',
-    'ShedOrganisation',
-    'ShedRank',
-    'StopInstance',
+    'SubmitIntent',
     'TABLES',
     'VerifyCommand',
     'WatchCommand',
-    'WithdrawEndpoint',
     'combine_partials',
     'create_problem',
     'decode_partial',
@@ -94,12 +77,13 @@
     'encode_partial',
     'evaluate_partial',
     'format_command',
+    'format_intent',
     'format_query',
     'get_columns',
     'list_rows',
     'parse_command',
     'parse_query',
-    'plan_command',
+    'plan_intent',
     'record_refusal',
     'render_json',
     'render_table',
--- a/sniperudder/queries/_commands.py
+++ b/sniperudder/queries/_commands.py
@@ -1,103 +1,30 @@
 """Typed commands, as the parser makes them."""
 
 import dataclasses
-import typing
 
-from sniperudder.tables import Rank
+from sniperudder.intents import Intent
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class WithdrawEndpoint:
-    """Send no new work to an endpoint.
+class SubmitIntent:
+    """Carry out an intent.
 
     Attributes
     ----------
-    endpoint : str
+    intent : Intent
     force : bool
-        Whether to do so even if no whole chain remains.
+        Whether to do so against objections that may be forced.
     """
 
-    endpoint: str
+    intent: Intent
     force: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class ReturnEndpoint:
-    """Send work to a withdrawn endpoint again."""
+class PlanIntent:
+    """Tell what an intent would do, without doing it."""
 
-    endpoint: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class StopInstance:
-    """Stop an instance once its work in flight is done."""
-
-    instance: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ShedRank:
-    """Refuse a share of a rank's arrivals, 0 to 1."""
-
-    rank: Rank
-    share: float
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ShedOrganisation:
-    """Refuse a share of an organisation's arrivals, 0 to 1."""
-
-    organisation: str
-    share: float
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ShedModel:
-    """Refuse a share of a model's arrivals, 0 to 1."""
-
-    model: str
-    share: float
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class AllowRanks:
-    """Let only these ranks run on an endpoint.
-
-    Attributes
-    ----------
-    endpoint : str
-    ranks : tuple of Rank
-        In rising order, without repeats.
-    force : bool
-        Whether to do so even if a rank is left with no whole chain.
-    """
-
-    endpoint: str
-    ranks: tuple
-    force: bool = False
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class SetFloor:
-    """Keep a share of the slots for a rank, 0 to 1."""
-
-    rank: Rank
-    share: float
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class SetWeight:
-    """Give an organisation a weight relative to the others."""
-
-    organisation: str
-    weight: float
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class PlanCommand:
-    """Tell what a command would do, without doing it."""
-
-    command: typing.Any
+    intent: Intent
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -109,20 +36,9 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class WatchCommand:
-    """Tell where a command is in force, until it is everywhere."""
+    """Tell where a command is in force, once it is everywhere."""
 
     command_id: str
 
 
-Change = (
-    WithdrawEndpoint
-    | ReturnEndpoint
-    | StopInstance
-    | ShedRank
-    | ShedOrganisation
-    | ShedModel
-    | AllowRanks
-    | SetFloor
-    | SetWeight
-)
-Command = Change | PlanCommand | VerifyCommand | WatchCommand
+Command = SubmitIntent | PlanIntent | VerifyCommand | WatchCommand
--- a/sniperudder/queries/_formats.py
+++ b/sniperudder/queries/_formats.py
@@ -1,5 +1,6 @@
 """Queries and commands written back as text."""
 
+from sniperudder import intents
 from sniperudder.queries import _commands
 from sniperudder.queries import _records
 
@@ -72,41 +73,55 @@
 
     Examples
     --------
-    >>> format_command(_commands.WithdrawEndpoint('engine-1', True))
-    'withdraw endpoint "engine-1" force'
+    >>> format_command(_commands.VerifyCommand('7f3c'))
+    'verify "7f3c"'
     """
     match command:
-        case _commands.WithdrawEndpoint(endpoint, force):
-            return f'withdraw endpoint "{endpoint}"{_format_force(force)}'
-        case _commands.ReturnEndpoint(endpoint):
-            return f'return endpoint "{endpoint}"'
-        case _commands.StopInstance(instance):
-            return f'stop instance "{instance}"'
-        case _commands.ShedRank(rank, share):
-            return f'shed rank {rank.name.lower()} {_format_share(share)}'
-        case _commands.ShedOrganisation(name, share):
-            return f'shed organisation "{name}" {_format_share(share)}'
-        case _commands.ShedModel(name, share):
-            return f'shed model "{name}" {_format_share(share)}'
-        case _commands.AllowRanks(endpoint, ranks, force):
-            words = ', '.join(rank.name.lower() for rank in ranks)
-            tail = _format_force(force)
-            return f'allow endpoint "{endpoint}" ranks {words}{tail}'
-        case _commands.SetFloor(rank, share):
-            return f'floor rank {rank.name.lower()} {_format_share(share)}'
-        case _commands.SetWeight(name, weight):
-            number = _format_number(weight)
-            return f'weight organisation "{name}" {number}'
-        case _commands.PlanCommand(inner):
-            return f'plan {format_command(inner)}'
+        case _commands.SubmitIntent(intent, force):
+            return f'{format_intent(intent)}{" force" if force else ""}'
+        case _commands.PlanIntent(intent):
+            return f'plan {format_intent(intent)}'
         case _commands.VerifyCommand(command_id):
             return f'verify "{command_id}"'
         case _commands.WatchCommand(command_id):
             return f'watch "{command_id}"'
 
 
-def _format_force(force):
-    return ' force' if force else ''
+def format_intent(intent):
+    """Return the command that gives an intent.
+
+    Examples
+    --------
+    >>> format_intent(intents.Withdraw('engine-1'))
+    'withdraw endpoint "engine-1"'
+    """
+    match intent:
+        case intents.Withdraw(endpoint=name):
+            return f'withdraw endpoint "{name}"'
+        case intents.Return(endpoint=name):
+            return f'return endpoint "{name}"'
+        case intents.StopInstance(instance=name):
+            return f'stop instance "{name}"'
+        case intents.Shed():
+            subject = _format_shed_subject(intent)
+            return f'shed {subject} {_format_share(intent.share)}'
+        case intents.Allow(endpoint=name, ranks=ranks):
+            words = ', '.join(rank.name.lower() for rank in ranks)
+            return f'allow endpoint "{name}" ranks {words}'
+        case intents.SetFloor(rank=rank, share=share):
+            return f'floor rank {rank.name.lower()} {_format_share(share)}'
+        case intents.SetWeight(organisation=name, weight=weight):
+            number = _format_number(weight)
+            return f'weight organisation "{name}" {number}'
+    raise TypeError(f'not a command of operators: {intent!r}')
+
+
+def _format_shed_subject(shed):
+    if shed.rank is not None:
+        return f'rank {shed.rank.name.lower()}'
+    if shed.organisation:
+        return f'organisation "{shed.organisation}"'
+    return f'model "{shed.model}"'
 
 
 def _format_share(share):
--- a/sniperudder/queries/_grammar.py
+++ b/sniperudder/queries/_grammar.py
@@ -30,18 +30,18 @@
 
 value: STRING | NAME | INTEGER | DECIMAL | DURATION | PERCENT
 
-command: change
+command: change [FORCE]                         -> submit
        | "plan"i change                         -> plan
        | "verify"i name                         -> verify
        | "watch"i name                          -> watch
 
-?change: "withdraw"i "endpoint"i name [FORCE]   -> withdraw
+?change: "withdraw"i "endpoint"i name           -> withdraw
        | "return"i "endpoint"i name             -> give_back
        | "stop"i "instance"i name               -> stop
        | "shed"i "rank"i RANK PERCENT           -> shed_rank
        | "shed"i "organisation"i name PERCENT   -> shed_organisation
        | "shed"i "model"i name PERCENT          -> shed_model
-       | "allow"i "endpoint"i name "ranks"i ranks [FORCE] -> allow
+       | "allow"i "endpoint"i name "ranks"i ranks -> allow
        | "floor"i "rank"i RANK PERCENT          -> floor
        | "weight"i "organisation"i name number  -> weight
 
--- a/sniperudder/queries/_parser.py
+++ b/sniperudder/queries/_parser.py
@@ -5,6 +5,7 @@
 import lark
 
 from sniperudder import errors
+from sniperudder import intents
 from sniperudder.queries import _commands
 from sniperudder.queries import _grammar
 from sniperudder.queries import _problems
@@ -56,7 +57,7 @@
 
     Examples
     --------
-    >>> parse_command('shed rank least 50%').share
+    >>> parse_command('shed rank least 50%').intent.share
     0.5
     """
     return _parse(text, 'command')
@@ -181,11 +182,13 @@
 
     # Commands.
 
-    def command(self, change):
-        return change
+    def submit(self, intent, force):
+        if force and isinstance(intent, intents.Withdraw):
+            intent = intents.Withdraw(intent.endpoint, force=True)
+        return _commands.SubmitIntent(intent, force is not None)
 
-    def plan(self, change):
-        return _commands.PlanCommand(change)
+    def plan(self, intent):
+        return _commands.PlanIntent(intent)
 
     def verify(self, name):
         return _commands.VerifyCommand(name)
@@ -193,29 +196,29 @@
     def watch(self, name):
         return _commands.WatchCommand(name)
 
-    def withdraw(self, name, force):
-        return _commands.WithdrawEndpoint(name, force is not None)
+    def withdraw(self, name):
+        return intents.Withdraw(name)
 
     def give_back(self, name):
-        return _commands.ReturnEndpoint(name)
+        return intents.Return(name)
 
     def stop(self, name):
-        return _commands.StopInstance(name)
+        return intents.StopInstance(name)
 
     def shed_rank(self, rank, share):
-        return _commands.ShedRank(_read_rank(rank), _read_share(share))
+        return intents.Shed(_read_share(share), rank=_read_rank(rank))
 
     def shed_organisation(self, name, share):
-        return _commands.ShedOrganisation(name, _read_share(share))
+        return intents.Shed(_read_share(share), organisation=name)
 
     def shed_model(self, name, share):
-        return _commands.ShedModel(name, _read_share(share))
+        return intents.Shed(_read_share(share), model=name)
 
-    def allow(self, name, ranks, force):
-        return _commands.AllowRanks(name, ranks, force is not None)
+    def allow(self, name, ranks):
+        return intents.Allow(name, ranks)
 
     def floor(self, rank, share):
-        return _commands.SetFloor(_read_rank(rank), _read_share(share))
+        return intents.SetFloor(_read_rank(rank), _read_share(share))
 
     def weight(self, name, number):
         if float(number) <= 0:
@@ -224,12 +227,16 @@
                 number.line,
                 number.column,
             )
-        return _commands.SetWeight(name, float(number))
+        return intents.SetWeight(name, float(number))
 
     def ranks(self, *tokens):
         return tuple(sorted({_read_rank(token) for token in tokens}))
 
     def name(self, token):
+        if token == '""':
+            raise errors.SyntaxProblem(
+                'found an empty name', token.line, token.column
+            )
         return str(_unquote(token))
 
     def number(self, token):
--- a/sniperudder/queries/_plans.py
+++ b/sniperudder/queries/_plans.py
@@ -1,11 +1,12 @@
-"""What a command would change, touch and risk."""
+"""What an intent would change, touch and risk."""
 
 import dataclasses
 
+from sniperudder import intents
 from sniperudder.outcomes import Code
-from sniperudder.queries import _commands
 from sniperudder.queries import _partials
 from sniperudder.tables import EndpointState
+from sniperudder.tables import InstanceState
 from sniperudder.tables import RANKS
 
 _COLUMNS = ('what', 'name', 'now', 'then')
@@ -13,7 +14,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Objection:
-    """A reason why a command should not be carried out.
+    """A reason why an intent should not be carried out.
 
     Attributes
     ----------
@@ -21,7 +22,7 @@
     detail : str
         One sentence for people.
     forcible : bool
-        Whether the command may be forced all the same.
+        Whether the intent may be forced all the same.
     """
 
     code: Code
@@ -30,8 +31,8 @@
 
 
 @dataclasses.dataclass(slots=True)
-class CommandPlan:
-    """What a command would do.
+class IntentPlan:
+    """What an intent would do.
 
     Attributes
     ----------
@@ -48,17 +49,17 @@
         return [o for o in self.objections if not (force and o.forcible)]
 
 
-def plan_command(T, command):
-    """Return what a command would do, without doing it.
+def plan_intent(T, intent):
+    """Return what an intent would do, without doing it.
 
     Parameters
     ----------
     T : Tables
-    command : Change
+    intent : Intent
 
     Returns
     -------
-    CommandPlan
+    IntentPlan
 
     Notes
     -----
@@ -70,80 +71,115 @@
     --------
     >>> from sniperudder import tables
     >>> T = tables.create_tables('entry-1', 'milan')
-    >>> plan = plan_command(T, _commands.StopInstance('entry-9'))
+    >>> plan = plan_intent(T, intents.StopInstance('entry-9'))
     >>> plan.objections[0].detail
     'no instance is called entry-9'
     """
-    objections = list(_check_subject(T, command))
-    rows = [] if objections else list(_PLANNERS[type(command)](T, command))
+    objections = list(_check_subject(T, intent))
+    rows = [] if objections else list(_PLANNERS[type(intent)](T, intent))
     if not objections:
-        objections = list(_check_chains(T, command))
+        objections = list(_check_cover(T, intent))
     detail = '; '.join(objection.detail for objection in objections)
-    return CommandPlan(
+    return IntentPlan(
         _partials.Result(_COLUMNS, rows, detail=detail), objections
     )
 
 
-# Whether the command's subject exists.
+# Whether the intent's subject exists.
 
 _SUBJECTS = (
-    ('endpoint', 'endpoints'),
-    ('instance', 'instances'),
-    ('organisation', 'organisations'),
-    ('model', 'models'),
+    ('instance', 'instances', Code.UNKNOWN_INSTANCE),
+    ('organisation', 'organisations', Code.UNKNOWN_ORGANISATION),
+    ('model', 'models', Code.UNKNOWN_MODEL),
 )
 
 
-def _check_subject(T, command):
-    for attribute, table in _SUBJECTS:
-        name = getattr(command, attribute, None)
-        if name is not None and name not in getattr(T, table):
-            yield Objection(
-                Code.UNKNOWN_SUBJECT,
-                f'no {attribute} is called {name}',
-                forcible=False,
-            )
+def _check_subject(T, intent):
+    endpoint = getattr(intent, 'endpoint', None)
+    known = endpoint in T.endpoints or find_service(T, endpoint)
+    if endpoint is not None and not known:
+        yield _refuse_unknown(Code.UNKNOWN_ENDPOINT, 'endpoint', endpoint)
+    for attribute, table, code in _SUBJECTS:
+        name = getattr(intent, attribute, None)
+        if name and name not in getattr(T, table):
+            yield _refuse_unknown(code, attribute, name)
+
+
+def _refuse_unknown(code, kind, name):
+    return Objection(code, f'no {kind} is called {name}', forcible=False)
 
 
-# Whether every model and rank keeps a whole chain.
+def find_service(T, address):
+    """Return the service that has a worker at an address, or None."""
+    for service in T.services.values():
+        if address in service.addresses:
+            return service
+    return None
 
 
-def _check_chains(T, command):
-    match command:
-        case _commands.WithdrawEndpoint(name, _):
-            lost = frozenset(RANKS)
-        case _commands.AllowRanks(name, ranks, _):
-            lost = frozenset(RANKS) - frozenset(ranks)
+# Whether every model and rank keeps a whole chain, and every service a
+# worker.
+
+
+def _check_cover(T, intent):
+    match intent:
+        case intents.Withdraw(endpoint=name):
+            lost = RANKS
+        case intents.Allow(endpoint=name, ranks=ranks):
+            lost = [rank for rank in RANKS if rank not in ranks]
         case _:
             return
+    if name not in T.endpoints:
+        yield from _check_workers(T, name)
+        return
     model = T.endpoints[name].model
-    for rank in sorted(lost):
+    for rank in lost:
         before = list_candidates(T, model, rank)
         after = [ep for ep in before if ep.name != name]
         if has_chain(T, model, before) and not has_chain(T, model, after):
             yield Objection(
-                Code.NO_CHAIN_LEFT,
+                Code.MODEL_UNCOVERED,
                 f'without {name} no whole chain of {model} is left '
                 f'for the {rank.name.lower()} rank',
                 forcible=True,
             )
 
 
+def _check_workers(T, address):
+    service = find_service(T, address)
+    left = set(service.addresses) - T.config.withdrawn - {address}
+    if not left:
+        yield Objection(
+            Code.MODEL_UNCOVERED,
+            f'without {address} no worker of {service.name} is left',
+            forcible=True,
+        )
+
+
 def list_candidates(T, model, rank):
     """Return the endpoints of a model that may serve a rank now."""
     allowed = T.config.allowed_ranks
+    return [
+        ep
+        for ep in _list_serving(T, model)
+        if rank in allowed.get(ep.name, RANKS)
+    ]
+
+
+def _list_serving(T, model):
+    """Return the endpoints that may run new chains of a model now."""
+    version = T.models[model].version if model in T.models else None
     return [
         ep
         for ep in T.endpoints.values()
-        if ep.model == model
+        if (ep.model, ep.version) == (model, version)
         and ep.state is not EndpointState.DOWN
         and ep.name not in T.config.withdrawn
-        and rank in allowed.get(ep.name, RANKS)
     ]
 
 
 def has_chain(T, model, endpoints):
-    """Tell whether endpoints of one version cover all layers in turn.
+    """Tell whether endpoints of a model cover all its layers in turn.
 
     Notes
     -----
@@ -151,13 +187,6 @@
     is a path over layer numbers; O(n log n) in the endpoints.
     """
     layers = T.models[model].layers if model in T.models else 0
-    return any(
-        _reaches_end([ep for ep in endpoints if ep.version == version], layers)
-        for version in {ep.version for ep in endpoints}
-    )
-
-
-def _reaches_end(endpoints, layers):
     reached = {0}
     for ep in sorted(endpoints, key=lambda ep: ep.first_layer):
         if ep.first_layer in reached:
@@ -168,21 +197,23 @@
 # What would change and which work would be touched.
 
 
-def _plan_withdrawal(T, command):
-    name = command.endpoint
+def _plan_withdrawal(T, intent):
+    name = intent.endpoint
     yield _show_flag('withdrawn', name, name in T.config.withdrawn, True)
-    yield from _count_touched(T, name)
-    yield from _compare_capacity(T, name, removed=True)
+    if name in T.endpoints:
+        yield from _count_touched(T, name)
+        yield from _compare_capacity(T, name, removed=True)
 
 
-def _plan_return(T, command):
-    name = command.endpoint
+def _plan_return(T, intent):
+    name = intent.endpoint
     yield _show_flag('withdrawn', name, name in T.config.withdrawn, False)
-    yield from _compare_capacity(T, name, removed=False)
+    if name in T.endpoints:
+        yield from _compare_capacity(T, name, removed=False)
 
 
-def _plan_stop(T, command):
-    name = command.instance
+def _plan_stop(T, intent):
+    name = intent.instance
     inst = T.instances[name]
     yield _show_flag('stopping', name, name in T.config.stopping, True)
     yield ('streams that finish first', name, inst.streams, 0)
@@ -191,66 +222,59 @@
         for other in T.instances.values()
         if other.name != name
         and other.name not in T.config.stopping
-        and (other.name == T.me or other.state.value == 'live')
+        and (other.name == T.me or other.state is InstanceState.LIVE)
     ]
     yield ('live instances', 'all', len(others) + 1, len(others))
 
 
-def _plan_allowed(T, command):
-    before = T.config.allowed_ranks.get(command.endpoint, RANKS)
+def _plan_allowed(T, intent):
+    before = T.config.allowed_ranks.get(intent.endpoint, RANKS)
     yield (
         'ranks',
-        command.endpoint,
+        intent.endpoint,
         _name_ranks(before),
-        _name_ranks(command.ranks),
+        _name_ranks(intent.ranks),
     )
-    yield from _count_touched(T, command.endpoint)
-
-
-def _plan_shed_rank(T, command):
-    rank = command.rank
-    name = rank.name.lower()
-    now = T.config.shed_ranks.get(rank, 0.0)
-    yield ('share shed', name, now, command.share)
-    yield _count_queued(T, name, lambda req: req.rank == rank)
-
-
-def _plan_shed_organisation(T, command):
-    name = command.organisation
-    now = T.config.shed_organisations.get(name, 0.0)
-    yield ('share shed', name, now, command.share)
-    yield _count_queued(T, name, lambda req: req.organisation == name)
-
-
-def _plan_shed_model(T, command):
-    name = command.model
-    now = T.config.shed_models.get(name, 0.0)
-    yield ('share shed', name, now, command.share)
-    yield _count_queued(T, name, lambda req: req.model == name)
-
-
-def _plan_floor(T, command):
-    rank = command.rank
+    yield from _count_touched(T, intent.endpoint)
+
+
+def _plan_shed(T, intent):
+    config = T.config
+    if intent.rank is not None:
+        name, key = intent.rank.name.lower(), 'rank'
+        now = config.shed_ranks.get(intent.rank, 0.0)
+    elif intent.organisation:
+        name, key = intent.organisation, 'organisation'
+        now = config.shed_organisations.get(name, 0.0)
+    else:
+        name, key = intent.model, 'model'
+        now = config.shed_models.get(name, 0.0)
+    yield ('share shed', name, now, intent.share)
+    wanted = getattr(intent, key)
+    count = sum(getattr(req, key) == wanted for req in T.requests.values())
+    yield ('requests here that keep their place', name, count, count)
+
+
+def _plan_floor(T, intent):
+    rank = intent.rank
     now = T.config.floors.get(rank, T.policy.ranks[rank].floor)
-    yield ('floor', rank.name.lower(), now, command.share)
+    yield ('floor', rank.name.lower(), now, intent.share)
 
 
-def _plan_weight(T, command):
-    name = command.organisation
+def _plan_weight(T, intent):
+    name = intent.organisation
     now = T.config.weights.get(name, T.organisations[name].weight)
-    yield ('weight', name, now, command.weight)
+    yield ('weight', name, now, intent.weight)
 
 
 _PLANNERS = {
-    _commands.WithdrawEndpoint: _plan_withdrawal,
-    _commands.ReturnEndpoint: _plan_return,
-    _commands.StopInstance: _plan_stop,
-    _commands.AllowRanks: _plan_allowed,
-    _commands.ShedRank: _plan_shed_rank,
-    _commands.ShedOrganisation: _plan_shed_organisation,
-    _commands.ShedModel: _plan_shed_model,
-    _commands.SetFloor: _plan_floor,
-    _commands.SetWeight: _plan_weight,
+    intents.Withdraw: _plan_withdrawal,
+    intents.Return: _plan_return,
+    intents.StopInstance: _plan_stop,
+    intents.Allow: _plan_allowed,
+    intents.Shed: _plan_shed,
+    intents.SetFloor: _plan_floor,
+    intents.SetWeight: _plan_weight,
 }
 
 
@@ -263,11 +287,6 @@
     return ', '.join(rank.name.lower() for rank in sorted(ranks))
 
 
-def _count_queued(T, name, belongs):
-    count = sum(map(belongs, T.requests.values()))
-    return ('requests here that keep their place', name, count, count)
-
-
 def _count_touched(T, name):
     """Count this instance's running requests on an endpoint."""
     counts = dict.fromkeys(RANKS, 0)
@@ -281,13 +300,7 @@
 
 def _compare_capacity(T, name, removed):
     model = T.endpoints[name].model
-    serving = [
-        ep
-        for ep in T.endpoints.values()
-        if ep.model == model
-        and ep.state is not EndpointState.DOWN
-        and ep.name not in T.config.withdrawn
-    ]
+    serving = _list_serving(T, model)
     after = [ep for ep in serving if ep.name != name]
     if not removed:
         after.append(T.endpoints[name])
--- a/sniperudder/queries/_rows.py
+++ b/sniperudder/queries/_rows.py
@@ -56,7 +56,7 @@
 
 def _list_requests(T, now):
     for req in T.requests.values():
-        started_at = req.started_at
+        begun_at = req.begun_at or now
         endpoint = req.chain[req.stage].endpoint if req.chain else ''
         yield (
             T.me,
@@ -68,7 +68,7 @@
             endpoint,
             req.attempt,
             len(req.tokens),
-            (now if started_at is None else started_at) - req.arrived_at,
+            begun_at - req.arrived_at,
             now - req.arrived_at,
             _measure_left(req, now),
         )
--- a/sniperudder/queries/tests/strategies.py
+++ b/sniperudder/queries/tests/strategies.py
@@ -2,6 +2,7 @@
 
 from hypothesis import strategies as st
 
+from sniperudder import intents
 from sniperudder import queries
 from sniperudder.tables import RANKS
 
@@ -95,27 +96,31 @@
 
 
 _RANK = st.sampled_from(RANKS)
-_CHANGES = st.one_of(
-    st.builds(queries.WithdrawEndpoint, _NAMES, st.booleans()),
-    st.builds(queries.ReturnEndpoint, _NAMES),
-    st.builds(queries.StopInstance, _NAMES),
-    st.builds(queries.ShedRank, _RANK, _SHARES),
-    st.builds(queries.ShedOrganisation, _NAMES, _SHARES),
-    st.builds(queries.ShedModel, _NAMES, _SHARES),
+_INTENTS = st.one_of(
+    st.builds(intents.Withdraw, _NAMES),
+    st.builds(intents.Return, _NAMES),
+    st.builds(intents.StopInstance, _NAMES),
+    st.builds(intents.Shed, _SHARES, rank=_RANK),
+    st.builds(intents.Shed, _SHARES, organisation=_NAMES),
+    st.builds(intents.Shed, _SHARES, model=_NAMES),
     st.builds(
-        queries.AllowRanks,
+        intents.Allow,
         _NAMES,
         st.sets(_RANK, min_size=1).map(lambda ranks: tuple(sorted(ranks))),
-        st.booleans(),
     ),
-    st.builds(queries.SetFloor, _RANK, _SHARES),
+    st.builds(intents.SetFloor, _RANK, _SHARES),
     st.builds(
-        queries.SetWeight, _NAMES, st.integers(1, 99).map(lambda n: n / 4)
+        intents.SetWeight, _NAMES, st.integers(1, 99).map(lambda n: n / 4)
     ),
 )
 COMMANDS = st.one_of(
-    _CHANGES,
-    st.builds(queries.PlanCommand, _CHANGES),
+    st.builds(queries.SubmitIntent, _INTENTS),
+    st.builds(
+        queries.SubmitIntent,
+        st.builds(intents.Withdraw, _NAMES, st.just(True)),
+        st.just(True),
+    ),
+    st.builds(queries.PlanIntent, _INTENTS),
     st.builds(queries.VerifyCommand, _NAMES),
     st.builds(queries.WatchCommand, _NAMES),
 )
--- a/sniperudder/queries/tests/test_language.py
+++ b/sniperudder/queries/tests/test_language.py
@@ -51,7 +51,7 @@
 
     def test_ranks_are_sorted(self):
         command = queries.parse_command('allow endpoint a ranks least, urgent')
-        self.assertEqual((Rank.URGENT, Rank.LEAST), command.ranks)
+        self.assertEqual((Rank.URGENT, Rank.LEAST), command.intent.ranks)
 
     def test_problems_name_column_and_expectation(self):
         for text, column, expected in (
--- a/sniperudder/queries/tests/test_plans.py
+++ b/sniperudder/queries/tests/test_plans.py
@@ -15,7 +15,8 @@
         self.T = fleets.create_fleet()
 
     def _plan(self, text):
-        return queries.plan_command(self.T, queries.parse_command(text))
+        command = queries.parse_command(text)
+        return queries.plan_intent(self.T, command.intent)
 
     def _codes(self, text):
         return [o.code for o in self._plan(text).objections]
@@ -34,7 +35,7 @@
     def test_last_of_a_layer_is_refused_unless_forced(self):
         plan = self._plan('withdraw endpoint milan-3')
         self.assertEqual(
-            [Code.NO_CHAIN_LEFT] * 3, [o.code for o in plan.objections]
+            [Code.MODEL_UNCOVERED] * 3, [o.code for o in plan.objections]
         )
         self.assertEqual([], plan.list_refusals(force=True))
 
@@ -56,21 +57,26 @@
 
     def test_a_rank_without_chain_is_refused(self):
         codes = self._codes('allow endpoint milan-3 ranks urgent, middle')
-        self.assertEqual([Code.NO_CHAIN_LEFT], codes)
+        self.assertEqual([Code.MODEL_UNCOVERED], codes)
         self.T.config.allowed_ranks['milan-3'] = frozenset({Rank.URGENT})
         codes = self._codes('withdraw endpoint milan-3')
-        self.assertEqual([Code.NO_CHAIN_LEFT], codes)
+        self.assertEqual([Code.MODEL_UNCOVERED], codes)
 
     def test_unknown_subjects_cannot_be_forced(self):
-        for text in (
-            'withdraw endpoint milan-9 force',
-            'stop instance entry-9',
-            'weight organisation nobody 2',
-            'shed model nothing 5%',
+        for text, code in (
+            ('withdraw endpoint milan-9 force', Code.UNKNOWN_ENDPOINT),
+            ('stop instance entry-9', Code.UNKNOWN_INSTANCE),
+            ('weight organisation nobody 2', Code.UNKNOWN_ORGANISATION),
+            ('shed model nothing 5%', Code.UNKNOWN_MODEL),
         ):
-            plan = self._plan(text)
-            (refusal,) = plan.list_refusals(force=True)
-            self.assertEqual(Code.UNKNOWN_SUBJECT, refusal.code)
+            (refusal,) = self._plan(text).list_refusals(force=True)
+            self.assertEqual(code, refusal.code)
+
+    def test_last_worker_of_a_service_is_refused(self):
+        text = 'withdraw endpoint 127.0.0.1:3'
+        self.assertEqual([Code.MODEL_UNCOVERED], self._codes(text))
+        self.T.services['swatches'].addresses.append('127.0.0.1:4')
+        self.assertEqual([], self._codes(text))
 
     def test_every_change_has_a_plan(self):
         for text in (
