--- a/sniperudder/tables/_tables.py
+++ b/sniperudder/tables/_tables.py
@@ -1,11 +1,14 @@
 """All tables of an instance and their construction."""
 
+import collections
 import dataclasses
 import random
 
 from sniperudder.tables import _configuration
 from sniperudder.tables import _ranks
 
+_MAX_REFUSALS = 4096
+
 
 def _default_ranks():
     return {
@@ -15,6 +18,10 @@
     }
 
 
+def _create_ring():
+    return collections.deque(maxlen=_MAX_REFUSALS)
+
+
 @dataclasses.dataclass(slots=True)
 class Policy:
     """Limits and times from the settings, in force from the start.
@@ -103,6 +110,8 @@
         Retries that the retry budget allows now.
     service_s : float
         Smoothed time for which a stream holds its slots, seconds.
+    refusals : deque of Refusal
+        The latest outcomes other than whole answers, oldest first.
     """
 
     me: str
@@ -132,6 +141,9 @@
     timers: list = dataclasses.field(default_factory=list)
     retry_tokens: float = 10.0
     service_s: float = 1.0
+    refusals: collections.deque = dataclasses.field(
+        default_factory=_create_ring
+    )
 
 
 def create_tables(me, data_centre, seed=0, policy=None):
