Add records for commands, acceptance and heartbeat evidence

Cause: the configuration and membership systems need places for the command's life, rosters, acceptances and what a member showed when. Change: new records and fields, each documented; no behaviour. Conclusion: the doctests of the tables still pass.

--- a/sniperudder/effects/__init__.py
+++ b/sniperudder/effects/__init__.py
@@ -3,6 +3,8 @@
 from sniperudder.effects._endpoints import CancelStream
 from sniperudder.effects._endpoints import SendStep
 from sniperudder.effects._endpoints import Step
+from sniperudder.effects._operators import CommandDone
+from sniperudder.effects._peers import AnswerBeat
 from sniperudder.effects._peers import SendBeat
 from sniperudder.effects._platform import Condition
 from sniperudder.effects._platform import ListInstances
@@ -17,9 +19,11 @@
 from sniperudder.effects._services import CallService
 
 __all__ = [
+    'AnswerBeat',
     'AskService',
     'CallService',
     'CancelStream',
+    'CommandDone',
     'Condition',
     'EmitToken',
     'Finish',
--- a/sniperudder/effects/_peers.py
+++ b/sniperudder/effects/_peers.py
@@ -18,3 +18,17 @@
     peer: str
     address: str
     beat: typing.Any
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerBeat:
+    """Answer the heartbeat that was just handled.
+
+    Attributes
+    ----------
+    peer : str
+    beat : sniperudder.inputs.Beat
+    """
+
+    peer: str
+    beat: typing.Any
--- a/sniperudder/inputs/__init__.py
+++ b/sniperudder/inputs/__init__.py
@@ -6,11 +6,13 @@
 from sniperudder.inputs._endpoints import LoadReported
 from sniperudder.inputs._endpoints import StepFailed
 from sniperudder.inputs._endpoints import StepReturned
+from sniperudder.inputs._operators import CommandArrived
 from sniperudder.inputs._operators import StopRequested
 from sniperudder.inputs._peers import Beat
 from sniperudder.inputs._peers import BeatLost
 from sniperudder.inputs._peers import BeatReceived
 from sniperudder.inputs._peers import BeatReturned
+from sniperudder.inputs._peers import Member
 from sniperudder.inputs._platform import Committed
 from sniperudder.inputs._platform import Conflicted
 from sniperudder.inputs._platform import InstancesListed
@@ -29,12 +31,14 @@
     'BeatReceived',
     'BeatReturned',
     'CallerLeft',
+    'CommandArrived',
     'Committed',
     'Conflicted',
     'Delivery',
     'InstancesListed',
     'ListedInstance',
     'LoadReported',
+    'Member',
     'NotSent',
     'OrderArrived',
     'RequestArrived',
--- a/sniperudder/inputs/_peers.py
+++ b/sniperudder/inputs/_peers.py
@@ -3,6 +3,22 @@
 import dataclasses
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Member:
+    """Where another instance is found.
+
+    Attributes
+    ----------
+    name, address, data_centre : str
+    incarnation : int
+    """
+
+    name: str
+    address: str
+    data_centre: str
+    incarnation: int = 0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Beat:
     """A heartbeat, and the answer to one.
@@ -26,7 +42,25 @@
     suspicions : tuple of Suspicion
         Marks that changed lately.
     members : tuple of Member
-        What the sender knows of other instances.
+        Some of the instances that the sender knows.
+    head_version : int
+    head_age_s : float
+        The sender's latest reading of the configuration's head and the
+        time since it was asked for, seconds.
+    rooted : bool
+        See ``Tables.rooted``.
+    accepted_version : int
+        Highest version that the sender knows to be accepted.
+    roster_version : int
+        Version of the roster that orders the digest.
+    digest_version : int
+        Version that the digest's differences are taken from.
+    snapshot : str
+        The whole configuration, for a receiver far behind; see
+        ``sniperudder.systems.configuration``.
+    digest : bytes
+        What the sender knows of each member, see
+        ``sniperudder.systems.membership``.
     """
 
     sender: str
@@ -40,6 +74,14 @@
     changes: tuple = ()
     suspicions: tuple = ()
     members: tuple = ()
+    head_version: int = 0
+    head_age_s: float = float('inf')
+    rooted: bool = False
+    accepted_version: int = 0
+    roster_version: int = 0
+    digest_version: int = 0
+    digest: bytes = b''
+    snapshot: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/sniperudder/outcomes/_codes.py
+++ b/sniperudder/outcomes/_codes.py
@@ -24,6 +24,9 @@
     IDEMPOTENCY_CONFLICT = 107
     UNKNOWN_ROUTE = 108
     FORBIDDEN = 109
+    UNKNOWN_ENDPOINT = 110
+    UNKNOWN_INSTANCE = 111
+    MODEL_UNCOVERED = 112
 
     QUEUE_FULL = 200
     TARGET_UNREACHABLE = 201
@@ -92,6 +95,14 @@
     ),
     _entry(Code.UNKNOWN_ROUTE, _N, 404, 'No such path or method.'),
     _entry(Code.FORBIDDEN, _N, 403, 'The key does not allow this.'),
+    _entry(Code.UNKNOWN_ENDPOINT, _N, 404, 'No such endpoint.'),
+    _entry(Code.UNKNOWN_INSTANCE, _N, 404, 'No such entry instance.'),
+    _entry(
+        Code.MODEL_UNCOVERED,
+        _N,
+        409,
+        'The command would leave a model without endpoints.',
+    ),
     _entry(Code.QUEUE_FULL, _N, 429, 'The queue of this rank is full.'),
     _entry(
         Code.TARGET_UNREACHABLE,
--- a/sniperudder/tables/__init__.py
+++ b/sniperudder/tables/__init__.py
@@ -1,7 +1,11 @@
 """The tables of one instance: the data that every system works on."""
 
+from sniperudder.tables._commands import Command
+from sniperudder.tables._commands import CommandState
+from sniperudder.tables._configuration import Acceptance
 from sniperudder.tables._configuration import Change
 from sniperudder.tables._configuration import Configuration
+from sniperudder.tables._configuration import Roster
 from sniperudder.tables._endpoints import Endpoint
 from sniperudder.tables._endpoints import EndpointState
 from sniperudder.tables._endpoints import Model
@@ -23,7 +27,10 @@
 from sniperudder.tables._tables import Tables
 
 __all__ = [
+    'Acceptance',
     'Change',
+    'Command',
+    'CommandState',
     'Configuration',
     'Endpoint',
     'EndpointState',
@@ -39,6 +46,7 @@
     'RankPolicy',
     'Request',
     'RequestState',
+    'Roster',
     'Service',
     'Stage',
     'Suspicion',
--- a/sniperudder/tables/_configuration.py
+++ b/sniperudder/tables/_configuration.py
@@ -18,6 +18,8 @@
         Name of the intent's class, see ``sniperudder.intents``.
     body : str
         The intent as JSON.
+    issued_at : str
+        Wall-clock time at which the command was given.
     """
 
     version: int
@@ -25,6 +27,7 @@
     operator: str
     kind: str
     body: str
+    issued_at: str = ''
 
 
 @dataclasses.dataclass(slots=True)
@@ -49,6 +52,8 @@
         Floors that replace those of the settings.
     weights : dict of str to float
         Weights of organisations.
+    members : frozenset of str
+        Instances whose majority decides what is accepted.
     """
 
     version: int = 0
@@ -60,3 +65,35 @@
     allowed_ranks: dict = dataclasses.field(default_factory=dict)
     floors: dict = dataclasses.field(default_factory=dict)
     weights: dict = dataclasses.field(default_factory=dict)
+    members: frozenset = frozenset()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Roster:
+    """The members from one version on.
+
+    Attributes
+    ----------
+    version : int
+        First version at which they are the members.
+    members : tuple of str
+        Sorted by name.
+    """
+
+    version: int
+    members: tuple
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Acceptance:
+    """A version and the time since when it is known to be accepted.
+
+    Attributes
+    ----------
+    version : int
+    at : float
+        Seconds on this instance's clock.
+    """
+
+    version: int
+    at: float
--- a/sniperudder/tables/_instances.py
+++ b/sniperudder/tables/_instances.py
@@ -27,10 +27,22 @@
         Grows with each start of the same name.
     state : InstanceState
     config_version : int
-        Version that it has in force, as last heard.
+        Version that it certainly had in force at ``heard_at``.
     heard_at : float
         Latest time at which it was certainly alive: the time at which
         the request was sent that it answered, seconds.
+    stopping : bool
+        Whether it said that it takes no new work.
+    rooted : bool
+        Whether, at ``heard_at``, its configuration had been confirmed
+        by a reading of the platform made since its start.
+    acked_version : int
+        Highest version that it was ever heard to have in force.
+    acked_at : float
+        When ``acked_version`` was first heard, seconds.
+    absent_since : float or None
+        First answer of the platform's list since which it was missing
+        from each answer, seconds.
     listed : bool
         Whether the platform's list holds it.
     streams : int
@@ -56,3 +68,8 @@
     platform_at: float = float('-inf')
     next_beat_at: float = float('-inf')
     beat_pending: bool = False
+    stopping: bool = False
+    rooted: bool = False
+    acked_version: int = 0
+    acked_at: float = float('-inf')
+    absent_since: float | None = None
--- a/sniperudder/tables/_tables.py
+++ b/sniperudder/tables/_tables.py
@@ -30,6 +30,10 @@
         Age of the last confirmation after which no new work is sent.
     suspect_s : float
         Silence after which a peer counts as suspect.
+    list_lag_s : float
+        Longest lag of the platform's list of instances.
+    command_s : float
+        Time after which an unfinished command is given up.
     max_attempts : int
         Attempts of one request.
     retry_share : float
@@ -49,6 +53,8 @@
     poll_s: float = 1.0
     freshness_s: float = 2.0
     suspect_s: float = 2.0
+    list_lag_s: float = 60.0
+    command_s: float = 10.0
     max_attempts: int = 5
     retry_share: float = 0.2
     step_timeout_s: float = 10.0
@@ -91,6 +97,36 @@
         Whether a check of the head awaits its answer.
     stopping : bool
         Whether this instance takes no new work because it stops.
+    started_at : float or None
+        Time of the first tick, seconds.
+    rooted : bool
+        Whether a reading of the platform made since the start, by this
+        instance or a peer, showed no version above the one in force.
+    head_version : int
+    head_at : float
+        The latest reading of the configuration's head: at or after
+        ``head_at`` the head stood at ``head_version``.
+    known_version : int
+        Highest version known to be committed.
+    pending : dict of int to Change
+        Committed changes that await the ones before them, by version.
+    fetch_pending : bool
+        Whether a read of missing changes awaits its answer.
+    next_fetch_at : float
+        When missing changes may be read again, seconds.
+    snapshot_read : bool
+        Whether the kept snapshot was read since changes last were.
+    rosters : list of Roster
+        Members by version, oldest first; all that a fresh instance may
+        still use.
+    acceptances : list of Acceptance
+        Versions known to be accepted, oldest first.
+    commands : dict of str to Command
+        Commands given at this instance, by identifier.
+    listed_at : float
+        Time of the last answer of the platform's list, seconds.
+    next_beats_at : float
+        When the next round of heartbeats is due, seconds.
     counters : dict of str to int
         Counts of what was decided, for metrics.
     """
@@ -116,6 +152,20 @@
     poll_pending: bool = False
     next_list_at: float = float('-inf')
     stopping: bool = False
+    started_at: float | None = None
+    rooted: bool = False
+    head_version: int = 0
+    head_at: float = float('-inf')
+    known_version: int = 0
+    pending: dict = dataclasses.field(default_factory=dict)
+    fetch_pending: bool = False
+    next_fetch_at: float = float('-inf')
+    snapshot_read: bool = False
+    rosters: list = dataclasses.field(default_factory=list)
+    acceptances: list = dataclasses.field(default_factory=list)
+    commands: dict = dataclasses.field(default_factory=dict)
+    listed_at: float = float('-inf')
+    next_beats_at: float = float('-inf')
     counters: dict = dataclasses.field(default_factory=dict)
 
 
