--- /dev/null
+++ b/sniperudder/intents/_changes.py
@@ -0,0 +1,85 @@
+"""The fold of committed changes into the configuration."""
+
+import copy
+
+from sniperudder.intents import _codec
+from sniperudder.intents import _intents
+
+
+def apply_change(config, change):
+    """Return the configuration after one more change.
+
+    Parameters
+    ----------
+    config : sniperudder.tables.Configuration
+        Left as it is.
+    change : sniperudder.tables.Change
+        Must follow directly on the configuration's version.
+
+    Returns
+    -------
+    sniperudder.tables.Configuration
+
+    Raises
+    ------
+    ValueError
+        If the change does not follow directly or cannot be read.
+
+    Examples
+    --------
+    >>> from sniperudder.tables import Change, Configuration
+    >>> body = '{"endpoint": "gpu-1"}'
+    >>> change = Change(1, 'c1', 'ada', 'Withdraw', body)
+    >>> apply_change(Configuration(), change).withdrawn
+    {'gpu-1'}
+    """
+    if change.version != config.version + 1:
+        raise ValueError(
+            f'change {change.version} cannot follow {config.version}'
+        )
+    intent = _codec.decode_intent(change.kind, change.body)
+    result = copy.copy(config)
+    result.version = change.version
+    _apply_intent(result, intent)
+    return result
+
+
+def _apply_intent(config, intent):
+    match intent:
+        case _intents.Withdraw(endpoint=name):
+            config.withdrawn = config.withdrawn | {name}
+        case _intents.Return(endpoint=name):
+            config.withdrawn = config.withdrawn - {name}
+        case _intents.StopInstance(instance=name):
+            config.stopping = config.stopping | {name}
+        case _intents.Shed():
+            _apply_shed(config, intent)
+        case _intents.Allow(endpoint=name, ranks=ranks):
+            allowed = frozenset(ranks)
+            config.allowed_ranks = config.allowed_ranks | {name: allowed}
+        case _intents.SetFloor(rank=rank, share=share):
+            config.floors = config.floors | {rank: share}
+        case _intents.SetWeight(organisation=name, weight=weight):
+            config.weights = config.weights | {name: weight}
+        case _intents.Join(instance=name):
+            config.members = config.members | {name}
+        case _intents.Leave(instance=name):
+            config.members = config.members - {name}
+            config.stopping = config.stopping - {name}
+
+
+def _apply_shed(config, intent):
+    if intent.rank is not None:
+        shares = config.shed_ranks | {intent.rank: intent.share}
+        config.shed_ranks = _drop_zeros(shares)
+    elif intent.organisation:
+        shares = config.shed_organisations
+        shares = shares | {intent.organisation: intent.share}
+        config.shed_organisations = _drop_zeros(shares)
+    else:
+        shares = config.shed_models | {intent.model: intent.share}
+        config.shed_models = _drop_zeros(shares)
+
+
+def _drop_zeros(shares):
+    return {name: share for name, share in shares.items() if share > 0}
--- /dev/null
+++ b/sniperudder/intents/_intents.py
@@ -0,0 +1,159 @@
+"""The kinds of intents."""
+
+import dataclasses
+
+from sniperudder.tables import Rank
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Withdraw:
+    """An endpoint gets no new work.
+
+    Attributes
+    ----------
+    endpoint : str
+    force : bool
+        Whether also where a model is left without endpoints.
+    """
+
+    endpoint: str
+    force: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Return:
+    """A withdrawn endpoint gets work again."""
+
+    endpoint: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StopInstance:
+    """An entry instance finishes its work and stops."""
+
+    instance: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Shed:
+    """A share of arrivals is refused.
+
+    Attributes
+    ----------
+    share : float
+        0 to 1; 0 ends the shedding.
+    rank : Rank or None
+    organisation, model : str
+        Exactly one of the three says which arrivals.
+    """
+
+    share: float
+    rank: Rank | None = None
+    organisation: str = ''
+    model: str = ''
+
+    def __post_init__(self):
+        given = (self.rank is not None, self.organisation, self.model)
+        if sum(map(bool, given)) != 1:
+            raise ValueError('name one of rank, organisation and model')
+        if not 0 <= self.share <= 1:
+            raise ValueError('share must lie between 0 and 1')
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Allow:
+    """Only these ranks run on an endpoint.
+
+    Attributes
+    ----------
+    endpoint : str
+    ranks : tuple of Rank
+    """
+
+    endpoint: str
+    ranks: tuple
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SetFloor:
+    """A rank keeps a share of the slots while it has work."""
+
+    rank: Rank
+    share: float
+
+    def __post_init__(self):
+        if not 0 <= self.share <= 1:
+            raise ValueError('share must lie between 0 and 1')
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SetWeight:
+    """An organisation's share relative to others changes."""
+
+    organisation: str
+    weight: float
+
+    def __post_init__(self):
+        if not self.weight > 0:
+            raise ValueError('weight must be above 0')
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Join:
+    """An instance counts from now on; instances give it themselves."""
+
+    instance: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Leave:
+    """An instance that has ended no longer counts."""
+
+    instance: str
+
+
+Intent = (
+    Withdraw
+    | Return
+    | StopInstance
+    | Shed
+    | Allow
+    | SetFloor
+    | SetWeight
+    | Join
+    | Leave
+)
+
+
+def get_subject(intent):
+    """Return what an intent is about; intents on one subject compete.
+
+    Parameters
+    ----------
+    intent : Intent
+
+    Returns
+    -------
+    str
+
+    Examples
+    --------
+    >>> get_subject(Withdraw('gpu-1')) == get_subject(Return('gpu-1'))
+    True
+    """
+    match intent:
+        case Withdraw() | Return():
+            return f'endpoint:{intent.endpoint}'
+        case StopInstance():
+            return f'instance:{intent.instance}'
+        case Shed(rank=rank, organisation=org, model=model):
+            return f'shed:{rank}:{org}:{model}'
+        case Allow():
+            return f'allowed:{intent.endpoint}'
+        case SetFloor():
+            return f'floor:{intent.rank}'
+        case SetWeight():
+            return f'weight:{intent.organisation}'
+        case Join() | Leave():
+            return f'member:{intent.instance}'
+    raise TypeError(f'not an intent: {intent!r}')
