--- /dev/null
+++ b/sniperudder/systems/configuration/_freshness.py
@@ -0,0 +1,107 @@
+"""Evidence that the configuration in force is the current one.
+
+docs/CONFIGURATION.md gives the argument that this rests on.
+"""
+
+from sniperudder.effects import Transact
+from sniperudder.inputs import Committed
+from sniperudder.systems.configuration import _purposes
+from sniperudder.systems.configuration import _rows
+
+_POLL_JITTER = 0.2
+
+
+def is_fresh(T, now):
+    """Return whether this instance may give out new work.
+
+    Parameters
+    ----------
+    T : sniperudder.tables.Tables
+    now : float
+        Seconds on the clock that counts suspension, read right before
+        the work would be given out.
+
+    Returns
+    -------
+    bool
+    """
+    return now - T.confirmed_at <= T.policy.freshness_s
+
+
+def note_head(T, version, at):
+    """Take in a reading of the head, made at or after a time.
+
+    Parameters
+    ----------
+    version : int
+        The head's version when it was read.
+    at : float
+        A time at or before that reading, seconds.
+    """
+    T.known_version = max(T.known_version, version)
+    if at > T.head_at:
+        T.head_version = version
+        T.head_at = at
+    confirm_by_platform(T)
+
+
+def confirm_by_platform(T):
+    """Move the confirmation up to the latest reading of the head."""
+    if T.config.version < T.head_version:
+        return
+    T.confirmed_at = max(T.confirmed_at, T.head_at)
+    if T.started_at is not None and T.head_at >= T.started_at:
+        T.rooted = True
+
+
+def confirm_by_majority(T, now):
+    """Move the confirmation up to what a majority of members showed.
+
+    A member shows at a time that nothing above its version had been
+    acknowledged by it. It counts where that version is not above this
+    instance's own. Complexity: O(n log n) for n members.
+    """
+    members = T.config.members
+    needed = len(members) // 2 + 1
+    times = sorted(_list_evidence(T, members, now), reverse=True)
+    if members and len(times) >= needed:
+        T.confirmed_at = max(T.confirmed_at, times[needed - 1])
+
+
+def _list_evidence(T, members, now):
+    version = T.config.version
+    for name in members:
+        if name == T.me:
+            if T.rooted:
+                yield now
+            continue
+        peer = T.instances.get(name)
+        if peer and peer.rooted and peer.config_version <= version:
+            yield peer.heard_at
+
+
+def poll_head(T, now):
+    """Read the head when that is due."""
+    if T.poll_pending or now < T.next_poll_at:
+        return []
+    T.poll_pending = True
+    pause = T.policy.poll_s * (1 - _POLL_JITTER * T.rng.random())
+    T.next_poll_at = now + pause
+    return [Transact(_purposes.PollHead(), reads=(_rows.HEAD_KEY,))]
+
+
+def take_head(T, inp, now):
+    """Take in the answer to ``poll_head``."""
+    T.poll_pending = False
+    if isinstance(inp.outcome, Committed):
+        T.platform_at = max(T.platform_at, inp.sent_at)
+        note_head(T, find_head(inp.outcome.rows), inp.sent_at)
+    return []
+
+
+def find_head(rows):
+    """Return the head's version as rows that were read show it."""
+    for row in rows:
+        if row.key == _rows.HEAD_KEY:
+            return row.version
+    return 0
--- /dev/null
+++ b/sniperudder/systems/membership/__init__.py
@@ -0,0 +1,69 @@
+"""How instances know of each other, see docs/CONFIGURATION.md."""
+
+from sniperudder.inputs import BeatLost
+from sniperudder.inputs import BeatReceived
+from sniperudder.inputs import BeatReturned
+from sniperudder.inputs import InstancesListed
+from sniperudder.systems.membership import _intake
+from sniperudder.systems.membership import _listing
+from sniperudder.systems.membership import _rounds
+from sniperudder.tables import Instance
+from sniperudder.tables import InstanceState
+
+__all__ = [
+    'HANDLERS',
+    'PURPOSES',
+    'add_self',
+    'run_membership',
+]
+
+HANDLERS = {
+    BeatLost: _intake.take_loss,
+    BeatReceived: _intake.take_request,
+    BeatReturned: _intake.take_answer,
+    InstancesListed: _listing.take_list,
+}
+
+PURPOSES = {}
+
+
+def add_self(T, address, incarnation):
+    """Add this instance's own record; to be done once, at the start.
+
+    Parameters
+    ----------
+    T : sniperudder.tables.Tables
+    address : str
+        ``host:port`` of its peer interface.
+    incarnation : int
+        Larger than at any earlier start under this name, such as the
+        wall-clock time in milliseconds.
+
+    Examples
+    --------
+    >>> from sniperudder.tables import create_tables
+    >>> T = create_tables('entry-1', 'milan')
+    >>> add_self(T, '127.0.0.1:9000', 7)
+    >>> T.instances['entry-1'].incarnation
+    7
+    """
+    own = Instance(T.me, address, T.data_centre, incarnation)
+    own.state = InstanceState.LIVE
+    T.instances[T.me] = own
+
+
+def run_membership(T, now):
+    """Do what is due: read the list, send heartbeats.
+
+    Parameters
+    ----------
+    T : sniperudder.tables.Tables
+    now : float
+
+    Returns
+    -------
+    list of effects
+    """
+    if T.started_at is None:
+        T.started_at = now
+    return _listing.list_instances(T, now) + _rounds.send_beats(T, now)
--- /dev/null
+++ b/sniperudder/testing/_fleet.py
@@ -0,0 +1,356 @@
+"""Many decision cores in virtual time, over fakes of what is outside."""
+
+import dataclasses
+import heapq
+import itertools
+import random
+import typing
+
+from sniperudder.effects import AnswerBeat
+from sniperudder.effects import ListInstances
+from sniperudder.effects import Scan
+from sniperudder.effects import SendBeat
+from sniperudder.effects import Transact
+from sniperudder.inputs import BeatLost
+from sniperudder.inputs import BeatReceived
+from sniperudder.inputs import BeatReturned
+from sniperudder.inputs import InstancesListed
+from sniperudder.inputs import NotSent
+from sniperudder.inputs import ScanReturned
+from sniperudder.inputs import TransactReturned
+from sniperudder.inputs import Unknown
+from sniperudder.systems import configuration
+from sniperudder.systems import membership
+from sniperudder.tables import create_tables
+from sniperudder.testing._platform import FakePlatform
+
+_TICK_S = 0.1
+_BEAT_TIMEOUT_S = 1.0
+_SYSTEMS = (configuration, membership)
+_RUNS = (configuration.run_configuration, membership.run_membership)
+
+
+@dataclasses.dataclass(slots=True)
+class Node:
+    """An instance in a fleet.
+
+    Attributes
+    ----------
+    name : str
+    T : sniperudder.tables.Tables
+    clock_offset : float
+        Its clock's distance from the fleet's time, seconds.
+    alive : bool
+    frozen : bool
+    backlog : list
+        What arrived while it was frozen.
+    """
+
+    name: str
+    T: typing.Any
+    clock_offset: float
+    alive: bool = True
+    frozen: bool = False
+    backlog: list = dataclasses.field(default_factory=list)
+
+
+class Fleet:
+    """Steps decision cores and carries their effects.
+
+    Attributes
+    ----------
+    now : float
+        The fleet's time, seconds.
+    rng : random.Random
+        Draws delays and losses.
+    platform : FakePlatform
+    nodes : dict of str to Node
+        The instances that were started, dead ones too.
+    routes : dict
+        From the class of an effect to ``f(fleet, node, effect)``.
+        Effects of other classes are kept in ``effects``.
+    effects : list of (float, str, effect)
+        Time, node and effect, oldest first.
+    cuts : set of (str, str)
+        Directed links that carry nothing; ``platform`` is a name too.
+    delay_s : float
+        Longest delay between two instances, each way.
+    lose_message : float
+        Probability that a message between instances gets lost.
+    """
+
+    def __init__(self, seed, systems, runs, platform):
+        self.now = 0.0
+        self.rng = random.Random(seed)
+        self.platform = platform
+        self.nodes = {}
+        self.effects = []
+        self.cuts = set()
+        self.delay_s = 0.003
+        self.lose_message = 0.0
+        self.handlers = {}
+        self.purposes = {}
+        for system in systems:
+            self.handlers.update(system.HANDLERS)
+            self.purposes.update(system.PURPOSES)
+        self.runs = tuple(runs)
+        self.routes = {
+            AnswerBeat: Fleet._drop,
+            ListInstances: Fleet._list_instances,
+            Scan: Fleet._scan,
+            SendBeat: Fleet._send_beat,
+            Transact: Fleet._transact,
+        }
+        self._queue = []
+        self._numbers = itertools.count()
+
+    def start(self, name, data_centre='milan', policy=None, prepare=None):
+        """Start an instance that knows nothing.
+
+        Parameters
+        ----------
+        name, data_centre : str
+        policy : sniperudder.tables.Policy, optional
+        prepare : callable, optional
+            Called with its tables, to fill in what its settings hold.
+
+        Returns
+        -------
+        Node
+        """
+        T = create_tables(name, data_centre, self.rng.random(), policy)
+        incarnation = 1 + round(self.now * 1000)
+        membership.add_self(T, f'{name}:9000', incarnation)
+        if prepare is not None:
+            prepare(T)
+        node = Node(name, T, self.rng.uniform(0, 10_000))
+        self.nodes[name] = node
+        self.platform.note_start(name, f'{name}:9000', data_centre, self.now)
+        self.after(self.rng.uniform(0, _TICK_S), self._tick, node)
+        return node
+
+    def kill(self, name):
+        """End an instance at once."""
+        self.nodes[name].alive = False
+        self.platform.note_end(name, self.now)
+
+    def freeze(self, name):
+        """Stop an instance's processing; what arrives waits."""
+        self.nodes[name].frozen = True
+
+    def thaw(self, name):
+        """Let a frozen instance go on."""
+        node = self.nodes[name]
+        node.frozen = False
+        backlog, node.backlog = node.backlog, []
+        for call, args in backlog:
+            self.after(0.0, call, *args)
+
+    def cut(self, one, other):
+        """Cut both directions between two instances, or the platform."""
+        self.cuts |= {(one, other), (other, one)}
+
+    def heal(self):
+        """Mend all links, the platform's too."""
+        self.cuts.clear()
+
+    def live_nodes(self):
+        """Return the nodes that run and are not frozen."""
+        nodes = self.nodes.values()
+        return [node for node in nodes if node.alive and not node.frozen]
+
+    def read_clock(self, node):
+        """Return the time on a node's own clock, seconds."""
+        return self.now + node.clock_offset
+
+    def after(self, delay_s, call, *args):
+        """Call something at a later time."""
+        time = self.now + delay_s
+        heapq.heappush(self._queue, (time, next(self._numbers), call, args))
+
+    def run(self, duration_s):
+        """Let time pass."""
+        end = self.now + duration_s
+        while self._queue and self._queue[0][0] <= end:
+            self.now, _, call, args = heapq.heappop(self._queue)
+            call(*args)
+        self.now = end
+
+    def give(self, node, inp):
+        """Hand an input to a node and carry out what follows.
+
+        Returns
+        -------
+        list of effects
+        """
+        if not node.alive:
+            return []
+        if node.frozen:
+            node.backlog.append((self.give, (node, inp)))
+            return []
+        now = self.read_clock(node)
+        key = type(inp)
+        if key in (TransactReturned, ScanReturned):
+            handler = self.purposes[type(inp.purpose)]
+        else:
+            handler = self.handlers[key]
+        effects = handler(node.T, inp, now)
+        for run in self.runs:
+            effects = effects + run(node.T, now)
+        self.carry(node, effects)
+        return effects
+
+    def carry(self, node, effects):
+        """Route effects to the fakes."""
+        for effect in effects:
+            route = self.routes.get(type(effect))
+            if route is None:
+                self.effects.append((self.now, node.name, effect))
+            else:
+                route(self, node, effect)
+
+    def _tick(self, node):
+        if not node.alive:
+            return
+        if node.frozen:
+            node.backlog.append((self._tick, (node,)))
+            return
+        now = self.read_clock(node)
+        for run in self.runs:
+            self.carry(node, run(node.T, now))
+        self.after(_TICK_S, self._tick, node)
+
+    def _drop(self, node, effect):
+        """Leave out an effect that its input's giver takes itself."""
+
+    def _draw_delay(self, longest):
+        return self.rng.uniform(0, longest)
+
+    def _is_cut(self, one, other):
+        return (one, other) in self.cuts
+
+    def _send_beat(self, node, effect):
+        peer = self.nodes.get(effect.peer)
+        sent_at = self.read_clock(node)
+        answered = [False]
+        self.after(_BEAT_TIMEOUT_S, self._miss, node, effect, answered)
+        lost = self.rng.random() < self.lose_message
+        if peer is None or lost or self._is_cut(node.name, peer.name):
+            return
+        delay = self._draw_delay(self.delay_s)
+        arguments = (node, peer, effect.beat, sent_at, answered)
+        self.after(delay, self._receive_beat, *arguments)
+
+    def _receive_beat(self, node, peer, beat, sent_at, answered):
+        if not peer.alive:
+            return
+        if peer.frozen:
+            call = (node, peer, beat, sent_at, answered)
+            peer.backlog.append((self._receive_beat, call))
+            return
+        effects = self.give(peer, BeatReceived(beat))
+        answers = [e.beat for e in effects if isinstance(e, AnswerBeat)]
+        lost = self.rng.random() < self.lose_message
+        if lost or self._is_cut(peer.name, node.name):
+            return
+        returned = BeatReturned(answers[0], sent_at)
+        delay = self._draw_delay(self.delay_s)
+        self.after(delay, self._return_beat, node, returned, answered)
+
+    def _return_beat(self, node, returned, answered):
+        if not answered[0]:
+            answered[0] = True
+            self.give(node, returned)
+
+    def _miss(self, node, effect, answered):
+        if not answered[0]:
+            answered[0] = True
+            self.give(node, BeatLost(effect.peer))
+
+    def _transact(self, node, call):
+        def run():
+            return self.platform.transact(call, self.now)
+
+        def answer(outcome):
+            return TransactReturned(call.purpose, outcome, sent_at)
+
+        sent_at = self.read_clock(node)
+        refused = self._is_refused(node)
+        missed = NotSent() if refused else Unknown()
+        self._call_platform(node, run, answer, missed, refused)
+
+    def _scan(self, node, call):
+        def run():
+            return self.platform.scan(call, self.now)
+
+        def answer(rows):
+            return ScanReturned(call.purpose, rows, sent_at)
+
+        sent_at = self.read_clock(node)
+        refused = self._is_refused(node)
+        self._call_platform(node, run, answer, None, refused)
+
+    def _list_instances(self, node, call):
+        def run():
+            return self.platform.list_instances(self.now)
+
+        refused = self._is_refused(node)
+        self._call_platform(node, run, InstancesListed, None, refused)
+
+    def _is_refused(self, node):
+        reached = not self._is_cut(node.name, 'platform')
+        if reached and self.platform.up:
+            return False
+        return self.rng.random() < 0.5
+
+    def _call_platform(self, node, run, answer, missed, refused):
+        answered = [False]
+
+        def finish(inp):
+            if not answered[0]:
+                answered[0] = True
+                self.give(node, inp)
+
+        def execute():
+            if not self.platform.up or self._is_cut(node.name, 'platform'):
+                return
+            outcome = run()
+            if self.rng.random() >= self.platform.lose_answer:
+                delay = self._draw_delay(self.platform.delay_s)
+                self.after(delay, finish, answer(outcome))
+
+        if refused:
+            self.after(0.001, finish, answer(missed))
+            return
+        timeout_s = node.T.policy.platform_timeout_s
+        self.after(timeout_s, finish, answer(missed))
+        if self.rng.random() >= self.platform.lose_request:
+            delay = self._draw_delay(self.platform.delay_s)
+            self.after(delay, execute)
+
+
+def create_fleet(seed=0, systems=_SYSTEMS, runs=_RUNS, platform=None):
+    """Return a fleet without instances.
+
+    Parameters
+    ----------
+    seed : int
+    systems : sequence of modules
+        With ``HANDLERS`` and ``PURPOSES``.
+    runs : sequence of callables
+        Each ``run(T, now)``, in order, at each tick and input.
+    platform : FakePlatform, optional
+
+    Returns
+    -------
+    Fleet
+
+    Examples
+    --------
+    >>> fleet = create_fleet()
+    >>> node = fleet.start('entry-1')
+    >>> fleet.run(5.0)
+    >>> sorted(node.T.config.members)
+    ['entry-1']
+    """
+    return Fleet(seed, systems, runs, platform or FakePlatform())
