--- /dev/null
+++ b/sniperudder/core/_core.py
@@ -0,0 +1,64 @@
+"""The way of an input to its system, and the order of the systems."""
+
+from sniperudder import inputs
+from sniperudder.systems import drain
+from sniperudder.systems import orders
+from sniperudder.systems import requests
+
+_SYSTEMS = (drain, orders, requests)
+_TICKS = (orders.run_orders, requests.run_requests)
+
+# An input may concern several systems: a caller that left may have
+# asked for tokens or for an order.
+_HANDLERS = {}
+_PURPOSES = {}
+for _system in _SYSTEMS:
+    for _kind, _handler in _system.HANDLERS.items():
+        _HANDLERS.setdefault(_kind, []).append(_handler)
+    _PURPOSES.update(_system.PURPOSES)
+
+
+def handle_input(T, inp, now):
+    """Give one input to the system that handles it.
+
+    Parameters
+    ----------
+    T : Tables
+    inp : record of sniperudder.inputs
+    now : float
+        Seconds on a clock that counts suspension.
+
+    Returns
+    -------
+    list of effect
+
+    Raises
+    ------
+    InvariantBroken
+        If a promise was about to be broken; nothing was done.
+    """
+    if isinstance(inp, inputs.TransactReturned | inputs.ScanReturned):
+        return _PURPOSES[type(inp.purpose)](T, inp, now)
+    result = []
+    for handler in _HANDLERS[type(inp)]:
+        result.extend(handler(T, inp, now))
+    return result
+
+
+def run_tick(T, now):
+    """Run what is due in every system.
+
+    Parameters
+    ----------
+    T : Tables
+    now : float
+        Seconds.
+
+    Returns
+    -------
+    list of effect
+    """
+    result = []
+    for run in _TICKS:
+        result.extend(run(T, now))
+    return result
--- a/sniperudder/testing/_fleet.py
+++ b/sniperudder/testing/_fleet.py
@@ -1,8 +1,6 @@
 """Many decision cores in virtual time, over fakes of what is outside."""
 
 import dataclasses
-import heapq
-import itertools
 import random
 import typing
 
@@ -23,6 +21,7 @@
 from sniperudder.systems import membership
 from sniperudder.tables import create_tables
 from sniperudder.testing._platform import FakePlatform
+from sniperudder.testing._timeline import VirtualTime
 
 _TICK_S = 0.1
 _BEAT_TIMEOUT_S = 1.0
@@ -59,8 +58,7 @@
 
     Attributes
     ----------
-    now : float
-        The fleet's time, seconds.
+    clock : VirtualTime
     rng : random.Random
         Draws delays and losses.
     platform : FakePlatform
@@ -80,7 +78,7 @@
     """
 
     def __init__(self, seed, systems, runs, platform):
-        self.now = 0.0
+        self.clock = VirtualTime()
         self.rng = random.Random(seed)
         self.platform = platform
         self.nodes = {}
@@ -101,8 +99,11 @@
             SendBeat: Fleet._send_beat,
             Transact: Fleet._transact,
         }
-        self._queue = []
-        self._numbers = itertools.count()
+
+    @property
+    def now(self):
+        """The fleet's time, seconds."""
+        return self.clock.now
 
     def start(self, name, data_centre='milan', policy=None, prepare=None):
         """Start an instance that knows nothing.
@@ -165,16 +166,11 @@
 
     def after(self, delay_s, call, *args):
         """Call something at a later time."""
-        time = self.now + delay_s
-        heapq.heappush(self._queue, (time, next(self._numbers), call, args))
+        self.clock.call_in(delay_s, call, *args)
 
     def run(self, duration_s):
         """Let time pass."""
-        end = self.now + duration_s
-        while self._queue and self._queue[0][0] <= end:
-            self.now, _, call, args = heapq.heappop(self._queue)
-            call(*args)
-        self.now = end
+        self.clock.run_until(self.now + duration_s)
 
     def give(self, node, inp):
         """Hand an input to a node and carry out what follows.
