Say 'not done' only once that is kept at the platform

Change: refusals and timeouts are recorded in config/command/ID before they are told (UnknownSoFar until then); ended instances are kept while a roster in use names them.

--- a/sniperudder/outcomes/_commands.py
+++ b/sniperudder/outcomes/_commands.py
@@ -47,7 +47,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class UnknownSoFar:
-    """The platform has not told yet; ask again with the identifier."""
+    """The platform has not told yet; ask again with the identifier.
+
+    Attributes
+    ----------
+    detail : str
+        How far the command got from here.
+    """
+
+    detail: str = ''
 
 
 CommandOutcome = CommittedAt | LostTo | NotDone | UnknownSoFar
--- a/sniperudder/systems/configuration/__init__.py
+++ b/sniperudder/systems/configuration/__init__.py
@@ -7,6 +7,7 @@
 from sniperudder.systems.configuration._acceptance import note_accepted
 from sniperudder.systems.configuration import _commands
 from sniperudder.systems.configuration import _freshness
+from sniperudder.systems.configuration._freshness import check_times
 from sniperudder.systems.configuration._freshness import confirm_by_majority
 from sniperudder.systems.configuration._freshness import is_fresh
 from sniperudder.systems.configuration._freshness import note_head
@@ -16,6 +17,7 @@
 from sniperudder.systems.configuration import _members
 from sniperudder.systems.configuration._members import leave_members
 from sniperudder.systems.configuration import _purposes
+from sniperudder.systems.configuration._rows import decode_change
 from sniperudder.systems.configuration import _snapshots
 from sniperudder.systems.configuration._snapshots import adopt_snapshot
 from sniperudder.systems.configuration._snapshots import encode_snapshot
@@ -29,7 +31,9 @@
     'Place',
     'Verification',
     'adopt_snapshot',
+    'check_times',
     'confirm_by_majority',
+    'decode_change',
     'encode_snapshot',
     'get_accepted',
     'get_changes',
--- a/sniperudder/systems/configuration/_commands.py
+++ b/sniperudder/systems/configuration/_commands.py
@@ -120,13 +120,13 @@
     changes = _history.get_changes(T, command.base_version)
     if changes is None:
         detail = 'the given version is older than the history kept'
-        return _finish(command, NotDone(Code.BAD_FIELD, detail))
+        return _record(command, NotDone(Code.BAD_FIELD, detail))
     winner = _find_winner(command, changes)
     if winner is not None:
         return _record(command, winner)
     problem = _checks.check_intent(T, command.intent, command.force)
     if problem is not None:
-        return _refuse(command, problem)
+        return _record(command, problem)
     return _commit(T, command)
 
 
@@ -216,24 +216,22 @@
 
 
 def _give_up(command):
-    if not command.in_doubt:
-        return _finish(command, _ABANDONED)
+    """Tell that nothing is known yet, and see to it that it will be.
+
+    The same command may have been given at another instance, so that
+    "not done" is only said once that is kept at the platform.
+    """
     return _tell_unknown(command) + _record(command, _ABANDONED)
 
 
 def _tell_unknown(command):
     if command.outcome is not None:
         return []
-    command.outcome = UnknownSoFar()
+    detail = 'no answer came' if command.in_doubt else 'nothing was sent'
+    command.outcome = UnknownSoFar(detail)
     return _tell(command)
 
 
-def _refuse(command, problem):
-    if command.in_doubt:
-        return _record(command, problem)
-    return _finish(command, problem)
-
-
 def _record(command, outcome):
     """Keep an outcome; later commits of the command then fail."""
     kind, body = intents.encode_intent(command.intent)
--- a/sniperudder/systems/configuration/_freshness.py
+++ b/sniperudder/systems/configuration/_freshness.py
@@ -4,11 +4,41 @@
 """
 
 from sniperudder.effects import Transact
+from sniperudder.errors import SettingsError
 from sniperudder.inputs import Committed
 from sniperudder.systems.configuration import _purposes
 from sniperudder.systems.configuration import _rows
 
 _POLL_JITTER = 0.2
+_LEAVING_BOUND_S = 3.0
+_TICK_S = 0.1
+
+
+def check_times(policy):
+    """Check that the times of a policy keep the bound for leaving.
+
+    No instance gives new work to an endpoint later than
+    ``freshness_s`` after its withdrawal was accepted; a tick is left for
+    the way from that decision to the wire. Several heartbeats and one
+    reading of the platform fit into ``freshness_s``, so that nothing
+    lapses where all is well.
+
+    Parameters
+    ----------
+    policy : sniperudder.tables.Policy
+
+    Raises
+    ------
+    SettingsError
+    """
+    if policy.freshness_s + _TICK_S > _LEAVING_BOUND_S:
+        raise SettingsError(
+            f'freshness_s must be at most {_LEAVING_BOUND_S - _TICK_S:g}'
+        )
+    if policy.poll_s * 1.5 > policy.freshness_s:
+        raise SettingsError('poll_s must be at most 2/3 of freshness_s')
+    if policy.heartbeat_s * 3 > policy.freshness_s:
+        raise SettingsError('heartbeat_s must be at most 1/3 of freshness_s')
 
 
 def is_fresh(T, now):
--- a/sniperudder/systems/membership/_listing.py
+++ b/sniperudder/systems/membership/_listing.py
@@ -25,7 +25,7 @@
     listed = {entry.name: entry for entry in inp.instances}
     for entry in inp.instances:
         _take_entry(T, entry)
-    for name in T.config.members | set(T.instances):
+    for name in _records.find_counted(T) | set(T.instances):
         if name != T.me and name not in listed:
             _note_absence(T, name, now)
     return []
--- a/sniperudder/systems/membership/_records.py
+++ b/sniperudder/systems/membership/_records.py
@@ -52,14 +52,23 @@
     peer.absent_since = None
 
 
+def find_counted(T):
+    """Return the names that acceptance of a version may depend on."""
+    names = set(T.config.members)
+    for roster in T.rosters:
+        names.update(roster.members)
+    return names
+
+
 def update_states(T, now, suspect_s):
     """Set the state of each peer and forget those that ended."""
+    counted = find_counted(T)
     for peer in list(T.instances.values()):
         if peer.name == T.me:
             continue
         peer.state = _find_state(T, peer, now, suspect_s)
         silent = now - peer.heard_at > T.policy.list_lag_s
-        needed = peer.listed or peer.name in T.config.members
+        needed = peer.listed or peer.name in counted
         if silent and not needed and peer.absent_since is not None:
             del T.instances[peer.name]
 
--- a/sniperudder/testing/__init__.py
+++ b/sniperudder/testing/__init__.py
@@ -1,5 +1,8 @@
 """Fakes at the interfaces and virtual time, for tests and measurements."""
 
+from sniperudder.testing._chaos import Chaos
+from sniperudder.testing._chaos import draw_steps
+from sniperudder.testing._chaos import run_chaos
 from sniperudder.testing._engines import FakeEngine
 from sniperudder.testing._engines import predict_tokens
 from sniperudder.testing._engines import RunRecord
@@ -7,6 +10,10 @@
 from sniperudder.testing._fleet import create_fleet
 from sniperudder.testing._fleet import Fleet
 from sniperudder.testing._fleet import Node
+from sniperudder.testing._operators import Asked
+from sniperudder.testing._operators import ENDPOINTS
+from sniperudder.testing._operators import fill_endpoints
+from sniperudder.testing._operators import Watch
 from sniperudder.testing._platform import FakePlatform
 from sniperudder.testing._streams import Heard
 from sniperudder.testing._streams import list_violations
@@ -14,6 +21,9 @@
 from sniperudder.testing._timeline import VirtualTime
 
 __all__ = [
+    'Asked',
+    'Chaos',
+    'ENDPOINTS',
     'FakeEngine',
     'FakePlatform',
     'Fleet',
@@ -23,7 +33,11 @@
     'Speed',
     'StreamFleet',
     'VirtualTime',
+    'Watch',
     'create_fleet',
+    'draw_steps',
+    'fill_endpoints',
     'list_violations',
     'predict_tokens',
+    'run_chaos',
 ]
