--- a/sniperudder/settings/_sections.py
+++ b/sniperudder/settings/_sections.py
@@ -158,6 +158,18 @@
             'Age of the last confirmation of the configuration after which '
             'no new work is sent, seconds.',
         ),
+        _policy_option(
+            'list_lag_s',
+            'list_lag_s',
+            _kinds.Number(0, 3600),
+            "Longest lag of the platform's list of instances, seconds.",
+        ),
+        _policy_option(
+            'command_s',
+            'command_s',
+            _kinds.Number(1, 600),
+            'Time after which an unfinished command is given up, seconds.',
+        ),
         _policy_option(
             'suspect_s',
             'suspect_s',
--- a/sniperudder/systems/requests/_dispatch.py
+++ b/sniperudder/systems/requests/_dispatch.py
@@ -5,6 +5,7 @@
 from sniperudder import effects
 from sniperudder import errors
 from sniperudder import outcomes
+from sniperudder.systems import configuration
 from sniperudder.systems.requests import _chains
 from sniperudder.systems.requests import _finish
 from sniperudder.systems.requests import _health
@@ -17,11 +18,6 @@
 _YIELDS_ALLOWED = 3
 
 
-def is_fresh(T, now):
-    """Return whether the configuration is known to be current."""
-    return now - T.confirmed_at <= T.policy.freshness_s
-
-
 def may_start(T, step, now):
     """Return whether the first step of an attempt may still be sent.
 
@@ -39,7 +35,7 @@
     req = T.requests.get(step.request)
     if req is None or req.attempt != step.attempt:
         return False
-    if now >= req.deadline or not is_fresh(T, now):
+    if now >= req.deadline or not configuration.is_fresh(T, now):
         return False
     withdrawn = T.config.withdrawn
     return not any(stage.endpoint in withdrawn for stage in req.chain)
@@ -60,7 +56,7 @@
     -------
     list of effect
     """
-    if not any(T.queues.values()) or not is_fresh(T, now):
+    if not any(T.queues.values()) or not configuration.is_fresh(T, now):
         return []
     result = []
     blocked = set()
