--- a/measurements/__init__.py
+++ b/measurements/__init__.py
@@ -1,1 +1,1 @@
-"""Programs that measure; each prints what it found."""
+"""Measurements of the decision core in virtual time."""
--- a/sniperudder/tables/__init__.py
+++ b/sniperudder/tables/__init__.py
@@ -1,7 +1,11 @@
 """The tables of one instance: the data that every system works on."""
 
+from sniperudder.tables._commands import Command
+from sniperudder.tables._commands import CommandState
+from sniperudder.tables._configuration import Acceptance
 from sniperudder.tables._configuration import Change
 from sniperudder.tables._configuration import Configuration
+from sniperudder.tables._configuration import Roster
 from sniperudder.tables._endpoints import Endpoint
 from sniperudder.tables._endpoints import EndpointState
 from sniperudder.tables._endpoints import Model
@@ -14,6 +18,7 @@
 from sniperudder.tables._ranks import Rank
 from sniperudder.tables._ranks import RankPolicy
 from sniperudder.tables._ranks import RANKS
+from sniperudder.tables._refusals import Refusal
 from sniperudder.tables._requests import Request
 from sniperudder.tables._requests import RequestState
 from sniperudder.tables._requests import Stage
@@ -23,7 +28,10 @@
 from sniperudder.tables._tables import Tables
 
 __all__ = [
+    'Acceptance',
     'Change',
+    'Command',
+    'CommandState',
     'Configuration',
     'Endpoint',
     'EndpointState',
@@ -37,8 +45,10 @@
     'RANKS',
     'Rank',
     'RankPolicy',
+    'Refusal',
     'Request',
     'RequestState',
+    'Roster',
     'Service',
     'Stage',
     'Suspicion',
--- a/sniperudder/tables/_tables.py
+++ b/sniperudder/tables/_tables.py
@@ -1,11 +1,14 @@
 """All tables of an instance and their construction."""
 
+import collections
 import dataclasses
 import random
 
 from sniperudder.tables import _configuration
 from sniperudder.tables import _ranks
 
+_MAX_REFUSALS = 4096
+
 
 def _default_ranks():
     return {
@@ -15,6 +18,10 @@
     }
 
 
+def _create_ring():
+    return collections.deque(maxlen=_MAX_REFUSALS)
+
+
 @dataclasses.dataclass(slots=True)
 class Policy:
     """Limits and times from the settings, in force from the start.
@@ -30,6 +37,10 @@
         Age of the last confirmation after which no new work is sent.
     suspect_s : float
         Silence after which a peer counts as suspect.
+    list_lag_s : float
+        Longest lag of the platform's list of instances.
+    command_s : float
+        Time after which an unfinished command is given up.
     max_attempts : int
         Attempts of one request.
     retry_share : float
@@ -49,6 +60,8 @@
     poll_s: float = 1.0
     freshness_s: float = 2.0
     suspect_s: float = 2.0
+    list_lag_s: float = 60.0
+    command_s: float = 10.0
     max_attempts: int = 5
     retry_share: float = 0.2
     step_timeout_s: float = 10.0
@@ -91,6 +104,36 @@
         Whether a check of the head awaits its answer.
     stopping : bool
         Whether this instance takes no new work because it stops.
+    started_at : float or None
+        Time of the first tick, seconds.
+    rooted : bool
+        Whether a reading of the platform made since the start, by this
+        instance or a peer, showed no version above the one in force.
+    head_version : int
+    head_at : float
+        The latest reading of the configuration's head: at or after
+        ``head_at`` the head stood at ``head_version``.
+    known_version : int
+        Highest version known to be committed.
+    pending : dict of int to Change
+        Committed changes that await the ones before them, by version.
+    fetch_pending : bool
+        Whether a read of missing changes awaits its answer.
+    next_fetch_at : float
+        When missing changes may be read again, seconds.
+    snapshot_read : bool
+        Whether the kept snapshot was read since changes last were.
+    rosters : list of Roster
+        Members by version, oldest first; all that a fresh instance may
+        still use.
+    acceptances : list of Acceptance
+        Versions known to be accepted, oldest first.
+    commands : dict of str to Command
+        Commands given at this instance, by identifier.
+    listed_at : float
+        Time of the last answer of the platform's list, seconds.
+    next_beats_at : float
+        When the next round of heartbeats is due, seconds.
     counters : dict of str to int
         Counts of what was decided, for metrics.
     virtual : dict of Rank to float
@@ -103,6 +146,8 @@
         Retries that the retry budget allows now.
     service_s : float
         Smoothed time for which a stream holds its slots, seconds.
+    refusals : deque of Refusal
+        The latest outcomes other than whole answers, oldest first.
     """
 
     me: str
@@ -126,12 +171,29 @@
     poll_pending: bool = False
     next_list_at: float = float('-inf')
     stopping: bool = False
+    started_at: float | None = None
+    rooted: bool = False
+    head_version: int = 0
+    head_at: float = float('-inf')
+    known_version: int = 0
+    pending: dict = dataclasses.field(default_factory=dict)
+    fetch_pending: bool = False
+    next_fetch_at: float = float('-inf')
+    snapshot_read: bool = False
+    rosters: list = dataclasses.field(default_factory=list)
+    acceptances: list = dataclasses.field(default_factory=list)
+    commands: dict = dataclasses.field(default_factory=dict)
+    listed_at: float = float('-inf')
+    next_beats_at: float = float('-inf')
     counters: dict = dataclasses.field(default_factory=dict)
     virtual: dict = dataclasses.field(default_factory=dict)
     running: dict = dataclasses.field(default_factory=dict)
     timers: list = dataclasses.field(default_factory=list)
     retry_tokens: float = 10.0
     service_s: float = 1.0
+    refusals: collections.deque = dataclasses.field(
+        default_factory=_create_ring
+    )
 
 
 def create_tables(me, data_centre, seed=0, policy=None):
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -26,6 +26,7 @@
 _THREADS = 128
 _IDLE_TIMEOUT_S = 300
 _SHUTDOWN_TIMEOUT_S = 1
+_TICK_S = 0.1
 _CONTROL_PATHS = ('/faults', '/healthz', '/v1/log', '/log')
 
 
@@ -210,23 +211,35 @@
         self.timeout = _IDLE_TIMEOUT_S
         self.keep_alive_conn_limit = 1000
         self.request_queue_size = 1024
+        self.expiration_interval = _TICK_S
         self.shutdown_timeout = _SHUTDOWN_TIMEOUT_S
 
+    @property
+    def address(self):
+        """The ``host:port`` at which it listens."""
+        return f'{_HOST}:{self.bind_addr[1]}'
+
+    def stop(self):
+        """End all pauses and close all connections."""
+        self.standin.gate.close()
+        super().stop()
+
     def error_log(self, msg='', level=20, traceback=False):
         """Say nothing of connections that broke."""
 
 
 def create_server(standin, port=0):
-    """Return a server that listens; ``serve`` runs it, ``stop`` ends it.
+    """Return a server that runs in a thread until its ``stop``.
 
     Parameters
     ----------
     standin : Standin
     port : int
-        0 takes a free one; ``bind_addr`` tells which.
+        0 takes a free one; ``address`` tells which.
     """
     made = _Server(standin, port)
     made.prepare()
+    threading.Thread(target=made.serve, daemon=True).start()
     return made
 
 
@@ -236,9 +249,6 @@
     stopped = threading.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: stopped.set())
-    serving = threading.Thread(target=made.serve, daemon=True)
-    serving.start()
     print('ready', made.bind_addr[1], flush=True)
     stopped.wait()
-    standin.gate.update({})
     made.stop()
