Let fake writes land after the client has given up

Cause: in the world of faults a slow transaction took effect before its client heard 'unknown', so a claim that lands after its release was not tried. Change: beyond the timeout the client hears 'unknown' at once and the transaction runs up to 4 s later.

--- a/sniperudder/testing/_orders.py
+++ b/sniperudder/testing/_orders.py
@@ -24,11 +24,13 @@
 _LONG_RUN_S = 8.0
 _LONG_FREEZE_S = 10.0
 _LATE_S = 6.0
-_SLOW_S = 3.0
+_SLOW_S = 8.0
 _CALLER_PAUSE_S = 0.5
 _CLOCK_ERROR_S = 0.5
 _GRACE_S = 60.0
 _HIT_SHARE = 0.2
+_LOST_REQUESTS = 0.2
+_LOST_ANSWERS = 0.4
 _THREAD_LAG_S = 0.3
 
 PLATFORM_TIMEOUT_S = 0.5
@@ -405,24 +407,31 @@
         if self.has_fault(FaultKind.PLATFORM_SLOW):
             delay_s = _SLOW_S * self.rng.random()
         self._schedule(
-            self.now + delay_s,
+            self.now + delay_s / 2,
             self._apply_transaction,
             entry,
             call,
             sent_at,
             delay_s,
         )
+        if delay_s > PLATFORM_TIMEOUT_S:
+            # The client gives up; the transaction may still run later.
+            answer = inputs.TransactReturned(
+                call.purpose, inputs.Unknown(), sent_at
+            )
+            at = self.now + PLATFORM_TIMEOUT_S
+            self._schedule(at, self._deliver, entry, answer)
 
     def _apply_transaction(self, entry, call, sent_at, delay_s):
         loses = self.has_fault(FaultKind.PLATFORM_LOSES)
         fate = self.rng.random() if loses else 1.0
-        if fate < 0.2:
-            self._return(entry, call, inputs.Unknown(), sent_at, delay_s)
-            return
-        outcome = self.store.transact(call)
-        if fate < 0.6 or 2 * delay_s > PLATFORM_TIMEOUT_S:
+        outcome = inputs.Unknown()
+        if fate >= _LOST_REQUESTS:
+            outcome = self.store.transact(call)
+        if fate < _LOST_REQUESTS + _LOST_ANSWERS:
             outcome = inputs.Unknown()
-        self._return(entry, call, outcome, sent_at, delay_s)
+        if delay_s <= PLATFORM_TIMEOUT_S:
+            self._return(entry, call, outcome, sent_at, delay_s / 2)
 
     def _return(self, entry, call, outcome, sent_at, delay_s):
         answer = inputs.TransactReturned(call.purpose, outcome, sent_at)
