Pass the latest start of a call on as a point in time

Cause: the HTTP client computed X-Expires-At as the time of sending plus the length that was left when the core decided; after a freeze in between the service would start a call that others had taken for settled. Change: CallService has start_by alone, no length; the client reads its clock right before it sends, sends nothing once start_by has passed, and computes the header from start_by; a lookup may answer 'started'. Retries of one instance are spread to 50 a second together, the table of orders is bounded by rank and as a whole, refusals say where an earlier call with the same key may have been run.

--- a/sniperudder/effects/_services.py
+++ b/sniperudder/effects/_services.py
@@ -16,20 +16,19 @@
     key : str
         Idempotency key, scoped to the organisation.
     body : str
-    deadline_s : float
-        Time left until ``start_by`` when the effect was made, seconds.
     start_by : float
         Time on the instance's clock after which the client must not
         send the call (it then reports ``NOT_SENT``) and the service
         must not start it; the client passes it on as wall-clock time.
+        A point in time and not a length, since the process may be
+        frozen before the call is sent.
     """
 
     order: str
     address: str
     key: str
     body: str
-    deadline_s: float
-    start_by: float = float('inf')
+    start_by: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/sniperudder/services/_http.py
+++ b/sniperudder/services/_http.py
@@ -4,6 +4,7 @@
 import time
 import urllib.parse
 
+from sniperudder import clocks
 from sniperudder import inputs
 from sniperudder.services import _client
 from sniperudder import transports
@@ -28,11 +29,15 @@
     def call(self, call, timeout_s):
         """See base class."""
         key = _quote(call.key)
+        # Read anew, as the process may have been frozen in between.
+        left_s = call.start_by - clocks.read_clock()
+        if left_s <= 0.0:
+            return _make_failure(call, inputs.Delivery.NOT_SENT)
         headers = {
             'Content-Type': 'application/json',
             _KEY_HEADER: key,
-            'X-Deadline-S': f'{call.deadline_s:.3f}',
-            'X-Expires-At': f'{time.time() + call.deadline_s:.3f}',
+            'X-Deadline-S': f'{left_s:.3f}',
+            'X-Expires-At': f'{time.time() + left_s:.3f}',
         }
         reply = self._transport.exchange(
             'POST',
@@ -102,7 +107,11 @@
 
 def _read_told(call, value):
     if value['found'] is False:
-        return inputs.ServiceTold(call.order, answered=True)
+        return inputs.ServiceTold(
+            call.order,
+            answered=True,
+            started=value.get('started') is True,
+        )
     status, body = value['status'], value['body']
     if value['found'] is not True or type(status) is not int:
         raise ValueError('neither found nor not')
--- a/sniperudder/services/tests/test_http.py
+++ b/sniperudder/services/tests/test_http.py
@@ -3,6 +3,7 @@
 
 import testtools
 
+from sniperudder import clocks
 from sniperudder import effects
 from sniperudder import inputs
 from sniperudder import services
@@ -40,7 +41,11 @@
 
     def call(self, key='key-1', timeout_s=_TIMEOUT_S, deadline_s=10.0):
         call = effects.CallService(
-            'o1', self.address, key, '{"swatch": 7}', deadline_s
+            'o1',
+            self.address,
+            key,
+            '{"swatch": 7}',
+            clocks.read_clock() + deadline_s,
         )
         return self.client.call(call, timeout_s)
 
@@ -106,6 +111,19 @@
         self.assertEqual(_NOT_SENT, result.delivery)
         self.assertEqual([], self.read_log())
 
+    def test_call_past_its_start_is_not_sent(self):
+        self.start(_Odd(serving.Answer(200, b'')))
+        result = self.call(deadline_s=-0.001)
+        self.assertEqual(_NOT_SENT, result.delivery)
+
+    def test_lookup_tells_of_a_started_call(self):
+        self.start(_Odd(serving.answer_json({'found': False})))
+        self.assertFalse(self.ask().started)
+        running = {'found': False, 'started': True}
+        self.start(_Odd(serving.answer_json(running)))
+        told = inputs.ServiceTold('o1', answered=True, started=True)
+        self.assertEqual(told, self.ask())
+
     def test_running_call_has_no_result(self):
         self.start(
             service.Service(deduplicates=True, lookup=True, work_s=60.0)
--- a/sniperudder/systems/orders/_calls.py
+++ b/sniperudder/systems/orders/_calls.py
@@ -167,7 +167,6 @@
             address=address,
             key=_format_key(order),
             body=order.body,
-            deadline_s=start_by - now,
             start_by=start_by,
         )
     ]
--- a/sniperudder/systems/orders/_claims.py
+++ b/sniperudder/systems/orders/_claims.py
@@ -127,7 +127,8 @@
 
 def _refuse_conflict(T, order):
     code = outcomes.Code.IDEMPOTENCY_CONFLICT
-    out = _endings.finish(order, outcomes.Refused(code))
+    detail = 'An earlier call with the same key and another body counts.'
+    out = _endings.finish(order, outcomes.Refused(code, detail))
     _endings.drop(T, order)
     return out
 
--- a/sniperudder/systems/orders/_endings.py
+++ b/sniperudder/systems/orders/_endings.py
@@ -10,6 +10,9 @@
 from sniperudder.tables import OrderState
 
 _RETRY_AFTER_S = 2.0
+_UNSEEN = (
+    'This call was not run; an earlier one with the same key may have been.'
+)
 
 
 def finish(order, outcome):
@@ -142,6 +145,8 @@
 def _describe_refusal(order, code, detail):
     if order.takes_over:
         return outcomes.InDoubt(outcomes.Code.ORDER_IN_DOUBT, detail)
+    if not order.holds and order.state is OrderState.CLAIMING:
+        detail = _UNSEEN
     return outcomes.Refused(code, detail, _RETRY_AFTER_S)
 
 
--- a/sniperudder/systems/orders/_steps.py
+++ b/sniperudder/systems/orders/_steps.py
@@ -14,6 +14,7 @@
 from sniperudder.tables import OrderState
 
 _MAX_STEPS = 10
+_BACKGROUND_FACTOR = 4
 _FROZEN_S = 0.5
 _GRACE_S = 1.0
 
@@ -45,7 +46,7 @@
         refusal = outcomes.Code.UNKNOWN_SERVICE
     elif T.stopping:
         refusal = outcomes.Code.STOPPING
-    elif len(T.orders) >= T.policy.ranks[inp.rank].max_queued:
+    elif _is_full(T, inp.rank):
         refusal = outcomes.Code.QUEUE_FULL
     if refusal is not None:
         outcome = outcomes.Refused(refusal)
@@ -115,6 +116,17 @@
     return out
 
 
+def _is_full(T, rank):
+    """Return whether a rank, or work in the background, has no room."""
+    allowed = T.policy.ranks[rank].max_queued
+    if len(T.orders) < allowed:
+        return False
+    if len(T.orders) >= _BACKGROUND_FACTOR * allowed:
+        return True
+    waiting = [o for o in T.orders.values() if not o.answered]
+    return sum(o.rank == rank for o in waiting) >= allowed
+
+
 def _create_order(T, inp, now):
     allowed_s = inp.deadline_s
     if allowed_s is None:
--- a/sniperudder/systems/orders/_timing.py
+++ b/sniperudder/systems/orders/_timing.py
@@ -6,6 +6,8 @@
 _LONGEST_DELAY_S = 10.0
 _LONGEST_POLL_S = 2.0
 _ANSWER_SLACK_S = 1.0
+# Retries of all orders of this instance together, per second.
+_RETRY_RATE = 50.0
 
 BACKGROUND_S = 3600.0
 ANSWER_UNSTORED_S = 1.0
@@ -34,8 +36,14 @@
 
 
 def delay_retry(T, order, now):
-    """Count a failure and set when the step is tried again."""
-    order.next_at = now + _compute_delay(T, order, _LONGEST_DELAY_S)
+    """Count a failure and set when the step is tried again.
+
+    The more orders there are, the longer each waits, so that the end of
+    an outage does not bring the next one.
+    """
+    delay_s = _compute_delay(T, order, _LONGEST_DELAY_S)
+    crowd_s = len(T.orders) / _RETRY_RATE * T.rng.uniform(0.5, 1.5)
+    order.next_at = now + max(delay_s, crowd_s)
     order.failures += 1
 
 
--- a/sniperudder/systems/orders/tests/_mutants.py
+++ b/sniperudder/systems/orders/tests/_mutants.py
@@ -218,10 +218,19 @@
 def send_after_thaw():
     """Send what was decided before a freeze, with the time left then."""
 
+    left_s = {}
+    real = _calls._send_call
+
+    def send(T, order, service, address, now):
+        start_by = _timing.compute_start_by(order, service)
+        left_s[order.name] = start_by - now
+        return real(T, order, service, address, now)
+
     def compute(world, entry, call):
-        return world.now + call.deadline_s
+        return world.now + left_s[call.order]
 
     stack = contextlib.ExitStack()
+    stack.enter_context(mock.patch.object(_calls, '_send_call', send))
     stack.enter_context(
         mock.patch.object(orders, 'may_call', lambda T, call, now: True)
     )
--- a/sniperudder/systems/orders/tests/test_mutants.py
+++ b/sniperudder/systems/orders/tests/test_mutants.py
@@ -7,7 +7,7 @@
 from sniperudder.testing import _orderplans
 from sniperudder.testing import _orders
 
-_MAX_SEEDS = 500
+_MAX_SEEDS = 2000
 
 
 def find_seed(mutant, max_seeds=_MAX_SEEDS):
--- a/sniperudder/systems/orders/tests/test_orders.py
+++ b/sniperudder/systems/orders/tests/test_orders.py
@@ -7,6 +7,7 @@
 from sniperudder.systems import orders
 from sniperudder.systems.orders.tests import _bench
 from sniperudder.tables import OrderState
+from sniperudder.tables import Rank
 
 _LOST = inputs.Delivery.LOST
 _NOT_SENT = inputs.Delivery.NOT_SENT
@@ -352,6 +353,28 @@
         self.assertEqual([], bench.give(inputs.CallerLeft('request-1')))
 
 
+class LimitsTest(testtools.TestCase):
+    def test_rank_has_a_limit_of_its_own(self):
+        bench = _bench.Bench()
+        bench.T.policy.ranks[Rank.MIDDLE].max_queued = 2
+        bench.send('order-1', key='key-1')
+        bench.send('order-2', key='key-2')
+        results = bench.send('order-3', key='key-3')
+        self.assertEqual([Code.QUEUE_FULL], _bench.list_codes(results))
+        results = bench.send('order-4', key='key-4', rank=Rank.URGENT)
+        self.assertEqual([], _bench.list_codes(results))
+
+    def test_background_has_a_limit(self):
+        bench = _bench.Bench()
+        bench.T.policy.ranks[Rank.MIDDLE].max_queued = 2
+        for number in range(8):
+            bench.send(f'order-{number}', key=f'key-{number}')
+            bench.give_outcome(inputs.Unknown())
+            bench.give(inputs.CallerLeft(f'order-{number}'))
+        results = bench.send('order-9', key='key-9')
+        self.assertEqual([Code.QUEUE_FULL], _bench.list_codes(results))
+
+
 class SendingTest(testtools.TestCase):
     def test_stopping_instance_takes_no_order(self):
         bench = _bench.Bench()
