--- a/sniperudder/systems/orders/tests/_mutants.py
+++ b/sniperudder/systems/orders/tests/_mutants.py
@@ -16,6 +16,7 @@
 from sniperudder.systems.orders import _steps
 from sniperudder.systems.orders import _timing
 from sniperudder.tables import OrderState
+from sniperudder.testing import _orderplans
 from sniperudder.testing import _orders
 from sniperudder.testing._orders import FaultKind as Kind
 
@@ -254,12 +255,37 @@
         Kinds of services to try; None for all.
     kinds : tuple of FaultKind or None
         Kinds of faults to try; None for all.
+    script : callable or None
+        Gives the scenario of a seed where random ones seldom show it.
     """
 
     apply: typing.Any
     breaks: str
     services: tuple | None = None
     kinds: tuple | None = None
+    script: typing.Any = None
+
+    def draw(self, seed):
+        """Return the scenario that belongs to a seed."""
+        if self.script is not None:
+            return self.script(seed)
+        return _orderplans.draw_scenario(
+            seed, services=self.services, kinds=self.kinds
+        )
+
+
+def _script_takeover(seed):
+    """Kill the first holder; hide the service from the second one."""
+    plan = _orders.Plan(
+        0.0, 'north', _orders.DEDUPLICATING, 'a', '{"boxes":1}', repeats=0
+    )
+    second = dataclasses.replace(plan, at=1.0, entry=1)
+    other = dataclasses.replace(plan, at=13.0, entry=2, body='{"boxes":2}')
+    faults = (
+        _orders.Fault(Kind.KILL, 0.1, 0.0, 0),
+        _orders.Fault(Kind.SERVICE_REFUSES, 0.5, 12.0),
+    )
+    return _orders.Scenario(seed, (plan, second, other), faults)
 
 
 _TWICE = 'ran twice'
@@ -274,7 +300,6 @@
 _CALLS = (Kind.SERVICE_LOSES, Kind.SERVICE_LATE, Kind.SERVICE_CRASHES)
 _RUNS = (Kind.SERVICE_SLOW, Kind.SERVICE_LOSES, Kind.KILL_MIDWAY)
 _LATE_STARTS = (Kind.SERVICE_REFUSES, Kind.FREEZE, Kind.SERVICE_LATE)
-_RELEASES = (Kind.SERVICE_SLOW, Kind.SERVICE_REFUSES)
 _PROCESSES = (Kind.FREEZE_MIDWAY, Kind.KILL_MIDWAY)
 
 MUTANTS = (
@@ -295,7 +320,7 @@
     Mutant(release_unfenced, _UNSETTLED, _PLAIN, _PLATFORM),
     Mutant(refuse_while_calling, _UNTRUE, _PLAIN, _CALLS),
     Mutant(release_for_leavers, _UNTRUE, _PLAIN),
-    Mutant(release_taken_over_claims, _CROSSED, _DEDUPLICATING, _RELEASES),
+    Mutant(release_taken_over_claims, _CROSSED, script=_script_takeover),
     Mutant(forget_results, _UNSETTLED, _PLAIN, _PLATFORM),
     Mutant(send_after_thaw, _TWICE, _LOOKUP, _PROCESSES),
 )
--- a/sniperudder/systems/orders/tests/test_mutants.py
+++ b/sniperudder/systems/orders/tests/test_mutants.py
@@ -4,10 +4,9 @@
 
 from sniperudder.systems.orders.tests import _mutants
 from sniperudder.testing import _orderchecks
-from sniperudder.testing import _orderplans
 from sniperudder.testing import _orders
 
-_MAX_SEEDS = 2000
+_MAX_SEEDS = 500
 
 
 def find_seed(mutant, max_seeds=_MAX_SEEDS):
@@ -19,9 +18,7 @@
     """
     with mutant.apply():
         for seed in range(max_seeds):
-            scenario = _orderplans.draw_scenario(
-                seed, services=mutant.services, kinds=mutant.kinds
-            )
+            scenario = mutant.draw(seed)
             world = _orders.OrderWorld(scenario).run()
             found = _orderchecks.check_orders(world)
             if any(mutant.breaks in sentence for sentence in found):
