--- a/sniperudder/settings/_sections.py
+++ b/sniperudder/settings/_sections.py
@@ -332,7 +332,7 @@
         ),
         _option(
             'settle_s',
-            _kinds.Number(0, 3600),
+            _kinds.Number(5, 3600),
             'Time after which a call that it has not seen will not be run '
             'any more, seconds.',
             '10',
--- a/sniperudder/systems/orders/_endings.py
+++ b/sniperudder/systems/orders/_endings.py
@@ -50,9 +50,11 @@
 
 def end_in_doubt(T, order, now):
     """Tell the caller that its order is in doubt, and record it."""
-    out = []
+    key = _rows.format_row_key(order.organisation, order.service, order.key)
+    out = [effects.Note('order:in-doubt', order.name, key)]
     if not order.answered:
-        out = finish(order, outcomes.InDoubt(outcomes.Code.ORDER_IN_DOUBT, ''))
+        code = outcomes.Code.ORDER_IN_DOUBT
+        out += finish(order, outcomes.InDoubt(code))
     if order.holds:
         enter(order, OrderState.MARKING, now)
     else:
