--- a/sniperudder/instance/_assembly.py
+++ b/sniperudder/instance/_assembly.py
@@ -4,6 +4,7 @@
 import random
 import signal
 import threading
+import time
 import typing
 
 from sniperudder import callers
@@ -15,13 +16,19 @@
 from sniperudder.instance import _engines
 from sniperudder.instance import _runtime
 from sniperudder import logs
+from sniperudder import metrics
+from sniperudder import peers
 from sniperudder import platform
 from sniperudder import services
 from sniperudder import settings as settings_module
+from sniperudder.systems import configuration
+from sniperudder.systems import membership
 from sniperudder import tables
 
 _LOAD_PERIOD_S = 1.0
 _DRAIN_LOOK_S = 0.1
+# Time for the transaction by which a stopping instance leaves.
+_LEAVE_S = 1.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -33,7 +40,9 @@
     settings : Settings
     runtime : Runtime
     calls : OutsideCalls
+    metrics : Metrics
     caller_server : cheroot.wsgi.Server
+    peer_server : PeerServer
     stopping : threading.Event
         Set when a planned stop was asked for.
     """
@@ -41,7 +50,9 @@
     settings: settings_module.Settings
     runtime: _runtime.Runtime
     calls: _calls.OutsideCalls
+    metrics: metrics.Metrics
     caller_server: typing.Any
+    peer_server: peers.PeerServer
     stopping: threading.Event
 
 
@@ -67,7 +78,10 @@
         seed = random.SystemRandom().getrandbits(64)
     T = tables.create_tables(mine.name, mine.data_centre, seed)
     settings_module.fill_tables(T, settings)
-    T.confirmed_at = float('inf')
+    # Wall-clock time: a later start of the same name counts as newer.
+    incarnation = round(time.time() * 1000)
+    membership.add_self(T, mine.peer_address, incarnation)
+    peer_key = (settings.peer_key or b'').decode()
     runtime = _runtime.create_runtime(T, clocks.read_clock)
     runtime.routes[effects.Note] = logs.write_note
     engines = endpoints.create_engine_client()
@@ -77,18 +91,29 @@
         platform.create_platform_client(settings.platform.address),
         services.create_service_client(),
         engines,
-        None,
+        peers.create_peer_client(peer_key),
     )
+    M = metrics.create_metrics()
     application = callers.create_application(
         runtime,
         lambda presented: settings_module.find_key(settings, presented),
-        is_ready=lambda: _explain_unready(runtime),
+        lambda: _render_metrics(runtime, M),
+        lambda: _explain_unready(runtime),
+        lambda *args: _record_latency(M, *args),
     )
     server = callers.create_server(
         mine.caller_address, application, mine.threads
     )
     server.prepare()
-    return EntryInstance(settings, runtime, calls, server, threading.Event())
+    peer_server = peers.create_peer_server(
+        mine.peer_address,
+        runtime.answer_beat,
+        lambda query, timeout_s: '',
+        peer_key,
+    )
+    return EntryInstance(
+        settings, runtime, calls, M, server, peer_server, threading.Event()
+    )
 
 
 def run_instance(settings):
@@ -124,6 +149,7 @@
 
 def _start_threads(instance):
     runtime = instance.runtime
+    instance.peer_server.start()
     targets = {
         'ticks': runtime.run_ticks,
         'callers': instance.caller_server.serve,
@@ -156,7 +182,10 @@
         if runtime.read_clock() > limit:
             return 1
         pause.wait(_DRAIN_LOOK_S)
+    runtime.leave()
+    pause.wait(_LEAVE_S)
     instance.caller_server.stop()
+    instance.peer_server.stop()
     runtime.stop()
     return 0
 
@@ -169,4 +198,23 @@
     T = runtime.T
     if T.stopping or T.me in T.config.stopping:
         return 'stopping'
+    if not runtime.ask(configuration.is_fresh, runtime.read_clock()):
+        return 'configuration not confirmed by the platform or the peers'
     return ''
+
+
+_TIMINGS = {
+    'first_token': metrics.Timing.FIRST_TOKEN,
+    'next_token': metrics.Timing.BETWEEN_TOKENS,
+    'total': metrics.Timing.TOTAL,
+}
+
+
+def _record_latency(M, rank, organisation, name, seconds):
+    metrics.record_time(M, _TIMINGS[name], rank, organisation, seconds)
+
+
+def _render_metrics(runtime, M):
+    for name, value in dict(runtime.T.counters).items():
+        metrics.set_gauge(M, name.replace('.', '_'), value)
+    return metrics.render_metrics(M)
--- a/sniperudder/instance/_runtime.py
+++ b/sniperudder/instance/_runtime.py
@@ -8,6 +8,7 @@
 from sniperudder import effects
 from sniperudder import errors
 from sniperudder import inputs
+from sniperudder.systems import configuration
 
 # Time between ticks; arrivals and answers are handled at once.
 _TICK_S = 0.05
@@ -41,6 +42,7 @@
         self.read_clock = read_clock
         self.replies = {}
         self.routes = {
+            effects.CommandDone: self._reply_command,
             effects.EmitToken: self._reply,
             effects.Finish: self._finish,
         }
@@ -66,6 +68,12 @@
             self._route([e for e in result if e not in answers])
         return answers[0].beat
 
+    def leave(self):
+        """Take this instance out of the members; it gives out no work."""
+        with self.lock:
+            now = self.read_clock()
+            self._route(configuration.leave_members(self.T, now))
+
     def tick(self):
         """Run what is due."""
         with self.lock:
@@ -108,6 +116,11 @@
         if replies is not None:
             replies.put(effect)
 
+    def _reply_command(self, effect):
+        replies = self.replies.get(effect.request)
+        if replies is not None:
+            replies.put(effect)
+
     def _finish(self, effect):
         self._reply(effect)
         self.close_reply(effect.request)
--- a/sniperudder/testing/_streams.py
+++ b/sniperudder/testing/_streams.py
@@ -10,6 +10,15 @@
 _TICK_S = 0.05
 _LINK_S = 0.0005
 
+# These runs have no platform and no peers.
+_IGNORED = (
+    effects.ListInstances,
+    effects.Note,
+    effects.Scan,
+    effects.SendBeat,
+    effects.Transact,
+)
+
 
 @dataclasses.dataclass(slots=True)
 class Heard:
@@ -75,8 +84,9 @@
             effects.CancelStream: self._cancel,
             effects.EmitToken: self._emit,
             effects.Finish: self._finish,
-            effects.Note: lambda name, effect: None,
         }
+        for kind in _IGNORED:
+            self.routes[kind] = _ignore
         for name in entries:
             clock.call_in(0.0, self._tick, name)
         for name in engines:
@@ -146,6 +156,10 @@
         self.clock.call_in(1.0, self._report, name)
 
 
+def _ignore(name, effect):
+    pass
+
+
 class _Once:
     """Gives an entry the first of a step's answer and its timeout."""
 
