Keep an order in doubt until its call has been reported

Cause: python -m measurements.orders soak 600 1000000 found: an entry froze before its call, thawed, froze again within the second of grace and thawed just when it ended; the call was taken for lost, the order marked in doubt and forgotten, and 70 ms later its thread reported 'not sent'. A plain service's key stayed in doubt for good. Ruled out: a longer grace, which a second freeze outlasts as well. Change: after the mark an order listens until each call has been reported; a late result is stored, a late 'not sent' releases the key. A minute of running time, counted in visits, bounds it.

--- a/sniperudder/systems/orders/_calls.py
+++ b/sniperudder/systems/orders/_calls.py
@@ -12,6 +12,7 @@
 
 _MIN_CALLS = 4
 _MAX_STALE_CHECKS = 5
+_DOUBTFUL = (OrderState.ASKING, OrderState.MARKING, OrderState.LISTENING)
 
 
 def may_call(T, call, now):
@@ -64,6 +65,7 @@
 
 def handle_returned(T, order, inp, now):
     """Take the answer of a service, or the news that none came."""
+    order.unreported = max(0, order.unreported - 1)
     if inp.delivery is None:
         if order.result is not None or not order.open_calls:
             return [effects.Note('order:late-answer', order.name)]
@@ -158,6 +160,7 @@
         raise errors.InvariantBroken(f'{order.name} has no claim')
     start_by = _timing.compute_start_by(order, service)
     order.open_calls += 1
+    order.unreported += 1
     order.tries += 1
     order.address = address
     _timing.await_service(T, order, now)
@@ -184,10 +187,12 @@
 
 
 def _reconsider(T, order, now):
-    """Act on the news that an overdue call was not sent after all."""
+    """Act on the report of a call that was taken for lost."""
+    if order.state is OrderState.LISTENING and not order.unreported:
+        order.next_at = now
     if order.open_calls or order.result is not None or not order.holds:
         return []
-    if order.state not in (OrderState.ASKING, OrderState.MARKING):
+    if order.state not in _DOUBTFUL:
         return []
     if order.answered:
         code = outcomes.Code.SERVICE_UNREACHABLE
--- a/sniperudder/systems/orders/_endings.py
+++ b/sniperudder/systems/orders/_endings.py
@@ -10,6 +10,8 @@
 from sniperudder.tables import OrderState
 
 _RETRY_AFTER_S = 2.0
+_LISTENING_VISITS = 60
+_VISIT_S = 1.0
 _UNSEEN = (
     'This call was not run; an earlier one with the same key may have been.'
 )
@@ -112,6 +114,20 @@
     return _write_row(T, order, now, _purposes.ReleaseOrder, row)
 
 
+def run_listening(T, order, now):
+    """Wait on for the client's report, then forget the order.
+
+    Visits are counted and not seconds: a process that is frozen learns
+    the time before it hears its own threads.
+    """
+    if not order.unreported or order.failures >= _LISTENING_VISITS:
+        drop(T, order)
+        return []
+    order.failures += 1
+    order.next_at = now + _VISIT_S
+    return []
+
+
 def handle_stored(T, order, outcome, now):
     """Take the answer to a write of the result."""
     match outcome:
@@ -127,7 +143,7 @@
     """Take the answer to a write of a mark or a release."""
     match outcome:
         case inputs.Committed():
-            drop(T, order)
+            _end_marked(T, order, now)
             return []
         case inputs.Conflicted():
             return _settle_marked(T, order, outcome, now)
@@ -226,6 +242,13 @@
     return [note] + _end_stored(T, order)
 
 
+def _end_marked(T, order, now):
+    if order.state is OrderState.MARKING and order.unreported:
+        enter(order, OrderState.LISTENING, now)
+    else:
+        drop(T, order)
+
+
 def _settle_marked(T, order, outcome, now):
     row = find_row(order, outcome.rows)
     content = None if row is None else _rows.decode_row(row.value)
@@ -236,7 +259,7 @@
     releasing = order.state is OrderState.RELEASING
     outdated = content.state is _rows.RowState.CLAIMED
     if not outdated and not (marked and releasing):
-        drop(T, order)
+        _end_marked(T, order, now)
         return []
     order.holds = True
     order.row_version = row.version
--- a/sniperudder/systems/orders/_steps.py
+++ b/sniperudder/systems/orders/_steps.py
@@ -25,6 +25,7 @@
     OrderState.ASKING: _calls.run_asking,
     OrderState.STORING: _endings.run_storing,
     OrderState.MARKING: _endings.run_marking,
+    OrderState.LISTENING: _endings.run_listening,
     OrderState.RELEASING: _endings.run_releasing,
 }
 
--- a/sniperudder/systems/orders/tests/test_orders.py
+++ b/sniperudder/systems/orders/tests/test_orders.py
@@ -416,3 +416,46 @@
         self.assertFalse(orders.may_call(bench.T, call, call.start_by))
         bench.T.config.withdrawn.add(call.address)
         self.assertFalse(orders.may_call(bench.T, call, bench.now))
+
+
+class OverdueTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.bench = _bench.Bench()
+        self.bench.send()
+        self.bench.commit()
+        self.bench.pass_time(22.0)
+        self.bench.pass_time(1.0)
+        self.bench.commit()
+
+    def test_order_waits_for_the_report(self):
+        order = self.bench.T.orders['order-1']
+        self.assertEqual(OrderState.LISTENING, order.state)
+
+    def test_late_result_is_stored(self):
+        self.bench.answer_call()
+        self.bench.commit()
+        self.bench.commit()
+        other = _bench.Bench(self.bench.store, 'entry-2')
+        other.send('order-2')
+        results = other.commit()
+        self.assertEqual([Code.STORED_RESULT], _bench.list_codes(results))
+
+    def test_late_news_of_an_unsent_call_releases_the_key(self):
+        self.bench.fail_call(_NOT_SENT)
+        self.bench.commit()
+        self.bench.commit()
+        other = _bench.Bench(self.bench.store, 'entry-2')
+        other.send('order-2')
+        other.commit()
+        other.commit()
+        self.assertEqual(1, other.count(effects.CallService))
+
+    def test_lost_call_ends_the_order(self):
+        self.bench.fail_call(_LOST)
+        self.assertEqual({}, self.bench.T.orders)
+
+    def test_silence_ends_the_order(self):
+        for _ in range(70):
+            self.bench.pass_time(1.0)
+        self.assertEqual({}, self.bench.T.orders)
--- a/sniperudder/tables/_orders.py
+++ b/sniperudder/tables/_orders.py
@@ -15,6 +15,7 @@
     ASKING = 'asking'
     STORING = 'storing'
     MARKING = 'marking'
+    LISTENING = 'listening'
     RELEASING = 'releasing'
 
 
@@ -62,6 +63,8 @@
         When the service was last asked for the key, seconds.
     open_calls : int
         Calls made that may have been run.
+    unreported : int
+        Calls made whose client has not reported yet.
     tries : int
         Calls made so far.
     address : str
@@ -114,6 +117,7 @@
     seen_at: float = 0.0
     asked_at: float = float('-inf')
     open_calls: int = 0
+    unreported: int = 0
     tries: int = 0
     address: str = ''
     failures: int = 0
