Queue orders before their claim, by rank and organisation

Cause: an entry called a service without limit; the client's threads are few, so calls beyond them waited, were taken for lost when overdue, and their callers were told 'in doubt' of orders that had not been sent. A large organisation could fill the table alone. Change: at most 16 orders of a service are claimed or called at a time; the next is chosen by rank floor, rank, running orders of the organisation by weight, age.

--- a/sniperudder/systems/orders/__init__.py
+++ b/sniperudder/systems/orders/__init__.py
@@ -3,6 +3,7 @@
 See ``docs/ORDERS.md`` for the states and the ways weighed.
 """
 
+from sniperudder.systems.orders._admission import RUNNING_PER_SERVICE
 from sniperudder.systems.orders._calls import may_call
 from sniperudder.systems.orders._steps import HANDLERS
 from sniperudder.systems.orders._steps import PURPOSES
@@ -12,6 +13,7 @@
 __all__ = [
     'HANDLERS',
     'PURPOSES',
+    'RUNNING_PER_SERVICE',
     'may_call',
     'may_send',
     'run_orders',
--- a/sniperudder/systems/orders/_endings.py
+++ b/sniperudder/systems/orders/_endings.py
@@ -163,7 +163,7 @@
 def _describe_refusal(order, code, detail):
     if order.takes_over:
         return outcomes.InDoubt(outcomes.Code.ORDER_IN_DOUBT, detail)
-    if not order.holds and order.state is OrderState.CLAIMING:
+    if order.state in (OrderState.QUEUED, OrderState.CLAIMING):
         detail = _UNSEEN
     return outcomes.Refused(code, detail, _RETRY_AFTER_S)
 
--- a/sniperudder/systems/orders/_steps.py
+++ b/sniperudder/systems/orders/_steps.py
@@ -4,6 +4,7 @@
 from sniperudder import errors
 from sniperudder import inputs
 from sniperudder import outcomes
+from sniperudder.systems.orders import _admission
 from sniperudder.systems.orders import _calls
 from sniperudder.systems.orders import _claims
 from sniperudder.systems.orders import _endings
@@ -14,7 +15,6 @@
 from sniperudder.tables import OrderState
 
 _MAX_STEPS = 10
-_BACKGROUND_FACTOR = 4
 _FROZEN_S = 0.5
 _GRACE_S = 1.0
 
@@ -42,23 +42,12 @@
     """Take an order from its caller."""
     if inp.order in T.orders:
         raise errors.InvariantBroken(f'{inp.order} arrived twice')
-    refusal = None
-    if inp.service not in T.services:
-        refusal = outcomes.Code.UNKNOWN_SERVICE
-    elif T.stopping:
-        refusal = outcomes.Code.STOPPING
-    elif _is_full(T, inp.rank):
-        refusal = outcomes.Code.QUEUE_FULL
+    refusal = _admission.find_refusal(T, inp)
     if refusal is not None:
         outcome = outcomes.Refused(refusal)
         return [effects.Finish(inp.order, outcome)]
-    order = _create_order(T, inp, now)
-    T.orders[order.name] = order
-    if T.services[order.service].repeatable:
-        _endings.enter(order, OrderState.CALLING, now)
-    else:
-        _claims.begin_claim(T, order, now)
-    return _advance(T, order, now)
+    T.orders[inp.order] = _create_order(T, inp, now)
+    return _begin_orders(T, now)
 
 
 def handle_departure(T, inp, now):
@@ -82,7 +71,8 @@
     if order is None:
         return [effects.Note('order:late-answer', inp.order)]
     out = _calls.handle_returned(T, order, inp, now)
-    return out + _advance(T, order, now)
+    out += _advance(T, order, now)
+    return out + _begin_orders(T, now)
 
 
 def handle_told(T, inp, now):
@@ -114,18 +104,14 @@
     out = []
     for order in list(T.orders.values()):
         out += _advance(T, order, now)
-    return out
+    return out + _begin_orders(T, now)
 
 
-def _is_full(T, rank):
-    """Return whether a rank, or work in the background, has no room."""
-    allowed = T.policy.ranks[rank].max_queued
-    if len(T.orders) < allowed:
-        return False
-    if len(T.orders) >= _BACKGROUND_FACTOR * allowed:
-        return True
-    waiting = [o for o in T.orders.values() if not o.answered]
-    return sum(o.rank == rank for o in waiting) >= allowed
+def _begin_orders(T, now):
+    out = []
+    for order in _admission.begin_orders(T, now):
+        out += _advance(T, order, now)
+    return out
 
 
 def _create_order(T, inp, now):
--- a/sniperudder/systems/orders/tests/test_orders.py
+++ b/sniperudder/systems/orders/tests/test_orders.py
@@ -5,7 +5,9 @@
 from sniperudder import inputs
 from sniperudder.outcomes import Code
 from sniperudder.systems import orders
+from sniperudder.systems.orders import _purposes
 from sniperudder.systems.orders.tests import _bench
+from sniperudder import tables
 from sniperudder.tables import OrderState
 from sniperudder.tables import Rank
 
@@ -353,15 +355,88 @@
         self.assertEqual([], bench.give(inputs.CallerLeft('request-1')))
 
 
-class LimitsTest(testtools.TestCase):
-    def test_rank_has_a_limit_of_its_own(self):
-        bench = _bench.Bench()
-        bench.T.policy.ranks[Rank.MIDDLE].max_queued = 2
-        bench.send('order-1', key='key-1')
-        bench.send('order-2', key='key-2')
-        results = bench.send('order-3', key='key-3')
-        self.assertEqual([Code.QUEUE_FULL], _bench.list_codes(results))
-        results = bench.send('order-4', key='key-4', rank=Rank.URGENT)
+class AdmissionTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.bench = _bench.Bench()
+
+    def send(self, number, **changes):
+        return self.bench.send(f'order-{number}', key=str(number), **changes)
+
+    def fill(self):
+        """Occupy the service with calls."""
+        for number in range(orders.RUNNING_PER_SERVICE):
+            self.send(number)
+            self.bench.commit()
+
+    def finish(self, number):
+        """Free one place; return the name of the order that gets it."""
+        results = self.bench.answer_call(order=f'order-{number}')
+        claims = [
+            effect.purpose.order
+            for effect in results
+            if isinstance(effect, effects.Transact)
+            and isinstance(effect.purpose, _purposes.ClaimOrder)
+        ]
+        return claims
+
+    def test_service_gets_a_limited_number_of_calls(self):
+        self.fill()
+        self.assertEqual([], self.send(100))
+        self.assertEqual(
+            orders.RUNNING_PER_SERVICE,
+            self.bench.count(effects.CallService),
+        )
+        self.assertEqual(['order-100'], self.finish(0))
+
+    def test_urgent_order_goes_first(self):
+        self.fill()
+        self.send(100)
+        self.send(101, rank=Rank.URGENT)
+        self.assertEqual(['order-101'], self.finish(0))
+
+    def test_least_rank_keeps_its_floor(self):
+        self.fill()
+        self.bench.T.policy.ranks[Rank.URGENT].floor = 0.0
+        self.send(100, rank=Rank.URGENT)
+        self.send(101, rank=Rank.LEAST)
+        self.assertEqual(['order-101'], self.finish(0))
+
+    def test_small_organisation_goes_before_a_large_one(self):
+        self.fill()
+        for number in range(100, 110):
+            self.send(number)
+        self.send(110, organisation='south')
+        self.assertEqual(['order-110'], self.finish(0))
+
+    def test_other_service_is_not_held_up(self):
+        self.fill()
+        other = tables.Service('swatches', ['worker-2:80'])
+        self.bench.T.services['swatches'] = other
+        self.assertEqual(1, len(self.send(100, service='swatches')))
+
+    def test_queued_order_past_its_deadline_is_not_run(self):
+        self.fill()
+        self.send(100, deadline_s=1.0)
+        results = self.bench.pass_time(1.5)
+        self.assertEqual(
+            [Code.DEADLINE_BEFORE_START], _bench.list_codes(results)
+        )
+
+    def test_queued_order_whose_caller_leaves_is_not_run(self):
+        self.fill()
+        self.send(100)
+        results = self.bench.give(inputs.CallerLeft('order-100'))
+        self.assertEqual([Code.LEFT_BEFORE_START], _bench.list_codes(results))
+
+    def test_organisation_leaves_room_for_others(self):
+        self.bench.T.policy.ranks[Rank.MIDDLE].max_queued = 10
+        refused = [self.send(number) for number in range(20)]
+        codes = [code for r in refused for code in _bench.list_codes(r)]
+        self.assertEqual([Code.QUEUE_FULL] * 15, codes)
+        results = self.send(100, organisation='south')
+        self.assertEqual([], _bench.list_codes(results))
+        results = self.send(101, rank=Rank.URGENT)
         self.assertEqual([], _bench.list_codes(results))
 
     def test_background_has_a_limit(self):
--- a/sniperudder/tables/_orders.py
+++ b/sniperudder/tables/_orders.py
@@ -9,6 +9,7 @@
 class OrderState(enum.Enum):
     """Where an order is in its life at this instance."""
 
+    QUEUED = 'queued'
     CLAIMING = 'claiming'
     WAITING = 'waiting'
     CALLING = 'calling'
@@ -105,7 +106,7 @@
     nonce: str
     arrived_at: float
     deadline: float
-    state: OrderState = OrderState.CLAIMING
+    state: OrderState = OrderState.QUEUED
     holds: bool = False
     takes_over: bool = False
     claimed_at: float | None = None
