Let one home grant the slots of a model (first form)

Cause: with each endpoint's slots split over nine entries, urgent work waits while slots of other entries are free (measured before). Change: the entry that holds a caller asks the home of the model, chosen by rendezvous hashing among live entries, for a slot on a chain; the home keeps exact counts, the fair queues and the suspicion; holdings are told once a second. Independent entries and round robin stay as placements. Tests of requests pass.

--- a/measurements/_loads.py
+++ b/measurements/_loads.py
@@ -45,7 +45,8 @@
     ----------
     sent, answered, refused, failed : int
     tokens_per_s : float
-        Tokens of whole answers that ended in the window, by second.
+        Tokens given in the window, by second, those of answers that
+        failed left out.
     first_p50_s, first_p95_s : float
         Time to the first token of answered requests, seconds.
     refusal_p95_s : float
@@ -114,7 +115,7 @@
     for heard in fleet.heard.values():
         if not choose(heard.arrival):
             continue
-        if isinstance(heard.outcome, outcomes.Answered):
+        if not isinstance(heard.outcome, outcomes.Failed):
             tokens += sum(begin <= t < end for t in heard.times)
         if begin <= heard.sent_at < end:
             sent.append(heard)
--- a/sniperudder/core/_core.py
+++ b/sniperudder/core/_core.py
@@ -2,16 +2,27 @@
 
 from sniperudder import inputs
 from sniperudder.systems import configuration
+from sniperudder.systems import dispatch
 from sniperudder.systems import drain
+from sniperudder.systems import health
 from sniperudder.systems import membership
 from sniperudder.systems import orders
 from sniperudder.systems import requests
 
-_SYSTEMS = (configuration, drain, membership, orders, requests)
+_SYSTEMS = (
+    configuration,
+    drain,
+    membership,
+    health,
+    dispatch,
+    orders,
+    requests,
+)
 _TICKS = (
     membership.run_membership,
     configuration.run_configuration,
     orders.run_orders,
+    dispatch.run_dispatch,
     requests.run_requests,
 )
 
--- a/sniperudder/effects/__init__.py
+++ b/sniperudder/effects/__init__.py
@@ -12,6 +12,7 @@
 from sniperudder.effects._platform import Scan
 from sniperudder.effects._platform import Transact
 from sniperudder.effects._platform import Write
+from sniperudder.effects._posts import Post
 from sniperudder.effects._replies import EmitToken
 from sniperudder.effects._replies import Finish
 from sniperudder.effects._replies import Note
@@ -29,6 +30,7 @@
     'Finish',
     'ListInstances',
     'Note',
+    'Post',
     'Row',
     'Scan',
     'SendBeat',
--- a/sniperudder/inputs/__init__.py
+++ b/sniperudder/inputs/__init__.py
@@ -21,6 +21,8 @@
 from sniperudder.inputs._platform import ScanReturned
 from sniperudder.inputs._platform import TransactReturned
 from sniperudder.inputs._platform import Unknown
+from sniperudder.inputs._posts import PostArrived
+from sniperudder.inputs._posts import PostLost
 from sniperudder.inputs._services import ServiceReturned
 from sniperudder.inputs._services import ServiceTold
 from sniperudder.inputs._transports import Delivery
@@ -41,6 +43,8 @@
     'Member',
     'NotSent',
     'OrderArrived',
+    'PostArrived',
+    'PostLost',
     'RequestArrived',
     'ScanReturned',
     'ServiceReturned',
--- /dev/null
+++ b/sniperudder/systems/dispatch/_grants.py
@@ -0,0 +1,166 @@
+"""The home's side: which ticket gets the next slot."""
+
+import dataclasses
+
+from sniperudder import errors
+from sniperudder import messages
+from sniperudder import outcomes
+from sniperudder.systems.dispatch import _chains
+from sniperudder.systems.dispatch import _posts
+from sniperudder.systems.dispatch import _queues
+from sniperudder.systems.dispatch import _victims
+from sniperudder.systems.dispatch import _waits
+from sniperudder.systems import suspicion
+from sniperudder import tables
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Granting:
+    """One try to grant a slot to a rank.
+
+    Attributes
+    ----------
+    effects : list of effect
+    done : bool
+        Whether a ticket left the queue; if not, none can at present.
+    """
+
+    effects: list
+    done: bool
+
+
+def grant_slots(T, now):
+    """Grant slots to queued tickets while there are any.
+
+    Returns
+    -------
+    list of effect
+    """
+    result = []
+    blocked = set()
+    while True:
+        rank = _choose_rank(T, blocked)
+        if rank is None:
+            return result
+        granting = _grant_next(T, rank, now)
+        result.extend(granting.effects)
+        if not granting.done:
+            blocked.add(rank)
+
+
+def _choose_rank(T, blocked):
+    # Ranks below their floor go first; then the most urgent.
+    total = sum(T.running.values()) + 1
+    waiting = [r for r in tables.RANKS if T.queues[r] and r not in blocked]
+    for rank in waiting:
+        if T.running[rank] < find_floor(T, rank) * total:
+            return rank
+    return waiting[0] if waiting else None
+
+
+def find_floor(T, rank):
+    """Return the share of the slots that a rank keeps."""
+    return T.config.floors.get(rank, T.policy.ranks[rank].floor)
+
+
+def _grant_next(T, rank, now):
+    # A model without a free chain for one ticket has none for the next,
+    # unless that one is choosier.
+    full = set()
+    result = []
+    for name in _queues.list_organisations(T, rank):
+        if name not in T.queues[rank]:
+            continue
+        ticket = T.tickets[T.queues[rank][name][0]]
+        if ticket.model in full:
+            continue
+        if suspicion.is_condemned(T, ticket.fingerprint):
+            code = outcomes.Code.CONTENT_CONDEMNED
+            result.extend(deny_ticket(T, ticket, code, None, now))
+            return Granting(result, done=True)
+        chain = _choose_chain(T, ticket, now)
+        if chain is not None:
+            result.extend(_grant(T, ticket, chain, now))
+            return Granting(result, done=True)
+        victim = _victims.find_victim(T, ticket, find_floor)
+        if victim is not None:
+            result.extend(_victims.revoke_slot(T, victim, now))
+            continue
+        if not suspicion.is_suspect(T, ticket.fingerprint):
+            full.add(ticket.model)
+    return Granting(result, done=False)
+
+
+def _choose_chain(T, ticket, now):
+    model = T.models[ticket.model]
+    if not suspicion.is_suspect(T, ticket.fingerprint):
+        return _chains.choose_chain(T, model, ticket.rank, now)
+    taken = _list_suspect_endpoints(T)
+    return _chains.choose_chain(
+        T, model, ticket.rank, now, lambda ep: ep.name not in taken
+    )
+
+
+def _list_suspect_endpoints(T):
+    names = set()
+    for ticket in T.granted.values():
+        if suspicion.is_suspect(T, ticket.fingerprint):
+            names.update(stage.endpoint for stage in ticket.chain)
+    return names
+
+
+def _grant(T, ticket, chain, now):
+    model = T.models[ticket.model]
+    if not _chains.is_chain_whole(chain, model.layers):
+        raise errors.InvariantBroken(f'{ticket.request}: chain has a gap')
+    _queues.remove_ticket(T, ticket)
+    _queues.advance_virtual(T, ticket)
+    _queues.charge_work(T, ticket, ticket.work)
+    _waits.count_grant(T, ticket, now)
+    hold_chain(T, ticket, chain, now)
+    grant = messages.GrantSlot(
+        ticket.request, ticket.attempt, chain, model.version
+    )
+    return _posts.post_message(T, ticket.entry, grant, now)
+
+
+def hold_chain(T, ticket, chain, now):
+    """Count a ticket's slots as taken."""
+    ticket.chain = chain
+    ticket.granted_at = now
+    ticket.seen_at = now
+    T.granted[ticket.request] = ticket
+    T.running[ticket.rank] += 1
+    for stage in chain:
+        ep = T.endpoints.get(stage.endpoint)
+        if ep is not None:
+            ep.streams += 1
+            ep.last_sent_at = now
+
+
+def drop_ticket(T, ticket):
+    """Forget a ticket; its slots, if any, are free again."""
+    if ticket.chain:
+        _free_chain(T, ticket)
+    else:
+        _queues.remove_ticket(T, ticket)
+    del T.tickets[ticket.request]
+
+
+def _free_chain(T, ticket):
+    for stage in ticket.chain:
+        ep = T.endpoints.get(stage.endpoint)
+        if ep is not None:
+            ep.streams -= 1
+    T.running[ticket.rank] -= 1
+    del T.granted[ticket.request]
+    ticket.chain = ()
+
+
+def deny_ticket(T, ticket, code, retry_after_s, now):
+    """Deny a queued ticket and forget it."""
+    drop_ticket(T, ticket)
+    denial = messages.DenySlot(
+        ticket.request, ticket.attempt, code, retry_after_s
+    )
+    return _posts.post_message(T, ticket.entry, denial, now)
--- a/sniperudder/systems/requests/_queues.py
+++ b/sniperudder/systems/dispatch/_queues.py
@@ -25,37 +25,39 @@
     return org
 
 
-def push_request(T, req, front=False):
-    """Queue a request.
+def push_ticket(T, ticket, front=False):
+    """Queue a ticket.
 
     Parameters
     ----------
     T : Tables
-    req : Request
+    ticket : Ticket
     front : bool
-        Whether it goes before the others of its organisation, as a
-        request does whose attempt ended.
+        Whether it goes before the others of its organisation.
     """
-    req.state = tables.RequestState.QUEUED
-    queue = T.queues[req.rank].get(req.organisation)
+    queues = T.queues[ticket.rank]
+    queue = queues.get(ticket.organisation)
     if queue is None:
         queue = collections.deque()
-        T.queues[req.rank][req.organisation] = queue
-        org = get_organisation(T, req.organisation)
-        start = max(org.finish.get(req.rank, 0.0), T.virtual[req.rank])
-        org.finish[req.rank] = start
+        queues[ticket.organisation] = queue
+        org = get_organisation(T, ticket.organisation)
+        start = max(org.finish.get(ticket.rank, 0.0), T.virtual[ticket.rank])
+        org.finish[ticket.rank] = start
     if front:
-        queue.appendleft(req.name)
+        queue.appendleft(ticket.request)
     else:
-        queue.append(req.name)
+        queue.append(ticket.request)
+    T.queued[ticket.rank] += 1
 
 
-def remove_request(T, req):
-    """Take a request out of its queue."""
-    queue = T.queues[req.rank][req.organisation]
-    queue.remove(req.name)
+def remove_ticket(T, ticket):
+    """Take a ticket out of its queue."""
+    queues = T.queues[ticket.rank]
+    queue = queues[ticket.organisation]
+    queue.remove(ticket.request)
     if not queue:
-        del T.queues[req.rank][req.organisation]
+        del queues[ticket.organisation]
+    T.queued[ticket.rank] -= 1
 
 
 def list_organisations(T, rank):
@@ -71,29 +73,25 @@
     return sorted(finish, key=lambda name: (finish[name], name))
 
 
-def charge_work(T, req, work):
-    """Charge work to the organisation of a request.
+def charge_work(T, ticket, work):
+    """Charge work to the organisation of a ticket.
 
     Parameters
     ----------
     T : Tables
-    req : Request
+    ticket : Ticket
     work : float
         Tokens; negative where too much was charged before.
     """
-    org = get_organisation(T, req.organisation)
+    org = get_organisation(T, ticket.organisation)
     weight = T.config.weights.get(org.name, org.weight)
-    org.finish[req.rank] = org.finish.get(req.rank, 0.0) + work / weight
-    req.charged += work
+    before = org.finish.get(ticket.rank, 0.0)
+    org.finish[ticket.rank] = before + work / weight
+    ticket.charged += work
 
 
-def advance_virtual(T, req):
-    """Move the virtual time of a rank to the request that starts."""
-    org = get_organisation(T, req.organisation)
-    start = org.finish[req.rank]
-    T.virtual[req.rank] = max(T.virtual[req.rank], start)
-
-
-def count_queued(T, rank):
-    """Return the number of queued requests of a rank."""
-    return sum(len(queue) for queue in T.queues[rank].values())
+def advance_virtual(T, ticket):
+    """Move the virtual time of a rank to the ticket that is granted."""
+    org = get_organisation(T, ticket.organisation)
+    start = org.finish[ticket.rank]
+    T.virtual[ticket.rank] = max(T.virtual[ticket.rank], start)
--- a/sniperudder/systems/requests/_health.py
+++ b/sniperudder/systems/health/_health.py
@@ -35,14 +35,26 @@
         ep.step_s = elapsed_s
 
 
-def record_failure(T, ep, crashed, now):
+def record_failure(T, ep, crashed, boot, now):
     """Take in a failed call; may set the endpoint aside.
 
+    Parameters
+    ----------
+    T : Tables
+    ep : Endpoint
+    crashed : bool
+        Whether the connection broke while a step was in flight.
+    boot : str
+        Run of the engine that the call was made to.
+    now : float
+        Seconds.
+
     Returns
     -------
     list of Note
     """
-    if ep.state is tables.EndpointState.DOWN:
+    outlived = boot != ep.boot
+    if ep.state is tables.EndpointState.DOWN or outlived:
         return []
     ep.failures += 1
     probing = ep.state is tables.EndpointState.PROBING
--- a/sniperudder/systems/requests/_finish.py
+++ b/sniperudder/systems/requests/_finish.py
@@ -2,47 +2,56 @@
 
 from sniperudder import effects
 from sniperudder import errors
+from sniperudder import messages
 from sniperudder import outcomes
-from sniperudder.systems.requests import _queues
+from sniperudder.systems import dispatch
 from sniperudder.systems.requests import _work
 from sniperudder import tables
 
-_SMOOTHING = 0.05
 
-
-def count_outcome(T, req, outcome):
+def count_outcome(T, outcome):
     """Count an outcome by code for the metrics."""
     key = f'code.{int(outcome.code)}'
     T.counters[key] = T.counters.get(key, 0) + 1
 
 
-def release_chain(T, req, now):
-    """Give back the slots of the current attempt.
+def has_started(req):
+    """Return whether a step of a request ran or may be running."""
+    return req.maybe_ran or bool(req.chain)
+
+
+def release_slot(T, req, now):
+    """Give back the slot of the current attempt, or stop asking for it.
 
     Returns
     -------
-    list of CancelStream
-        One for each endpoint of the attempt, since each may hold state.
+    list of effect
+        A ``CancelStream`` for each endpoint of the attempt, since each
+        may hold state, and the release.
     """
-    cancels = []
-    for stage in req.chain:
-        ep = T.endpoints.get(stage.endpoint)
-        if ep is not None:
-            ep.streams -= 1
-        cancels.append(
-            effects.CancelStream(stage.endpoint, req.name, req.attempt)
-        )
-    if req.chain:
-        T.running[req.rank] -= 1
-        held_s = now - req.begun_at
-        T.service_s += _SMOOTHING * (held_s - T.service_s)
+    result = [
+        effects.CancelStream(stage.endpoint, req.name, req.attempt)
+        for stage in req.chain
+    ]
+    release = messages.ReleaseSlot(
+        req.name,
+        req.attempt,
+        _work.measure_work(req),
+        _collect_samples(T, req),
+    )
     req.chain = ()
-    return cancels
+    req.samples = {}
+    req.state = tables.RequestState.WAITING
+    return [*result, *dispatch.post_message(T, req.home, release, now)]
 
 
-def has_started(req):
-    """Return whether a step of a request ran or may be running."""
-    return req.maybe_ran or bool(req.chain)
+def _collect_samples(T, req):
+    samples = dict(req.samples)
+    for stage in req.chain:
+        ep = T.endpoints.get(stage.endpoint)
+        if ep is not None and ep.step_s and ep.name not in samples:
+            samples[ep.name] = messages.Sample(ep.name, ep.step_s)
+    return tuple(samples.values())
 
 
 def finish_request(T, req, outcome, now):
@@ -52,7 +61,7 @@
     ----------
     T : Tables
     req : Request
-        A queued or running request.
+        A waiting or running request.
     outcome : Outcome
     now : float
         Seconds.
@@ -72,30 +81,9 @@
     refused = isinstance(outcome, outcomes.Refused)
     if refused and has_started(req):
         raise errors.InvariantBroken(f'{req.name} was started')
-    if req.state is tables.RequestState.QUEUED:
-        _queues.remove_request(T, req)
-    cancels = release_chain(T, req, now)
-    _queues.charge_work(T, req, _correct_charge(req))
-    req.state = tables.RequestState.DONE
+    # Gone from the table first: the release may hand its slot on at once.
     del T.requests[req.name]
-    count_outcome(T, req, outcome)
-    return [*cancels, effects.Finish(req.name, outcome)]
-
-
-def refuse_queued(T, req, refusal, now):
-    """End a queued request that shall not be served further.
-
-    One that already ran in part is failed and not refused.
-    """
-    if not has_started(req):
-        return finish_request(T, req, refusal, now)
-    failure = outcomes.Failed(
-        outcomes.Code.DEADLINE_WHILE_RUNNING, refusal.detail
-    )
-    return finish_request(T, req, failure, now)
-
-
-def _correct_charge(req):
-    if not req.maybe_ran:
-        return -req.charged
-    return _work.measure_work(req) - req.charged
+    released = release_slot(T, req, now)
+    req.state = tables.RequestState.DONE
+    count_outcome(T, outcome)
+    return [*released, effects.Finish(req.name, outcome)]
--- a/sniperudder/systems/requests/_pipeline.py
+++ b/sniperudder/systems/requests/_pipeline.py
@@ -9,12 +9,13 @@
 from sniperudder import effects
 from sniperudder import errors
 from sniperudder import inputs
+from sniperudder import messages
 from sniperudder import outcomes
-from sniperudder.systems.requests import _dispatch
+from sniperudder.systems import health
 from sniperudder.systems.requests import _finish
-from sniperudder.systems.requests import _health
-from sniperudder.systems.requests import _suspicion
-from sniperudder import tables
+from sniperudder.systems.requests import _slots
+from sniperudder.systems.requests import _steps
+from sniperudder.systems import suspicion
 
 _RETRY_MIN_S = 0.02
 _RETRY_MAX_S = 2.0
@@ -31,7 +32,7 @@
     """
     ep = T.endpoints.get(inp.endpoint)
     if ep is not None:
-        _health.record_success(T, ep, inp.elapsed_s)
+        health.record_success(T, ep, inp.elapsed_s)
     req = _find_awaited(T, inp)
     if req is None:
         T.counters['late_steps'] = T.counters.get('late_steps', 0) + 1
@@ -42,8 +43,7 @@
     if layers != (stage.first_layer, stage.end_layer):
         raise errors.InvariantBroken(f'{req.name} ran layers {layers}')
     if req.stage + 1 < len(req.chain):
-        step = _dispatch.make_step(T, req, req.stage + 1, now, inp.output)
-        return [step]
+        return [_steps.make_step(T, req, req.stage + 1, now, inp.output)]
     return _accept_token(T, req, inp, now)
 
 
@@ -62,56 +62,50 @@
     emit = effects.EmitToken(req.name, len(req.tokens), inp.output)
     req.tokens.append(inp.output)
     if not inp.finished and len(req.tokens) < req.max_tokens:
-        return [emit, _dispatch.make_step(T, req, 0, now, inp.output)]
-    _suspicion.clear_content(T, req.fingerprint)
-    ended = _finish.finish_request(T, req, outcomes.Answered(), now)
-    return [emit, *ended, *_dispatch.dispatch_requests(T, now)]
+        return [emit, _steps.make_step(T, req, 0, now, inp.output)]
+    suspicion.clear_content(T, req.fingerprint)
+    return [emit, *_finish.finish_request(T, req, outcomes.Answered(), now)]
 
 
 def handle_failure(T, inp, now):
     """Take in a step without a result; handles ``StepFailed``."""
-    ep = T.endpoints.get(inp.endpoint)
-    result = []
-    not_sent = inp.delivery is inputs.Delivery.NOT_SENT
-    crash = None
-    if ep is not None and not inp.refused:
-        crash = f'{ep.name}:{ep.crashed_boot or ep.boot}'
-        result.extend(_health.record_failure(T, ep, inp.crashed, now))
     req = _find_awaited(T, inp)
     if req is None:
-        return result
-    if inp.crashed and crash is not None:
-        _suspicion.mark_crash(T, req.fingerprint, crash, now)
+        return []
+    ep = T.endpoints.get(inp.endpoint)
+    boot = ep.boot if ep is not None else ''
+    if not inp.refused:
+        req.samples[inp.endpoint] = messages.Sample(
+            inp.endpoint, failed=True, crashed=inp.crashed, boot=boot
+        )
+    if inp.crashed:
+        crash = f'{inp.endpoint}:{boot}'
+        suspicion.mark_crash(T, req.fingerprint, crash, now)
     if _may_resend(ep, req, inp):
-        return [*result, *_resend_step(T, req, inp, now)]
-    result.extend(_end_attempt(T, req, not_sent, now))
-    result.extend(_dispatch.dispatch_requests(T, now))
-    return result
+        req.resent = True
+        return [effects.SendStep(inp.endpoint, inp.step)]
+    return _end_attempt(T, req, inp, now)
 
 
 def _may_resend(ep, req, inp):
     if ep is None or not ep.deduplicates or req.resent or inp.crashed:
         return False
-    return ep.state is tables.EndpointState.UP and inp.step is not None
-
+    return inp.delivery is inputs.Delivery.LOST and inp.step is not None
 
-def _resend_step(T, req, inp, now):
-    req.resent = True
-    return [effects.SendStep(inp.endpoint, inp.step)]
 
-
-def _end_attempt(T, req, not_sent, now):
-    if not not_sent:
-        req.maybe_ran = True
-    if _suspicion.is_condemned(T, req.fingerprint):
+def _end_attempt(T, req, inp, now):
+    lost = inp.delivery is inputs.Delivery.LOST
+    req.maybe_ran = req.maybe_ran or lost
+    if suspicion.is_condemned(T, req.fingerprint):
         failure = outcomes.Failed(outcomes.Code.CRASHED_ENDPOINTS)
         return _finish.finish_request(T, req, failure, now)
-    if not not_sent and not _take_retry(T, req):
+    if lost and not _take_retry(T, req):
         failure = outcomes.Failed(outcomes.Code.RETRIES_EXHAUSTED)
         return _finish.finish_request(T, req, failure, now)
+    released = _finish.release_slot(T, req, now)
     delay_s = min(_RETRY_MAX_S, _RETRY_MIN_S * 2**req.failures)
-    delay_s *= 0.5 + T.rng.random()
-    return _dispatch.requeue_request(T, req, delay_s, now)
+    _slots.ask_later(T, req, delay_s * (0.5 + T.rng.random()), now)
+    return released
 
 
 def _take_retry(T, req):
@@ -128,10 +122,8 @@
     req = T.requests.get(inp.request)
     if req is None:
         return []
-    if not _finish.has_started(req):
-        code = outcomes.Code.LEFT_BEFORE_START
-        outcome = outcomes.Refused(code)
-    else:
+    if _finish.has_started(req):
         outcome = outcomes.Failed(outcomes.Code.CALLER_LEFT)
-    ended = _finish.finish_request(T, req, outcome, now)
-    return [*ended, *_dispatch.dispatch_requests(T, now)]
+    else:
+        outcome = outcomes.Refused(outcomes.Code.LEFT_BEFORE_START)
+    return _finish.finish_request(T, req, outcome, now)
--- /dev/null
+++ b/sniperudder/systems/requests/_steps.py
@@ -0,0 +1,64 @@
+"""Steps of running requests."""
+
+from sniperudder import effects
+from sniperudder.systems import configuration
+
+
+def make_step(T, req, stage_index, now, payload=None):
+    """Return the effect that sends a request's next step.
+
+    Parameters
+    ----------
+    T : Tables
+    req : Request
+        A running request.
+    stage_index : int
+    now : float
+        Seconds.
+    payload : str, optional
+        Last token or output of the stage before; None begins the
+        attempt with the whole text.
+    """
+    req.stage = stage_index
+    req.resent = False
+    stage = req.chain[stage_index]
+    if payload is None:
+        payload = req.prompt + ''.join(req.tokens)
+    step = effects.Step(
+        request=req.name,
+        attempt=req.attempt,
+        position=len(req.tokens),
+        first_layer=stage.first_layer,
+        end_layer=stage.end_layer,
+        model=req.model,
+        version=req.version,
+        rank=int(req.rank),
+        prefill=len(req.tokens) == req.first_position,
+        payload=payload,
+        last=stage_index == len(req.chain) - 1,
+        deadline_s=req.deadline - now,
+    )
+    return effects.SendStep(stage.endpoint, step)
+
+
+def may_start(T, step, now):
+    """Return whether the first step of an attempt may still be sent.
+
+    Asked right before the bytes leave, since the process may have been
+    frozen, or the configuration changed, after the grant.
+
+    Parameters
+    ----------
+    T : Tables
+    step : Step
+        With its endpoint in the chain of its request.
+    now : float
+        Seconds.
+    """
+    req = T.requests.get(step.request)
+    if req is None or req.attempt != step.attempt:
+        return False
+    if now >= req.deadline or not configuration.is_fresh(T, now):
+        return False
+    withdrawn = T.config.withdrawn
+    return not any(stage.endpoint in withdrawn for stage in req.chain)
--- a/sniperudder/systems/requests/_suspicion.py
+++ b/sniperudder/systems/suspicion/_suspicion.py
@@ -51,12 +51,3 @@
     """Forget the suspicion of a content whose run completed."""
     if not is_condemned(T, fingerprint):
         T.suspicions.pop(fingerprint, None)
-
-
-def list_suspect_endpoints(T):
-    """Return the names of the endpoints at which a suspect runs."""
-    names = set()
-    for req in T.requests.values():
-        if req.chain and is_suspect(T, req.fingerprint):
-            names.update(stage.endpoint for stage in req.chain)
-    return names
--- a/sniperudder/tables/__init__.py
+++ b/sniperudder/tables/__init__.py
@@ -26,6 +26,8 @@
 from sniperudder.tables._tables import create_tables
 from sniperudder.tables._tables import Policy
 from sniperudder.tables._tables import Tables
+from sniperudder.tables._tickets import GrantRate
+from sniperudder.tables._tickets import Ticket
 
 __all__ = [
     'Acceptance',
@@ -52,6 +54,8 @@
     'Service',
     'Stage',
     'Suspicion',
+    'GrantRate',
+    'Ticket',
     'Tables',
     'create_tables',
 ]
--- a/sniperudder/tables/_requests.py
+++ b/sniperudder/tables/_requests.py
@@ -9,7 +9,7 @@
 class RequestState(enum.Enum):
     """Where a request is in its life."""
 
-    QUEUED = 'queued'
+    WAITING = 'waiting'
     RUNNING = 'running'
     DONE = 'done'
 
@@ -62,11 +62,16 @@
     maybe_ran : bool
         Whether an endpoint ran, or may have run, a step of it.
     not_before : float
-        Earliest time of the next attempt, seconds.
-    charged : float
-        Work charged to the organisation so far, tokens.
-    begun_at : float
-        When the current attempt began, seconds.
+        When a slot is asked for again, seconds; 0 if one was asked for
+        or is held.
+    home : str
+        Instance that was asked for the slot, or granted it.
+    asked_at : float
+        When the slot was last asked for, seconds.
+    samples : dict of str to Sample
+        What was seen of each endpoint during the current attempt.
+    begun_at : float or None
+        When the latest attempt began, seconds.
     first_position : int
         Position of the first token of the current attempt.
     resent : bool
@@ -87,7 +92,7 @@
     arrived_at: float
     deadline: float
     fingerprint: str = ''
-    state: RequestState = RequestState.QUEUED
+    state: RequestState = RequestState.WAITING
     attempt: int = 0
     chain: tuple = ()
     version: str = ''
@@ -95,8 +100,10 @@
     tokens: list = dataclasses.field(default_factory=list)
     maybe_ran: bool = False
     not_before: float = 0.0
-    charged: float = 0.0
-    begun_at: float = 0.0
+    home: str = ''
+    asked_at: float = 0.0
+    samples: dict = dataclasses.field(default_factory=dict)
+    begun_at: float | None = None
     first_position: int = 0
     resent: bool = False
     yields: int = 0
--- a/sniperudder/tables/_tables.py
+++ b/sniperudder/tables/_tables.py
@@ -6,6 +6,7 @@
 
 from sniperudder.tables import _configuration
 from sniperudder.tables import _ranks
+from sniperudder.tables import _tickets
 
 _MAX_REFUSALS = 4096
 
@@ -53,6 +54,9 @@
         Longest wait for an answer of the platform.
     drain_s : float
         Longest duration of a planned stop.
+    placement : str
+        Who decides about endpoints: ``home``, ``independent`` or
+        ``round_robin``.
     """
 
     ranks: dict = dataclasses.field(default_factory=_default_ranks)
@@ -68,6 +72,7 @@
     order_timeout_s: float = 10.0
     platform_timeout_s: float = 2.0
     drain_s: float = 3600.0
+    placement: str = 'home'
 
 
 @dataclasses.dataclass(slots=True)
@@ -90,7 +95,7 @@
     requests, orders : dict
         Records of work that is not done, by name.
     queues : dict of Rank to dict of str to deque of str
-        Names of queued requests by rank and organisation.
+        Requests of queued tickets by rank and organisation.
     suspicions : dict of str to Suspicion
         By fingerprint.
     confirmed_at : float
@@ -136,6 +141,21 @@
         When the next round of heartbeats is due, seconds.
     counters : dict of str to int
         Counts of what was decided, for metrics.
+    tickets : dict of str to Ticket
+        By request, for the models that this instance is the home of.
+    granted : dict of str to Ticket
+        Those of the tickets that hold a slot.
+    revoked : dict of str to float
+        When a slot was asked back that is not yet released, seconds.
+    queued : dict of Rank to int
+        Number of queued tickets.
+    grant_rates : dict of Rank to GrantRate
+    avoided : dict of str to float
+        Until when an instance that did not answer is no home, seconds.
+    next_hold_at : float
+        When the homes are told next what this instance holds, seconds.
+    next_sweep_at : float
+        When the tickets are looked through next, seconds.
     virtual : dict of Rank to float
         Virtual time of the fair queue of each rank, tokens.
     running : dict of Rank to int
@@ -144,8 +164,6 @@
         Heap of times at which a request must be looked at, seconds.
     retry_tokens : float
         Retries that the retry budget allows now.
-    service_s : float
-        Smoothed time for which a stream holds its slots, seconds.
     refusals : deque of Refusal
         The latest outcomes other than whole answers, oldest first.
     """
@@ -186,11 +204,18 @@
     listed_at: float = float('-inf')
     next_beats_at: float = float('-inf')
     counters: dict = dataclasses.field(default_factory=dict)
+    tickets: dict = dataclasses.field(default_factory=dict)
+    granted: dict = dataclasses.field(default_factory=dict)
+    revoked: dict = dataclasses.field(default_factory=dict)
+    queued: dict = dataclasses.field(default_factory=dict)
+    grant_rates: dict = dataclasses.field(default_factory=dict)
+    avoided: dict = dataclasses.field(default_factory=dict)
+    next_hold_at: float = float('-inf')
+    next_sweep_at: float = float('-inf')
     virtual: dict = dataclasses.field(default_factory=dict)
     running: dict = dataclasses.field(default_factory=dict)
     timers: list = dataclasses.field(default_factory=list)
     retry_tokens: float = 10.0
-    service_s: float = 1.0
     refusals: collections.deque = dataclasses.field(
         default_factory=_create_ring
     )
@@ -227,4 +252,6 @@
         queues={rank: {} for rank in _ranks.RANKS},
         virtual=dict.fromkeys(_ranks.RANKS, 0.0),
         running=dict.fromkeys(_ranks.RANKS, 0),
+        queued=dict.fromkeys(_ranks.RANKS, 0),
+        grant_rates={rank: _tickets.GrantRate() for rank in _ranks.RANKS},
     )
--- a/sniperudder/testing/_streams.py
+++ b/sniperudder/testing/_streams.py
@@ -9,6 +9,7 @@
 
 _TICK_S = 0.05
 _LINK_S = 0.0005
+_POST_TIMEOUT_S = 0.5
 
 # These runs have no platform and no peers.
 _IGNORED = (
@@ -84,6 +85,7 @@
             effects.CancelStream: self._cancel,
             effects.EmitToken: self._emit,
             effects.Finish: self._finish,
+            effects.Post: self._post,
         }
         for kind in _IGNORED:
             self.routes[kind] = _ignore
@@ -129,6 +131,14 @@
             _LINK_S, engine.cancel, effect.request, effect.attempt
         )
 
+    def _post(self, name, effect):
+        if effect.peer in self.dead:
+            lost = inputs.PostLost(effect.peer, effect.message)
+            self.clock.call_in(_POST_TIMEOUT_S, self.submit, name, lost)
+            return
+        arrived = inputs.PostArrived(name, effect.message)
+        self.clock.call_in(_LINK_S, self.submit, effect.peer, arrived)
+
     def _emit(self, name, effect):
         heard = self.heard[effect.request]
         if heard.outcome is not None:
