--- a/sniperudder/endpoints/tests/test_http.py
+++ b/sniperudder/endpoints/tests/test_http.py
@@ -118,6 +118,12 @@
                 self.check_failed(result, _NOT_SENT)
         self.assertEqual([('a', 0), ('f', 0)], self.read_log())
 
+    def test_half_of_a_surrogate_pair(self):
+        self.start_engine()
+        tokens = model.generate('\ud800', 4, '1', 1)
+        step = _make_step(payload='\ud800')
+        self.assertEqual(tokens[0], self.send(step)[0].output)
+
     def test_repeated_step(self):
         self.start_engine()
         self.send(_make_step())
--- a/sniperudder/services/_http.py
+++ b/sniperudder/services/_http.py
@@ -27,6 +27,10 @@
 
     def call(self, call, timeout_s):
         """See base class."""
+        try:
+            body = call.body.encode()
+        except UnicodeEncodeError:
+            return _make_failure(call, inputs.Delivery.NOT_SENT)
         key = _quote(call.key)
         headers = {
             'Content-Type': 'application/json',
@@ -39,7 +43,7 @@
             call.address,
             '/call',
             timeout_s,
-            call.body.encode(),
+            body,
             headers,
         )
         if isinstance(reply, transports.NoReply):
@@ -63,7 +67,7 @@
 
 
 def _quote(key):
-    return urllib.parse.quote(key, safe='')
+    return urllib.parse.quote(key, safe='', errors='surrogatepass')
 
 
 def _is_result(reply, key):
--- a/sniperudder/services/tests/test_http.py
+++ b/sniperudder/services/tests/test_http.py
@@ -38,10 +38,14 @@
         self.addCleanup(server.stop)
         self.address = server.address
 
-    def call(self, key='key-1', timeout_s=_TIMEOUT_S, deadline_s=10.0):
-        call = effects.CallService(
-            'o1', self.address, key, '{"swatch": 7}', deadline_s
-        )
+    def call(
+        self,
+        key='key-1',
+        timeout_s=_TIMEOUT_S,
+        deadline_s=10.0,
+        body='{"swatch": 7}',
+    ):
+        call = effects.CallService('o1', self.address, key, body, deadline_s)
         return self.client.call(call, timeout_s)
 
     def ask(self, key='key-1'):
@@ -77,11 +81,23 @@
 
     def test_odd_keys(self):
         self.start(service.Service(lookup=True))
-        for key in ('a/b', 'a%2Fb', 'é', ' a\r\nX-A: b', '?a#b', '..'):
+        for key in (
+            'a/b',
+            'a%2Fb',
+            'é',
+            ' a\r\nX-A: b',
+            '?a#b',
+            '..',
+            '\ud800',
+        ):
             self.assertFalse(self.ask(key).found)
             self.assertEqual(200, self.call(key).status)
             self.assertTrue(self.ask(key).found)
 
+    def test_body_that_has_no_bytes(self):
+        self.start(service.Service())
+        self.assertEqual(_NOT_SENT, self.call(body='\ud800').delivery)
+
     def test_faults(self):
         cases = (
             ({'refuse': True}, _NOT_SENT, False),
--- a/sniperudder/transports/_http.py
+++ b/sniperudder/transports/_http.py
@@ -12,10 +12,10 @@
 
 _CONNECT_TIMEOUT_S = 2.0
 _PIECE_BYTES = 65536
-_POOLS = 4096
 _CALL_HEADER = 'X-Call-Id'
 _EXECUTION_HEADER = 'X-Execution'
 _NOT_RUN = 'not-run'
+_HEADERS = {'User-Agent': urllib3.util.SKIP_HEADER}
 _PROTOCOL = 'HTTP/'
 
 # Raised before the first byte is handed to the socket.
@@ -94,12 +94,8 @@
 
     def __init__(self, pool_size, max_answer_bytes):
         self._max_answer_bytes = max_answer_bytes
-        self._pools = urllib3.PoolManager(
-            num_pools=_POOLS,
-            maxsize=pool_size,
-            block=True,
-            retries=False,
-        )
+        self._pool_size = pool_size
+        self._pools = {}
 
     def exchange(
         self, method, address, path, timeout_s, body=None, headers=None
@@ -135,7 +131,7 @@
                 path,
                 timeout_s,
                 body,
-                {**(headers or {}), _CALL_HEADER: call},
+                {**_HEADERS, **(headers or {}), _CALL_HEADER: call},
             )
         except (urllib3.exceptions.HTTPError, http.client.HTTPException) as e:
             return _describe_error(call, e)
@@ -148,13 +144,11 @@
 
     def close(self):
         """Close the idle connections."""
-        self._pools.clear()
+        for address in list(self._pools):
+            self._pools.pop(address).close()
 
     def _open(self, method, address, path, timeout_s, body, headers):
-        host, _, port = address.rpartition(':')
-        if not host or not port.isdecimal():
-            raise urllib3.exceptions.LocationParseError(address)
-        pool = self._pools.connection_from_host(host, int(port), 'http')
+        pool = self._pools.get(address) or self._create_pool(address)
         return pool.urlopen(
             method,
             path,
@@ -170,6 +164,15 @@
             decode_content=False,
         )
 
+    def _create_pool(self, address):
+        host, _, port = address.rpartition(':')
+        if not host or not port.isdecimal():
+            raise urllib3.exceptions.LocationParseError(address)
+        pool = urllib3.HTTPConnectionPool(
+            host, int(port), maxsize=self._pool_size, block=True
+        )
+        return self._pools.setdefault(address, pool)
+
     def _read(self, call, response, started, until):
         lost = Delivery.LOST
         echoed = response.headers.get(_CALL_HEADER, call)
--- a/sniperudder/transports/tests/test_http.py
+++ b/sniperudder/transports/tests/test_http.py
@@ -94,9 +94,9 @@
             target=self.exchange, args=(server.address, _TIMEOUT_S)
         )
         first.start()
-        pool = self.transport._pools.connection_from_url(
-            f'http://{server.address}'
-        )
+        while server.address not in self.transport._pools:
+            pass
+        pool = self.transport._pools[server.address]
         while pool.num_requests == 0:
             pass
         reply = self.exchange(server.address)
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -19,6 +19,18 @@
 _CHARS_PER_TOKEN = 4
 _LOADS = 10000
 _ORDER_KINDS = ('load_model', 'load_adapter', 'change_role')
+_STEP_FIELDS = {
+    'request': str,
+    'attempt': int,
+    'position': int,
+    'first_layer': int,
+    'end_layer': int,
+    'model': str,
+    'version': str,
+    'prefill': bool,
+    'payload': str,
+    'last': bool,
+}
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -97,7 +109,7 @@
     def answer(self, call):
         """See base class."""
         if call.path == '/v1/steps':
-            return self._run_steps(json.loads(call.body)['steps'])
+            return self._run_steps(_read_steps(call.body))
         if call.path == '/v1/cancel':
             return self._cancel(json.loads(call.body)['streams'])
         if call.path == '/v1/load':
@@ -218,6 +230,17 @@
             )
 
 
+def _read_steps(body):
+    """Return the steps of a call, all checked before any runs."""
+    steps = json.loads(body)['steps']
+    for step in steps:
+        for name, kind in _STEP_FIELDS.items():
+            if type(step[name]) is not kind:
+                raise TypeError(f'{name} must be {kind.__name__}')
+        step['deadline_s'] = float(step['deadline_s'])
+    return steps
+
+
 def _make_refusal(step, refusal):
     return {
         'status': refusal.status,
--- a/standins/model.py
+++ b/standins/model.py
@@ -2,12 +2,17 @@
 
 import hashlib
 
-__all__ = ['digest_text', 'generate', 'make_token', 'run_layers']
+__all__ = ['digest_text', 'encode', 'generate', 'make_token', 'run_layers']
+
+
+def encode(text):
+    """Return a text as bytes; JSON may carry half of a surrogate pair."""
+    return text.encode('utf-8', 'surrogatepass')
 
 
 def digest_text(text):
     """Return the input of the first layer for the whole text so far."""
-    return hashlib.sha256(text.encode()).hexdigest()
+    return hashlib.sha256(encode(text)).hexdigest()
 
 
 def run_layers(hidden, first, end, version):
@@ -21,7 +26,7 @@
     """
     for layer in range(first, end):
         text = f'{version}/{layer}/{hidden}'
-        hidden = hashlib.sha256(text.encode()).hexdigest()
+        hidden = hashlib.sha256(encode(text)).hexdigest()
     return hidden
 
 
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -51,7 +51,7 @@
         return serving.answer_not_run(404, 'no such path')
 
     def _transact(self, call):
-        body = json.loads(call.body)
+        body = _read_transaction(call.body)
         name = call.headers.get('x-call-id', '')
         conditions = [(c['key'], c['version']) for c in body['conditions']]
         writes = [(w['key'], w['value']) for w in body['writes']]
@@ -122,6 +122,19 @@
         return serving.answer_json({'instances': listed})
 
 
+def _read_transaction(body):
+    """Return a transaction, all of it checked before any write."""
+    value = json.loads(body)
+    kinds = {type(c['version']) for c in value['conditions']} - {int}
+    kinds |= {type(w['value']) for w in value['writes']} - {str, type(None)}
+    kinds |= {type(c['key']) for c in value['conditions']} - {str}
+    kinds |= {type(w['key']) for w in value['writes']} - {str}
+    kinds |= {type(key) for key in value['reads']} - {str}
+    if kinds:
+        raise TypeError('a field has the wrong type')
+    return value
+
+
 class _History:
     """Rows with their versions, now and some time ago."""
 
--- a/standins/prefixes.py
+++ b/standins/prefixes.py
@@ -4,6 +4,8 @@
 import hashlib
 import time
 
+from standins import model
+
 __all__ = ['PrefixCache']
 
 _BLOCK_CHARS = 64
@@ -30,7 +32,7 @@
         digest = hashlib.sha256()
         whole = len(text) - len(text) % _BLOCK_CHARS
         for end in range(_BLOCK_CHARS, whole + 1, _BLOCK_CHARS):
-            digest.update(text[end - _BLOCK_CHARS : end].encode())
+            digest.update(model.encode(text[end - _BLOCK_CHARS : end]))
             name = digest.hexdigest()
             if name in self._blocks:
                 self._blocks.move_to_end(name)
--- a/standins/service.py
+++ b/standins/service.py
@@ -48,7 +48,7 @@
 
     def _run(self, call):
         key = call.headers['idempotency-key']
-        if time.time() > float(call.headers.get('x-expires-at', 'inf')):
+        if _has_expired(call):
             return serving.answer_not_run(504, 'expired')
         with self._lock:
             known = key in self._results
@@ -82,6 +82,13 @@
         )
 
 
+def _has_expired(call):
+    waited_s = time.monotonic() - call.received_at
+    if waited_s > float(call.headers.get('x-deadline-s', 'inf')):
+        return True
+    return time.time() > float(call.headers.get('x-expires-at', 'inf'))
+
+
 def main(
     *,
     port: int = 0,
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -6,6 +6,7 @@
 import signal
 import socket
 import threading
+import time
 import urllib.parse
 
 from cheroot import server
@@ -40,6 +41,8 @@
     query, headers : dict of str to str
         Header names are in lower case.
     body : bytes
+    received_at : float
+        Seconds on the monotonic clock.
     """
 
     method: str
@@ -47,6 +50,7 @@
     query: dict
     headers: dict
     body: bytes
+    received_at: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -178,6 +182,7 @@
             for name, value in req.inheaders.items()
         },
         body=body,
+        received_at=time.monotonic(),
     )
 
 
--- a/standins/streams.py
+++ b/standins/streams.py
@@ -155,7 +155,7 @@
     def _advance(self, stream, step):
         hidden = step['payload']
         if stream.text is not None:
-            stream.text.update(hidden.encode())
+            stream.text.update(model.encode(hidden))
             hidden = stream.text.hexdigest()
         output = model.run_layers(hidden, *stream.layers, stream.version)
         finished = False
--- a/standins/tests/test_engine.py
+++ b/standins/tests/test_engine.py
@@ -49,6 +49,12 @@
         }
         return self.engine.answer(_make_call('/v1/orders', order))
 
+    def test_bad_step_stops_all_of_the_call(self):
+        self.start()
+        self.assertRaises(TypeError, self.prefill, 'a', None)
+        self.assertRaises(TypeError, self.prefill, 'a', 'linen', attempt='1')
+        self.assertEqual([], self.ask('/v1/log')['steps'])
+
     def test_load_lags(self):
         self.start(load_lag_s=60.0)
         self.prefill('a', 'linen')
