--- a/sniperudder/errors.py
+++ b/sniperudder/errors.py
@@ -14,11 +14,35 @@
 
 
 class SettingsError(SniperudderError):
-    """The settings file has one or more mistakes."""
+    """The settings file has one or more mistakes.
+
+    Attributes
+    ----------
+    mistakes : tuple of sniperudder.settings.Mistake
+        All mistakes that were found, in the order of the file.
+    """
+
+    def __init__(self, mistakes=()):
+        self.mistakes = tuple(mistakes)
+        super().__init__('\n'.join(str(item) for item in self.mistakes))
 
 
 class SyntaxProblem(SniperudderError):
-    """A query, command or scenario does not follow its grammar."""
+    """A query, command or scenario does not follow its grammar.
+
+    Parameters
+    ----------
+    problem : str
+        What is wrong and what was expected, in one sentence.
+    line, column : int
+        Where it was found, both from 1.
+    """
+
+    def __init__(self, problem, line=1, column=1):
+        super().__init__(f'line {line}, column {column}: {problem}')
+        self.problem = problem
+        self.line = line
+        self.column = column
 
 
 class InvariantBroken(SniperudderError):
--- a/sniperudder/outcomes/_codes.py
+++ b/sniperudder/outcomes/_codes.py
@@ -24,6 +24,13 @@
     IDEMPOTENCY_CONFLICT = 107
     UNKNOWN_ROUTE = 108
     FORBIDDEN = 109
+    UNKNOWN_ENDPOINT = 110
+    UNKNOWN_INSTANCE = 111
+    MODEL_UNCOVERED = 112
+    BAD_SYNTAX = 113
+    TOO_MANY_GUESSES = 114
+    UNKNOWN_ORGANISATION = 115
+    COMMAND_LOST = 116
 
     QUEUE_FULL = 200
     TARGET_UNREACHABLE = 201
@@ -46,6 +53,7 @@
 
     ORDER_IN_DOUBT = 400
     ORDER_IN_PROGRESS = 401
+    COMMAND_IN_DOUBT = 402
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -92,6 +100,33 @@
     ),
     _entry(Code.UNKNOWN_ROUTE, _N, 404, 'No such path or method.'),
     _entry(Code.FORBIDDEN, _N, 403, 'The key does not allow this.'),
+    _entry(Code.UNKNOWN_ENDPOINT, _N, 404, 'No such endpoint.'),
+    _entry(Code.UNKNOWN_INSTANCE, _N, 404, 'No such entry instance.'),
+    _entry(
+        Code.MODEL_UNCOVERED,
+        _N,
+        409,
+        'The command would leave a model without endpoints.',
+    ),
+    _entry(
+        Code.BAD_SYNTAX,
+        _N,
+        400,
+        'The query or command does not follow the grammar.',
+    ),
+    _entry(
+        Code.TOO_MANY_GUESSES,
+        _N,
+        429,
+        'Too many wrong keys came from this address.',
+    ),
+    _entry(Code.UNKNOWN_ORGANISATION, _N, 404, 'No such organisation.'),
+    _entry(
+        Code.COMMAND_LOST,
+        _N,
+        409,
+        'Another command changed the same subject first.',
+    ),
     _entry(Code.QUEUE_FULL, _N, 429, 'The queue of this rank is full.'),
     _entry(
         Code.TARGET_UNREACHABLE,
@@ -181,6 +216,12 @@
         409,
         'The order with this key is still being run; repeat later.',
     ),
+    _entry(
+        Code.COMMAND_IN_DOUBT,
+        _D,
+        504,
+        'It is unknown whether the command was taken; repeat with its id.',
+    ),
 )
 
 _TABLE = {entry.code: entry for entry in _ENTRIES}
