--- a/Makefile
+++ b/Makefile
@@ -42,3 +42,10 @@
 	$(BIN)/shiv --site-packages build/site --reproducible --compressed \
 	  --python '/usr/bin/env python3.11' \
 	  --entry-point sniperudder.commands:main --output-file dist/sniperudder
+
+thrift:
+	rm -rf sniperudder/peers/gen
+	mkdir -p sniperudder/peers/gen
+	thrift --gen py:slots,enum -out sniperudder/peers/gen \
+		sniperudder/peers/sniperudder.thrift
+	rm -f sniperudder/peers/gen/wire/*-remote
--- a/sniperudder/instance/_runtime.py
+++ b/sniperudder/instance/_runtime.py
@@ -7,6 +7,7 @@
 from sniperudder import core
 from sniperudder import effects
 from sniperudder import errors
+from sniperudder import inputs
 
 # Time between ticks; arrivals and answers are handled at once.
 _TICK_S = 0.05
@@ -55,6 +56,16 @@
                 result = [_note_broken(exc)]
             self._route(result)
 
+    def answer_beat(self, beat):
+        """Take in a peer's heartbeat and return the answer to it."""
+        with self.lock:
+            now = self.read_clock()
+            received = inputs.BeatReceived(beat)
+            result = core.handle_input(self.T, received, now)
+            answers = [e for e in result if type(e) is effects.AnswerBeat]
+            self._route([e for e in result if e not in answers])
+        return answers[0].beat
+
     def tick(self):
         """Run what is due."""
         with self.lock:
--- a/sniperudder/systems/orders/_timing.py
+++ b/sniperudder/systems/orders/_timing.py
@@ -1,5 +1,7 @@
 """Times and limits of orders."""
 
+from sniperudder.systems import configuration
+
 _FIRST_DELAY_S = 0.1
 _LONGEST_DELAY_S = 10.0
 _LONGEST_POLL_S = 2.0
@@ -16,7 +18,7 @@
     Whether it is stopping plays no part: what it has accepted is
     finished.
     """
-    return now - T.confirmed_at <= T.policy.freshness_s
+    return configuration.is_fresh(T, now)
 
 
 def compute_start_by(order, service):
--- a/sniperudder/systems/requests/__init__.py
+++ b/sniperudder/systems/requests/__init__.py
@@ -7,7 +7,6 @@
 from sniperudder.systems.requests._chains import count_share
 from sniperudder.systems.requests._chains import is_chain_whole
 from sniperudder.systems.requests._dispatch import dispatch_requests
-from sniperudder.systems.requests._dispatch import is_fresh
 from sniperudder.systems.requests._dispatch import may_start
 from sniperudder.systems.requests._dispatch import run_requests
 from sniperudder.systems.requests._health import record_load
@@ -27,7 +26,6 @@
     'drop_caller',
     'handle_failure',
     'is_chain_whole',
-    'is_fresh',
     'may_start',
     'record_load',
     'run_requests',
