Tell refusals apart from failures; hold back calls that are too late

Cause: the core now takes an engine's own refusal of a step for no fault of the engine (StepFailed.refused), wants the step back, and names the moment after which a service call must not be sent; the clients knew none of these.

Change: results 'not_run' and 'repeated' set refused, a refusal of the whole call does not, since an engine that takes no calls is not well; failures carry their step; calls past start_by are not sent, the wait for a connection ends with it, and both deadline headers count to it.

--- a/sniperudder/endpoints/_http.py
+++ b/sniperudder/endpoints/_http.py
@@ -1,6 +1,7 @@
 """A client of the engines' JSON protocol, see docs/ENDPOINTS.md."""
 
 import collections
+import dataclasses
 import json
 
 from sniperudder.endpoints import _client
@@ -10,6 +11,8 @@
 _OK = 200
 _NOT_SENT = inputs.Delivery.NOT_SENT
 _LOST = inputs.Delivery.LOST
+# A repeated step did run, but in a call whose answer never came.
+_REFUSALS = {'not_run': _NOT_SENT, 'repeated': _LOST}
 _HEADERS = {'Content-Type': 'application/json'}
 
 
@@ -119,19 +122,23 @@
     return result['request'], result['attempt'], result['position']
 
 
+def _make_step_key(step):
+    return step.request, step.attempt, step.position
+
+
 def _read_result(ep, step, reply, results):
     if reply.not_run:
+        # The engine takes no calls at all, which counts against it.
         detail = f'refused with {reply.status}'
         return _make_failure(ep, step, reply.call, _NOT_SENT, detail)
-    result = results.get((step.request, step.attempt, step.position))
+    result = results.get(_make_step_key(step))
     if result is None:
         detail = f'no result in an answer of {reply.status}'
         return _make_failure(ep, step, reply.call, _LOST, detail)
-    if result.get('status') == 'not_run':
-        detail = str(result.get('detail', ''))
-        return _make_failure(ep, step, reply.call, _NOT_SENT, detail)
+    if str(result.get('status')) in _REFUSALS:
+        return _make_refusal(ep, step, reply.call, result)
     if not _is_result_of(step, result):
-        detail = str(result.get('detail', 'result of another step'))
+        detail = 'result of another step'
         return _make_failure(ep, step, reply.call, _LOST, detail)
     return inputs.StepReturned(
         endpoint=ep.name,
@@ -156,7 +163,18 @@
     )
 
 
-def _make_failure(ep, step, call, delivery, detail='', crashed=False):
+def _make_refusal(ep, step, call, result):
+    failed = _make_failure(
+        ep=ep,
+        step=step,
+        call=call,
+        delivery=_REFUSALS[result['status']],
+        detail=str(result.get('detail', '')),
+    )
+    return dataclasses.replace(failed, refused=True)
+
+
+def _make_failure(ep, step, call, delivery, detail, crashed=False):
     return inputs.StepFailed(
         endpoint=ep.name,
         request=step.request,
@@ -166,6 +184,7 @@
         crashed=crashed,
         call=call,
         detail=detail,
+        step=step,
     )
 
 
--- a/sniperudder/endpoints/tests/test_http.py
+++ b/sniperudder/endpoints/tests/test_http.py
@@ -71,8 +71,12 @@
         log = json.loads(self.engine._report_log().body)
         return [(s['request'], s['position']) for s in log['steps']]
 
-    def check_failed(self, result, delivery, crashed=False):
+    def check_refused(self, result, delivery):
+        self.check_failed(result, delivery, refused=True)
+
+    def check_failed(self, result, delivery, crashed=False, refused=False):
         self.assertIsInstance(result, inputs.StepFailed)
+        self.assertEqual(refused, result.refused, result)
         seen = result.delivery, result.crashed
         self.assertEqual((delivery, crashed), seen, result)
 
@@ -97,7 +101,7 @@
         text = 'linen' + ''.join(tokens[:2])
         step = _make_step(position=2, attempt=2, prefill=True, payload=text)
         self.assertEqual(tokens[2], self.send(step)[0].output)
-        self.check_failed(self.send(_make_step(position=1))[0], _NOT_SENT)
+        self.check_refused(self.send(_make_step(position=1))[0], _NOT_SENT)
 
     def test_refused_steps(self):
         self.start_engine(max_streams=2)
@@ -115,7 +119,7 @@
         self.assertEqual([True] + 5 * [False] + [True, False], ran)
         for result, done in zip(results, ran, strict=True):
             if not done:
-                self.check_failed(result, _NOT_SENT)
+                self.check_refused(result, _NOT_SENT)
         self.assertEqual([('a', 0), ('f', 0)], self.read_log())
 
     def test_half_of_a_surrogate_pair(self):
@@ -127,7 +131,7 @@
     def test_repeated_step(self):
         self.start_engine()
         self.send(_make_step())
-        self.check_failed(self.send(_make_step())[0], _LOST)
+        self.check_refused(self.send(_make_step())[0], _LOST)
         self.start_engine(deduplicates=True)
         first = self.send(_make_step())[0]
         self.assertEqual(first.output, self.send(_make_step())[0].output)
@@ -225,7 +229,8 @@
         self.client.cancel_streams(self.ep, [cancel], 1.0)
         self.assertEqual(1, self.client.read_load(self.ep, 1.0).streams)
         late = self.send(_make_step('a', position=1, prefill=False))
-        self.check_failed(late[0], _NOT_SENT)
+        self.check_refused(late[0], _NOT_SENT)
+        self.assertEqual('a', late[0].step.request)
         self.engine.gate.update({'refuse': True})
         self.assertIsNone(self.client.read_load(self.ep, 1.0))
 
--- a/sniperudder/services/_http.py
+++ b/sniperudder/services/_http.py
@@ -4,6 +4,7 @@
 import time
 import urllib.parse
 
+from sniperudder import clocks
 from sniperudder import inputs
 from sniperudder.services import _client
 from sniperudder import transports
@@ -27,24 +28,28 @@
 
     def call(self, call, timeout_s):
         """See base class."""
+        left_s = min(call.start_by - clocks.read_clock(), call.deadline_s)
         try:
             body = call.body.encode()
         except UnicodeEncodeError:
             return _make_failure(call, inputs.Delivery.NOT_SENT)
+        if left_s <= 0:
+            return _make_failure(call, inputs.Delivery.NOT_SENT)
         key = _quote(call.key)
         headers = {
             'Content-Type': 'application/json',
             _KEY_HEADER: key,
-            'X-Deadline-S': f'{call.deadline_s:.3f}',
-            'X-Expires-At': f'{time.time() + call.deadline_s:.3f}',
+            'X-Deadline-S': f'{left_s:.3f}',
+            'X-Expires-At': f'{time.time() + left_s:.3f}',
         }
         reply = self._transport.exchange(
             'POST',
             call.address,
             '/call',
             timeout_s,
-            body,
-            headers,
+            body=body,
+            headers=headers,
+            send_within_s=left_s,
         )
         if isinstance(reply, transports.NoReply):
             return _make_failure(call, reply.delivery)
--- a/sniperudder/services/tests/test_http.py
+++ b/sniperudder/services/tests/test_http.py
@@ -3,6 +3,7 @@
 
 import testtools
 
+from sniperudder import clocks
 from sniperudder import effects
 from sniperudder import inputs
 from sniperudder import services
@@ -44,8 +45,11 @@
         timeout_s=_TIMEOUT_S,
         deadline_s=10.0,
         body='{"swatch": 7}',
+        start_by=float('inf'),
     ):
-        call = effects.CallService('o1', self.address, key, body, deadline_s)
+        call = effects.CallService(
+            'o1', self.address, key, body, deadline_s, start_by
+        )
         return self.client.call(call, timeout_s)
 
     def ask(self, key='key-1'):
@@ -122,6 +126,16 @@
         self.assertEqual(_NOT_SENT, result.delivery)
         self.assertEqual([], self.read_log())
 
+    def test_call_that_is_too_late_is_not_sent(self):
+        self.start(service.Service())
+        now = clocks.read_clock()
+        self.assertEqual(_NOT_SENT, self.call(start_by=now).delivery)
+        self.assertEqual(_NOT_SENT, self.call(deadline_s=0.0).delivery)
+        self.standin.gate.update({'slow_s': 0.1})
+        result = self.call(start_by=clocks.read_clock() + 0.05)
+        self.assertEqual(_NOT_SENT, result.delivery)
+        self.assertEqual([], self.read_log())
+
     def test_running_call_has_no_result(self):
         self.start(
             service.Service(deduplicates=True, lookup=True, work_s=60.0)
--- a/sniperudder/transports/_http.py
+++ b/sniperudder/transports/_http.py
@@ -98,7 +98,14 @@
         self._pools = {}
 
     def exchange(
-        self, method, address, path, timeout_s, body=None, headers=None
+        self,
+        method,
+        address,
+        path,
+        timeout_s,
+        body=None,
+        headers=None,
+        send_within_s=float('inf'),
     ):
         """Make one call.
 
@@ -115,6 +122,9 @@
         body : bytes, optional
         headers : dict of str to str, optional
             In ASCII, without line ends.
+        send_within_s : float
+            Longest wait for a free connection, and for a new one,
+            seconds.
 
         Returns
         -------
@@ -122,7 +132,7 @@
         """
         call = uuid.uuid4().hex
         started = time.monotonic()
-        if timeout_s <= 0:
+        if min(timeout_s, send_within_s) <= 0:
             return NoReply(call, Delivery.NOT_SENT, False, 'no time left')
         try:
             response = self._open(
@@ -132,6 +142,7 @@
                 timeout_s,
                 body,
                 {**_HEADERS, **(headers or {}), _CALL_HEADER: call},
+                min(timeout_s, send_within_s),
             )
         except (urllib3.exceptions.HTTPError, http.client.HTTPException) as e:
             return _describe_error(call, e)
@@ -147,7 +158,9 @@
         for address in list(self._pools):
             self._pools.pop(address).close()
 
-    def _open(self, method, address, path, timeout_s, body, headers):
+    def _open(
+        self, method, address, path, timeout_s, body, headers, send_within_s
+    ):
         pool = self._pools.get(address) or self._create_pool(address)
         return pool.urlopen(
             method,
@@ -157,9 +170,10 @@
             retries=False,
             redirect=False,
             timeout=urllib3.Timeout(
-                connect=min(timeout_s, _CONNECT_TIMEOUT_S), total=timeout_s
+                connect=min(send_within_s, _CONNECT_TIMEOUT_S),
+                total=timeout_s,
             ),
-            pool_timeout=timeout_s,
+            pool_timeout=send_within_s,
             preload_content=False,
             decode_content=False,
         )
