Let a link refuse connections and the platform limit its rows

Cause: an outage in which connections are refused could only be shown by ending the platform's process, which loses its tables; and nothing held the system to the few hundred writes a second of the platform.

--- a/sniperudder/platform/tests/test_http.py
+++ b/sniperudder/platform/tests/test_http.py
@@ -144,6 +144,21 @@
                 else:
                     self.assertEqual(inputs.Unknown(), outcome)
 
+    def test_refused_for_a_time(self):
+        link = relay.create_relay(self.address)
+        self.addCleanup(link.close)
+        for refused, expected in (
+            (False, inputs.Committed(())),
+            (True, inputs.NotSent()),
+            (False, inputs.Committed(())),
+        ):
+            link.update(relay.Link(refused=refused))
+            near = platform.create_platform_client(link.address)
+            call = effects.Transact('test', (), (effects.Write('a', '1'),))
+            outcome = near.transact(call, _TIMEOUT_S)
+            self.assertEqual(expected, outcome)
+        self.assertEqual((effects.Row('a', '1', 2),), self.scan())
+
     def test_unreachable(self):
         away = platform.create_platform_client('127.0.0.1:1')
         outcome = away.transact(_make_call(), _TIMEOUT_S)
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -119,7 +119,7 @@
         if call.path == '/v1/cache-events':
             return self._report_events(int(call.query.get('after', 0)))
         if call.path == '/v1/log':
-            return self._report_log()
+            return self._report_log(int(call.query.get('after', 0)))
         return serving.answer_not_run(404, 'no such path')
 
     def _run_steps(self, steps):
@@ -219,12 +219,12 @@
             events = self._cache.read_events(after)
         return serving.answer_json({'boot': self._boot, 'events': events})
 
-    def _report_log(self):
+    def _report_log(self, after=0):
         with self._lock:
             return serving.answer_json(
                 {
                     'boot': self._boot,
-                    'steps': self._steps,
+                    'steps': self._steps[after:],
                     'orders': self._orders,
                 }
             )
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -23,11 +23,23 @@
         Age of what scans tell, seconds.
     list_lag_s : float
         Age of what the list of instances tells, seconds.
+    writes_per_s, reads_per_s : float
+        Rows that the table service takes and gives a second; calls
+        beyond it wait. 0 means no limit.
     crash : callable, optional
     """
 
-    def __init__(self, scan_lag_s=0.0, list_lag_s=0.0, crash=None):
+    def __init__(
+        self,
+        scan_lag_s=0.0,
+        list_lag_s=0.0,
+        writes_per_s=0.0,
+        reads_per_s=0.0,
+        crash=None,
+    ):
         super().__init__(crash)
+        self._writes = _Pace(writes_per_s)
+        self._reads = _Pace(reads_per_s)
         self._scan_lag_s = scan_lag_s
         self._list_lag_s = list_lag_s
         self._lock = threading.Lock()
@@ -56,6 +68,8 @@
         conditions = [(c['key'], c['version']) for c in body['conditions']]
         writes = [(w['key'], w['value']) for w in body['writes']]
         keys = list(body['reads'])
+        self.gate.pause(self._writes.reserve(len(writes)))
+        self.gate.pause(self._reads.reserve(len(conditions) + len(keys)))
         with self._lock:
             committed = all(
                 self._rows.version(key) == version
@@ -87,6 +101,7 @@
         lag = max(self._scan_lag_s, self.gate.faults.lag_s)
         with self._lock:
             rows = self._rows.scan(prefix, after, limit, lag)
+        self.gate.pause(self._reads.reserve(len(rows)))
         return serving.answer_json({'rows': rows})
 
     def _answer_object(self, call):
@@ -135,6 +150,25 @@
     return value
 
 
+class _Pace:
+    """Spreads rows evenly over time."""
+
+    def __init__(self, rows_per_s):
+        self._rows_per_s = rows_per_s
+        self._lock = threading.Lock()
+        self._free_at = 0.0
+
+    def reserve(self, rows):
+        """Return how long a call for so many rows must wait, seconds."""
+        if not self._rows_per_s:
+            return 0.0
+        with self._lock:
+            now = time.monotonic()
+            start = max(now, self._free_at)
+            self._free_at = start + rows / self._rows_per_s
+            return start - now
+
+
 class _History:
     """Rows with their versions, now and some time ago."""
 
@@ -194,7 +228,14 @@
     return {'key': key, 'value': value, 'version': version}
 
 
-def main(*, port: int = 0, scan_lag_s: float = 0.0, list_lag_s: float = 0.0):
+def main(
+    *,
+    port: int = 0,
+    scan_lag_s: float = 0.0,
+    list_lag_s: float = 0.0,
+    writes_per_s: float = 0.0,
+    reads_per_s: float = 0.0,
+):
     """Serve the platform's stand-in.
 
     Parameters
@@ -205,8 +246,13 @@
         Age of what scans tell, seconds.
     list_lag_s : float
         Age of what the list of instances tells, seconds.
+    writes_per_s : float
+        Rows that the table service takes a second; 0 means no limit.
+    reads_per_s : float
+        Rows that the table service gives a second; 0 means no limit.
     """
-    serving.run_server(Platform(scan_lag_s, list_lag_s), port)
+    made = Platform(scan_lag_s, list_lag_s, writes_per_s, reads_per_s)
+    serving.run_server(made, port)
 
 
 if __name__ == '__main__':
--- a/standins/relay.py
+++ b/standins/relay.py
@@ -30,12 +30,15 @@
         Whether it breaks with a reset.
     stalled : bool
         Whether bytes wait in both directions.
+    refused : bool
+        Whether open connections are broken and new ones refused.
     """
 
     request_limit: int = -1
     answer_limit: int = -1
     reset: bool = False
     stalled: bool = False
+    refused: bool = False
 
 
 class Relay:
@@ -60,15 +63,16 @@
     def __init__(self, target, port=0):
         host, _, target_port = target.rpartition(':')
         self._target = host, int(target_port)
-        self._listener = socket.create_server((_HOST, port))
         self._pairs = []
         self._running = threading.Event()
         self._running.set()
-        self.address = f'{_HOST}:{self._listener.getsockname()[1]}'
+        self._port = port
+        self._listener = None
+        self._listen()
+        self.address = f'{_HOST}:{self._port}'
         self.link = Link()
         self.request_bytes = 0
         self.answer_bytes = 0
-        threading.Thread(target=self._accept, daemon=True).start()
 
     def update(self, link):
         """Change how the link behaves; limits concern open ones too."""
@@ -77,20 +81,38 @@
             self._running.clear()
         else:
             self._running.set()
+        if link.refused:
+            self._stop_listening()
+        elif self._listener is None:
+            self._listen()
 
     def close(self):
         """Stop listening and break all connections."""
-        # Closing alone would not wake the thread that accepts.
-        self._listener.shutdown(socket.SHUT_RDWR)
-        self._listener.close()
         self._running.set()
-        for pair in self._pairs:
+        self._stop_listening()
+
+    def _listen(self):
+        listener = socket.create_server((_HOST, self._port))
+        self._listener = listener
+        self._port = listener.getsockname()[1]
+        threading.Thread(
+            target=self._accept, args=(listener,), daemon=True
+        ).start()
+
+    def _stop_listening(self):
+        listener, self._listener = self._listener, None
+        if listener is not None:
+            # Closing alone would not wake the thread that accepts.
+            listener.shutdown(socket.SHUT_RDWR)
+            listener.close()
+        pairs, self._pairs = self._pairs, []
+        for pair in pairs:
             self._break(pair)
 
-    def _accept(self):
+    def _accept(self, listener):
         while True:
             try:
-                near, _ = self._listener.accept()
+                near, _ = listener.accept()
             except OSError:
                 return
             try:
