Use no connection again that was idle for two seconds

Cause: a server that closes an idle connection just as a call begins to leave looks like a crash: the content becomes a suspect and the engine is set aside. Common servers close after 5 s.

Change: a connection that was idle for longer than 2 s counts as dropped and is replaced before anything is sent.

It makes the mistake rarer, not impossible.

--- a/sniperudder/transports/_http.py
+++ b/sniperudder/transports/_http.py
@@ -81,6 +81,35 @@
     detail: str
 
 
+class _Connection(urllib3.connection.HTTPConnection):
+    """Counts as dropped once it was idle for long.
+
+    Servers close idle connections, and one that closes as a call begins
+    to leave can't be told from a crash.
+    """
+
+    def __init__(self, *args, max_idle_s, **others):
+        super().__init__(*args, **others)
+        self._max_idle_s = max_idle_s
+        self._answered_at = time.monotonic()
+
+    @property
+    def is_connected(self):
+        """See base class."""
+        idle_s = time.monotonic() - self._answered_at
+        return idle_s <= self._max_idle_s and super().is_connected
+
+    def getresponse(self):
+        """See base class."""
+        response = super().getresponse()
+        self._answered_at = time.monotonic()
+        return response
+
+
+class _Pool(urllib3.HTTPConnectionPool):
+    ConnectionCls = _Connection
+
+
 class HttpTransport:
     """Makes calls to ``host:port`` addresses; safe for many threads.
 
@@ -90,10 +119,13 @@
         Largest number of connections to one address.
     max_answer_bytes : int
         A longer answer counts as lost.
+    max_idle_s : float
+        A connection that was idle for longer is not used again.
     """
 
-    def __init__(self, pool_size, max_answer_bytes):
+    def __init__(self, pool_size, max_answer_bytes, max_idle_s):
         self._max_answer_bytes = max_answer_bytes
+        self._max_idle_s = max_idle_s
         self._pool_size = pool_size
         self._pools = {}
 
@@ -117,8 +149,9 @@
         path : str
             Path and query, already quoted.
         timeout_s : float
-            Longest wait for the whole answer, seconds. A wait for a
-            single piece of it may end up to as much later.
+            Longest wait for the whole answer, seconds. The wait for
+            the next piece of a body may end up to as much later, and a
+            head that comes in bits is not cut short.
         body : bytes, optional
         headers : dict of str to str, optional
             In ASCII, without line ends.
@@ -182,8 +215,12 @@
         host, _, port = address.rpartition(':')
         if not host or not port.isdecimal():
             raise urllib3.exceptions.LocationParseError(address)
-        pool = urllib3.HTTPConnectionPool(
-            host, int(port), maxsize=self._pool_size, block=True
+        pool = _Pool(
+            host,
+            int(port),
+            maxsize=self._pool_size,
+            block=True,
+            max_idle_s=self._max_idle_s,
         )
         return self._pools.setdefault(address, pool)
 
@@ -247,7 +284,9 @@
     return line.startswith(_PROTOCOL) or _PROTOCOL.startswith(line)
 
 
-def create_transport(pool_size=64, max_answer_bytes=16 * 1024 * 1024):
+def create_transport(
+    pool_size=64, max_answer_bytes=16 * 1024 * 1024, max_idle_s=2.0
+):
     """Return an ``HttpTransport``.
 
     Parameters
@@ -256,5 +295,8 @@
         Largest number of connections to one address; a call beyond it
         waits, and is not sent if its time runs out first.
     max_answer_bytes : int
+    max_idle_s : float
+        Shorter than the time after which servers close idle
+        connections, of which 5 s is a common one.
     """
-    return HttpTransport(pool_size, max_answer_bytes)
+    return HttpTransport(pool_size, max_answer_bytes, max_idle_s)
--- a/sniperudder/transports/tests/test_http.py
+++ b/sniperudder/transports/tests/test_http.py
@@ -151,7 +151,7 @@
             self.relay.update(relay.Link())
 
     def test_stale_connection(self):
-        transport = transports.create_transport()
+        transport = transports.create_transport(max_idle_s=60.0)
         self.exchange(transport)
         passed = self.relay.request_bytes
         self.relay.update(relay.Link(request_limit=passed))
@@ -181,11 +181,12 @@
         self.assertEqual((_LOST, False), (reply.delivery, reply.crashed))
 
     def test_connection_is_kept(self):
-        transport = transports.create_transport()
-        self.exchange(transport)
-        once = self.relay.request_bytes
-        self.exchange(transport)
-        self.assertEqual(2 * once, self.relay.request_bytes)
+        for max_idle_s, calls in ((60.0, 2), (0.0, 1)):
+            transport = transports.create_transport(max_idle_s=max_idle_s)
+            self.exchange(transport)
+            once = self.relay.request_bytes
+            self.exchange(transport)
+            self.assertEqual(calls * once, self.relay.request_bytes)
 
 
 class TestOddAnswers(testtools.TestCase):
