--- a/standins/engine.py
+++ b/standins/engine.py
@@ -19,6 +19,18 @@
 _CHARS_PER_TOKEN = 4
 _LOADS = 10000
 _ORDER_KINDS = ('load_model', 'load_adapter', 'change_role')
+_STEP_FIELDS = {
+    'request': str,
+    'attempt': int,
+    'position': int,
+    'first_layer': int,
+    'end_layer': int,
+    'model': str,
+    'version': str,
+    'prefill': bool,
+    'payload': str,
+    'last': bool,
+}
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -97,7 +109,7 @@
     def answer(self, call):
         """See base class."""
         if call.path == '/v1/steps':
-            return self._run_steps(json.loads(call.body)['steps'])
+            return self._run_steps(_read_steps(call.body))
         if call.path == '/v1/cancel':
             return self._cancel(json.loads(call.body)['streams'])
         if call.path == '/v1/load':
@@ -107,7 +119,7 @@
         if call.path == '/v1/cache-events':
             return self._report_events(int(call.query.get('after', 0)))
         if call.path == '/v1/log':
-            return self._report_log()
+            return self._report_log(int(call.query.get('after', 0)))
         return serving.answer_not_run(404, 'no such path')
 
     def _run_steps(self, steps):
@@ -207,17 +219,28 @@
             events = self._cache.read_events(after)
         return serving.answer_json({'boot': self._boot, 'events': events})
 
-    def _report_log(self):
+    def _report_log(self, after=0):
         with self._lock:
             return serving.answer_json(
                 {
                     'boot': self._boot,
-                    'steps': self._steps,
+                    'steps': self._steps[after:],
                     'orders': self._orders,
                 }
             )
 
 
+def _read_steps(body):
+    """Return the steps of a call, all checked before any runs."""
+    steps = json.loads(body)['steps']
+    for step in steps:
+        for name, kind in _STEP_FIELDS.items():
+            if type(step[name]) is not kind:
+                raise TypeError(f'{name} must be {kind.__name__}')
+        step['deadline_s'] = float(step['deadline_s'])
+    return steps
+
+
 def _make_refusal(step, refusal):
     return {
         'status': refusal.status,
