--- a/sniperudder/services/_http.py
+++ b/sniperudder/services/_http.py
@@ -28,24 +28,31 @@
 
     def call(self, call, timeout_s):
         """See base class."""
-        key = _quote(call.key)
-        # Read anew, as the process may have been frozen in between.
+        # The wall clock first: a freeze in between makes the call expire
+        # earlier and not later.
+        wall = time.time()
         left_s = call.start_by - clocks.read_clock()
-        if left_s <= 0.0:
+        try:
+            body = call.body.encode()
+        except UnicodeEncodeError:
             return _make_failure(call, inputs.Delivery.NOT_SENT)
+        if left_s <= 0:
+            return _make_failure(call, inputs.Delivery.NOT_SENT)
+        key = _quote(call.key)
         headers = {
             'Content-Type': 'application/json',
             _KEY_HEADER: key,
             'X-Deadline-S': f'{left_s:.3f}',
-            'X-Expires-At': f'{time.time() + left_s:.3f}',
+            'X-Expires-At': f'{wall + left_s:.3f}',
         }
         reply = self._transport.exchange(
             'POST',
             call.address,
             '/call',
             timeout_s,
-            call.body.encode(),
-            headers,
+            body=body,
+            headers=headers,
+            send_within_s=left_s,
         )
         if isinstance(reply, transports.NoReply):
             return _make_failure(call, reply.delivery)
@@ -68,7 +75,7 @@
 
 
 def _quote(key):
-    return urllib.parse.quote(key, safe='')
+    return urllib.parse.quote(key, safe='', errors='surrogatepass')
 
 
 def _is_result(reply, key):
--- a/sniperudder/services/tests/test_http.py
+++ b/sniperudder/services/tests/test_http.py
@@ -39,13 +39,15 @@
         self.addCleanup(server.stop)
         self.address = server.address
 
-    def call(self, key='key-1', timeout_s=_TIMEOUT_S, deadline_s=10.0):
+    def call(
+        self,
+        key='key-1',
+        timeout_s=_TIMEOUT_S,
+        deadline_s=10.0,
+        body='{"swatch": 7}',
+    ):
         call = effects.CallService(
-            'o1',
-            self.address,
-            key,
-            '{"swatch": 7}',
-            clocks.read_clock() + deadline_s,
+            'o1', self.address, key, body, clocks.read_clock() + deadline_s
         )
         return self.client.call(call, timeout_s)
 
@@ -82,11 +84,23 @@
 
     def test_odd_keys(self):
         self.start(service.Service(lookup=True))
-        for key in ('a/b', 'a%2Fb', 'é', ' a\r\nX-A: b', '?a#b', '..'):
+        for key in (
+            'a/b',
+            'a%2Fb',
+            'é',
+            ' a\r\nX-A: b',
+            '?a#b',
+            '..',
+            '\ud800',
+        ):
             self.assertFalse(self.ask(key).found)
             self.assertEqual(200, self.call(key).status)
             self.assertTrue(self.ask(key).found)
 
+    def test_body_that_has_no_bytes(self):
+        self.start(service.Service())
+        self.assertEqual(_NOT_SENT, self.call(body='\ud800').delivery)
+
     def test_faults(self):
         cases = (
             ({'refuse': True}, _NOT_SENT, False),
@@ -124,6 +138,14 @@
         told = inputs.ServiceTold('o1', answered=True, started=True)
         self.assertEqual(told, self.ask())
 
+    def test_call_that_is_too_late_is_not_sent(self):
+        self.start(service.Service())
+        self.assertEqual(_NOT_SENT, self.call(deadline_s=0.0).delivery)
+        self.standin.gate.update({'slow_s': 0.1})
+        result = self.call(deadline_s=0.05)
+        self.assertEqual(_NOT_SENT, result.delivery)
+        self.assertEqual([], self.read_log())
+
     def test_running_call_has_no_result(self):
         self.start(
             service.Service(deduplicates=True, lookup=True, work_s=60.0)
