Believe 'not found' only as the answer to the last question

Cause: by reading: a question that became overdue while the process was frozen is asked again; the late answer to the first was taken for the answer to the second, which may be asked after the key has settled, so that an order could be refused as not run though it ran in between. Change: questions bear a number that the answer repeats; 'found' is believed in any case, since it stays true.

--- a/sniperudder/effects/_services.py
+++ b/sniperudder/effects/_services.py
@@ -33,8 +33,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AskService:
-    """Ask a service what became of a key; answered by ``ServiceTold``."""
+    """Ask a service what became of a key; answered by ``ServiceTold``.
+
+    Attributes
+    ----------
+    order : str
+    address : str
+    key : str
+    question : int
+        Number that the answer bears, so that a late one is told apart.
+    """
 
     order: str
     address: str
     key: str
+    question: int = 0
--- a/sniperudder/inputs/_services.py
+++ b/sniperudder/inputs/_services.py
@@ -44,6 +44,8 @@
     started : bool
         Whether the service has begun to run the key; such a call is not
         found until it has ended.
+    question : int
+        As in the ``AskService`` that it answers.
     """
 
     order: str
@@ -52,3 +54,4 @@
     status: int = 0
     body: str = ''
     started: bool = False
+    question: int = 0
--- a/sniperudder/services/_client.py
+++ b/sniperudder/services/_client.py
@@ -39,4 +39,5 @@
         Returns
         -------
         sniperudder.inputs.ServiceTold
+            Bears the question's number.
         """
--- a/sniperudder/services/_http.py
+++ b/sniperudder/services/_http.py
@@ -1,5 +1,6 @@
 """A client of plain services over HTTP, see docs/ENDPOINTS.md."""
 
+import dataclasses
 import json
 import time
 import urllib.parse
@@ -64,6 +65,10 @@
 
     def ask(self, call, timeout_s):
         """See base class."""
+        told = self._ask(call, timeout_s)
+        return dataclasses.replace(told, question=call.question)
+
+    def _ask(self, call, timeout_s):
         path = f'/result/{_quote(call.key)}'
         reply = self._transport.exchange('GET', call.address, path, timeout_s)
         if isinstance(reply, transports.NoReply) or reply.status != _OK:
--- a/sniperudder/services/tests/test_http.py
+++ b/sniperudder/services/tests/test_http.py
@@ -1,3 +1,4 @@
+import dataclasses
 import json
 import threading
 
@@ -146,6 +147,14 @@
         self.assertEqual(_NOT_SENT, result.delivery)
         self.assertEqual([], self.read_log())
 
+    def test_lookup_bears_the_number_of_its_question(self):
+        self.start(_Odd(serving.answer_json({'found': False})))
+        call = effects.AskService('o1', self.address, 'key-1', question=7)
+        self.assertEqual(7, self.client.ask(call, _TIMEOUT_S).question)
+        self.start(_Odd(serving.answer_json({}, 503)))
+        call = dataclasses.replace(call, address=self.address)
+        self.assertEqual(7, self.client.ask(call, _TIMEOUT_S).question)
+
     def test_running_call_has_no_result(self):
         self.start(
             service.Service(deduplicates=True, lookup=True, work_s=60.0)
--- a/sniperudder/systems/orders/_calls.py
+++ b/sniperudder/systems/orders/_calls.py
@@ -57,10 +57,16 @@
     if order.holds and now >= order.ends_at:
         return _endings.end_in_doubt(T, order, now)
     service = T.services[order.service]
-    _timing.await_service(T, order, now)
+    question = _timing.await_service(T, order, now)
     order.asked_at = now
-    address = T.rng.choice(service.addresses)
-    return [effects.AskService(order.name, address, _format_key(order))]
+    return [
+        effects.AskService(
+            order=order.name,
+            address=T.rng.choice(service.addresses),
+            key=_format_key(order),
+            question=question,
+        )
+    ]
 
 
 def handle_returned(T, order, inp, now):
--- a/sniperudder/systems/orders/_steps.py
+++ b/sniperudder/systems/orders/_steps.py
@@ -80,7 +80,9 @@
     order = T.orders.get(inp.order)
     if order is None or order.state is not OrderState.ASKING:
         return []
-    if not order.pending:
+    current = order.pending and order.pending == inp.question
+    if not current and not inp.found:
+        # That a key was not found earlier may not be true any more.
         return []
     out = _calls.handle_told(T, order, inp, now)
     return out + _advance(T, order, now)
--- a/sniperudder/systems/orders/_timing.py
+++ b/sniperudder/systems/orders/_timing.py
@@ -59,7 +59,7 @@
 
 
 def await_service(T, order, now):
-    """Note that an answer of the service is awaited."""
+    """Return the serial number for a call or question."""
     return _await(order, now + 2 * T.policy.order_timeout_s)
 
 
--- a/sniperudder/systems/orders/tests/_bench.py
+++ b/sniperudder/systems/orders/tests/_bench.py
@@ -89,6 +89,15 @@
             inputs.ServiceReturned(order, 0, '', delivery, ADDRESS)
         )
 
+    def tell(self, **answer):
+        """Answer the last question."""
+        call = self.find(effects.AskService)
+        return self.give(
+            inputs.ServiceTold(
+                call.order, True, question=call.question, **answer
+            )
+        )
+
     def find(self, kind):
         """Return the last effect of a kind."""
         return [e for e in self.effects if isinstance(e, kind)][-1]
--- a/sniperudder/systems/orders/tests/test_orders.py
+++ b/sniperudder/systems/orders/tests/test_orders.py
@@ -284,18 +284,15 @@
 
     def test_found_result_is_stored_and_given(self):
         self.bench.fail_call(_LOST)
-        self.bench.give(
-            inputs.ServiceTold('order-1', True, True, 200, 'receipt')
-        )
+        self.bench.tell(found=True, status=200, body='receipt')
         results = self.bench.commit()
         self.assertEqual([Code.ANSWERED], _bench.list_codes(results))
 
     def test_key_that_is_not_found_is_believed_after_settling(self):
         self.bench.fail_call(_LOST)
-        nothing = inputs.ServiceTold('order-1', True)
-        self.assertEqual([], _bench.list_codes(self.bench.give(nothing)))
+        self.assertEqual([], _bench.list_codes(self.bench.tell()))
         self.bench.pass_time(4.5)
-        results = self.bench.give(nothing)
+        results = self.bench.tell()
         self.assertEqual(
             [Code.SERVICE_UNREACHABLE], _bench.list_codes(results)
         )
@@ -303,8 +300,8 @@
     def test_call_that_still_runs_is_not_unrun(self):
         self.bench.fail_call(_LOST)
         self.bench.pass_time(4.5)
-        running = inputs.ServiceTold('order-1', True, started=True)
-        self.assertEqual([], _bench.list_codes(self.bench.give(running)))
+        results = self.bench.tell(started=True)
+        self.assertEqual([], _bench.list_codes(results))
 
     def test_repeat_asks_in_place_of_a_dead_holder(self):
         other = _bench.Bench(
@@ -315,7 +312,7 @@
         other.pass_time(1.5)
         other.commit()
         self.assertEqual(1, other.count(effects.AskService))
-        other.give(inputs.ServiceTold('order-2', True, True, 200, 'receipt'))
+        other.tell(found=True, status=200, body='receipt')
         results = other.commit()
         self.assertEqual([Code.STORED_RESULT], _bench.list_codes(results))
 
@@ -534,3 +531,22 @@
         for _ in range(70):
             self.bench.pass_time(1.0)
         self.assertEqual({}, self.bench.T.orders)
+
+
+class StaleAnswerTest(testtools.TestCase):
+    def test_answer_to_an_earlier_question_is_not_believed(self):
+        bench = _bench.Bench(lookup=True, settle_s=5.0)
+        bench.send()
+        bench.commit()
+        bench.fail_call(_LOST)
+        first = bench.find(effects.AskService)
+        bench.pass_time(22.0)
+        bench.pass_time(1.0)
+        bench.pass_time(10.0)
+        self.assertEqual(2, bench.count(effects.AskService))
+        results = bench.give(
+            inputs.ServiceTold('order-1', True, question=first.question)
+        )
+        self.assertEqual([], results)
+        bench.tell()
+        self.assertEqual(OrderState.RELEASING, bench.T.orders['order-1'].state)
--- a/sniperudder/testing/_orders.py
+++ b/sniperudder/testing/_orders.py
@@ -511,14 +511,16 @@
         unreachable = self.has_fault(FaultKind.SERVICE_REFUSES)
         crashes = self.has_fault(FaultKind.SERVICE_CRASHES)
         if unreachable or (crashes and self.rng.random() < 0.6):
-            answer = inputs.ServiceTold(call.order, False)
+            answer = inputs.ServiceTold(
+                call.order, False, question=call.question
+            )
             self._schedule(self.now + delay_s, self._deliver, entry, answer)
             return
         self._schedule(self.now + delay_s, self._tell, entry, call, delay_s)
 
     def _tell(self, entry, call, delay_s):
         stand = self.services[_find_kind(call.address)]
-        answer = stand.tell(call.order, call.key, self.now)
+        answer = stand.tell(call, self.now)
         self._schedule(self.now + delay_s, self._deliver, entry, answer)
 
     def _hang_up(self, entry, attempt):
--- a/sniperudder/testing/_services.py
+++ b/sniperudder/testing/_services.py
@@ -72,14 +72,17 @@
         self.log.append(run)
         return run
 
-    def tell(self, order, key, now):
-        """Return what became of a key."""
-        run = self.find(key)
+    def tell(self, call, now):
+        """Return what became of the key that a question is about."""
+        told = inputs.ServiceTold(call.order, True, question=call.question)
+        run = self.find(call.key)
         if run is None:
-            return inputs.ServiceTold(order, True)
+            return told
         if now < run.ended_at:
-            return inputs.ServiceTold(order, True, started=True)
-        return inputs.ServiceTold(order, True, True, 200, run.result)
+            return dataclasses.replace(told, started=True)
+        return dataclasses.replace(
+            told, found=True, status=200, body=run.result
+        )
 
     def find(self, key):
         """Return the first run of a key, or None."""
