--- a/measurements/orders.py
+++ b/measurements/orders.py
@@ -108,7 +108,9 @@
     print(
         f'{service}, {repeats} repeats: a key costs '
         f'{counts["write_transactions"] / _ORDERS:.2f} conditional writes '
-        f'({counts["conflicts"] / _ORDERS:.2f} of them refused), '
+        f'({counts["conflicts"] / _ORDERS:.2f} refused), '
+        f'{counts["rows_written"] / _ORDERS:.2f} rows written, '
+        f'{counts["rows_given"] / _ORDERS:.2f} rows given, '
         f'{counts["read_transactions"] / _ORDERS:.2f} reads'
     )
 
--- a/sniperudder/testing/_rowstore.py
+++ b/sniperudder/testing/_rowstore.py
@@ -12,7 +12,7 @@
     rows : dict of str to Row
     counts : dict of str to int
         Transactions with writes, rows written, transactions without
-        writes, and conflicts.
+        writes, rows given, and conflicts.
     """
 
     __slots__ = ('rows', 'counts')
@@ -23,6 +23,7 @@
             'write_transactions': 0,
             'rows_written': 0,
             'read_transactions': 0,
+            'rows_given': 0,
             'conflicts': 0,
         }
 
@@ -35,11 +36,10 @@
             version = 0 if row is None else row.version
             if version != condition.version:
                 self.counts['conflicts'] += 1
-                return inputs.Conflicted(self._list_rows(call))
+                return inputs.Conflicted(self._give(_list_keys(call)))
         for write in call.writes:
             self._write(write)
-        rows = tuple(self.rows[key] for key in call.reads if key in self.rows)
-        return inputs.Committed(rows)
+        return inputs.Committed(self._give(call.reads))
 
     def _write(self, write):
         self.counts['rows_written'] += 1
@@ -50,7 +50,12 @@
         version = 1 if row is None else row.version + 1
         self.rows[write.key] = effects.Row(write.key, write.value, version)
 
-    def _list_rows(self, call):
-        keys = [condition.key for condition in call.conditions]
-        keys += [key for key in call.reads if key not in keys]
-        return tuple(self.rows[key] for key in keys if key in self.rows)
+    def _give(self, keys):
+        rows = tuple(self.rows[key] for key in keys if key in self.rows)
+        self.counts['rows_given'] += len(rows)
+        return rows
+
+
+def _list_keys(call):
+    keys = [condition.key for condition in call.conditions]
+    return keys + [key for key in call.reads if key not in keys]
