Tell in doubt from in progress by the age of the claim

Cause: a repeat that met the claim of a dead entry was told 'still being run' for ever, and the log did not show it. Change: a repeat that has seen the claim unchanged for twice order_timeout_s is told ORDER_IN_DOUBT, and the log has the row's key.

--- a/sniperudder/systems/orders/_steps.py
+++ b/sniperudder/systems/orders/_steps.py
@@ -17,6 +17,7 @@
 _MAX_STEPS = 10
 _FROZEN_S = 0.5
 _GRACE_S = 1.0
+_LONGEST_RUN_FACTOR = 2
 
 _RUN = {
     OrderState.CLAIMING: _claims.run_claiming,
@@ -59,7 +60,7 @@
     if order.open_calls or order.state is OrderState.STORING:
         return []
     if order.state in (OrderState.WAITING, OrderState.ASKING):
-        return _end_waiting(T, order)
+        return _end_waiting(T, order, now)
     code = outcomes.Code.LEFT_BEFORE_START
     out = _endings.end_not_run(T, order, now, code)
     return out + _advance(T, order, now)
@@ -176,17 +177,19 @@
         code = outcomes.Code.ORDER_IN_PROGRESS
         return _endings.finish(order, outcomes.InDoubt(code))
     if order.state in (OrderState.WAITING, OrderState.ASKING):
-        return _end_waiting(T, order)
+        return _end_waiting(T, order, now)
     code = outcomes.Code.DEADLINE_BEFORE_START
     if order.state is OrderState.CLAIMING:
         code = outcomes.Code.PLATFORM_UNAVAILABLE
     return _endings.end_not_run(T, order, now, code)
 
 
-def _end_waiting(T, order):
+def _end_waiting(T, order, now):
+    longest_s = _LONGEST_RUN_FACTOR * T.policy.order_timeout_s
+    if order.row_doubtful or now - order.seen_at > longest_s:
+        # A living holder would have written its result by now.
+        return _endings.end_in_doubt(T, order, now)
     code = outcomes.Code.ORDER_IN_PROGRESS
-    if order.row_doubtful:
-        code = outcomes.Code.ORDER_IN_DOUBT
     out = _endings.finish(order, outcomes.InDoubt(code))
     _endings.drop(T, order)
     return out
--- a/sniperudder/systems/orders/tests/test_orders.py
+++ b/sniperudder/systems/orders/tests/test_orders.py
@@ -108,6 +108,19 @@
             [Code.ORDER_IN_PROGRESS], _bench.list_codes(self.second.effects)
         )
 
+    def test_claim_that_does_not_change_is_in_doubt(self):
+        self.second.send('order-2', deadline_s=60.0)
+        self.second.commit()
+        for _ in range(31):
+            self.second.pass_time(2.0)
+            if self.second.T.orders:
+                self.second.commit()
+        self.assertEqual(
+            [Code.ORDER_IN_DOUBT], _bench.list_codes(self.second.effects)
+        )
+        note = self.second.find(effects.Note)
+        self.assertEqual('order/north/compressors/key-1', note.detail)
+
     def test_other_body_is_a_conflict(self):
         self.second.send('order-2', body='{}')
         results = self.second.commit()
