--- a/sniperudder/testing/_orders.py
+++ b/sniperudder/testing/_orders.py
@@ -52,6 +52,7 @@
     FREEZE = 'freeze'
     KILL_MIDWAY = 'kill between decision and deed'
     FREEZE_MIDWAY = 'freeze between decision and deed'
+    STOP = 'planned stop'
     STALE = 'stale'
     PLATFORM_DOWN = 'platform down'
     PLATFORM_SLOW = 'platform slow'
@@ -297,6 +298,10 @@
                 self._kill(entry)
             case FaultKind.FREEZE:
                 self._freeze(entry, fault.duration_s)
+            case FaultKind.STOP:
+                entry.T.stopping = True
+                at = self.now + fault.duration_s
+                self._schedule(at, self._replace_stopped, entry)
             case FaultKind.STALE:
                 entry.stale_until = self.now + fault.duration_s
 
@@ -306,6 +311,16 @@
         entry.dead = True
         self.entries[entry.index] = self._create_entry(entry.index)
 
+    def _replace_stopped(self, entry):
+        """Replace an entry that stops once its work is done."""
+        if entry.dead:
+            return
+        if entry.T.orders or self.now < entry.frozen_until:
+            at = self.now + _CALLER_PAUSE_S
+            self._schedule(at, self._replace_stopped, entry)
+            return
+        self._kill(entry)
+
     def _freeze(self, entry, duration_s):
         until = self.now + duration_s
         entry.frozen_until = max(entry.frozen_until, until)
