--- a/sniperudder/commands/tests/test_commands.py
+++ b/sniperudder/commands/tests/test_commands.py
@@ -2,6 +2,7 @@
 import http.server
 import io
 import json
+import pathlib
 import socket
 import threading
 from unittest import mock
@@ -10,6 +11,8 @@
 from sniperudder.commands import Status
 from sniperudder.settings.tests import base
 
+_ROOT = pathlib.Path(__file__).parents[3]
+
 
 class CommandTestCase(base.SettingsTestCase):
     def run_command(self, *argv, **variables):
@@ -68,8 +71,10 @@
         self.assertEqual(Status.USAGE, self.run_command('fly'))
         self.assertEqual(Status.USAGE, self.run_command())
         self.assertEqual(Status.DONE, self.run_command('--help'))
+        page = (_ROOT / 'docs' / 'COMMANDS.md').read_text(encoding='utf-8')
         for status in Status:
             self.assertRegex(self.out, rf'(?m)^  {int(status)} ')
+            self.assertRegex(page, rf'(?m)^\| {int(status)} \|')
 
 
 class _Handler(http.server.BaseHTTPRequestHandler):
