Follow the class of result codes in the command line

Cause: the administration interface names code, type and class in its refusals and takes timeout_s; the command line judged by the HTTP status alone, so a COMMAND_IN_DOUBT of status 409 would have read as refused. Change: the class decides where there is one; the code is printed; the instance is given timeout_s, and its answer 5 s more.

--- a/sniperudder/commands/_remote.py
+++ b/sniperudder/commands/_remote.py
@@ -10,10 +10,14 @@
 from sniperudder.commands._status import CommandFailed
 from sniperudder.commands._status import Status
 from sniperudder.commands import _tables
+from sniperudder import outcomes
 
 _KEY_VARIABLE = 'SNIPERUDDER_KEY'
 _ADDRESS_VARIABLE = 'SNIPERUDDER_ADDRESS'
 
+# The instance is given the time asked for; its answer takes some more.
+_MARGIN_S = 5.0
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Answer:
@@ -26,6 +30,8 @@
     columns, rows, missing : list
         Table, and names of the instances that did not contribute.
     detail : str
+    execution : str
+        Class of the result code of a refusal.
     text : str
         The answer as it came.
     """
@@ -35,6 +41,7 @@
     rows: list
     missing: list
     detail: str
+    execution: str
     text: str
 
 
@@ -54,7 +61,8 @@
     json : bool
         Print the answer as JSON, as it came.
     timeout_s : float
-        Longest wait, seconds; 10 where absent.
+        Longest wait of the instance for others, seconds; 10 where
+        absent.
     """
     try:
         answer = _post('query', text, '', address, timeout_s)
@@ -83,7 +91,8 @@
     json : bool
         Print the answer as JSON, as it came.
     timeout_s : float
-        Longest wait, seconds; 10 where absent.
+        Longest wait of the instance for others, seconds; 10 where
+        absent.
     """
     id = id or uuid.uuid4().hex
     try:
@@ -94,13 +103,19 @@
         raise CommandFailed(Status.UNREACHABLE, _describe(error)) from error
     except urllib3.exceptions.HTTPError as error:
         raise _create_doubt(id, _describe(error)) from error
-    # A server's failure says nothing about what it did before.
-    if answer.status in (500, 502, 504):
+    if _is_doubtful(answer):
         raise _create_doubt(id, _tables.clean_text(answer.detail))
     _check_refusal(answer)
     return _print_answer(answer, json)
 
 
+def _is_doubtful(answer):
+    if answer.execution:
+        return answer.execution == outcomes.Execution.IN_DOUBT.value
+    # A server's failure says nothing about what it did before.
+    return answer.status in (500, 502, 504)
+
+
 def _create_doubt(id, reason):
     message = f'in doubt ({reason}); repeat with --id {id}'
     return CommandFailed(Status.IN_DOUBT, message)
@@ -114,16 +129,17 @@
     key = os.environ.get(_KEY_VARIABLE, '')
     if not key:
         raise CommandFailed(Status.USAGE, f'{_KEY_VARIABLE} is not set')
+    fields = {'text': text, 'id': id, 'timeout_s': timeout_s}
     with urllib3.PoolManager() as pool:
         response = pool.request(
             'POST',
             f'http://{address}/admin/{path}',
-            body=json.dumps({'text': text, 'id': id}).encode(),
+            body=json.dumps(fields).encode(),
             headers={
                 'Authorization': f'Bearer {key}',
                 'Content-Type': 'application/json',
             },
-            timeout=timeout_s,
+            timeout=timeout_s + _MARGIN_S,
             retries=False,
             redirect=False,
         )
@@ -139,20 +155,27 @@
     if not isinstance(fields, dict):
         # Whatever answered, it was not an instance.
         detail = f'HTTP status {status} without an answer'
-        return _Answer(max(status, 500), [], [], [], detail, text)
-    detail = fields.get('detail') or ''
-    if not detail and status != 200:
-        detail = f'HTTP status {status}'
+        return _Answer(max(status, 500), [], [], [], detail, '', text)
     return _Answer(
-        status,
-        fields.get('columns') or [],
-        fields.get('rows') or [],
-        fields.get('missing') or [],
-        str(detail),
-        text,
+        status=status,
+        columns=fields.get('columns') or [],
+        rows=fields.get('rows') or [],
+        missing=fields.get('missing') or [],
+        detail=_read_detail(status, fields),
+        execution=str(fields.get('class') or ''),
+        text=text,
     )
 
 
+def _read_detail(status, fields):
+    detail = str(fields.get('detail') or '')
+    if 'code' in fields:
+        return f'{fields["code"]} {fields.get("type", "")}: {detail}'
+    if status != 200:
+        return detail or f'HTTP status {status}'
+    return detail
+
+
 def _check_refusal(answer):
     if answer.status != 200:
         message = _tables.clean_text(answer.detail)
--- a/sniperudder/commands/tests/test_commands.py
+++ b/sniperudder/commands/tests/test_commands.py
@@ -130,6 +130,7 @@
         ((path, key, body),) = self.server.seen
         self.assertEqual(('/admin/query', 'Bearer k-1'), (path, key))
         self.assertEqual('show endpoints', body['text'])
+        self.assertEqual(10, body['timeout_s'])
 
     def test_json(self):
         self.set_answer(columns=[], rows=[])
@@ -149,6 +150,19 @@
         self.assertEqual(Status.REFUSED, status)
         self.assertEqual('sniperudder: this key may only look\n', self.err)
 
+    def test_class_of_the_code_goes_before_the_http_status(self):
+        cases = (
+            (502, 'not run', Status.REFUSED),
+            (409, 'in doubt', Status.IN_DOUBT),
+        )
+        for status, execution, expected in cases:
+            self.server.status = status
+            self.set_answer(
+                **{'code': 207, 'type': 'x', 'class': execution}, detail='y'
+            )
+            self.assertEqual(expected, self.ask('command', 'z'))
+            self.assertIn('207 x: y', self.err)
+
     def test_command_in_doubt_names_its_id(self):
         for status in (None, 500, 502, 504):
             self.server.status = status
