Draw the last 5,000 events of a time line

Cause: a picture of 100,000 rows is of no use to a viewer. Change: the picture holds the last 5,000 events and says how many came before; times are marked as UTC.

--- a/sniperudder/logs/_timeline.py
+++ b/sniperudder/logs/_timeline.py
@@ -12,6 +12,9 @@
 _MARK_PX = 4
 _MAX_LABEL = 34
 
+# Viewers become slow beyond this.
+_MAX_ROWS = 5_000
+
 _INK = '#222222'
 _FAINT = '#c8c8c8'
 _ARROW = '#3465a4'
@@ -66,7 +69,8 @@
     """Return a time line as an SVG picture, one lane for each process.
 
     Time runs downwards, one row for each event in causal order, so that
-    labels never cover each other.
+    labels never cover each other. Where there are too many events for
+    a picture, the last ones are drawn.
 
     Parameters
     ----------
@@ -76,11 +80,14 @@
     -------
     str
     """
-    events = timeline.events
+    events = timeline.events[-_MAX_ROWS:]
     lanes = {name: n for n, name in enumerate(_list_instances(events))}
     width = _GUTTER_PX + _LANE_PX * max(len(lanes), 1)
     height = _HEAD_PX + _ROW_PX * (len(events) + 1)
     root = _create_root(width, height)
+    left_out = len(timeline.events) - len(events)
+    caption = _add(root, 'text', x=8, y=_HEAD_PX - 18, fill=_INK)
+    caption.text = f'UTC, {left_out} before' if left_out else 'UTC'
     for name, lane in lanes.items():
         _draw_lane(root, name, lane, height)
     for arrow in _events.find_arrows(events):
--- a/sniperudder/logs/tests/test_timeline.py
+++ b/sniperudder/logs/tests/test_timeline.py
@@ -109,5 +109,11 @@
         (label,) = root.findall(f'{_SVG}g/{_SVG}text')
         self.assertTrue(label.text.startswith('x <script>&"'))
 
+    def test_the_last_of_too_many_events_are_drawn(self):
+        lines = [_line(n, 'a', 'x', task=str(n)) for n in range(1, 5004)]
+        root = self.render(lines)
+        self.assertEqual(5000, len(root.findall(f'{_SVG}g')))
+        self.assertEqual('UTC, 3 before', root.find(f'{_SVG}text').text)
+
     def test_no_events(self):
         self.assertIsNotNone(self.render([]).find(f'{_SVG}rect'))
