Give the placement its key in the settings

Cause: Policy gained the field placement; the test that every field has a key was red after the merge.

--- a/sniperudder/settings/_sections.py
+++ b/sniperudder/settings/_sections.py
@@ -206,6 +206,17 @@
             _kinds.Number(0, 86400),
             'Longest duration of a planned stop, seconds.',
         ),
+        _option(
+            'placement',
+            _kinds.Text(
+                'home|independent|round_robin',
+                'one of home, independent, round_robin',
+            ),
+            'Who decides about endpoints: one home instance for each '
+            'model, or each instance by itself; `round_robin` is for '
+            'comparison.',
+            _POLICY_DEFAULTS.placement,
+        ),
     ),
 )
 
