--- a/sniperudder/services/_http.py
+++ b/sniperudder/services/_http.py
@@ -1,5 +1,6 @@
 """A client of plain services over HTTP, see docs/ENDPOINTS.md."""
 
+import dataclasses
 import json
 import time
 import urllib.parse
@@ -28,7 +29,10 @@
 
     def call(self, call, timeout_s):
         """See base class."""
-        left_s = min(call.start_by - clocks.read_clock(), call.deadline_s)
+        # The wall clock first: a freeze in between makes the call expire
+        # earlier and not later.
+        wall = time.time()
+        left_s = call.start_by - clocks.read_clock()
         try:
             body = call.body.encode()
         except UnicodeEncodeError:
@@ -40,7 +44,7 @@
             'Content-Type': 'application/json',
             _KEY_HEADER: key,
             'X-Deadline-S': f'{left_s:.3f}',
-            'X-Expires-At': f'{time.time() + left_s:.3f}',
+            'X-Expires-At': f'{wall + left_s:.3f}',
         }
         reply = self._transport.exchange(
             'POST',
@@ -61,6 +65,10 @@
 
     def ask(self, call, timeout_s):
         """See base class."""
+        told = self._ask(call, timeout_s)
+        return dataclasses.replace(told, question=call.question)
+
+    def _ask(self, call, timeout_s):
         path = f'/result/{_quote(call.key)}'
         reply = self._transport.exchange('GET', call.address, path, timeout_s)
         if isinstance(reply, transports.NoReply) or reply.status != _OK:
@@ -111,7 +119,11 @@
 
 def _read_told(call, value):
     if value['found'] is False:
-        return inputs.ServiceTold(call.order, answered=True)
+        return inputs.ServiceTold(
+            call.order,
+            answered=True,
+            started=value.get('started') is True,
+        )
     status, body = value['status'], value['body']
     if value['found'] is not True or type(status) is not int:
         raise ValueError('neither found nor not')
--- a/sniperudder/services/tests/test_http.py
+++ b/sniperudder/services/tests/test_http.py
@@ -1,3 +1,4 @@
+import dataclasses
 import json
 import threading
 
@@ -45,10 +46,9 @@
         timeout_s=_TIMEOUT_S,
         deadline_s=10.0,
         body='{"swatch": 7}',
-        start_by=float('inf'),
     ):
         call = effects.CallService(
-            'o1', self.address, key, body, deadline_s, start_by
+            'o1', self.address, key, body, clocks.read_clock() + deadline_s
         )
         return self.client.call(call, timeout_s)
 
@@ -126,16 +126,35 @@
         self.assertEqual(_NOT_SENT, result.delivery)
         self.assertEqual([], self.read_log())
 
+    def test_call_past_its_start_is_not_sent(self):
+        self.start(_Odd(serving.Answer(200, b'')))
+        result = self.call(deadline_s=-0.001)
+        self.assertEqual(_NOT_SENT, result.delivery)
+
+    def test_lookup_tells_of_a_started_call(self):
+        self.start(_Odd(serving.answer_json({'found': False})))
+        self.assertFalse(self.ask().started)
+        running = {'found': False, 'started': True}
+        self.start(_Odd(serving.answer_json(running)))
+        told = inputs.ServiceTold('o1', answered=True, started=True)
+        self.assertEqual(told, self.ask())
+
     def test_call_that_is_too_late_is_not_sent(self):
         self.start(service.Service())
-        now = clocks.read_clock()
-        self.assertEqual(_NOT_SENT, self.call(start_by=now).delivery)
         self.assertEqual(_NOT_SENT, self.call(deadline_s=0.0).delivery)
         self.standin.gate.update({'slow_s': 0.1})
-        result = self.call(start_by=clocks.read_clock() + 0.05)
+        result = self.call(deadline_s=0.05)
         self.assertEqual(_NOT_SENT, result.delivery)
         self.assertEqual([], self.read_log())
 
+    def test_lookup_bears_the_number_of_its_question(self):
+        self.start(_Odd(serving.answer_json({'found': False})))
+        call = effects.AskService('o1', self.address, 'key-1', question=7)
+        self.assertEqual(7, self.client.ask(call, _TIMEOUT_S).question)
+        self.start(_Odd(serving.answer_json({}, 503)))
+        call = dataclasses.replace(call, address=self.address)
+        self.assertEqual(7, self.client.ask(call, _TIMEOUT_S).question)
+
     def test_running_call_has_no_result(self):
         self.start(
             service.Service(deduplicates=True, lookup=True, work_s=60.0)
--- a/sniperudder/systems/orders/_steps.py
+++ b/sniperudder/systems/orders/_steps.py
@@ -4,6 +4,7 @@
 from sniperudder import errors
 from sniperudder import inputs
 from sniperudder import outcomes
+from sniperudder.systems.orders import _admission
 from sniperudder.systems.orders import _calls
 from sniperudder.systems.orders import _claims
 from sniperudder.systems.orders import _endings
@@ -24,6 +25,7 @@
     OrderState.ASKING: _calls.run_asking,
     OrderState.STORING: _endings.run_storing,
     OrderState.MARKING: _endings.run_marking,
+    OrderState.LISTENING: _endings.run_listening,
     OrderState.RELEASING: _endings.run_releasing,
 }
 
@@ -40,23 +42,12 @@
     """Take an order from its caller."""
     if inp.order in T.orders:
         raise errors.InvariantBroken(f'{inp.order} arrived twice')
-    refusal = None
-    if inp.service not in T.services:
-        refusal = outcomes.Code.UNKNOWN_SERVICE
-    elif T.stopping:
-        refusal = outcomes.Code.STOPPING
-    elif len(T.orders) >= T.policy.ranks[inp.rank].max_queued:
-        refusal = outcomes.Code.QUEUE_FULL
+    refusal = _admission.find_refusal(T, inp)
     if refusal is not None:
         outcome = outcomes.Refused(refusal)
         return [effects.Finish(inp.order, outcome)]
-    order = _create_order(T, inp, now)
-    T.orders[order.name] = order
-    if T.services[order.service].repeatable:
-        _endings.enter(order, OrderState.CALLING, now)
-    else:
-        _claims.begin_claim(T, order, now)
-    return _advance(T, order, now)
+    T.orders[inp.order] = _create_order(T, inp, now)
+    return _begin_orders(T, now)
 
 
 def handle_departure(T, inp, now):
@@ -80,7 +71,8 @@
     if order is None:
         return [effects.Note('order:late-answer', inp.order)]
     out = _calls.handle_returned(T, order, inp, now)
-    return out + _advance(T, order, now)
+    out += _advance(T, order, now)
+    return out + _begin_orders(T, now)
 
 
 def handle_told(T, inp, now):
@@ -88,7 +80,9 @@
     order = T.orders.get(inp.order)
     if order is None or order.state is not OrderState.ASKING:
         return []
-    if not order.pending:
+    current = order.pending and order.pending == inp.question
+    if not current and not inp.found:
+        # That a key was not found earlier may not be true any more.
         return []
     out = _calls.handle_told(T, order, inp, now)
     return out + _advance(T, order, now)
@@ -112,6 +106,13 @@
     out = []
     for order in list(T.orders.values()):
         out += _advance(T, order, now)
+    return out + _begin_orders(T, now)
+
+
+def _begin_orders(T, now):
+    out = []
+    for order in _admission.begin_orders(T, now):
+        out += _advance(T, order, now)
     return out
 
 
--- a/sniperudder/testing/_orders.py
+++ b/sniperudder/testing/_orders.py
@@ -24,11 +24,13 @@
 _LONG_RUN_S = 8.0
 _LONG_FREEZE_S = 10.0
 _LATE_S = 6.0
-_SLOW_S = 3.0
+_SLOW_S = 8.0
 _CALLER_PAUSE_S = 0.5
 _CLOCK_ERROR_S = 0.5
 _GRACE_S = 60.0
 _HIT_SHARE = 0.2
+_LOST_REQUESTS = 0.2
+_LOST_ANSWERS = 0.4
 _THREAD_LAG_S = 0.3
 
 PLATFORM_TIMEOUT_S = 0.5
@@ -124,12 +126,24 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Scenario:
-    """Callers' plans and faults; ``seed`` decides all else."""
+    """Callers' plans and faults; ``seed`` decides all else.
+
+    Attributes
+    ----------
+    seed : int
+    plans : tuple of Plan
+    faults : tuple of Fault
+    entries : int
+        Number of entries.
+    final_repeats : bool
+        Whether all keys are sent once more after the faults have ended.
+    """
 
     seed: int
     plans: tuple
     faults: tuple = ()
     entries: int = 3
+    final_repeats: bool = True
 
 
 @dataclasses.dataclass(slots=True)
@@ -211,7 +225,8 @@
             self._schedule(plan.at, self._start_plan, plan)
         for fault in self.scenario.faults:
             self._schedule(fault.at, self._start_fault, fault)
-        self._schedule(self.calm_at + HEAL_S, self._repeat_all)
+        if self.scenario.final_repeats:
+            self._schedule(self.calm_at + HEAL_S, self._repeat_all)
         self._schedule(0.0, self._tick)
         end = self.calm_at + 2 * HEAL_S + _GRACE_S
         while self.events and self.events[0][0] < end:
@@ -392,24 +407,31 @@
         if self.has_fault(FaultKind.PLATFORM_SLOW):
             delay_s = _SLOW_S * self.rng.random()
         self._schedule(
-            self.now + delay_s,
+            self.now + delay_s / 2,
             self._apply_transaction,
             entry,
             call,
             sent_at,
             delay_s,
         )
+        if delay_s > PLATFORM_TIMEOUT_S:
+            # The client gives up; the transaction may still run later.
+            answer = inputs.TransactReturned(
+                call.purpose, inputs.Unknown(), sent_at
+            )
+            at = self.now + PLATFORM_TIMEOUT_S
+            self._schedule(at, self._deliver, entry, answer)
 
     def _apply_transaction(self, entry, call, sent_at, delay_s):
         loses = self.has_fault(FaultKind.PLATFORM_LOSES)
         fate = self.rng.random() if loses else 1.0
-        if fate < 0.2:
-            self._return(entry, call, inputs.Unknown(), sent_at, delay_s)
-            return
-        outcome = self.store.transact(call)
-        if fate < 0.6 or 2 * delay_s > PLATFORM_TIMEOUT_S:
+        outcome = inputs.Unknown()
+        if fate >= _LOST_REQUESTS:
+            outcome = self.store.transact(call)
+        if fate < _LOST_REQUESTS + _LOST_ANSWERS:
             outcome = inputs.Unknown()
-        self._return(entry, call, outcome, sent_at, delay_s)
+        if delay_s <= PLATFORM_TIMEOUT_S:
+            self._return(entry, call, outcome, sent_at, delay_s / 2)
 
     def _return(self, entry, call, outcome, sent_at, delay_s):
         answer = inputs.TransactReturned(call.purpose, outcome, sent_at)
@@ -489,14 +511,16 @@
         unreachable = self.has_fault(FaultKind.SERVICE_REFUSES)
         crashes = self.has_fault(FaultKind.SERVICE_CRASHES)
         if unreachable or (crashes and self.rng.random() < 0.6):
-            answer = inputs.ServiceTold(call.order, False)
+            answer = inputs.ServiceTold(
+                call.order, False, question=call.question
+            )
             self._schedule(self.now + delay_s, self._deliver, entry, answer)
             return
         self._schedule(self.now + delay_s, self._tell, entry, call, delay_s)
 
     def _tell(self, entry, call, delay_s):
         stand = self.services[_find_kind(call.address)]
-        answer = stand.tell(call.order, call.key, self.now)
+        answer = stand.tell(call, self.now)
         self._schedule(self.now + delay_s, self._deliver, entry, answer)
 
     def _hang_up(self, entry, attempt):
