--- a/sniperudder/testing/_chaos.py
+++ b/sniperudder/testing/_chaos.py
@@ -73,7 +73,7 @@
         """End all faults and check that everything settles."""
         for node in list(self.fleet.nodes.values()):
             if node.alive and node.frozen:
-                self._thaw(node)
+                self.fleet.thaw(node.name)
         self.heal(0)
         self.fleet.run(_SETTLE_S)
         if not self.fleet.live_nodes():
@@ -117,11 +117,7 @@
         """Let all frozen instances go on."""
         for node in self._alive():
             if node.frozen:
-                self._thaw(node)
-
-    def _thaw(self, node):
-        self.fleet.thaw(node.name)
-        self.watch.look_at(node)
+                self.fleet.thaw(node.name)
 
     def cut_platform(self, choice):
         """Cut an instance from the platform."""
--- a/sniperudder/testing/_fleet.py
+++ b/sniperudder/testing/_fleet.py
@@ -69,6 +69,9 @@
         Effects of other classes are kept in ``effects``.
     effects : list of (float, str, effect)
         Time, node and effect, oldest first.
+    observers : list of callable
+        Each ``observer(node)`` is called after each input of a node,
+        and when one is thawed.
     cuts : set of (str, str)
         Directed links that carry nothing; ``platform`` is a name too.
     delay_s : float
@@ -83,6 +86,7 @@
         self.platform = platform
         self.nodes = {}
         self.effects = []
+        self.observers = []
         self.cuts = set()
         self.delay_s = 0.003
         self.lose_message = 0.0
@@ -143,6 +147,7 @@
         """Let a frozen instance go on."""
         node = self.nodes[name]
         node.frozen = False
+        self._show(node)
         backlog, node.backlog = node.backlog, []
         for call, args in backlog:
             self.after(0.0, call, *args)
@@ -194,8 +199,13 @@
         for run in self.runs:
             effects = effects + run(node.T, now)
         self.carry(node, effects)
+        self._show(node)
         return effects
 
+    def _show(self, node):
+        for observer in self.observers:
+            observer(node)
+
     def carry(self, node, effects):
         """Route effects to the fakes."""
         for effect in effects:
--- a/sniperudder/testing/_operators.py
+++ b/sniperudder/testing/_operators.py
@@ -69,6 +69,10 @@
         self.violations = []
         self.slowest_s = 0.0
         self._audit = {}
+        self._accepted = 0
+        self._expected = {}
+        self._expected_at = None
+        fleet.observers.append(self.look_at)
         fleet.after(0.0, self._look)
         fleet.after(0.0, self._verify)
 
@@ -107,22 +111,20 @@
                 told = configuration.verify_intent(node.T, asked.command, now)
                 if told.accepted:
                     asked.accepted_at = self.fleet.now
+                    self._accepted += 1
         self.fleet.after(_VERIFY_S, self._verify)
 
     def _look(self):
-        expected = self._find_expected()
         for node in self.fleet.live_nodes():
-            self.look_at(node, expected)
+            self.look_at(node)
         self.fleet.after(_LOOK_S, self._look)
 
-    def look_at(self, node, expected=None):
+    def look_at(self, node):
         """Check what work a node would give out at this moment."""
         now = self.fleet.read_clock(node)
         if not configuration.is_fresh(node.T, now):
             return
-        if expected is None:
-            expected = self._find_expected()
-        for name, asked in expected.items():
+        for name, asked in self._find_expected().items():
             leaving = isinstance(asked.intent, intents.Withdraw)
             if (name in node.T.config.withdrawn) != leaving:
                 self._note_late(node, asked)
@@ -138,8 +140,16 @@
 
     def _find_expected(self):
         """Return the accepted command that decides on each endpoint."""
+        audit = self.read_audit()
+        state = (len(audit), self._accepted)
+        if state != self._expected_at:
+            self._expected_at = state
+            self._expected = self._fold(audit)
+        return self._expected
+
+    def _fold(self, audit):
         result = {}
-        for change in self.read_audit().values():
+        for change in audit.values():
             asked = self.asked.get(change.command_id)
             if asked is None:
                 continue
