Prove that accepted commands hold, against naive variants

Change: named scenarios, each run twice: a naive variant (tests/ _variants.py) has to break the promise and the real systems have to keep it; commands as operators see them; 25 hypothesis runs (derandomised).

--- /dev/null
+++ b/sniperudder/systems/configuration/tests/test_promises.py
@@ -0,0 +1,327 @@
+"""Accepted commands hold everywhere, and naive variants fail the same.
+
+Each scenario runs twice where a naive variant is named: the variant has
+to break the promise, the real systems have to keep it.
+"""
+
+from sniperudder import intents
+from sniperudder import outcomes
+from sniperudder.systems import configuration
+from sniperudder.systems.configuration.tests import _variants
+from sniperudder.tables import Policy
+from sniperudder import testing
+import testtools
+
+_BOUND_S = 3.0
+
+
+def _start(size, seed=1):
+    fleet = testing.create_fleet(seed)
+    watch = testing.Watch(fleet, _BOUND_S)
+    for number in range(size):
+        _add(fleet, f'entry-{number}')
+    fleet.run(3.0)
+    return fleet, watch
+
+
+def _add(fleet, name):
+    policy = Policy(list_lag_s=10.0)
+    return fleet.start(name, policy=policy, prepare=testing.fill_endpoints)
+
+
+def _split(fleet, names):
+    """Cut instances off from the platform and from all others."""
+    for name in names:
+        fleet.cut(name, 'platform')
+        for other in fleet.nodes:
+            if other not in names:
+                fleet.cut(name, other)
+
+
+def _withdraw(watch, name='entry-0', command='w', endpoint='gpu-0'):
+    node = watch.fleet.nodes[name]
+    watch.give(node, command, intents.Withdraw(endpoint))
+
+
+def _verify(fleet, name, command='w'):
+    node = fleet.nodes[name]
+    now = fleet.read_clock(node)
+    return configuration.verify_intent(node.T, command, now)
+
+
+def _is_fresh(fleet, name):
+    node = fleet.nodes[name]
+    return configuration.is_fresh(node.T, fleet.read_clock(node))
+
+
+class _Scenarios(testtools.TestCase):
+    def check(self, scenario, variant=None):
+        """Let a variant break the promise and the real systems keep it.
+
+        Returns
+        -------
+        Watch
+            Of the real systems' run.
+        """
+        if variant is not None:
+            with variant():
+                broken = scenario()
+            self.assertNotEqual([], broken.violations)
+        watch = scenario()
+        watch.check_answers()
+        self.assertEqual([], watch.violations)
+        return watch
+
+
+class WithdrawTest(_Scenarios):
+    def test_while_nothing_fails(self):
+        fleet, watch = _start(5)
+        _withdraw(watch)
+        fleet.run(1.5)
+        told = _verify(fleet, 'entry-0')
+        self.assertTrue(told.accepted and told.in_force_everywhere)
+        self.assertEqual(5, sum(place.in_force for place in told.places))
+        self.assertEqual([], watch.violations)
+
+    def test_while_an_entry_is_frozen(self):
+        def scenario():
+            fleet, watch = _start(5)
+            fleet.delay_s = fleet.platform.delay_s = 0.2
+            fleet.run(1.0)
+            fleet.freeze('entry-4')
+            _withdraw(watch)
+            fleet.run(8.0)
+            fleet.cut('entry-4', 'platform')
+            fleet.thaw('entry-4')
+            fleet.run(5.0)
+            return watch
+
+        watch = self.check(scenario, _variants.date_beats_at_receipt)
+        self.assertIsNotNone(watch.asked['w'].accepted_at)
+
+    def test_while_an_entry_is_cut_from_the_platform(self):
+        fleet, watch = _start(5)
+        fleet.cut('entry-4', 'platform')
+        fleet.run(10.0)
+        self.assertTrue(_is_fresh(fleet, 'entry-4'))
+        _withdraw(watch)
+        fleet.run(2.0)
+        told = _verify(fleet, 'entry-0')
+        self.assertEqual(5, sum(place.in_force for place in told.places))
+
+    def test_while_an_entry_is_cut_from_its_peers(self):
+        def scenario():
+            fleet, watch = _start(5)
+            for number in range(4):
+                fleet.cut('entry-4', f'entry-{number}')
+            _withdraw(watch)
+            fleet.run(8.0)
+            return watch
+
+        watch = self.check(scenario)
+        told = _verify(watch.fleet, 'entry-0')
+        self.assertTrue(told.accepted and told.in_force_everywhere)
+        self.assertTrue(_is_fresh(watch.fleet, 'entry-4'))
+
+    def test_while_some_entries_are_cut_from_all_others(self):
+        def scenario():
+            fleet, watch = _start(5)
+            _split(fleet, {'entry-3', 'entry-4'})
+            _withdraw(watch)
+            fleet.run(8.0)
+            return watch
+
+        for variant in (
+            _variants.go_on_without_platform,
+            _variants.count_those_heard,
+        ):
+            watch = self.check(scenario, variant)
+        fleet = watch.fleet
+        self.assertFalse(_is_fresh(fleet, 'entry-4'))
+        told = _verify(fleet, 'entry-0')
+        self.assertTrue(told.accepted and told.in_force_everywhere)
+        reasons = [p.reason for p in told.places if not p.in_force]
+        self.assertEqual(2, len(reasons))
+        self.assertIn('gives out no new work', reasons[0])
+
+    def test_while_most_entries_are_cut_from_the_platform(self):
+        def scenario():
+            fleet, watch = _start(5)
+            _split(fleet, {'entry-2', 'entry-3', 'entry-4'})
+            _withdraw(watch)
+            fleet.run(8.0)
+            return watch
+
+        for variant in (
+            _variants.accept_by_half,
+            _variants.accept_at_commit,
+        ):
+            watch = self.check(scenario, variant)
+        told = _verify(watch.fleet, 'entry-0')
+        self.assertIsInstance(told.outcome, outcomes.CommittedAt)
+        self.assertFalse(told.accepted or told.in_force_everywhere)
+        self.assertTrue(_is_fresh(watch.fleet, 'entry-4'))
+
+    def test_while_the_fleet_grows_beside_a_former_majority(self):
+        def scenario():
+            fleet, watch = _start(5)
+            cut_off = {'entry-2', 'entry-3', 'entry-4'}
+            for number in range(5, 10):
+                _add(fleet, f'entry-{number}')
+            for name in fleet.nodes:
+                if name not in cut_off:
+                    for cut in cut_off:
+                        fleet.cut(name, cut)
+            for cut in cut_off:
+                fleet.cut(cut, 'platform')
+            fleet.run(4.0)
+            _withdraw(watch)
+            fleet.run(8.0)
+            return watch
+
+        self.check(scenario, _variants.accept_by_latest_roster)
+
+    def test_right_at_the_start_of_an_entry(self):
+        fleet, watch = _start(3)
+        _add(fleet, 'entry-9')
+        _withdraw(watch)
+        fleet.run(2.0)
+        self.assertTrue(_verify(fleet, 'entry-9').in_force_everywhere)
+        self.assertEqual([], watch.violations)
+
+    def test_right_before_an_outage(self):
+        fleet, watch = _start(5)
+        _withdraw(watch)
+        while not watch.list_answers('w'):
+            fleet.run(0.001)
+        fleet.platform.up = False
+        fleet.run(3.0)
+        self.assertTrue(_verify(fleet, 'entry-3').accepted)
+        fleet.run(60.0)
+        for name in fleet.nodes:
+            self.assertTrue(_is_fresh(fleet, name))
+        self.assertEqual([], watch.violations)
+
+    def test_right_before_an_outage_and_the_death_of_its_entry(self):
+        fleet, watch = _start(5)
+        _withdraw(watch)
+        while not watch.list_answers('w'):
+            fleet.run(0.0005)
+        fleet.platform.up = False
+        fleet.kill('entry-0')
+        fleet.run(10.0)
+        self.assertIsNone(watch.asked['w'].accepted_at)
+        fleet.platform.up = True
+        fleet.run(3.0)
+        self.assertTrue(_verify(fleet, 'entry-1').accepted)
+        self.assertEqual([], watch.violations)
+
+    def test_while_a_member_restarts_during_an_outage(self):
+        def scenario():
+            fleet, watch = _start(3)
+            fleet.cut('entry-2', 'entry-0')
+            fleet.cut('entry-2', 'platform')
+            fleet.cut('entry-2', 'entry-1')
+            _withdraw(watch)
+            fleet.run(0.3)
+            fleet.platform.up = False
+            fleet.run(1.0)
+            fleet.kill('entry-1')
+            _add(fleet, 'entry-1')
+            fleet.heal()
+            fleet.cut('entry-0', 'entry-1')
+            fleet.cut('entry-0', 'entry-2')
+            fleet.run(10.0)
+            return watch
+
+        watch = self.check(scenario, _variants.trust_restarted)
+        self.assertIsNotNone(watch.asked['w'].accepted_at)
+
+
+class HistoryTest(_Scenarios):
+    def test_lost_answers(self):
+        def scenario():
+            fleet, watch = _start(3)
+            fleet.platform.lose_answer = 1.0
+            node = fleet.nodes['entry-0']
+            intent = intents.Withdraw('gpu-0')
+            watch.give(node, 'w', intent, force=True)
+            fleet.run(4.0)
+            fleet.platform.lose_answer = 0.0
+            fleet.run(4.0)
+            watch.check_answers()
+            return watch
+
+        watch = self.check(scenario, _variants.retry_blindly)
+        (told,) = watch.list_answers('w')
+        self.assertIsInstance(told, outcomes.CommittedAt)
+
+    def test_all_entries_replaced_one_after_another(self):
+        fleet, watch = _start(5)
+        _withdraw(watch)
+        fleet.run(2.0)
+        for number in range(5):
+            fleet.kill(f'entry-{number}')
+            _add(fleet, f'entry-{number + 5}')
+            fleet.run(3.0)
+            self.assertTrue(_is_fresh(fleet, f'entry-{number + 5}'))
+        fleet.run(25.0)
+        expected = {f'entry-{number}' for number in range(5, 10)}
+        for name in expected:
+            T = fleet.nodes[name].T
+            self.assertEqual({'gpu-0'}, T.config.withdrawn)
+            self.assertEqual(expected, T.config.members)
+            self.assertTrue(_verify(fleet, name).accepted)
+        self.assertEqual([], watch.violations)
+
+    def test_all_entries_replaced_at_once_during_an_outage(self):
+        fleet, watch = _start(5)
+        _withdraw(watch)
+        fleet.run(2.0)
+        fleet.platform.up = False
+        for number in range(5):
+            fleet.kill(f'entry-{number}')
+            _add(fleet, f'entry-{number + 5}')
+        fleet.run(20.0)
+        self.assertFalse(_is_fresh(fleet, 'entry-5'))
+        fleet.platform.up = True
+        fleet.run(2.0)
+        self.assertTrue(_is_fresh(fleet, 'entry-5'))
+        _withdraw(watch, 'entry-5', 'w2', 'gpu-1')
+        fleet.run(25.0)
+        self.assertTrue(_verify(fleet, 'entry-6', 'w2').accepted)
+        self.assertEqual([], watch.violations)
+
+    def test_an_entry_rejoins_after_an_hour(self):
+        fleet, watch = _start(3)
+        fleet.freeze('entry-2')
+        for number in range(20):
+            kind = intents.Return if number % 2 else intents.Withdraw
+            node = fleet.nodes['entry-0']
+            watch.give(node, f'c{number}', kind('gpu-0'))
+            fleet.run(2.0)
+        for node in fleet.nodes.values():
+            node.clock_offset += 3600.0
+        fleet.run(5.0)
+        fleet.thaw('entry-2')
+        fleet.run(3.0)
+        self.assertTrue(_is_fresh(fleet, 'entry-2'))
+        versions = {n.T.config.version for n in fleet.nodes.values()}
+        self.assertEqual(1, len(versions))
+        self.assertEqual([], watch.violations)
+
+    def test_scans_that_lag_far_behind(self):
+        fleet, watch = _start(3)
+        fleet.platform.scan_lag_s = 5.0
+        for number in range(100):
+            kind = intents.Return if number % 2 else intents.Withdraw
+            watch.give(fleet.nodes['entry-0'], f'c{number}', kind('gpu-0'))
+            fleet.run(0.1)
+        late = _add(fleet, 'entry-3')
+        seen = []
+        for _ in range(100):
+            fleet.run(0.1)
+            seen.append(late.T.config.version)
+        self.assertEqual(sorted(seen), seen)
+        self.assertEqual(len(watch.read_audit()), seen[-1])
+        self.assertEqual([], watch.violations)
--- /dev/null
+++ b/sniperudder/systems/configuration/tests/test_random.py
@@ -0,0 +1,44 @@
+"""Faults and commands at random moments, small seeds of the soak."""
+
+import hypothesis
+from hypothesis import strategies
+from sniperudder.systems.configuration.tests import _variants
+from sniperudder import testing
+import testtools
+
+_COMMANDS = testing.Chaos.ACTIONS[-4:]
+_STEPS = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from(_COMMANDS)
+        | strategies.sampled_from(testing.Chaos.ACTIONS),
+        strategies.integers(0, 999),
+        strategies.sampled_from((0.0, 0.05, 0.3, 1.0, 2.5)),
+    ),
+    min_size=5,
+    max_size=30,
+)
+
+
+class RandomTest(testtools.TestCase):
+    @hypothesis.settings(
+        derandomize=True,
+        deadline=None,
+        max_examples=25,
+        database=None,
+        suppress_health_check=list(hypothesis.HealthCheck),
+    )
+    @hypothesis.given(strategies.integers(0, 2**32), _STEPS)
+    def test_promises_hold_whatever_comes(self, seed, steps):
+        chaos = testing.run_chaos(seed, steps, size=4)
+        self.assertEqual([], chaos.watch.violations)
+
+    def test_a_naive_variant_is_found(self):
+        steps = [
+            ('split', 2, 0.3),
+            ('withdraw', 4, 6.0),
+        ]
+        chaos = testing.run_chaos(1, steps)
+        self.assertEqual([], chaos.watch.violations)
+        with _variants.go_on_without_platform():
+            chaos = testing.run_chaos(1, steps)
+        self.assertNotEqual([], chaos.watch.violations)
--- a/sniperudder/systems/membership/__init__.py
+++ b/sniperudder/systems/membership/__init__.py
@@ -6,6 +6,7 @@
 from sniperudder.inputs import InstancesListed
 from sniperudder.systems.membership import _intake
 from sniperudder.systems.membership import _listing
+from sniperudder.systems.membership import _records
 from sniperudder.systems.membership import _rounds
 from sniperudder.tables import Instance
 from sniperudder.tables import InstanceState
@@ -13,6 +14,7 @@
 __all__ = [
     'HANDLERS',
     'PURPOSES',
+    'add_seed',
     'add_self',
     'run_membership',
 ]
@@ -52,6 +54,17 @@
     T.instances[T.me] = own
 
 
+def add_seed(T, member):
+    """Add an instance that the settings name, for starts in an outage.
+
+    Parameters
+    ----------
+    T : sniperudder.tables.Tables
+    member : sniperudder.inputs.Member
+    """
+    _records.note_place(T, member)
+
+
 def run_membership(T, now):
     """Do what is due: read the list, send heartbeats.
 
--- a/sniperudder/testing/_operators.py
+++ b/sniperudder/testing/_operators.py
@@ -48,6 +48,10 @@
     accepted_at: float | None = None
 
 
+def _is_routing(intent):
+    return isinstance(intent, intents.Withdraw | intents.Return)
+
+
 class Watch:
     """Watches a fleet for broken promises.
 
@@ -151,7 +155,7 @@
         result = {}
         for change in audit.values():
             asked = self.asked.get(change.command_id)
-            if asked is None:
+            if asked is None or not _is_routing(asked.intent):
                 continue
             name = asked.intent.endpoint
             result.pop(name, None)
