--- a/sniperudder/core/_core.py
+++ b/sniperudder/core/_core.py
@@ -1,12 +1,30 @@
 """The way of an input to its system, and the order of the systems."""
 
 from sniperudder import inputs
+from sniperudder.systems import configuration
+from sniperudder.systems import dispatch
 from sniperudder.systems import drain
+from sniperudder.systems import health
+from sniperudder.systems import membership
 from sniperudder.systems import orders
 from sniperudder.systems import requests
 
-_SYSTEMS = (drain, orders, requests)
-_TICKS = (orders.run_orders, requests.run_requests)
+_SYSTEMS = (
+    configuration,
+    drain,
+    membership,
+    health,
+    dispatch,
+    orders,
+    requests,
+)
+_TICKS = (
+    membership.run_membership,
+    configuration.run_configuration,
+    orders.run_orders,
+    dispatch.run_dispatch,
+    requests.run_requests,
+)
 
 # An input may concern several systems: a caller that left may have
 # asked for tokens or for an order.
--- a/sniperudder/tables/__init__.py
+++ b/sniperudder/tables/__init__.py
@@ -18,6 +18,7 @@
 from sniperudder.tables._ranks import Rank
 from sniperudder.tables._ranks import RankPolicy
 from sniperudder.tables._ranks import RANKS
+from sniperudder.tables._refusals import Refusal
 from sniperudder.tables._requests import Request
 from sniperudder.tables._requests import RequestState
 from sniperudder.tables._requests import Stage
@@ -25,6 +26,8 @@
 from sniperudder.tables._tables import create_tables
 from sniperudder.tables._tables import Policy
 from sniperudder.tables._tables import Tables
+from sniperudder.tables._tickets import GrantRate
+from sniperudder.tables._tickets import Ticket
 
 __all__ = [
     'Acceptance',
@@ -44,12 +47,15 @@
     'RANKS',
     'Rank',
     'RankPolicy',
+    'Refusal',
     'Request',
     'RequestState',
     'Roster',
     'Service',
     'Stage',
     'Suspicion',
+    'GrantRate',
+    'Ticket',
     'Tables',
     'create_tables',
 ]
