--- a/sniperudder/systems/membership/_beats.py
+++ b/sniperudder/systems/membership/_beats.py
@@ -5,6 +5,7 @@
 from sniperudder.systems import configuration
 from sniperudder.systems.membership import _digest
 from sniperudder.systems.membership import _suspicions
+from sniperudder.tables import InstanceState
 
 _MAX_CHANGES = 16
 _MAX_MEMBERS = 4
@@ -62,7 +63,11 @@
 
 
 def _pick_members(T):
-    peers = [peer for peer in T.instances.values() if peer.address]
+    peers = [
+        peer
+        for peer in T.instances.values()
+        if peer.address and peer.state is InstanceState.LIVE
+    ]
     picked = T.rng.sample(peers, min(_MAX_MEMBERS, len(peers)))
     return tuple(
         Member(peer.name, peer.address, peer.data_centre, peer.incarnation)
