--- a/sniperudder/systems/configuration/tests/_variants.py
+++ b/sniperudder/systems/configuration/tests/_variants.py
@@ -114,8 +114,8 @@
     """Let a member that knows nothing yet count as evidence."""
     real = _records.note_evidence
 
-    def note(T, peer, version, rooted, at, now):
-        real(T, peer, version, True, at, now)
+    def note(peer, version, rooted, at):
+        real(peer, version, True, at)
 
     with mock.patch.object(_records, 'note_evidence', note):
         yield
--- a/sniperudder/systems/configuration/tests/test_promises.py
+++ b/sniperudder/systems/configuration/tests/test_promises.py
@@ -87,17 +87,22 @@
         def scenario():
             fleet, watch = _start(5)
             fleet.delay_s = fleet.platform.delay_s = 0.2
-            fleet.run(1.0)
-            fleet.freeze('entry-4')
-            _withdraw(watch)
-            fleet.run(8.0)
-            fleet.cut('entry-4', 'platform')
-            fleet.thaw('entry-4')
-            fleet.run(5.0)
+            for number in range(8):
+                fleet.run(1.0)
+                fleet.freeze('entry-4')
+                fleet.cut('entry-4', 'platform')
+                kind = intents.Return if number % 2 else intents.Withdraw
+                node = fleet.nodes['entry-0']
+                watch.give(node, f'w{number}', kind('gpu-0'))
+                fleet.run(5.0)
+                fleet.thaw('entry-4')
+                fleet.run(1.0)
+                fleet.heal()
             return watch
 
         watch = self.check(scenario, _variants.date_beats_at_receipt)
-        self.assertIsNotNone(watch.asked['w'].accepted_at)
+        for asked in watch.asked.values():
+            self.assertIsNotNone(asked.accepted_at)
 
     def test_while_an_entry_is_cut_from_the_platform(self):
         fleet, watch = _start(5)
--- a/sniperudder/systems/membership/_beats.py
+++ b/sniperudder/systems/membership/_beats.py
@@ -8,7 +8,7 @@
 from sniperudder.tables import InstanceState
 
 _MAX_CHANGES = 16
-_MAX_MEMBERS = 4
+_MAX_MEMBERS = 1
 _SNAPSHOT_GAP = 64
 
 
@@ -66,13 +66,14 @@
     peers = [
         peer
         for peer in T.instances.values()
-        if peer.address and peer.state is InstanceState.LIVE
+        if peer.address
+        and peer.name != T.me
+        and peer.state is InstanceState.LIVE
     ]
     picked = T.rng.sample(peers, min(_MAX_MEMBERS, len(peers)))
     return tuple(
         Member(peer.name, peer.address, peer.data_centre, peer.incarnation)
         for peer in picked
-        if peer.name != T.me
     )
 
 
--- a/sniperudder/systems/membership/_digest.py
+++ b/sniperudder/systems/membership/_digest.py
@@ -1,20 +1,21 @@
-"""What an instance knows of each member, in two bytes a member.
+"""What an instance knows of each member, in one byte a member.
 
 The members stand in the order of a roster that both sides know by its
-version. First byte: age of the evidence in tenths of a second, rounded
-up, 63 where it is older or there is none; bit 6 tells whether it was
-rooted, bit 7 whether it is stopping. Second byte: how far its version
-lies below the digest's, 255 where that is more or unknown.
+version. Bits 0 to 3: age of the evidence in steps of 0.15 s, rounded
+up, 15 where it is older or there is none. Bit 4: whether it was rooted.
+Bit 5: whether it is stopping. Bits 6 and 7: how far its version lies
+below the digest's, 3 where that is three or more.
 """
 
 import dataclasses
 import math
 
-_STEP_S = 0.1
-_NO_AGE = 63
-_ROOTED = 64
-_STOPPING = 128
-_NO_VERSION = 255
+_STEP_S = 0.15
+_NO_AGE = 15
+_ROOTED = 16
+_STOPPING = 32
+_LAG_SHIFT = 6
+_LONG_LAG = 3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -28,6 +29,8 @@
         Largest possible age, seconds before the digest was made.
     version : int
     rooted, stopping : bool
+    exact : bool
+        Whether the version is the member's and not only an upper bound.
     """
 
     name: str
@@ -35,6 +38,7 @@
     version: int
     rooted: bool
     stopping: bool
+    exact: bool = True
 
 
 def encode_digest(entries, version):
@@ -54,20 +58,17 @@
     Examples
     --------
     >>> encode_digest([None, Evidence('b', 0.25, 7, True, False)], 9).hex()
-    '3fff4302'
+    '0f92'
     """
-    data = bytearray()
-    for entry in entries:
-        data += _encode_entry(entry, version)
-    return bytes(data)
+    return bytes(_encode_entry(entry, version) for entry in entries)
 
 
 def _encode_entry(entry, version):
     if entry is None or entry.age_s > (_NO_AGE - 1) * _STEP_S:
-        return bytes((_NO_AGE, _NO_VERSION))
-    first = math.ceil(entry.age_s / _STEP_S)
-    first |= _ROOTED * entry.rooted | _STOPPING * entry.stopping
-    return bytes((first, min(version - entry.version, _NO_VERSION)))
+        return _NO_AGE
+    value = math.ceil(entry.age_s / _STEP_S)
+    value |= _ROOTED * entry.rooted | _STOPPING * entry.stopping
+    return value | min(version - entry.version, _LONG_LAG) << _LAG_SHIFT
 
 
 def decode_digest(names, data, version):
@@ -82,20 +83,20 @@
 
     Examples
     --------
-    >>> data = bytes.fromhex('3fff4302')
+    >>> data = bytes.fromhex('0f92')
     >>> [e.version for e in decode_digest(['a', 'b'], data, 9)]
     [7]
     """
-    for index, name in enumerate(names):
-        first = data[2 * index]
-        lag = data[2 * index + 1]
-        steps = first & _NO_AGE
-        if steps == _NO_AGE or lag == _NO_VERSION:
+    for name, value in zip(names, data):
+        steps = value & _NO_AGE
+        if steps == _NO_AGE:
             continue
+        lag = value >> _LAG_SHIFT
         yield Evidence(
             name=name,
             age_s=steps * _STEP_S,
             version=version - lag,
-            rooted=bool(first & _ROOTED),
-            stopping=bool(first & _STOPPING),
+            rooted=bool(value & _ROOTED),
+            stopping=bool(value & _STOPPING),
+            exact=lag < _LONG_LAG,
         )
--- a/sniperudder/systems/membership/_intake.py
+++ b/sniperudder/systems/membership/_intake.py
@@ -28,9 +28,7 @@
     if beat.incarnation < peer.incarnation:
         return []
     effects = _take_beat(T, beat, now)
-    _records.note_evidence(
-        T, peer, beat.config_version, beat.rooted, inp.sent_at, now
-    )
+    _records.note_evidence(peer, beat.config_version, beat.rooted, inp.sent_at)
     head_at = inp.sent_at - beat.head_age_s
     configuration.note_head(T, beat.head_version, head_at)
     peer.platform_at = inp.sent_at - beat.platform_age_s
@@ -69,17 +67,22 @@
 
 def _take_digest(T, beat, sent_at, now):
     names = _find_roster(T, beat.roster_version)
-    if len(beat.digest) != 2 * len(names):
+    if len(beat.digest) != len(names):
         return
     version = beat.digest_version
+    T.known_version = max(T.known_version, version)
     for entry in _digest.decode_digest(names, beat.digest, version):
         if entry.name == T.me:
             continue
         peer = _records.get_peer(T, entry.name)
         at = sent_at - entry.age_s
-        if entry.stopping and at > peer.heard_at:
+        if at <= peer.heard_at:
+            continue
+        if entry.stopping:
             peer.stopping = True
-        _records.note_evidence(T, peer, entry.version, entry.rooted, at, now)
+        if entry.exact:
+            _records.note_version(T, peer, entry.version, now)
+        _records.note_evidence(peer, entry.version, entry.rooted, at)
 
 
 def _find_roster(T, version):
--- a/sniperudder/systems/membership/_records.py
+++ b/sniperudder/systems/membership/_records.py
@@ -35,15 +35,14 @@
         T.known_version = max(T.known_version, version)
 
 
-def note_evidence(T, peer, version, rooted, at, now):
-    """Take in that a peer had a version in force at a certain time.
+def note_evidence(peer, version, rooted, at):
+    """Take in that a peer had no higher version in force at a time.
 
     Parameters
     ----------
     at : float
         A time at or before that at which the peer said so, seconds.
     """
-    note_version(T, peer, version, now)
     if at <= peer.heard_at:
         return
     peer.heard_at = at
--- a/sniperudder/tables/_instances.py
+++ b/sniperudder/tables/_instances.py
@@ -27,7 +27,7 @@
         Grows with each start of the same name.
     state : InstanceState
     config_version : int
-        Version that it certainly had in force at ``heard_at``.
+        At ``heard_at`` it had no higher version in force.
     heard_at : float
         Latest time at which it was certainly alive: the time at which
         the request was sent that it answered, seconds.
