Bound what a list that drops running instances can break

Cause: acceptance counts members that the platform's list no longer has as ended. A frozen or cut-off instance may be missing there too.

--- a/sniperudder/intents/_changes.py
+++ b/sniperudder/intents/_changes.py
@@ -63,8 +63,11 @@
             config.weights = config.weights | {name: weight}
         case _intents.Join(instance=name):
             config.members = config.members | {name}
-        case _intents.Leave(instance=name):
+            config.ended = config.ended - {name}
+        case _intents.Leave(instance=name, ended=ended):
             config.members = config.members - {name}
+            if ended:
+                config.ended = config.ended | {name}
             config.stopping = config.stopping - {name}
 
 
--- a/sniperudder/intents/_intents.py
+++ b/sniperudder/intents/_intents.py
@@ -107,9 +107,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Leave:
-    """An instance that has ended no longer counts."""
+    """An instance no longer counts.
+
+    Attributes
+    ----------
+    instance : str
+    ended : bool
+        Whether an operator states that its process has ended, so that
+        nobody waits for it.
+    """
 
     instance: str
+    ended: bool = False
 
 
 Intent = (
--- a/sniperudder/systems/configuration/__init__.py
+++ b/sniperudder/systems/configuration/__init__.py
@@ -10,6 +10,7 @@
 from sniperudder.systems.configuration._freshness import check_times
 from sniperudder.systems.configuration._freshness import confirm_by_majority
 from sniperudder.systems.configuration._freshness import is_fresh
+from sniperudder.systems.configuration._freshness import is_rooted
 from sniperudder.systems.configuration._freshness import note_head
 from sniperudder.systems.configuration import _history
 from sniperudder.systems.configuration._history import get_changes
@@ -39,6 +40,7 @@
     'get_changes',
     'has_ended',
     'is_fresh',
+    'is_rooted',
     'leave_members',
     'note_accepted',
     'note_head',
@@ -73,8 +75,7 @@
     -------
     list of effects
     """
-    if T.started_at is None:
-        T.started_at = now
+    _freshness.note_tick(T, now)
     effects = _freshness.poll_head(T, now)
     effects += _history.fetch_changes(T, now)
     _freshness.confirm_by_platform(T)
--- a/sniperudder/systems/configuration/_acceptance.py
+++ b/sniperudder/systems/configuration/_acceptance.py
@@ -60,6 +60,8 @@
 def _find_ack(T, name, now):
     if name == T.me:
         return T.config.version
+    if name in T.config.ended:
+        return float('inf')
     peer = T.instances.get(name)
     if peer is None:
         return 0
--- a/sniperudder/systems/configuration/_freshness.py
+++ b/sniperudder/systems/configuration/_freshness.py
@@ -75,6 +75,29 @@
     confirm_by_platform(T)
 
 
+def is_rooted(T, now):
+    """Return whether this instance may count as evidence for others.
+
+    After a pause as long as that after which others may take it for
+    ended it is like one that has just started.
+    """
+    return T.rooted and now - T.ticked_at <= _find_longest_pause(T)
+
+
+def note_tick(T, now):
+    """Take in that this instance runs."""
+    if T.started_at is None:
+        T.started_at = now
+    elif now - T.ticked_at > _find_longest_pause(T):
+        T.rooted = False
+        T.started_at = now
+    T.ticked_at = now
+
+
+def _find_longest_pause(T):
+    return T.policy.list_lag_s / 2
+
+
 def confirm_by_platform(T):
     """Move the confirmation up to the latest reading of the head."""
     if T.config.version < T.head_version:
@@ -102,7 +125,7 @@
     version = T.config.version
     for name in members:
         if name == T.me:
-            if T.rooted:
+            if is_rooted(T, now):
                 yield now
             continue
         peer = T.instances.get(name)
--- a/sniperudder/systems/configuration/_snapshots.py
+++ b/sniperudder/systems/configuration/_snapshots.py
@@ -89,6 +89,7 @@
         floors=_read_by_rank(fields['floors']),
         weights=fields['weights'],
         members=frozenset(fields['members']),
+        ended=frozenset(fields['ended']),
     )
 
 
--- a/sniperudder/systems/configuration/_verification.py
+++ b/sniperudder/systems/configuration/_verification.py
@@ -122,7 +122,7 @@
 
 
 def _list_places(T, version, lapsed, now):
-    names = T.config.members | set(T.instances)
+    names = (T.config.members | set(T.instances)) - T.config.ended
     for name in sorted(names):
         if name == T.me:
             yield Place(name, T.config.version, now, True)
--- a/sniperudder/systems/configuration/tests/_variants.py
+++ b/sniperudder/systems/configuration/tests/_variants.py
@@ -121,6 +121,24 @@
         yield
 
 
+@contextlib.contextmanager
+def trust_paused():
+    """Let a member count as evidence right after a long pause."""
+
+    def is_rooted(T, now):
+        return T.rooted
+
+    def note_tick(T, now):
+        T.started_at = now if T.started_at is None else T.started_at
+
+    with (
+        mock.patch.object(configuration, 'is_rooted', is_rooted),
+        mock.patch.object(_freshness, 'is_rooted', is_rooted),
+        mock.patch.object(_freshness, 'note_tick', note_tick),
+    ):
+        yield
+
+
 @contextlib.contextmanager
 def ignore_versions():
     """Let a member count as evidence whatever version it has."""
--- a/sniperudder/systems/configuration/tests/test_promises.py
+++ b/sniperudder/systems/configuration/tests/test_promises.py
@@ -242,6 +242,40 @@
         watch = self.check(scenario, _variants.trust_restarted)
         self.assertIsNotNone(watch.asked['w'].accepted_at)
 
+    def test_while_a_frozen_entry_is_taken_for_ended(self):
+        def scenario():
+            fleet, watch = _start(3)
+            fleet.freeze('entry-1')
+            fleet.platform.unlisted.add('entry-1')
+            fleet.cut('entry-1', 'entry-0')
+            fleet.cut('entry-2', 'entry-0')
+            fleet.cut('entry-2', 'platform')
+            _withdraw(watch)
+            fleet.run(25.0)
+            fleet.cut('entry-1', 'platform')
+            fleet.thaw('entry-1')
+            fleet.run(8.0)
+            return watch
+
+        watch = self.check(scenario, _variants.trust_paused)
+        self.assertIsNotNone(watch.asked['w'].accepted_at)
+
+    def test_an_operator_states_that_dead_members_have_ended(self):
+        fleet, watch = _start(3)
+        fleet.nodes['entry-0'].T.policy.list_lag_s = 900.0
+        fleet.kill('entry-1')
+        fleet.kill('entry-2')
+        _withdraw(watch)
+        fleet.run(30.0)
+        self.assertFalse(_verify(fleet, 'entry-0').accepted)
+        node = fleet.nodes['entry-0']
+        for name in ('entry-1', 'entry-2'):
+            intent = intents.Leave(name, ended=True)
+            watch.give(node, f'leave {name}', intent)
+        fleet.run(2.0)
+        self.assertTrue(_verify(fleet, 'entry-0').accepted)
+        self.assertTrue(_verify(fleet, 'entry-0').in_force_everywhere)
+
 
 class HistoryTest(_Scenarios):
     def test_lost_answers(self):
--- a/sniperudder/systems/membership/__init__.py
+++ b/sniperudder/systems/membership/__init__.py
@@ -77,6 +77,4 @@
     -------
     list of effects
     """
-    if T.started_at is None:
-        T.started_at = now
     return _listing.list_instances(T, now) + _rounds.send_beats(T, now)
--- a/sniperudder/systems/membership/_beats.py
+++ b/sniperudder/systems/membership/_beats.py
@@ -56,7 +56,7 @@
         members=_pick_members(T),
         head_version=T.head_version,
         head_age_s=now - T.head_at,
-        rooted=T.rooted,
+        rooted=configuration.is_rooted(T, now),
         accepted_version=configuration.get_accepted(T),
         **parts,
     )
@@ -89,7 +89,8 @@
 def _find_evidence(T, name, now):
     if name == T.me:
         version = T.config.version
-        return _digest.Evidence(name, 0.0, version, T.rooted, T.stopping)
+        rooted = configuration.is_rooted(T, now)
+        return _digest.Evidence(name, 0.0, version, rooted, T.stopping)
     peer = T.instances.get(name)
     if peer is None:
         return None
--- a/sniperudder/tables/_configuration.py
+++ b/sniperudder/tables/_configuration.py
@@ -54,6 +54,8 @@
         Weights of organisations.
     members : frozenset of str
         Instances whose majority decides what is accepted.
+    ended : frozenset of str
+        Former members whose processes have ended, as operators state.
     """
 
     version: int = 0
@@ -66,6 +68,7 @@
     floors: dict = dataclasses.field(default_factory=dict)
     weights: dict = dataclasses.field(default_factory=dict)
     members: frozenset = frozenset()
+    ended: frozenset = frozenset()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/sniperudder/tables/_tables.py
+++ b/sniperudder/tables/_tables.py
@@ -39,7 +39,10 @@
     suspect_s : float
         Silence after which a peer counts as suspect.
     list_lag_s : float
-        Longest lag of the platform's list of instances.
+        Time after which an instance that is missing from each answer of
+        the platform's list has ended. It must exceed the list's lag and
+        any time for which the list leaves out an instance that runs but
+        cannot be reached.
     command_s : float
         Time after which an unfinished command is given up.
     max_attempts : int
@@ -64,7 +67,7 @@
     poll_s: float = 1.0
     freshness_s: float = 2.0
     suspect_s: float = 2.0
-    list_lag_s: float = 60.0
+    list_lag_s: float = 900.0
     command_s: float = 10.0
     max_attempts: int = 5
     retry_share: float = 0.2
@@ -111,6 +114,8 @@
         Whether this instance takes no new work because it stops.
     started_at : float or None
         Time of the first tick, seconds.
+    ticked_at : float
+        Time of the last tick, seconds.
     rooted : bool
         Whether a reading of the platform made since the start, by this
         instance or a peer, showed no version above the one in force.
@@ -190,6 +195,7 @@
     next_list_at: float = float('-inf')
     stopping: bool = False
     started_at: float | None = None
+    ticked_at: float = float('-inf')
     rooted: bool = False
     head_version: int = 0
     head_at: float = float('-inf')
--- a/sniperudder/testing/_platform.py
+++ b/sniperudder/testing/_platform.py
@@ -21,6 +21,8 @@
         Longest delay of each way; the delay is drawn uniformly.
     scan_lag_s, list_lag_s : float
         Age of what scans and the list of instances show.
+    unlisted : set of str
+        Instances that the list leaves out although they run.
     """
 
     def __init__(self):
@@ -30,6 +32,7 @@
         self.delay_s = 0.005
         self.scan_lag_s = 0.0
         self.list_lag_s = 0.0
+        self.unlisted = set()
         self._states = {}
         self._lives = {}
 
@@ -102,5 +105,5 @@
         return tuple(
             entry
             for entry, start, end in self._lives.values()
-            if start <= seen_at < end
+            if start <= seen_at < end and entry.name not in self.unlisted
         )
