--- a/sniperudder/queries/__init__.py
+++ b/sniperudder/queries/__init__.py
@@ -42,6 +42,7 @@
 from sniperudder.queries._records import Query
 from sniperudder.queries._records import Range
 from sniperudder.queries._refusals import record_refusal
+from sniperudder.queries._rendering import list_fields
 from sniperudder.queries._rendering import render_json
 from sniperudder.queries._rendering import render_table
 from sniperudder.queries._rows import list_rows
@@ -80,6 +81,7 @@
     'format_intent',
     'format_query',
     'get_columns',
+    'list_fields',
     'list_rows',
     'parse_command',
     'parse_query',
--- a/sniperudder/queries/_rendering.py
+++ b/sniperudder/queries/_rendering.py
@@ -75,11 +75,14 @@
     >>> render_json(queries.Result(('name',), [('a',)]))
     '{"columns": ["name"], "rows": [["a"]], "missing": [], "detail": ""}'
     """
-    return json.dumps(
-        {
-            'columns': list(result.columns),
-            'rows': [list(row) for row in result.rows],
-            'missing': list(result.missing),
-            'detail': result.detail,
-        }
-    )
+    return json.dumps(list_fields(result))
+
+
+def list_fields(result):
+    """Return a result's fields as JSON names them."""
+    return {
+        'columns': list(result.columns),
+        'rows': [list(row) for row in result.rows],
+        'missing': list(result.missing),
+        'detail': result.detail,
+    }
