--- a/sniperudder/instance/_runtime.py
+++ b/sniperudder/instance/_runtime.py
@@ -7,6 +7,8 @@
 from sniperudder import core
 from sniperudder import effects
 from sniperudder import errors
+from sniperudder import inputs
+from sniperudder.systems import configuration
 
 # Time between ticks; arrivals and answers are handled at once.
 _TICK_S = 0.05
@@ -40,6 +42,7 @@
         self.read_clock = read_clock
         self.replies = {}
         self.routes = {
+            effects.CommandDone: self._reply_command,
             effects.EmitToken: self._reply,
             effects.Finish: self._finish,
         }
@@ -55,6 +58,22 @@
                 result = [_note_broken(exc)]
             self._route(result)
 
+    def answer_beat(self, beat):
+        """Take in a peer's heartbeat and return the answer to it."""
+        with self.lock:
+            now = self.read_clock()
+            received = inputs.BeatReceived(beat)
+            result = core.handle_input(self.T, received, now)
+            answers = [e for e in result if type(e) is effects.AnswerBeat]
+            self._route([e for e in result if e not in answers])
+        return answers[0].beat
+
+    def leave(self):
+        """Take this instance out of the members; it gives out no work."""
+        with self.lock:
+            now = self.read_clock()
+            self._route(configuration.leave_members(self.T, now))
+
     def tick(self):
         """Run what is due."""
         with self.lock:
@@ -97,6 +116,11 @@
         if replies is not None:
             replies.put(effect)
 
+    def _reply_command(self, effect):
+        replies = self.replies.get(effect.request)
+        if replies is not None:
+            replies.put(effect)
+
     def _finish(self, effect):
         self._reply(effect)
         self.close_reply(effect.request)
--- a/sniperudder/systems/requests/_admission.py
+++ b/sniperudder/systems/requests/_admission.py
@@ -5,6 +5,7 @@
 
 from sniperudder import effects
 from sniperudder import outcomes
+from sniperudder.systems import configuration
 from sniperudder.systems.requests import _chains
 from sniperudder.systems.requests import _dispatch
 from sniperudder.systems.requests import _finish
@@ -73,7 +74,7 @@
         return _refuse(outcomes.Code.STOPPING, _RETRY_MIN_S)
     if req.model not in T.models:
         return _refuse(outcomes.Code.UNKNOWN_MODEL, None)
-    if not _dispatch.is_fresh(T, now):
+    if not configuration.is_fresh(T, now):
         return _refuse(outcomes.Code.NOT_FRESH, _RETRY_MIN_S)
     if _suspicion.is_condemned(T, req.fingerprint):
         return _refuse(outcomes.Code.CONTENT_CONDEMNED, None)
--- a/sniperudder/tables/__init__.py
+++ b/sniperudder/tables/__init__.py
@@ -1,7 +1,11 @@
 """The tables of one instance: the data that every system works on."""
 
+from sniperudder.tables._commands import Command
+from sniperudder.tables._commands import CommandState
+from sniperudder.tables._configuration import Acceptance
 from sniperudder.tables._configuration import Change
 from sniperudder.tables._configuration import Configuration
+from sniperudder.tables._configuration import Roster
 from sniperudder.tables._endpoints import Endpoint
 from sniperudder.tables._endpoints import EndpointState
 from sniperudder.tables._endpoints import Model
@@ -24,7 +28,10 @@
 from sniperudder.tables._tables import Tables
 
 __all__ = [
+    'Acceptance',
     'Change',
+    'Command',
+    'CommandState',
     'Configuration',
     'Endpoint',
     'EndpointState',
@@ -41,6 +48,7 @@
     'Refusal',
     'Request',
     'RequestState',
+    'Roster',
     'Service',
     'Stage',
     'Suspicion',
