Add the scenario language and its runner

Change: scenarios/ with a lark grammar, typed statements, a runner over stand-ins and entry instances, and a checker that holds callers' answers against engines' and services' own logs.

--- /dev/null
+++ b/scenarios/_parser.py
@@ -0,0 +1,256 @@
+"""Parsing of scenarios into typed statements."""
+
+import functools
+
+import lark
+
+from scenarios import _grammar
+from scenarios import _records
+from sniperudder import errors
+from sniperudder import queries
+
+_UNITS_S = (('ms', 0.001), ('s', 1.0), ('m', 60.0))
+_DEFINITIONS = (
+    _records.DefineEndpoint,
+    _records.DefineService,
+    _records.DefineEntry,
+)
+
+
+def parse_scenario(text, name='scenario'):
+    """Return the scenario that a text stands for.
+
+    Parameters
+    ----------
+    text : str
+    name : str
+
+    Returns
+    -------
+    Scenario
+
+    Raises
+    ------
+    SyntaxProblem
+        With line and column, if a statement does not follow the grammar
+        or names a process that is not defined.
+
+    Examples
+    --------
+    >>> parse_scenario('wait 500ms').lines[0].statement
+    Wait(duration_s=0.5)
+    """
+    lines = []
+    for number, line in enumerate(text.split('\n'), 1):
+        words = line.split('#')[0].strip()
+        if words:
+            statement = _parse_line(line, number)
+            lines.append(_records.Line(number, words, statement))
+    scenario = _records.Scenario(name, tuple(lines))
+    _check_names(scenario)
+    return scenario
+
+
+def _parse_line(line, number):
+    try:
+        tree = _create_parser().parse(line.split('#')[0])
+        return _Builder().transform(tree)
+    except lark.UnexpectedInput as error:
+        problem = queries.create_problem(line, error, _grammar.LABELS)
+    except lark.exceptions.VisitError as error:
+        problem = errors.SyntaxProblem(str(error.orig_exc))
+    raise errors.SyntaxProblem(problem.problem, number, problem.column)
+
+
+@functools.cache
+def _create_parser():
+    return lark.Lark(_grammar.GRAMMAR, parser='lalr')
+
+
+def _check_names(scenario):
+    known = {'platform'}
+    organisations = set()
+    for line in scenario.lines:
+        statement = line.statement
+        if isinstance(statement, _records.DefineOrganisation):
+            organisations.add(statement.name)
+        elif isinstance(statement, _DEFINITIONS):
+            known.add(statement.name)
+        else:
+            _check_line(line, known, organisations)
+
+
+def _check_line(line, known, organisations):
+    statement = line.statement
+    names = [
+        getattr(statement, field, '')
+        for field in ('name', 'service', 'through')
+    ]
+    names += getattr(statement, 'names', ())
+    if isinstance(statement, _records.DefineModel):
+        names = []
+    for name in filter(None, names):
+        _check_known(line, name, known)
+    organisation = getattr(statement, 'organisation', '')
+    if organisation:
+        _check_known(line, organisation, organisations)
+
+
+def _check_known(line, name, known):
+    if name not in known:
+        expected = queries.describe_choice(sorted(known) or ['a definition'])
+        raise errors.SyntaxProblem(
+            f'found "{name}", expected {expected}',
+            line.number,
+            max(line.text.find(name), 0) + 1,
+        )
+
+
+def _read_duration(token):
+    for unit, seconds in _UNITS_S:
+        if token.endswith(unit):
+            return float(token[: -len(unit)]) * seconds
+    raise ValueError(token)
+
+
+def _read_value(token):
+    if token.type == 'TRUTH':
+        return token == 'true'
+    if token.type == 'STRING':
+        return str(token[1:-1])
+    if token.type == 'DURATION':
+        return _read_duration(token)
+    return int(token) if token.type == 'INTEGER' else float(token)
+
+
+@lark.v_args(inline=True)
+class _Builder(lark.Transformer):
+    """Makes a statement; options come as pairs of field and value."""
+
+    def step_s(self, duration):
+        return ('step_s', _read_duration(duration))
+
+    def max_streams(self, count):
+        return ('max_streams', int(count))
+
+    def work_s(self, duration):
+        return ('work_s', _read_duration(duration))
+
+    def weight(self, number):
+        return ('weight', number)
+
+    def rate(self, number):
+        return ('rate', number)
+
+    def tokens(self, count):
+        return ('tokens', int(count))
+
+    def key(self, text):
+        return ('key', str(text[1:-1]))
+
+    def through(self, name):
+        return ('through', str(name))
+
+    def deduplicates(self):
+        return ('deduplicates', True)
+
+    def lookup(self):
+        return ('lookup', True)
+
+    def number(self, token):
+        return float(token)
+
+    def value(self, token):
+        return _read_value(token)
+
+    def model(self, name, layers):
+        return _records.DefineModel(str(name), int(layers))
+
+    def endpoint(self, name, first, end, *options):
+        return _records.DefineEndpoint(
+            str(name), int(first), int(end), **dict(options)
+        )
+
+    def service(self, name, *options):
+        return _records.DefineService(str(name), **dict(options))
+
+    def entry(self, name):
+        return _records.DefineEntry(str(name))
+
+    def organisation(self, name, *options):
+        return _records.DefineOrganisation(str(name), **dict(options))
+
+    def begin(self, *names):
+        return _records.Start(tuple(str(name) for name in names if name))
+
+    def kill(self, name):
+        return _records.Kill(str(name))
+
+    def freeze(self, name):
+        return _records.Freeze(str(name))
+
+    def thaw(self, name):
+        return _records.Thaw(str(name))
+
+    def stop(self, name):
+        return _records.Stop(str(name))
+
+    def platform_down(self):
+        return _records.SetFault('platform', 'hang_up', True)
+
+    def platform_up(self):
+        return _records.SetFault('platform')
+
+    def platform_slow(self, duration):
+        return _records.SetFault(
+            'platform', 'slow_s', _read_duration(duration)
+        )
+
+    def platform_loses(self, count):
+        return _records.SetFault('platform', 'lose_answers', int(count))
+
+    def fault(self, name, fault, value):
+        return _records.SetFault(str(name), str(fault), value)
+
+    def heal(self, name):
+        return _records.SetFault(str(name))
+
+    def command(self, text):
+        return _records.Give(str(text[1:-1]))
+
+    def withdraw(self, name):
+        return _records.Give(f'withdraw endpoint {name}')
+
+    def give_back(self, name):
+        return _records.Give(f'return endpoint {name}')
+
+    def send(self, count, rank, organisation, *options):
+        return _records.Send(
+            int(count), str(rank), str(organisation), **dict(options)
+        )
+
+    def order(self, count, organisation, service, *options):
+        return _records.Order(
+            int(count), str(service), str(organisation), **dict(options)
+        )
+
+    def wait(self, duration):
+        return _records.Wait(_read_duration(duration))
+
+    def expect_done(self, duration):
+        return _records.ExpectDone(_read_duration(duration))
+
+    def expect_in_force(self, duration):
+        return _records.ExpectInForce(_read_duration(duration))
+
+    def expect_stopped(self, name, duration):
+        return _records.ExpectStopped(str(name), _read_duration(duration))
+
+    def expect_ready(self, name, duration):
+        return _records.ExpectReady(str(name), _read_duration(duration))
+
+    def expect_idle(self, name, duration):
+        return _records.ExpectIdle(str(name), _read_duration(duration))
+
+    def expect_answered(self, share, rank):
+        return _records.ExpectAnswered(str(rank), float(share[:-1]) / 100)
--- /dev/null
+++ b/scenarios/_processes.py
@@ -0,0 +1,221 @@
+"""The processes of a scenario, all started by this one."""
+
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import threading
+
+from scenarios import _records
+from scenarios import _settings
+
+_HOST = '127.0.0.1'
+_END_TIMEOUT_S = 5.0
+_ROOT = pathlib.Path(__file__).parents[1]
+_ROLES = ('callers', 'admin', 'peers')
+_PEER_KEY = 'peer-key-of-a-scenario'
+
+
+class Fleet:
+    """Starts, signals and ends the processes of one scenario.
+
+    Parameters
+    ----------
+    scenario : Scenario
+    folder : pathlib.Path
+        For settings and logs.
+
+    Attributes
+    ----------
+    addresses : dict of str to str
+        See ``render_settings``.
+    killed : set of str
+        Processes that were ever killed.
+    """
+
+    def __init__(self, scenario, folder):
+        self._scenario = scenario
+        self._folder = folder
+        self._processes = {}
+        self.killed = set()
+        self.addresses = {}
+        for name in self._list_standins():
+            self.addresses[name] = _find_address()
+        for entry in self.list_entries():
+            for role in _ROLES:
+                self.addresses[f'{entry}/{role}'] = _find_address()
+
+    def list_entries(self):
+        """Return the names of all entry instances."""
+        kind = _records.DefineEntry
+        return [e.name for e in self._scenario.list_statements(kind)]
+
+    def list_engines(self):
+        """Return the names of all engines."""
+        kind = _records.DefineEndpoint
+        return [e.name for e in self._scenario.list_statements(kind)]
+
+    def list_services(self):
+        """Return the names of all services."""
+        kind = _records.DefineService
+        return [s.name for s in self._scenario.list_statements(kind)]
+
+    def _list_standins(self):
+        return ['platform', *self.list_engines(), *self.list_services()]
+
+    def list_logs(self):
+        """Return the paths of the entry instances' logs."""
+        paths = [self._folder / f'{name}.log' for name in self.list_entries()]
+        return [path for path in paths if path.exists()]
+
+    def is_running(self, name):
+        """Tell whether a process runs, also if suspended."""
+        process = self._processes.get(name)
+        return process is not None and process.poll() is None
+
+    def start_standins(self, names=()):
+        """Start stand-ins and wait until they listen."""
+        wanted = [
+            name
+            for name in self._list_standins()
+            if (not names or name in names) and not self.is_running(name)
+        ]
+        for name in wanted:
+            self._processes[name] = self._start_standin(name)
+        for name in wanted:
+            line = self._processes[name].stdout.readline()
+            if not line.startswith(b'ready'):
+                raise RuntimeError(f'{name} did not start')
+
+    def start_entries(self, names=()):
+        """Start entry instances; they may take a while to be ready.
+
+        Returns
+        -------
+        list of str
+        """
+        wanted = [
+            name
+            for name in self.list_entries()
+            if (not names or name in names) and not self.is_running(name)
+        ]
+        for name in wanted:
+            self._processes[name] = self._start_entry(name)
+        return wanted
+
+    def _start_standin(self, name):
+        port = self.addresses[name].rpartition(':')[2]
+        module, options = self._describe_standin(name)
+        return self._spawn(
+            name,
+            ['-m', f'standins.{module}', '--port', port, *options],
+            stdout=subprocess.PIPE,
+        )
+
+    def _describe_standin(self, name):
+        statements = (line.statement for line in self._scenario.lines)
+        for statement in statements:
+            if getattr(statement, 'name', '') != name:
+                continue
+            if isinstance(statement, _records.DefineEndpoint):
+                return 'engine', self._describe_engine(statement)
+            if isinstance(statement, _records.DefineService):
+                return 'service', _describe_service(statement)
+        return 'platform', []
+
+    def _describe_engine(self, ep):
+        (model,) = self._scenario.list_statements(_records.DefineModel)
+        options = {
+            'model': model.name,
+            'first-layer': ep.first_layer,
+            'end-layer': ep.end_layer,
+            'max-streams': ep.max_streams,
+            'step-ms': ep.step_s * 1000,
+        }
+        words = [
+            word
+            for key, value in options.items()
+            for word in (f'--{key}', str(value))
+        ]
+        return words + (['--deduplicates'] if ep.deduplicates else [])
+
+    def _start_entry(self, name):
+        log = self._folder / f'{name}.log'
+        path = self._folder / f'{name}.ini'
+        path.write_text(
+            _settings.render_settings(
+                self._scenario, name, self.addresses, str(log)
+            )
+        )
+        return self._spawn(name, ['-m', 'sniperudder', 'serve', str(path)])
+
+    def _spawn(self, name, arguments, stdout=None):
+        errors = (self._folder / f'{name}.err').open('ab')
+        with errors:
+            return subprocess.Popen(
+                [sys.executable, *arguments],
+                stdout=stdout or errors,
+                stderr=errors,
+                cwd=_ROOT,
+                env=os.environ | {_settings.PEER_KEY_VARIABLE: _PEER_KEY},
+            )
+
+    def signal(self, name, number):
+        """Send a signal to a process of this fleet."""
+        self._processes[name].send_signal(number)
+
+    def kill(self, name):
+        """End a process at once."""
+        self.killed.add(name)
+        self._processes[name].kill()
+        self._processes[name].wait()
+
+    def wait(self, name, timeout_s):
+        """Return a process's exit status, None if it still runs."""
+        try:
+            return self._processes[name].wait(timeout_s)
+        except subprocess.TimeoutExpired:
+            return None
+
+    def end(self):
+        """End all processes that still run."""
+        running = [p for p in self._processes.values() if p.poll() is None]
+        for process in running:
+            process.send_signal(signal.SIGCONT)
+            process.terminate()
+        enders = [
+            threading.Thread(target=_end_process, args=(process,))
+            for process in running
+        ]
+        for ender in enders:
+            ender.start()
+        for ender in enders:
+            ender.join()
+        for process in self._processes.values():
+            if process.stdout:
+                process.stdout.close()
+
+
+def _end_process(process):
+    try:
+        process.wait(_END_TIMEOUT_S)
+    except subprocess.TimeoutExpired:
+        process.kill()
+        process.wait()
+
+
+def _describe_service(service):
+    options = ['--work-s', str(service.work_s)]
+    if service.deduplicates:
+        options.append('--deduplicates')
+    if service.lookup:
+        options.append('--lookup')
+    return options
+
+
+def _find_address():
+    with socket.socket() as probe:
+        probe.bind((_HOST, 0))
+        return f'{_HOST}:{probe.getsockname()[1]}'
