--- a/Makefile
+++ b/Makefile
@@ -26,6 +26,10 @@
 test: setup
 	$(BIN)/python -m pytest -q
 
+# Runs the main job with real processes; nonzero if a promise broke.
+demo: setup
+	$(BIN)/python -m scenarios.run scenarios/demo.scn --timeline
+
 # Renders the pages that the code holds; tests compare them.
 docs: setup
 	$(BIN)/python -m sniperudder codes --markdown > docs/CODES.md
--- a/scenarios/_runner.py
+++ b/scenarios/_runner.py
@@ -171,6 +171,9 @@
         time.sleep(statement.duration_s)
 
     def give(self, statement):
+        for name in list(self._begun_streams):
+            if statement.text == f'return endpoint {name}':
+                self._settle_idle(name)
         self._command_id = uuid.uuid4().hex
         answer = self._administer(statement.text, self._command_id)
         if answer.status != 200:
@@ -223,6 +226,13 @@
         log = json.loads(self._call('GET', name, '/v1/log').data)
         return {(step['request'], step['attempt']) for step in log['steps']}
 
+    def _settle_idle(self, name):
+        """Check that an endpoint began nothing while it was to be idle."""
+        late = self._list_begun(name) - self._begun_streams.pop(name)
+        if late:
+            detail = f'{name} began {len(late)} streams too late'
+            self._break(_checks.Violation('expected', detail))
+
     def expect_answered(self, statement):
         works = [w for w in self._callers.work if w.rank == statement.rank]
         answered = sum(w.ending is _work.Ending.ANSWERED for w in works)
@@ -232,11 +242,8 @@
     # The end.
 
     def _check(self):
-        for name, before in self._begun_streams.items():
-            late = self._list_begun(name) - before
-            if late:
-                detail = f'{name} began {len(late)} streams too late'
-                self._break(_checks.Violation('expected', detail))
+        for name in list(self._begun_streams):
+            self._settle_idle(name)
         works = self._callers.work
         for violation in _checks.check_work(
             works, self._read_logs(), self._model.layers
--- a/sniperudder/instance/_assembly.py
+++ b/sniperudder/instance/_assembly.py
@@ -12,6 +12,7 @@
 from sniperudder import effects
 from sniperudder import endpoints
 from sniperudder import inputs
+from sniperudder.instance import _administration
 from sniperudder.instance import _calls
 from sniperudder.instance import _engines
 from sniperudder.instance import _runtime
@@ -41,7 +42,7 @@
     runtime : Runtime
     calls : OutsideCalls
     metrics : Metrics
-    caller_server : cheroot.wsgi.Server
+    caller_server, admin_server : cheroot.wsgi.Server
     peer_server : PeerServer
     stopping : threading.Event
         Set when a planned stop was asked for.
@@ -52,6 +53,7 @@
     calls: _calls.OutsideCalls
     metrics: metrics.Metrics
     caller_server: typing.Any
+    admin_server: typing.Any
     peer_server: peers.PeerServer
     stopping: threading.Event
 
@@ -86,12 +88,17 @@
     runtime.routes[effects.Note] = logs.write_note
     engines = endpoints.create_engine_client()
     _engines.create_senders(runtime, engines)
+    peer_client = peers.create_peer_client(peer_key)
     calls = _calls.create_calls(
         runtime,
         platform.create_platform_client(settings.platform.address),
         services.create_service_client(),
         engines,
-        peers.create_peer_client(peer_key),
+        peer_client,
+    )
+    backend = _administration.RuntimeBackend(runtime, peer_client)
+    admin_server = _administration.create_admin_server(
+        settings, runtime, backend
     )
     M = metrics.create_metrics()
     application = callers.create_application(
@@ -108,11 +115,18 @@
     peer_server = peers.create_peer_server(
         mine.peer_address,
         runtime.answer_beat,
-        lambda query, timeout_s: '',
+        backend.answer_ask,
         peer_key,
     )
     return EntryInstance(
-        settings, runtime, calls, M, server, peer_server, threading.Event()
+        settings,
+        runtime,
+        calls,
+        M,
+        server,
+        admin_server,
+        peer_server,
+        threading.Event(),
     )
 
 
@@ -153,6 +167,7 @@
     targets = {
         'ticks': runtime.run_ticks,
         'callers': instance.caller_server.serve,
+        'operators': instance.admin_server.serve,
         'loads': lambda: _poll_loads(instance),
     }
     for name, target in targets.items():
@@ -185,6 +200,7 @@
     runtime.leave()
     pause.wait(_LEAVE_S)
     instance.caller_server.stop()
+    instance.admin_server.stop()
     instance.peer_server.stop()
     runtime.stop()
     return 0
