Say once and in time what operators see

Cause: on the running fleet a query with a limit of 2 s ended with 'no answer in time' while one instance was frozen, since the limit was not passed on; tables stood in two places, one with 16 digits; this instance's own row told version 0; one objection came thrice. Change: the command line passes three quarters of its limit on; one render_grid; the own row from the tables; one objection for all ranks.

--- a/sniperudder/commands/_local.py
+++ b/sniperudder/commands/_local.py
@@ -5,9 +5,9 @@
 import sniperudder
 from sniperudder.commands._status import CommandFailed
 from sniperudder.commands._status import Status
-from sniperudder.commands import _tables
 from sniperudder import logs
 from sniperudder import outcomes
+from sniperudder import queries
 from sniperudder import settings
 
 
@@ -96,7 +96,7 @@
         for entry in outcomes.list_codes()
     ]
     columns = ('code', 'name', 'class', 'http', 'meaning')
-    print(_tables.render_table(columns, rows))
+    print(queries.render_grid(columns, rows))
     return Status.DONE
 
 
--- a/sniperudder/commands/_remote.py
+++ b/sniperudder/commands/_remote.py
@@ -9,10 +9,13 @@
 
 from sniperudder.commands._status import CommandFailed
 from sniperudder.commands._status import Status
-from sniperudder.commands import _tables
+from sniperudder import queries
 
 _KEY_VARIABLE = 'SNIPERUDDER_KEY'
 _ADDRESS_VARIABLE = 'SNIPERUDDER_ADDRESS'
+# Share of the time limit that the asked instance has for the others.
+_FLEET_SHARE = 0.75
+_MAX_FLEET_S = 60.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -96,7 +99,7 @@
         raise _create_doubt(id, _describe(error)) from error
     # A server's failure says nothing about what it did before.
     if answer.status in (500, 502, 504):
-        raise _create_doubt(id, _tables.clean_text(answer.detail))
+        raise _create_doubt(id, queries.clean_text(answer.detail))
     _check_refusal(answer)
     return _print_answer(answer, json)
 
@@ -118,7 +121,13 @@
         response = pool.request(
             'POST',
             f'http://{address}/admin/{path}',
-            body=json.dumps({'text': text, 'id': id}).encode(),
+            body=json.dumps(
+                {
+                    'text': text,
+                    'id': id,
+                    'timeout_s': min(timeout_s * _FLEET_SHARE, _MAX_FLEET_S),
+                }
+            ).encode(),
             headers={
                 'Authorization': f'Bearer {key}',
                 'Content-Type': 'application/json',
@@ -155,7 +164,7 @@
 
 def _check_refusal(answer):
     if answer.status != 200:
-        message = _tables.clean_text(answer.detail)
+        message = queries.clean_text(answer.detail)
         raise CommandFailed(Status.REFUSED, message)
 
 
@@ -169,12 +178,12 @@
 
 def _print_table(answer):
     if answer.columns:
-        print(_tables.render_table(answer.columns, answer.rows))
+        print(queries.render_grid(answer.columns, answer.rows))
     if answer.detail:
-        print(_tables.clean_text(answer.detail))
+        print(queries.clean_text(answer.detail))
     if answer.missing:
         names = ', '.join(map(str, answer.missing))
-        print('no answer from: ' + _tables.clean_text(names))
+        print('no answer from: ' + queries.clean_text(names))
 
 
 def _describe(error):
--- a/sniperudder/operators/_verification.py
+++ b/sniperudder/operators/_verification.py
@@ -110,7 +110,8 @@
         if not place.in_force
     ]
     if lacking:
-        parts.append(f'not yet at {", ".join(lacking)}')
+        word = 'without it' if verification.accepted else 'not yet at'
+        parts.append(f'{word}: {", ".join(lacking)}')
     later = verification.superseded_by
     if later is not None:
         parts.append(
--- a/sniperudder/operators/tests/test_application.py
+++ b/sniperudder/operators/tests/test_application.py
@@ -115,7 +115,7 @@
         for path, fields, code in (
             ('/admin/query', {'text': 'show nothing'}, 113),
             ('/admin/query', {'text': 3}, 101),
-            ('/admin/query', {'text': 'show config', 'timeout_s': 99}, 101),
+            ('/admin/query', {'text': 'show config', 'timeout_s': 61}, 101),
             ('/admin/query', [], 100),
             ('/admin/command', {'text': 'stop'}, 113),
             ('/admin/command', {'text': 'verify x', 'id': 'a b'}, 101),
@@ -195,7 +195,7 @@
             ],
             body['rows'],
         )
-        self.assertIn('not yet at entry-2 (never heard)', body['detail'])
+        self.assertIn('not yet at: entry-2 (never heard)', body['detail'])
         self.assertEqual(['entry-7'], body['missing'])
 
     def test_watch_ends_in_time(self):
--- a/sniperudder/queries/__init__.py
+++ b/sniperudder/queries/__init__.py
@@ -42,7 +42,9 @@
 from sniperudder.queries._records import Query
 from sniperudder.queries._records import Range
 from sniperudder.queries._refusals import record_refusal
+from sniperudder.queries._rendering import clean_text
 from sniperudder.queries._rendering import list_fields
+from sniperudder.queries._rendering import render_grid
 from sniperudder.queries._rendering import render_json
 from sniperudder.queries._rendering import render_table
 from sniperudder.queries._rows import list_rows
@@ -71,6 +73,7 @@
     'TABLES',
     'VerifyCommand',
     'WatchCommand',
+    'clean_text',
     'combine_partials',
     'create_problem',
     'decode_partial',
@@ -87,6 +90,7 @@
     'parse_query',
     'plan_intent',
     'record_refusal',
+    'render_grid',
     'render_json',
     'render_table',
 ]
--- a/sniperudder/queries/_plans.py
+++ b/sniperudder/queries/_plans.py
@@ -5,6 +5,7 @@
 from sniperudder import intents
 from sniperudder.outcomes import Code
 from sniperudder.queries import _partials
+from sniperudder.queries import _problems
 from sniperudder.tables import EndpointState
 from sniperudder.tables import InstanceState
 from sniperudder.tables import RANKS
@@ -133,16 +134,22 @@
         yield from _check_workers(T, name)
         return
     model = T.endpoints[name].model
-    for rank in lost:
-        before = list_candidates(T, model, rank)
-        after = [ep for ep in before if ep.name != name]
-        if has_chain(T, model, before) and not has_chain(T, model, after):
-            yield Objection(
-                Code.MODEL_UNCOVERED,
-                f'without {name} no whole chain of {model} is left '
-                f'for the {rank.name.lower()} rank',
-                forcible=True,
-            )
+    bare = [rank for rank in lost if _needs(T, name, model, rank)]
+    if bare:
+        words = _problems.describe_choice([r.name.lower() for r in bare])
+        yield Objection(
+            Code.MODEL_UNCOVERED,
+            f'without {name} no whole chain of {model} is left '
+            f'for work of rank {words}',
+            forcible=True,
+        )
+
+
+def _needs(T, name, model, rank):
+    """Tell whether a rank has a chain, but none without an endpoint."""
+    before = list_candidates(T, model, rank)
+    after = [ep for ep in before if ep.name != name]
+    return has_chain(T, model, before) and not has_chain(T, model, after)
 
 
 def _check_workers(T, address):
--- a/sniperudder/queries/_rendering.py
+++ b/sniperudder/queries/_rendering.py
@@ -24,25 +24,54 @@
     a          12
     (1 row)
     """
-    cells = [[_format_cell(value) for value in row] for row in result.rows]
-    widths = [
-        max([len(name), *(len(row[i]) for row in cells)])
-        for i, name in enumerate(result.columns)
-    ]
-    numeric = [
-        any(_is_number(row[i]) for row in result.rows)
-        for i in range(len(result.columns))
-    ]
+    count = len(result.rows)
     lines = [
-        _format_line(row, widths, numeric) for row in [result.columns, *cells]
+        render_grid(result.columns, result.rows),
+        f'({count} row{"" if count == 1 else "s"})',
     ]
-    count = len(result.rows)
-    lines.append(f'({count} row{"" if count == 1 else "s"})')
     if result.detail:
-        lines.append(f'! {result.detail}')
+        lines.append(f'! {clean_text(result.detail)}')
     return '\n'.join(lines)
 
 
+def render_grid(columns, rows):
+    """Return rows below the names of their columns, aligned.
+
+    Parameters
+    ----------
+    columns : sequence of str
+    rows : sequence of sequence
+
+    Returns
+    -------
+    str
+
+    Examples
+    --------
+    >>> print(render_grid(['name', 'wait_s'], [['gpu-1', 0.25]]))
+    name   wait_s
+    gpu-1   0.250
+    """
+    cells = [[_format_cell(value) for value in row] for row in rows]
+    lines = [[clean_text(name) for name in columns], *cells]
+    widths = [max(map(len, column)) for column in zip(*lines)]
+    numeric = [
+        any(_is_number(row[i]) for row in rows) for i in range(len(columns))
+    ]
+    return '\n'.join(_format_line(line, widths, numeric) for line in lines)
+
+
+def clean_text(text):
+    """Drop control characters: what is sent must not steer a terminal.
+
+    Examples
+    --------
+    >>> clean_text("up\\x1b[2J")
+    'up[2J'
+    """
+    return ''.join(char for char in text if char.isprintable())
+
+
 def _is_number(value):
     return isinstance(value, int | float) and not isinstance(value, bool)
 
@@ -54,8 +83,7 @@
         return 'yes' if value else 'no'
     if isinstance(value, float):
         return f'{value:.3f}'
-    # A line break in a text must not break the table.
-    return ' '.join(str(value).split())
+    return clean_text(str(value))
 
 
 def _format_line(cells, widths, numeric):
--- a/sniperudder/queries/_rows.py
+++ b/sniperudder/queries/_rows.py
@@ -3,6 +3,7 @@
 import math
 
 from sniperudder.outcomes import describe_code
+from sniperudder.tables import InstanceState
 from sniperudder.tables import Rank
 from sniperudder.tables import RequestState
 
@@ -115,6 +116,9 @@
 
 def _list_instances(T, now):
     for inst in T.instances.values():
+        if inst.name == T.me:
+            yield _describe_self(T, inst, now)
+            continue
         yield (
             T.me,
             inst.name,
@@ -129,6 +133,27 @@
         )
 
 
+def _describe_self(T, inst, now):
+    # The record of this instance itself is not kept up to date.
+    return (
+        T.me,
+        inst.name,
+        inst.data_centre,
+        _tell_state(T),
+        inst.listed,
+        T.config.version,
+        len(T.requests),
+        inst.incarnation,
+        0.0,
+        _age(now, T.platform_at),
+    )
+
+
+def _tell_state(T):
+    leaving = T.stopping or T.me in T.config.stopping
+    return (InstanceState.LEAVING if leaving else InstanceState.LIVE).value
+
+
 def _list_organisations(T, now):
     counts = {name: [0, 0, 0] for name in T.organisations}
     for req in T.requests.values():
--- a/sniperudder/queries/tests/test_plans.py
+++ b/sniperudder/queries/tests/test_plans.py
@@ -34,9 +34,9 @@
 
     def test_last_of_a_layer_is_refused_unless_forced(self):
         plan = self._plan('withdraw endpoint milan-3')
-        self.assertEqual(
-            [Code.MODEL_UNCOVERED] * 3, [o.code for o in plan.objections]
-        )
+        (objection,) = plan.objections
+        self.assertEqual(Code.MODEL_UNCOVERED, objection.code)
+        self.assertIn('rank urgent, middle or least', objection.detail)
         self.assertEqual([], plan.list_refusals(force=True))
 
     def test_down_and_withdrawn_endpoints_do_not_count(self):
