--- a/sniperudder/transports/_http.py
+++ b/sniperudder/transports/_http.py
@@ -12,10 +12,10 @@
 
 _CONNECT_TIMEOUT_S = 2.0
 _PIECE_BYTES = 65536
-_POOLS = 4096
 _CALL_HEADER = 'X-Call-Id'
 _EXECUTION_HEADER = 'X-Execution'
 _NOT_RUN = 'not-run'
+_HEADERS = {'User-Agent': urllib3.util.SKIP_HEADER}
 _PROTOCOL = 'HTTP/'
 
 # Raised before the first byte is handed to the socket.
@@ -81,6 +81,35 @@
     detail: str
 
 
+class _Connection(urllib3.connection.HTTPConnection):
+    """Counts as dropped once it was idle for long.
+
+    Servers close idle connections, and one that closes as a call begins
+    to leave can't be told from a crash.
+    """
+
+    def __init__(self, *args, max_idle_s, **others):
+        super().__init__(*args, **others)
+        self._max_idle_s = max_idle_s
+        self._answered_at = time.monotonic()
+
+    @property
+    def is_connected(self):
+        """See base class."""
+        idle_s = time.monotonic() - self._answered_at
+        return idle_s <= self._max_idle_s and super().is_connected
+
+    def getresponse(self):
+        """See base class."""
+        response = super().getresponse()
+        self._answered_at = time.monotonic()
+        return response
+
+
+class _Pool(urllib3.HTTPConnectionPool):
+    ConnectionCls = _Connection
+
+
 class HttpTransport:
     """Makes calls to ``host:port`` addresses; safe for many threads.
 
@@ -90,19 +119,25 @@
         Largest number of connections to one address.
     max_answer_bytes : int
         A longer answer counts as lost.
+    max_idle_s : float
+        A connection that was idle for longer is not used again.
     """
 
-    def __init__(self, pool_size, max_answer_bytes):
+    def __init__(self, pool_size, max_answer_bytes, max_idle_s):
         self._max_answer_bytes = max_answer_bytes
-        self._pools = urllib3.PoolManager(
-            num_pools=_POOLS,
-            maxsize=pool_size,
-            block=True,
-            retries=False,
-        )
+        self._max_idle_s = max_idle_s
+        self._pool_size = pool_size
+        self._pools = {}
 
     def exchange(
-        self, method, address, path, timeout_s, body=None, headers=None
+        self,
+        method,
+        address,
+        path,
+        timeout_s,
+        body=None,
+        headers=None,
+        send_within_s=float('inf'),
     ):
         """Make one call.
 
@@ -114,11 +149,15 @@
         path : str
             Path and query, already quoted.
         timeout_s : float
-            Longest wait for the whole answer, seconds. A wait for a
-            single piece of it may end up to as much later.
+            Longest wait for the whole answer, seconds. The wait for
+            the next piece of a body may end up to as much later, and a
+            head that comes in bits is not cut short.
         body : bytes, optional
         headers : dict of str to str, optional
             In ASCII, without line ends.
+        send_within_s : float
+            Longest wait for a free connection, and for a new one,
+            seconds.
 
         Returns
         -------
@@ -126,7 +165,7 @@
         """
         call = uuid.uuid4().hex
         started = time.monotonic()
-        if timeout_s <= 0:
+        if min(timeout_s, send_within_s) <= 0:
             return NoReply(call, Delivery.NOT_SENT, False, 'no time left')
         try:
             response = self._open(
@@ -135,7 +174,8 @@
                 path,
                 timeout_s,
                 body,
-                {**(headers or {}), _CALL_HEADER: call},
+                {**_HEADERS, **(headers or {}), _CALL_HEADER: call},
+                min(timeout_s, send_within_s),
             )
         except (urllib3.exceptions.HTTPError, http.client.HTTPException) as e:
             return _describe_error(call, e)
@@ -148,13 +188,13 @@
 
     def close(self):
         """Close the idle connections."""
-        self._pools.clear()
+        for address in list(self._pools):
+            self._pools.pop(address).close()
 
-    def _open(self, method, address, path, timeout_s, body, headers):
-        host, _, port = address.rpartition(':')
-        if not host or not port.isdecimal():
-            raise urllib3.exceptions.LocationParseError(address)
-        pool = self._pools.connection_from_host(host, int(port), 'http')
+    def _open(
+        self, method, address, path, timeout_s, body, headers, send_within_s
+    ):
+        pool = self._pools.get(address) or self._create_pool(address)
         return pool.urlopen(
             method,
             path,
@@ -163,13 +203,27 @@
             retries=False,
             redirect=False,
             timeout=urllib3.Timeout(
-                connect=min(timeout_s, _CONNECT_TIMEOUT_S), total=timeout_s
+                connect=min(send_within_s, _CONNECT_TIMEOUT_S),
+                total=timeout_s,
             ),
-            pool_timeout=timeout_s,
+            pool_timeout=send_within_s,
             preload_content=False,
             decode_content=False,
         )
 
+    def _create_pool(self, address):
+        host, _, port = address.rpartition(':')
+        if not host or not port.isdecimal():
+            raise urllib3.exceptions.LocationParseError(address)
+        pool = _Pool(
+            host,
+            int(port),
+            maxsize=self._pool_size,
+            block=True,
+            max_idle_s=self._max_idle_s,
+        )
+        return self._pools.setdefault(address, pool)
+
     def _read(self, call, response, started, until):
         lost = Delivery.LOST
         echoed = response.headers.get(_CALL_HEADER, call)
@@ -230,7 +284,9 @@
     return line.startswith(_PROTOCOL) or _PROTOCOL.startswith(line)
 
 
-def create_transport(pool_size=64, max_answer_bytes=16 * 1024 * 1024):
+def create_transport(
+    pool_size=64, max_answer_bytes=16 * 1024 * 1024, max_idle_s=2.0
+):
     """Return an ``HttpTransport``.
 
     Parameters
@@ -239,5 +295,8 @@
         Largest number of connections to one address; a call beyond it
         waits, and is not sent if its time runs out first.
     max_answer_bytes : int
+    max_idle_s : float
+        Shorter than the time after which servers close idle
+        connections, of which 5 s is a common one.
     """
-    return HttpTransport(pool_size, max_answer_bytes)
+    return HttpTransport(pool_size, max_answer_bytes, max_idle_s)
