--- a/scenarios/_report.py
+++ b/scenarios/_report.py
@@ -40,7 +40,9 @@
     table = queries.render_table(queries.Result(_COLUMNS, rows))
     broken = collections.Counter(v.kind for v in violations)
     counts = ', '.join(f'{kind} {broken[kind]}' for kind in _BROKEN)
-    return f'{table}\nbroken promises: {counts}'
+    problems = collections.Counter(w.problem for w in works if w.problem)
+    lines = [f'{count} x {text}' for text, count in problems.items()]
+    return '\n'.join([table, *lines, f'broken promises: {counts}'])
 
 
 def _count_group(kind, works):
--- a/scenarios/_work.py
+++ b/scenarios/_work.py
@@ -59,6 +59,8 @@
         Result code; 0 where none came.
     elapsed_s : float
         Until the outcome, seconds.
+    problem : str
+        Error of the connection, where one ended the call.
     """
 
     number: int
@@ -73,6 +75,7 @@
     ending: Ending | None = None
     code: int = 0
     elapsed_s: float = 0.0
+    problem: str = ''
 
 
 class Callers:
@@ -161,10 +164,12 @@
             urllib3.exceptions.NewConnectionError,
             urllib3.exceptions.ConnectTimeoutError,
             LookupError,
-        ):
+        ) as error:
             ending = Ending.UNREACHED
-        except (urllib3.exceptions.HTTPError, OSError, ValueError):
+            work.problem = repr(error)
+        except (urllib3.exceptions.HTTPError, OSError, ValueError) as error:
             ending = Ending.IN_DOUBT
+            work.problem = repr(error)
         work.elapsed_s = time.monotonic() - begin_at
         work.ending = ending
 
@@ -211,7 +216,12 @@
 def _read_answer(work, response):
     work.request = response.headers.get('X-Request-Id', '')
     if response.status != 200:
-        return _read_error(work, json.loads(response.read()))
+        data = response.read()
+        try:
+            return _read_error(work, json.loads(data))
+        except (ValueError, LookupError):
+            work.problem = f'HTTP {response.status}: {data[:80]}'
+            return Ending.IN_DOUBT
     if work.service:
         work.code = int(response.headers.get('X-Result-Code', 0))
         work.pieces.append(response.read().decode())
--- a/sniperudder/queries/_rows.py
+++ b/sniperudder/queries/_rows.py
@@ -57,7 +57,7 @@
 
 def _list_requests(T, now):
     for req in T.requests.values():
-        begun_at = req.begun_at or now
+        begun_at = now if req.begun_at is None else req.begun_at
         endpoint = req.chain[req.stage].endpoint if req.chain else ''
         yield (
             T.me,
@@ -157,7 +157,7 @@
 def _list_organisations(T, now):
     counts = {name: [0, 0, 0] for name in T.organisations}
     for req in T.requests.values():
-        running = req.state is not RequestState.QUEUED
+        running = req.state is RequestState.RUNNING
         counts.setdefault(req.organisation, [0, 0, 0])[running] += 1
     for order in T.orders.values():
         counts.setdefault(order.organisation, [0, 0, 0])[2] += 1
