Keep what was refused and why in the core

Cause: nothing called record_refusal, and orders end where the tables are not at hand. Change: the core notes each arrival and keeps each outcome other than a whole answer in the ring, one place for requests and orders; sniperudder/systems/refusals.

--- a/sniperudder/core/_core.py
+++ b/sniperudder/core/_core.py
@@ -7,6 +7,7 @@
 from sniperudder.systems import health
 from sniperudder.systems import membership
 from sniperudder.systems import orders
+from sniperudder.systems import refusals
 from sniperudder.systems import requests
 
 _SYSTEMS = (
@@ -55,6 +56,13 @@
     InvariantBroken
         If a promise was about to be broken; nothing was done.
     """
+    refusals.note_arrival(T, inp)
+    result = _dispatch_input(T, inp, now)
+    refusals.record_outcomes(T, result, now)
+    return result
+
+
+def _dispatch_input(T, inp, now):
     if isinstance(inp, inputs.TransactReturned | inputs.ScanReturned):
         return _PURPOSES[type(inp.purpose)](T, inp, now)
     result = []
@@ -79,4 +87,5 @@
     result = []
     for run in _TICKS:
         result.extend(run(T, now))
+    refusals.record_outcomes(T, result, now)
     return result
--- a/sniperudder/queries/__init__.py
+++ b/sniperudder/queries/__init__.py
@@ -41,7 +41,6 @@
 from sniperudder.queries._records import Ordering
 from sniperudder.queries._records import Query
 from sniperudder.queries._records import Range
-from sniperudder.queries._refusals import record_refusal
 from sniperudder.queries._rendering import clean_text
 from sniperudder.queries._rendering import list_fields
 from sniperudder.queries._rendering import render_grid
@@ -89,7 +88,6 @@
     'parse_command',
     'parse_query',
     'plan_intent',
-    'record_refusal',
     'render_grid',
     'render_json',
     'render_table',
--- a/sniperudder/queries/tests/fleets.py
+++ b/sniperudder/queries/tests/fleets.py
@@ -1,8 +1,6 @@
 """Small fleets for the tests of queries."""
 
 from sniperudder.outcomes import Code
-from sniperudder.outcomes import Refused
-from sniperudder.queries import _refusals
 from sniperudder import tables
 
 NOW = 1000.0
@@ -55,7 +53,7 @@
     T.organisations['studio-rossi'] = tables.Organisation('studio-rossi')
     chain = (tables.Stage('milan-1', 0, 2), tables.Stage('milan-3', 2, 4))
     create_request(T, 'r1', chain=chain, begun_at=NOW - 9)
-    req = create_request(T, 'r2', rank=tables.Rank.LEAST)
+    create_request(T, 'r2', rank=tables.Rank.LEAST)
     T.orders['o1'] = tables.Order(
         'o1',
         'studio-rossi',
@@ -68,8 +66,17 @@
         NOW - 1,
         NOW + 9,
     )
-    outcome = Refused(Code.QUEUE_FULL, 'full')
-    _refusals.record_refusal(T, req, outcome, NOW - 60)
+    T.refusals.append(
+        tables.Refusal(
+            'r2',
+            'studio-rossi',
+            tables.Rank.LEAST,
+            'weave',
+            int(Code.QUEUE_FULL),
+            'full',
+            NOW - 60,
+        )
+    )
     T.changes.append(tables.Change(1, 'c1', 'ada', 'WithdrawEndpoint', '{}'))
     T.config.version = 1
     T.config.shed_ranks[tables.Rank.LEAST] = 0.5
--- /dev/null
+++ b/sniperudder/systems/refusals/__init__.py
@@ -0,0 +1,9 @@
+"""What was refused or failed lately, and why, for operators."""
+
+from sniperudder.systems.refusals._records import note_arrival
+from sniperudder.systems.refusals._records import record_outcomes
+
+__all__ = [
+    'note_arrival',
+    'record_outcomes',
+]
--- a/sniperudder/tables/_tables.py
+++ b/sniperudder/tables/_tables.py
@@ -164,6 +164,8 @@
         Heap of times at which a request must be looked at, seconds.
     retry_tokens : float
         Retries that the retry budget allows now.
+    arrivals : dict of str to RequestArrived or OrderArrived
+        Work that has no outcome yet, by name.
     refusals : deque of Refusal
         The latest outcomes other than whole answers, oldest first.
     """
@@ -216,6 +218,7 @@
     running: dict = dataclasses.field(default_factory=dict)
     timers: list = dataclasses.field(default_factory=list)
     retry_tokens: float = 10.0
+    arrivals: dict = dataclasses.field(default_factory=dict)
     refusals: collections.deque = dataclasses.field(
         default_factory=_create_ring
     )
