--- a/scenarios/_grammar.py
+++ b/scenarios/_grammar.py
@@ -28,6 +28,7 @@
       | "expect" "stopped" NAME "within" DURATION      -> expect_stopped
       | "expect" "ready" NAME "within" DURATION        -> expect_ready
       | "expect" "idle" NAME "after" DURATION          -> expect_idle
+      | "expect" "crashed" "at" "most" INTEGER         -> expect_crashed
       | "expect" "answered" PERCENT "of" RANK          -> expect_answered
 
 option: "step" DURATION                                -> step_s
@@ -37,6 +38,7 @@
       | "rate" number                                  -> rate
       | "tokens" INTEGER                               -> tokens
       | "key" STRING                                   -> key
+      | "prompt" STRING                                -> prompt
       | "through" NAME                                 -> through
       | "deduplicates"                                 -> deduplicates
       | "lookup"                                       -> lookup
--- a/scenarios/_parser.py
+++ b/scenarios/_parser.py
@@ -148,6 +148,9 @@
     def key(self, text):
         return ('key', str(text[1:-1]))
 
+    def prompt(self, text):
+        return ('prompt', str(text[1:-1]))
+
     def through(self, name):
         return ('through', str(name))
 
@@ -252,5 +255,8 @@
     def expect_idle(self, name, duration):
         return _records.ExpectIdle(str(name), _read_duration(duration))
 
+    def expect_crashed(self, count):
+        return _records.ExpectCrashed(int(count))
+
     def expect_answered(self, share, rank):
         return _records.ExpectAnswered(str(rank), float(share[:-1]) / 100)
--- a/scenarios/_processes.py
+++ b/scenarios/_processes.py
@@ -31,8 +31,8 @@
     ----------
     addresses : dict of str to str
         See ``render_settings``.
-    killed : set of str
-        Processes that were ever killed.
+    killed, crashed : set of str
+        Processes that were ever killed, or ended by themselves.
     """
 
     def __init__(self, scenario, folder):
@@ -40,6 +40,7 @@
         self._folder = folder
         self._processes = {}
         self.killed = set()
+        self.crashed = set()
         self.addresses = {}
         for name in self._list_standins():
             self.addresses[name] = _find_address()
@@ -75,8 +76,16 @@
         process = self._processes.get(name)
         return process is not None and process.poll() is None
 
+    def note_crashes(self):
+        """Look which stand-ins ended by themselves."""
+        for name in self._list_standins():
+            ended = name in self._processes and not self.is_running(name)
+            if ended and name not in self.killed:
+                self.crashed.add(name)
+
     def start_standins(self, names=()):
         """Start stand-ins and wait until they listen."""
+        self.note_crashes()
         wanted = [
             name
             for name in self._list_standins()
--- a/scenarios/_records.py
+++ b/scenarios/_records.py
@@ -140,6 +140,8 @@
     tokens : int
     through : str
         Entry instance; empty for all in turn.
+    prompt : str
+        Sent by all of them; empty gives each its own.
     """
 
     count: int
@@ -148,6 +150,7 @@
     rate: float = 50.0
     tokens: int = 16
     through: str = ''
+    prompt: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -228,6 +231,13 @@
     share: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ExpectCrashed:
+    """At most so many engines and services ended by themselves."""
+
+    count: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Line:
     """A statement and where it stands."""
--- a/scenarios/_runner.py
+++ b/scenarios/_runner.py
@@ -239,6 +239,12 @@
         if answered < statement.share * len(works):
             raise Failed(f'{answered} of {len(works)} are answered')
 
+    def expect_crashed(self, statement):
+        self._fleet.note_crashes()
+        crashed = sorted(self._fleet.crashed)
+        if len(crashed) > statement.count:
+            raise Failed(f'crashed are {", ".join(crashed)}')
+
     # The end.
 
     def _check(self):
@@ -265,7 +271,8 @@
             for name in filter(running, services)
             for entry in self._read_log(name, '/log')
         ]
-        whole = not self._fleet.killed & {*engines, *services}
+        self._fleet.note_crashes()
+        whole = not (self._fleet.killed | self._fleet.crashed)
         return _checks.Logs(steps, orders, whole)
 
     def _read_log(self, name, path):
@@ -289,6 +296,7 @@
     _records.ExpectInForce: Runner.expect_in_force,
     _records.ExpectIdle: Runner.expect_idle,
     _records.ExpectAnswered: Runner.expect_answered,
+    _records.ExpectCrashed: Runner.expect_crashed,
 }
 
 
--- a/scenarios/_work.py
+++ b/scenarios/_work.py
@@ -119,7 +119,7 @@
         self._begin(batch, order)
 
     def _create_request(self, send, number):
-        prompt = f'{send.organisation} asks no. {number}:'
+        prompt = send.prompt or f'{send.organisation} asks no. {number}:'
         return Work(number, send.rank, send.organisation, prompt, send.tokens)
 
     def _create_order(self, order, number):
