--- a/scenarios/_runner.py
+++ b/scenarios/_runner.py
@@ -250,12 +250,14 @@
     def _check(self):
         for name in list(self._begun_streams):
             self._settle_idle(name)
-        works = self._callers.work
         for violation in _checks.check_work(
-            works, self._read_logs(), self._model.layers
+            self._callers.work, self._read_logs(), self._model.layers
         ):
             self._break(violation)
-        self._tell(_report.render_report(works, self._violations))
+
+    def render_report(self):
+        """Return the table of what became of all work."""
+        return _report.render_report(self._callers.work, self._violations)
 
     def _read_logs(self):
         engines = self._fleet.list_engines()
@@ -316,4 +318,7 @@
     bool
         Whether every promise held and every expectation came true.
     """
-    return Runner(scenario, folder, tell).run()
+    runner = Runner(scenario, folder, tell)
+    held = runner.run()
+    tell(runner.render_report())
+    return held
--- a/scenarios/run.py
+++ b/scenarios/run.py
@@ -63,6 +63,7 @@
         paths = [str(path) for path in runner.list_logs()]
         merged = logs_module.read_timeline(paths, '')
         print(logs_module.render_text(merged))
+    print(runner.render_report())
     print(f'{scenario.name}: {"held" if held else "BROKEN"}')
     return held
 
