--- a/scenarios/_grammar.py
+++ b/scenarios/_grammar.py
@@ -11,6 +11,8 @@
       | "freeze" NAME                                  -> freeze
       | "thaw" NAME                                    -> thaw
       | "stop" NAME                                    -> stop
+      | "cut" NAME "from" NAME                         -> cut
+      | "join" NAME "to" NAME                          -> join
       | "platform" "down"                              -> platform_down
       | "platform" "up"                                -> platform_up
       | "platform" "slow" DURATION                     -> platform_slow
--- a/scenarios/_parser.py
+++ b/scenarios/_parser.py
@@ -84,7 +84,7 @@
     statement = line.statement
     names = [
         getattr(statement, field, '')
-        for field in ('name', 'service', 'through')
+        for field in ('name', 'service', 'through', 'target')
     ]
     names += getattr(statement, 'names', ())
     if isinstance(statement, _records.DefineModel):
@@ -198,6 +198,12 @@
     def stop(self, name):
         return _records.Stop(str(name))
 
+    def cut(self, name, target):
+        return _records.Cut(str(name), str(target))
+
+    def join(self, name, target):
+        return _records.Join(str(name), str(target))
+
     def platform_down(self):
         return _records.SetFault('platform', 'hang_up', True)
 
--- a/scenarios/_processes.py
+++ b/scenarios/_processes.py
@@ -1,5 +1,6 @@
 """The processes of a scenario, all started by this one."""
 
+import json
 import os
 import pathlib
 import signal
@@ -8,6 +9,8 @@
 import sys
 import threading
 
+import urllib3
+
 from scenarios import _records
 from scenarios import _settings
 
@@ -44,6 +47,9 @@
         self.addresses = {}
         for name in self._list_standins():
             self.addresses[name] = _find_address()
+        for link in self._list_links():
+            self.addresses[link] = _find_address()
+            self.addresses[_name_control(link)] = _find_address()
         for entry in self.list_entries():
             for role in _ROLES:
                 self.addresses[f'{entry}/{role}'] = _find_address()
@@ -63,6 +69,21 @@
         kind = _records.DefineService
         return [s.name for s in self._scenario.list_statements(kind)]
 
+    def _list_links(self):
+        """Return the names of the links that the scenario cuts."""
+        cuts = self._scenario.list_statements(_records.Cut)
+        return {_settings.name_link(cut.name, cut.target) for cut in cuts}
+
+    def set_link(self, entry, target, stalled):
+        """Stall a link, or let it pass again."""
+        link = _settings.name_link(entry, target)
+        urllib3.request(
+            'POST',
+            f'http://{self.addresses[_name_control(link)]}/link',
+            body=json.dumps({'stalled': stalled}).encode(),
+            timeout=_END_TIMEOUT_S,
+        )
+
     def _list_standins(self):
         return ['platform', *self.list_engines(), *self.list_services()]
 
@@ -94,9 +115,11 @@
         for name in wanted:
             self._processes[name] = self._start_standin(name)
         for name in wanted:
-            line = self._processes[name].stdout.readline()
-            if not line.startswith(b'ready'):
-                raise RuntimeError(f'{name} did not start')
+            _await_line(name, self._processes[name])
+        for link in self._list_links():
+            if not self.is_running(link):
+                self._processes[link] = self._start_link(link)
+                _await_line(link, self._processes[link])
 
     def start_entries(self, names=()):
         """Start entry instances; they may take a while to be ready.
@@ -115,7 +138,7 @@
         return wanted
 
     def _start_standin(self, name):
-        port = self.addresses[name].rpartition(':')[2]
+        port = _get_port(self.addresses[name])
         module, options = self._describe_standin(name)
         return self._spawn(
             name,
@@ -123,6 +146,21 @@
             stdout=subprocess.PIPE,
         )
 
+    def _start_link(self, link):
+        target = link.partition('>')[2]
+        options = {
+            'to': self.addresses[target],
+            'port': _get_port(self.addresses[link]),
+            'control-port': _get_port(self.addresses[_name_control(link)]),
+        }
+        words = [
+            word
+            for key, value in options.items()
+            for word in (f'--{key}', value)
+        ]
+        arguments = ['-m', 'standins.relay', *words]
+        return self._spawn(link, arguments, stdout=subprocess.PIPE)
+
     def _describe_standin(self, name):
         statements = (line.statement for line in self._scenario.lines)
         for statement in statements:
@@ -224,6 +262,22 @@
     return options
 
 
+def _name_control(link):
+    return f'control/{link}'
+
+
+def _get_port(address):
+    return address.rpartition(':')[2]
+
+
+def _await_line(name, process):
+    """Wait until a stand-in says that it listens."""
+    for line in process.stdout:
+        if line.startswith(b'ready'):
+            return
+    raise RuntimeError(f'{name} did not start')
+
+
 def _find_address():
     with socket.socket() as probe:
         probe.bind((_HOST, 0))
--- a/scenarios/_records.py
+++ b/scenarios/_records.py
@@ -102,6 +102,22 @@
     name: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Cut:
+    """Let nothing pass between an entry instance and a stand-in."""
+
+    name: str
+    target: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Join:
+    """Let an entry instance and a stand-in talk again."""
+
+    name: str
+    target: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class SetFault:
     """Change a fault of a stand-in, see ``standins.faults.Faults``.
--- a/scenarios/_runner.py
+++ b/scenarios/_runner.py
@@ -134,6 +134,12 @@
         self._list_entry(statement.name, leaving=True)
         self._fleet.signal(statement.name, signal.SIGTERM)
 
+    def cut(self, statement):
+        self._fleet.set_link(statement.name, statement.target, stalled=True)
+
+    def join(self, statement):
+        self._fleet.set_link(statement.name, statement.target, stalled=False)
+
     def set_fault(self, statement):
         body = {}
         if statement.fault:
@@ -287,6 +293,8 @@
     _records.Freeze: Runner.freeze,
     _records.Thaw: Runner.thaw,
     _records.Stop: Runner.stop,
+    _records.Cut: Runner.cut,
+    _records.Join: Runner.join,
     _records.SetFault: Runner.set_fault,
     _records.Give: Runner.give,
     _records.Send: Runner.send,
--- a/scenarios/_settings.py
+++ b/scenarios/_settings.py
@@ -28,7 +28,8 @@
         Name of the entry instance.
     addresses : dict of str to str
         ``host:port`` of stand-ins by name, and of entry instances by
-        name with ``/callers``, ``/admin`` and ``/peers``.
+        name with ``/callers``, ``/admin`` and ``/peers``; links that
+        can be cut by `name_link`.
     log : str
         Path of the log.
 
@@ -36,6 +37,7 @@
     -------
     str
     """
+    addresses = addresses | find_links(addresses, name)
     sections = {
         'instance': {
             'name': name,
@@ -61,6 +63,21 @@
     return file.getvalue()
 
 
+def name_link(entry, target):
+    """Return the name of the link from an entry to a stand-in."""
+    return f'{entry}>{target}'
+
+
+def find_links(addresses, entry):
+    """Return the addresses at which an entry finds stand-ins by links."""
+    prefix = name_link(entry, '')
+    return {
+        link.removeprefix(prefix): address
+        for link, address in addresses.items()
+        if link.startswith(prefix)
+    }
+
+
 def _digest(key):
     return hashlib.sha256(key.encode()).hexdigest()
 
