--- a/scenarios/_runner.py
+++ b/scenarios/_runner.py
@@ -20,7 +20,11 @@
 
 
 class Failed(Exception):
-    """A statement could not be carried out."""
+    """A statement could not be carried out, or did not come true."""
+
+
+class NotStarted(Exception):
+    """A process did not start, so that the rest makes no sense."""
 
 
 class Runner:
@@ -54,6 +58,8 @@
             for line in self._scenario.lines:
                 self._run_line(line)
             self._check()
+        except NotStarted as error:
+            self._break(_checks.Violation('expected', str(error)))
         finally:
             self._fleet.end()
         return not self._violations
@@ -87,7 +93,13 @@
             self._leaving.pop(name, None)
             self._list_entry(name)
         for name in started:
+            self._await_start(name)
+
+    def _await_start(self, name):
+        try:
             self._await_ready(name, _READY_S)
+        except Failed as error:
+            raise NotStarted(str(error)) from error
 
     def _list_entry(self, name, leaving=False):
         body = {
@@ -186,7 +198,10 @@
             raise Failed(f'{answer.status} {answer.data.decode()}')
 
     def _administer(self, text, command_id=''):
-        name, _ = self._list_open()[0]
+        names = [name for name, _ in self._list_open()]
+        if not names:
+            raise Failed('no entry instance runs')
+        name = names[0]
         return self._call(
             'POST',
             f'{name}/admin',
--- a/scenarios/_work.py
+++ b/scenarios/_work.py
@@ -178,6 +178,8 @@
         if through:
             return entries[through]
         names = sorted(entries)
+        if not names:
+            raise LookupError('no entry instance runs')
         return entries[names[next(self._turn) % len(names)]]
 
     def _call(self, work, address):
--- a/sniperudder/settings/_sections.py
+++ b/sniperudder/settings/_sections.py
@@ -206,6 +206,17 @@
             _kinds.Number(0, 86400),
             'Longest duration of a planned stop, seconds.',
         ),
+        _option(
+            'placement',
+            _kinds.Text(
+                'home|independent|round_robin',
+                'one of home, independent, round_robin',
+            ),
+            'Who decides about endpoints: one home instance for each '
+            'model, or each instance by itself; `round_robin` is for '
+            'comparison.',
+            _POLICY_DEFAULTS.placement,
+        ),
     ),
 )
 
@@ -332,7 +343,7 @@
         ),
         _option(
             'settle_s',
-            _kinds.Number(0, 3600),
+            _kinds.Number(5, 3600),
             'Time after which a call that it has not seen will not be run '
             'any more, seconds.',
             '10',
--- a/sniperudder/systems/membership/_beats.py
+++ b/sniperudder/systems/membership/_beats.py
@@ -5,9 +5,10 @@
 from sniperudder.systems import configuration
 from sniperudder.systems.membership import _digest
 from sniperudder.systems.membership import _suspicions
+from sniperudder.tables import InstanceState
 
 _MAX_CHANGES = 16
-_MAX_MEMBERS = 4
+_MAX_MEMBERS = 1
 _SNAPSHOT_GAP = 64
 
 
@@ -55,19 +56,24 @@
         members=_pick_members(T),
         head_version=T.head_version,
         head_age_s=now - T.head_at,
-        rooted=T.rooted,
+        rooted=configuration.is_rooted(T, now),
         accepted_version=configuration.get_accepted(T),
         **parts,
     )
 
 
 def _pick_members(T):
-    peers = [peer for peer in T.instances.values() if peer.address]
+    peers = [
+        peer
+        for peer in T.instances.values()
+        if peer.address
+        and peer.name != T.me
+        and peer.state is InstanceState.LIVE
+    ]
     picked = T.rng.sample(peers, min(_MAX_MEMBERS, len(peers)))
     return tuple(
         Member(peer.name, peer.address, peer.data_centre, peer.incarnation)
         for peer in picked
-        if peer.name != T.me
     )
 
 
@@ -83,7 +89,8 @@
 def _find_evidence(T, name, now):
     if name == T.me:
         version = T.config.version
-        return _digest.Evidence(name, 0.0, version, T.rooted, T.stopping)
+        rooted = configuration.is_rooted(T, now)
+        return _digest.Evidence(name, 0.0, version, rooted, T.stopping)
     peer = T.instances.get(name)
     if peer is None:
         return None
--- a/sniperudder/tables/_orders.py
+++ b/sniperudder/tables/_orders.py
@@ -9,12 +9,14 @@
 class OrderState(enum.Enum):
     """Where an order is in its life at this instance."""
 
+    QUEUED = 'queued'
     CLAIMING = 'claiming'
     WAITING = 'waiting'
     CALLING = 'calling'
     ASKING = 'asking'
     STORING = 'storing'
     MARKING = 'marking'
+    LISTENING = 'listening'
     RELEASING = 'releasing'
 
 
@@ -62,6 +64,8 @@
         When the service was last asked for the key, seconds.
     open_calls : int
         Calls made that may have been run.
+    unreported : int
+        Calls made whose client has not reported yet.
     tries : int
         Calls made so far.
     address : str
@@ -102,7 +106,7 @@
     nonce: str
     arrived_at: float
     deadline: float
-    state: OrderState = OrderState.CLAIMING
+    state: OrderState = OrderState.QUEUED
     holds: bool = False
     takes_over: bool = False
     claimed_at: float | None = None
@@ -114,6 +118,7 @@
     seen_at: float = 0.0
     asked_at: float = float('-inf')
     open_calls: int = 0
+    unreported: int = 0
     tries: int = 0
     address: str = ''
     failures: int = 0
