--- a/scenarios/_processes.py
+++ b/scenarios/_processes.py
@@ -16,6 +16,7 @@
 
 _HOST = '127.0.0.1'
 _END_TIMEOUT_S = 5.0
+_SHOWN_ERRORS = 500
 _ROOT = pathlib.Path(__file__).parents[1]
 _ROLES = ('callers', 'admin', 'peers')
 _PEER_KEY = 'peer-key-of-a-scenario'
@@ -209,6 +210,11 @@
                 env=os.environ | {_settings.PEER_KEY_VARIABLE: _PEER_KEY},
             )
 
+    def read_errors(self, name):
+        """Return the end of what a process wrote as errors."""
+        text = (self._folder / f'{name}.err').read_text()
+        return text[-_SHOWN_ERRORS:].strip()
+
     def signal(self, name, number):
         """Send a signal to a process of this fleet."""
         self._processes[name].send_signal(number)
--- a/scenarios/_runner.py
+++ b/scenarios/_runner.py
@@ -99,7 +99,8 @@
         try:
             self._await_ready(name, _READY_S)
         except Failed as error:
-            raise NotStarted(str(error)) from error
+            said = self._fleet.read_errors(name)
+            raise NotStarted(f'{error}; {said}') from error
 
     def _list_entry(self, name, leaving=False):
         body = {
