--- a/sniperudder/systems/requests/_slots.py
+++ b/sniperudder/systems/requests/_slots.py
@@ -11,6 +11,7 @@
 from sniperudder.systems.requests import _finish
 from sniperudder.systems.requests import _steps
 from sniperudder.systems.requests import _work
+from sniperudder.systems import suspicion
 from sniperudder import tables
 
 _HOLD_PERIOD_S = 1.0
@@ -18,6 +19,8 @@
 # by then the heartbeats tell whether it lives.
 _AVOID_S = 2.0
 _RETRY_S = 0.1
+# Load reports, asked for about once a second, prove or disprove crashes.
+_PROOF_S = 0.25
 # Shortest wait that is worth a question.
 _WAIT_MIN_S = 0.001
 
@@ -33,6 +36,9 @@
     now : float
         Seconds.
     """
+    if suspicion.is_undecided(T, req.fingerprint):
+        ask_later(T, req, _PROOF_S, now)
+        return []
     placement = dispatch.get_placement(T)
     req.attempt += 1
     req.home = placement.find_home(T, req.model, now)
@@ -90,6 +96,8 @@
 def _is_valid(T, req, grant, now):
     if not configuration.is_fresh(T, now) or now >= req.deadline:
         return False
+    if suspicion.is_undecided(T, req.fingerprint):
+        return False
     withdrawn = T.config.withdrawn
     return all(
         stage.endpoint in T.endpoints and stage.endpoint not in withdrawn
@@ -198,15 +206,35 @@
 
 def _change_home(T, req, home, now):
     if req.chain:
-        # The old home frees the slot once it is no longer named there.
+        # The stream goes on; only its slot is kept by another home.
+        release = messages.ReleaseSlot(req.name, req.attempt)
+        released = dispatch.post_message(T, req.home, release, now)
         req.home = home
-        return []
+        return [*released, *_hold_locally(T, req, home, now)]
     if req.not_before:
         return []
     released = _finish.release_slot(T, req, now)
     return [*released, *ask_slot(T, req, now)]
 
 
+def _hold_locally(T, req, home, now):
+    if home != T.me:
+        return []
+    holds = messages.HoldSlots((_make_holding(req),))
+    return dispatch.post_message(T, home, holds, now)
+
+
+def _make_holding(req):
+    return messages.Holding(
+        req.name,
+        req.attempt,
+        req.organisation,
+        req.rank,
+        req.model,
+        req.chain,
+    )
+
+
 def _collect_holdings(T, home):
     holdings = []
     asked = []
@@ -214,16 +242,7 @@
         if req.home != home:
             continue
         if req.chain:
-            holdings.append(
-                messages.Holding(
-                    req.name,
-                    req.attempt,
-                    req.organisation,
-                    req.rank,
-                    req.model,
-                    req.chain,
-                )
-            )
+            holdings.append(_make_holding(req))
         elif not req.not_before:
             asked.append(req.name)
     return messages.HoldSlots(tuple(holdings), tuple(asked))
--- a/sniperudder/testing/_streams.py
+++ b/sniperudder/testing/_streams.py
@@ -6,6 +6,7 @@
 from sniperudder import effects
 from sniperudder import inputs
 from sniperudder import outcomes
+from sniperudder import tables
 
 _TICK_S = 0.05
 _LINK_S = 0.0005
@@ -112,9 +113,17 @@
         T = self.entries[name]
         if self.confirm:
             T.confirmed_at = self.clock.now
+            self._set_states(T)
         self._route(name, core.run_tick(T, self.clock.now))
         self.clock.call_in(_TICK_S, self._tick, name)
 
+    def _set_states(self, T):
+        # In place of heartbeats, which these runs leave out.
+        for peer in T.instances.values():
+            if peer.name not in self.dead:
+                peer.heard_at = self.clock.now
+                peer.state = tables.InstanceState.LIVE
+
     def _route(self, name, result):
         for effect in result:
             self.routes[type(effect)](name, effect)
@@ -159,7 +168,10 @@
         engine = self.engines[name]
         if engine.up:
             report = inputs.LoadReported(
-                name, engine.count_streams(), engine.boot
+                name,
+                engine.count_streams(),
+                engine.boot,
+                self.clock.now,
             )
             for entry in self.entries:
                 self.clock.call_in(self.lag_s, self.submit, entry, report)
