--- a/sniperudder/instance/_assembly.py
+++ b/sniperudder/instance/_assembly.py
@@ -28,6 +28,7 @@
 
 _LOAD_PERIOD_S = 1.0
 _DRAIN_LOOK_S = 0.1
+_SIGNAL_LOOK_S = 0.2
 # Time for the transaction by which a stopping instance leaves.
 _LEAVE_S = 1.0
 
@@ -150,7 +151,10 @@
     logs.write_note(
         effects.Note('instance:start', settings.instance.name, _pair(instance))
     )
-    instance.stopping.wait()
+    # A wait without a limit does not wake for a signal that the kernel
+    # gave to another thread.
+    while not instance.stopping.wait(_SIGNAL_LOOK_S):
+        pass
     status = _drain(instance)
     logs.write_note(effects.Note('instance:stop', settings.instance.name))
     logs.close_log(log)
--- a/sniperudder/systems/health/_health.py
+++ b/sniperudder/systems/health/_health.py
@@ -1,6 +1,7 @@
 """What this instance believes about its endpoints."""
 
 from sniperudder import effects
+from sniperudder.systems import suspicion
 from sniperudder import tables
 
 _SMOOTHING = 0.2
@@ -14,11 +15,16 @@
     ep = T.endpoints.get(inp.endpoint)
     if ep is None:
         return []
+    suspicion.disprove_crash(T, ep.name, inp.boot, inp.sent_at)
     ep.reported_streams = inp.streams
     ep.reported_own = ep.streams
     ep.reported_at = now
     ep.boot = inp.boot
-    if ep.crashed_boot is not None and inp.boot != ep.crashed_boot:
+    if ep.crashed_boot is None:
+        return []
+    if inp.boot != ep.crashed_boot or inp.sent_at > ep.failed_at:
+        # It runs again, or it has been running all the time and only
+        # its connections broke.
         ep.crashed_boot = None
         ep.retry_at = min(ep.retry_at, now)
     return []
@@ -61,6 +67,7 @@
     if not crashed and not probing and ep.failures < _FAILURES_ALLOWED:
         return []
     ep.state = tables.EndpointState.DOWN
+    ep.failed_at = now
     if crashed:
         ep.crashed_boot = ep.boot
     backoff_s = min(_BACKOFF_MAX_S, _BACKOFF_S * 2 ** (ep.failures - 1))
--- a/sniperudder/systems/requests/tests/test_requests.py
+++ b/sniperudder/systems/requests/tests/test_requests.py
@@ -8,6 +8,14 @@
 from sniperudder import tables
 
 
+def _break_all(fleet, time):
+    # Over the length of an iteration, so that calls are under way.
+    for part in range(10):
+        fleet.clock.run_until(time + part * 0.002)
+        for engine in fleet.engines.values():
+            engine.break_calls()
+
+
 class TestAnswers(testtools.TestCase):
     def test_chain_answers_whole(self):
         fleet = _fleets.create_fleet()
@@ -143,6 +151,30 @@
             self.assertIsInstance(outcome, outcomes.Answered)
 
 
+class TestBrokenConnections(testtools.TestCase):
+    def test_engine_that_lives_on_is_used_again(self):
+        fleet = _fleets.create_fleet(copies=1)
+        for number in range(2):
+            arrival = _fleets.make_arrival(number, max_tokens=40)
+            fleet.send_request('entry-0', arrival)
+        _break_all(fleet, 0.3)
+        fleet.clock.run_until(30.0)
+        fleet.send_request('entry-0', _fleets.make_arrival(8))
+        fleet.clock.run_until(60.0)
+        for heard in fleet.heard.values():
+            self.assertIsInstance(heard.outcome, outcomes.Answered)
+
+    def test_innocent_content_is_not_condemned(self):
+        fleet = _fleets.create_fleet(copies=3)
+        arrival = _fleets.make_arrival(1, max_tokens=200)
+        fleet.send_request('entry-0', arrival)
+        for time in (0.3, 2.0, 4.0):
+            _break_all(fleet, time)
+        fleet.clock.run_until(40.0)
+        outcome = fleet.heard['req-1'].outcome
+        self.assertIsInstance(outcome, outcomes.Answered)
+
+
 class TestGivingWay(testtools.TestCase):
     def test_least_rank_stream_yields_and_resumes(self):
         fleet = _fleets.create_fleet(copies=1, streams=2)
--- a/sniperudder/tables/_endpoints.py
+++ b/sniperudder/tables/_endpoints.py
@@ -74,8 +74,10 @@
     boot : str
         Identifier of the engine's run, from its last load report.
     crashed_boot : str or None
-        The run that crashed; the endpoint stays down until a report
-        names another one.
+        The run that may have crashed; the endpoint stays down until a
+        report tells that it runs.
+    failed_at : float
+        When it was last set aside, seconds.
     """
 
     name: str
@@ -101,6 +103,7 @@
     last_sent_at: float = 0.0
     boot: str = ''
     crashed_boot: str | None = None
+    failed_at: float = float('-inf')
 
 
 @dataclasses.dataclass(slots=True)
