--- a/sniperudder/commands/_remote.py
+++ b/sniperudder/commands/_remote.py
@@ -9,8 +9,8 @@
 
 from sniperudder.commands._status import CommandFailed
 from sniperudder.commands._status import Status
-from sniperudder.commands import _tables
 from sniperudder import outcomes
+from sniperudder import queries
 
 _KEY_VARIABLE = 'SNIPERUDDER_KEY'
 _ADDRESS_VARIABLE = 'SNIPERUDDER_ADDRESS'
@@ -104,7 +104,7 @@
     except urllib3.exceptions.HTTPError as error:
         raise _create_doubt(id, _describe(error)) from error
     if _is_doubtful(answer):
-        raise _create_doubt(id, _tables.clean_text(answer.detail))
+        raise _create_doubt(id, queries.clean_text(answer.detail))
     _check_refusal(answer)
     return _print_answer(answer, json)
 
@@ -178,7 +178,7 @@
 
 def _check_refusal(answer):
     if answer.status != 200:
-        message = _tables.clean_text(answer.detail)
+        message = queries.clean_text(answer.detail)
         raise CommandFailed(Status.REFUSED, message)
 
 
@@ -192,12 +192,12 @@
 
 def _print_table(answer):
     if answer.columns:
-        print(_tables.render_table(answer.columns, answer.rows))
+        print(queries.render_grid(answer.columns, answer.rows))
     if answer.detail:
-        print(_tables.clean_text(answer.detail))
+        print(queries.clean_text(answer.detail))
     if answer.missing:
         names = ', '.join(map(str, answer.missing))
-        print('no answer from: ' + _tables.clean_text(names))
+        print('no answer from: ' + queries.clean_text(names))
 
 
 def _describe(error):
--- a/sniperudder/instance/_assembly.py
+++ b/sniperudder/instance/_assembly.py
@@ -12,6 +12,7 @@
 from sniperudder import effects
 from sniperudder import endpoints
 from sniperudder import inputs
+from sniperudder.instance import _administration
 from sniperudder.instance import _calls
 from sniperudder.instance import _engines
 from sniperudder.instance import _runtime
@@ -27,6 +28,7 @@
 
 _LOAD_PERIOD_S = 1.0
 _DRAIN_LOOK_S = 0.1
+_SIGNAL_LOOK_S = 0.2
 # Time for the transaction by which a stopping instance leaves.
 _LEAVE_S = 1.0
 
@@ -41,7 +43,7 @@
     runtime : Runtime
     calls : OutsideCalls
     metrics : Metrics
-    caller_server : cheroot.wsgi.Server
+    caller_server, admin_server : cheroot.wsgi.Server
     peer_server : PeerServer
     stopping : threading.Event
         Set when a planned stop was asked for.
@@ -52,6 +54,7 @@
     calls: _calls.OutsideCalls
     metrics: metrics.Metrics
     caller_server: typing.Any
+    admin_server: typing.Any
     peer_server: peers.PeerServer
     stopping: threading.Event
 
@@ -86,12 +89,17 @@
     runtime.routes[effects.Note] = logs.write_note
     engines = endpoints.create_engine_client()
     _engines.create_senders(runtime, engines)
+    peer_client = peers.create_peer_client(peer_key)
     calls = _calls.create_calls(
         runtime,
         platform.create_platform_client(settings.platform.address),
         services.create_service_client(),
         engines,
-        peers.create_peer_client(peer_key),
+        peer_client,
+    )
+    backend = _administration.RuntimeBackend(runtime, peer_client)
+    admin_server = _administration.create_admin_server(
+        settings, runtime, backend
     )
     M = metrics.create_metrics()
     application = callers.create_application(
@@ -108,11 +116,18 @@
     peer_server = peers.create_peer_server(
         mine.peer_address,
         runtime.answer_beat,
-        lambda query, timeout_s: '',
+        backend.answer_ask,
         peer_key,
     )
     return EntryInstance(
-        settings, runtime, calls, M, server, peer_server, threading.Event()
+        settings,
+        runtime,
+        calls,
+        M,
+        server,
+        admin_server,
+        peer_server,
+        threading.Event(),
     )
 
 
@@ -136,7 +151,10 @@
     logs.write_note(
         effects.Note('instance:start', settings.instance.name, _pair(instance))
     )
-    instance.stopping.wait()
+    # A wait without a limit does not wake for a signal that the kernel
+    # gave to another thread.
+    while not instance.stopping.wait(_SIGNAL_LOOK_S):
+        pass
     status = _drain(instance)
     logs.write_note(effects.Note('instance:stop', settings.instance.name))
     logs.close_log(log)
@@ -153,6 +171,7 @@
     targets = {
         'ticks': runtime.run_ticks,
         'callers': instance.caller_server.serve,
+        'operators': instance.admin_server.serve,
         'loads': lambda: _poll_loads(instance),
     }
     for name, target in targets.items():
@@ -185,6 +204,7 @@
     runtime.leave()
     pause.wait(_LEAVE_S)
     instance.caller_server.stop()
+    instance.admin_server.stop()
     instance.peer_server.stop()
     runtime.stop()
     return 0
--- a/sniperudder/testing/_engines.py
+++ b/sniperudder/testing/_engines.py
@@ -119,6 +119,13 @@
             self._drop(item)
         self.clock.call_in(down_s, self._restart)
 
+    def break_calls(self):
+        """Break the connections of all calls under way; live on."""
+        waiting, self._waiting = self._waiting, []
+        for item in waiting:
+            self._drop(item)
+            self._run(item.step)
+
     def _drop(self, item):
         failed = self._fail(item.step, inputs.Delivery.LOST)
         item.answer(dataclasses.replace(failed, crashed=True))
