--- a/sniperudder/instance/_assembly.py
+++ b/sniperudder/instance/_assembly.py
@@ -15,6 +15,7 @@
 from sniperudder.instance import _administration
 from sniperudder.instance import _calls
 from sniperudder.instance import _engines
+from sniperudder.instance import _posts
 from sniperudder.instance import _runtime
 from sniperudder import logs
 from sniperudder import metrics
@@ -90,6 +91,7 @@
     engines = endpoints.create_engine_client()
     _engines.create_senders(runtime, engines)
     peer_client = peers.create_peer_client(peer_key)
+    _posts.create_post_senders(runtime, peer_client)
     calls = _calls.create_calls(
         runtime,
         platform.create_platform_client(settings.platform.address),
@@ -116,6 +118,7 @@
     peer_server = peers.create_peer_server(
         mine.peer_address,
         runtime.answer_beat,
+        runtime.take_posts,
         backend.answer_ask,
         peer_key,
     )
@@ -154,7 +157,8 @@
     # A wait without a limit does not wake for a signal that the kernel
     # gave to another thread.
     while not instance.stopping.wait(_SIGNAL_LOOK_S):
-        pass
+        if instance.runtime.ask(_is_told_to_stop):
+            instance.stopping.set()
     status = _drain(instance)
     logs.write_note(effects.Note('instance:stop', settings.instance.name))
     logs.close_log(log)
@@ -210,6 +214,10 @@
     return 0
 
 
+def _is_told_to_stop(T):
+    return T.me in T.config.stopping
+
+
 def _count_work(T):
     return len(T.requests) + len(T.orders)
 
--- a/sniperudder/instance/_engines.py
+++ b/sniperudder/instance/_engines.py
@@ -1,10 +1,10 @@
 """Threads that send steps to engines, many streams to a call."""
 
 import queue
-import threading
 
 from sniperudder import effects
 from sniperudder import inputs
+from sniperudder.instance import _batches
 from sniperudder.systems import requests
 
 # Calls under way to one engine. While one runs, the steps that become
@@ -39,12 +39,12 @@
     def start(self):
         """Start the threads."""
         for _ in range(_CALLS_PER_ENGINE):
-            _start_thread(self._run_steps, f'steps {self.ep.name}')
-        _start_thread(self._run_cancels, f'cancels {self.ep.name}')
+            _batches.start_thread(self._run_steps, f'steps {self.ep.name}')
+        _batches.start_thread(self._run_cancels, f'cancels {self.ep.name}')
 
     def _run_steps(self):
         while True:
-            steps = _take_all(self.steps)
+            steps = _batches.take_all(self.steps, _STEPS_PER_CALL)
             ready = [step for step in steps if self._may_send(step)]
             if not ready:
                 continue
@@ -73,7 +73,7 @@
 
     def _run_cancels(self):
         while True:
-            cancels = _take_all(self.cancels)
+            cancels = _batches.take_all(self.cancels, _STEPS_PER_CALL)
             self.client.cancel_streams(self.ep, cancels, _CANCEL_TIMEOUT_S)
 
 
@@ -118,18 +118,3 @@
     for sender in senders.senders.values():
         sender.start()
     return senders
-
-
-def _take_all(pending):
-    items = [pending.get()]
-    while len(items) < _STEPS_PER_CALL:
-        try:
-            items.append(pending.get_nowait())
-        except queue.Empty:
-            break
-    return items
-
-
-def _start_thread(function, name):
-    thread = threading.Thread(target=function, name=name, daemon=True)
-    thread.start()
--- a/sniperudder/instance/_runtime.py
+++ b/sniperudder/instance/_runtime.py
@@ -68,6 +68,12 @@
             self._route([e for e in result if e not in answers])
         return answers[0].beat
 
+    def take_posts(self, sender, messages):
+        """Take in messages about slots from another entry."""
+        with self.lock:
+            for message in messages:
+                self.submit(inputs.PostArrived(sender, message))
+
     def leave(self):
         """Take this instance out of the members; it gives out no work."""
         with self.lock:
--- a/sniperudder/peers/_client.py
+++ b/sniperudder/peers/_client.py
@@ -7,6 +7,7 @@
 import time
 
 from sniperudder.peers import _codec
+from sniperudder.peers import _posts
 from sniperudder.peers.gen.wire import Peer
 from thrift.protocol import TBinaryProtocol
 from thrift import Thrift
@@ -72,6 +73,31 @@
         answer = self._call(address, call, timeout_s)
         return None if answer is None else _codec.decode_beat(answer)
 
+    def tell(self, address, sender, messages, timeout_s):
+        """Send messages about slots.
+
+        Parameters
+        ----------
+        address : str
+            ``host:port`` of the peer.
+        sender : str
+            Name of this instance.
+        messages : list of record of sniperudder.messages
+        timeout_s : float
+
+        Returns
+        -------
+        bool
+            Whether they certainly arrived.
+        """
+        posts = [_posts.encode_post(message) for message in messages]
+
+        def call(stub):
+            stub.tell(self._peer_key, sender, posts)
+            return True
+
+        return bool(self._call(address, call, timeout_s))
+
     def ask(self, address, query_json, timeout_s):
         """Ask a peer; return its answer's text, or None."""
 
--- a/sniperudder/peers/_server.py
+++ b/sniperudder/peers/_server.py
@@ -7,6 +7,7 @@
 
 from sniperudder.peers import _codec
 from sniperudder.peers import _keys
+from sniperudder.peers import _posts
 from sniperudder.peers.gen.wire import Peer
 from sniperudder.peers.gen.wire import ttypes
 from thrift.protocol import TBinaryProtocol
@@ -22,8 +23,9 @@
 class _Handler:
     """Answers the calls of peers."""
 
-    def __init__(self, on_beat, on_ask, peer_key):
+    def __init__(self, on_beat, on_posts, on_ask, peer_key):
         self._on_beat = on_beat
+        self._on_posts = on_posts
         self._on_ask = on_ask
         self._peer_key = peer_key
         self._asks = threading.BoundedSemaphore(_MAX_ASKS)
@@ -33,6 +35,11 @@
         answer = self._on_beat(_codec.decode_beat(beat))
         return _codec.encode_beat(answer)
 
+    def tell(self, peer_key, sender, posts):
+        _keys.check_key(self._peer_key, peer_key)
+        messages = [_posts.decode_post(post) for post in posts]
+        self._on_posts(sender, [m for m in messages if m is not None])
+
     def ask(self, peer_key, query_json, timeout_s):
         _keys.check_key(self._peer_key, peer_key)
         if not self._asks.acquire(blocking=False):
@@ -135,7 +142,7 @@
             connection.close()
 
 
-def create_peer_server(address, on_beat, on_ask, peer_key=''):
+def create_peer_server(address, on_beat, on_posts, on_ask, peer_key=''):
     """Return a server, not yet started.
 
     Parameters
@@ -144,6 +151,8 @@
         ``host:port`` to listen on; port 0 takes a free one.
     on_beat : callable
         ``on_beat(Beat) -> Beat``, called from several threads.
+    on_posts : callable
+        ``on_posts(sender, messages)``, called from several threads.
     on_ask : callable
         ``on_ask(query_json, timeout_s) -> str``, called from several
         threads.
@@ -154,4 +163,5 @@
     -------
     PeerServer
     """
-    return PeerServer(address, _Handler(on_beat, on_ask, peer_key))
+    handler = _Handler(on_beat, on_posts, on_ask, peer_key)
+    return PeerServer(address, handler)
--- a/sniperudder/peers/gen/wire/Peer.py
+++ b/sniperudder/peers/gen/wire/Peer.py
@@ -29,6 +29,16 @@
         """
         pass
 
+    def tell(self, peer_key, sender, posts):
+        """
+        Parameters:
+         - peer_key
+         - sender
+         - posts
+
+        """
+        pass
+
     def ask(self, peer_key, query_json, timeout_s):
         """
         Parameters:
@@ -83,6 +93,42 @@
             raise result.rejected
         raise TApplicationException(TApplicationException.MISSING_RESULT, "exchange failed: unknown result")
 
+    def tell(self, peer_key, sender, posts):
+        """
+        Parameters:
+         - peer_key
+         - sender
+         - posts
+
+        """
+        self.send_tell(peer_key, sender, posts)
+        self.recv_tell()
+
+    def send_tell(self, peer_key, sender, posts):
+        self._oprot.writeMessageBegin('tell', TMessageType.CALL, self._seqid)
+        args = tell_args()
+        args.peer_key = peer_key
+        args.sender = sender
+        args.posts = posts
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_tell(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = tell_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.rejected is not None:
+            raise result.rejected
+        return
+
     def ask(self, peer_key, query_json, timeout_s):
         """
         Parameters:
@@ -127,6 +173,7 @@
         self._handler = handler
         self._processMap = {}
         self._processMap["exchange"] = Processor.process_exchange
+        self._processMap["tell"] = Processor.process_tell
         self._processMap["ask"] = Processor.process_ask
         self._on_message_begin = None
 
@@ -176,6 +223,32 @@
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
+    def process_tell(self, seqid, iprot, oprot):
+        args = tell_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = tell_result()
+        try:
+            self._handler.tell(args.peer_key, args.sender, args.posts)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except Rejected as rejected:
+            msg_type = TMessageType.REPLY
+            result.rejected = rejected
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("tell", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
     def process_ask(self, seqid, iprot, oprot):
         args = ask_args()
         args.read(iprot)
@@ -378,6 +451,187 @@
 )
 
 
+class tell_args(object):
+    """
+    Attributes:
+     - peer_key
+     - sender
+     - posts
+
+    """
+
+    __slots__ = (
+        'peer_key',
+        'sender',
+        'posts',
+    )
+
+
+    def __init__(self, peer_key=None, sender=None, posts=None,):
+        self.peer_key = peer_key
+        self.sender = sender
+        self.posts = posts
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.peer_key = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.sender = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.posts = []
+                    (_etype80, _size77) = iprot.readListBegin()
+                    for _i81 in range(_size77):
+                        _elem82 = Post()
+                        _elem82.read(iprot)
+                        self.posts.append(_elem82)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('tell_args')
+        if self.peer_key is not None:
+            oprot.writeFieldBegin('peer_key', TType.STRING, 1)
+            oprot.writeString(self.peer_key.encode('utf-8') if sys.version_info[0] == 2 else self.peer_key)
+            oprot.writeFieldEnd()
+        if self.sender is not None:
+            oprot.writeFieldBegin('sender', TType.STRING, 2)
+            oprot.writeString(self.sender.encode('utf-8') if sys.version_info[0] == 2 else self.sender)
+            oprot.writeFieldEnd()
+        if self.posts is not None:
+            oprot.writeFieldBegin('posts', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.posts))
+            for iter83 in self.posts:
+                iter83.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(tell_args)
+tell_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'peer_key', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'sender', 'UTF8', None, ),  # 2
+    (3, TType.LIST, 'posts', (TType.STRUCT, [Post, None], False), None, ),  # 3
+)
+
+
+class tell_result(object):
+    """
+    Attributes:
+     - rejected
+
+    """
+
+    __slots__ = (
+        'rejected',
+    )
+
+
+    def __init__(self, rejected=None,):
+        self.rejected = rejected
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.rejected = Rejected.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('tell_result')
+        if self.rejected is not None:
+            oprot.writeFieldBegin('rejected', TType.STRUCT, 1)
+            self.rejected.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(tell_result)
+tell_result.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'rejected', [Rejected, None], None, ),  # 1
+)
+
+
 class ask_args(object):
     """
     Attributes:
--- a/sniperudder/peers/gen/wire/ttypes.py
+++ b/sniperudder/peers/gen/wire/ttypes.py
@@ -692,6 +692,1355 @@
         return not (self == other)
 
 
+class Stage(object):
+    """
+    Attributes:
+     - endpoint
+     - first_layer
+     - end_layer
+
+    """
+
+    __slots__ = (
+        'endpoint',
+        'first_layer',
+        'end_layer',
+    )
+
+
+    def __init__(self, endpoint=None, first_layer=None, end_layer=None,):
+        self.endpoint = endpoint
+        self.first_layer = first_layer
+        self.end_layer = end_layer
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.endpoint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.first_layer = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.end_layer = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Stage')
+        if self.endpoint is not None:
+            oprot.writeFieldBegin('endpoint', TType.STRING, 1)
+            oprot.writeString(self.endpoint.encode('utf-8') if sys.version_info[0] == 2 else self.endpoint)
+            oprot.writeFieldEnd()
+        if self.first_layer is not None:
+            oprot.writeFieldBegin('first_layer', TType.I32, 2)
+            oprot.writeI32(self.first_layer)
+            oprot.writeFieldEnd()
+        if self.end_layer is not None:
+            oprot.writeFieldBegin('end_layer', TType.I32, 3)
+            oprot.writeI32(self.end_layer)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.endpoint is None:
+            raise TProtocolException(message='Required field endpoint is unset!')
+        if self.first_layer is None:
+            raise TProtocolException(message='Required field first_layer is unset!')
+        if self.end_layer is None:
+            raise TProtocolException(message='Required field end_layer is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class AskSlot(object):
+    """
+    Attributes:
+     - request
+     - attempt
+     - organisation
+     - rank
+     - model
+     - work
+     - fingerprint
+     - max_wait_s
+     - again
+     - yields
+     - crashes
+
+    """
+
+    __slots__ = (
+        'request',
+        'attempt',
+        'organisation',
+        'rank',
+        'model',
+        'work',
+        'fingerprint',
+        'max_wait_s',
+        'again',
+        'yields',
+        'crashes',
+    )
+
+
+    def __init__(self, request=None, attempt=None, organisation=None, rank=None, model=None, work=None, fingerprint=None, max_wait_s=None, again=False, yields=0, crashes=[
+    ],):
+        self.request = request
+        self.attempt = attempt
+        self.organisation = organisation
+        self.rank = rank
+        self.model = model
+        self.work = work
+        self.fingerprint = fingerprint
+        self.max_wait_s = max_wait_s
+        self.again = again
+        self.yields = yields
+        if crashes is self.thrift_spec[11][4]:
+            crashes = [
+            ]
+        self.crashes = crashes
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.request = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.attempt = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.organisation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.rank = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.model = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.DOUBLE:
+                    self.work = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRING:
+                    self.fingerprint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.DOUBLE:
+                    self.max_wait_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.BOOL:
+                    self.again = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I32:
+                    self.yields = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.LIST:
+                    self.crashes = []
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.crashes.append(_elem33)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('AskSlot')
+        if self.request is not None:
+            oprot.writeFieldBegin('request', TType.STRING, 1)
+            oprot.writeString(self.request.encode('utf-8') if sys.version_info[0] == 2 else self.request)
+            oprot.writeFieldEnd()
+        if self.attempt is not None:
+            oprot.writeFieldBegin('attempt', TType.I32, 2)
+            oprot.writeI32(self.attempt)
+            oprot.writeFieldEnd()
+        if self.organisation is not None:
+            oprot.writeFieldBegin('organisation', TType.STRING, 3)
+            oprot.writeString(self.organisation.encode('utf-8') if sys.version_info[0] == 2 else self.organisation)
+            oprot.writeFieldEnd()
+        if self.rank is not None:
+            oprot.writeFieldBegin('rank', TType.I32, 4)
+            oprot.writeI32(self.rank)
+            oprot.writeFieldEnd()
+        if self.model is not None:
+            oprot.writeFieldBegin('model', TType.STRING, 5)
+            oprot.writeString(self.model.encode('utf-8') if sys.version_info[0] == 2 else self.model)
+            oprot.writeFieldEnd()
+        if self.work is not None:
+            oprot.writeFieldBegin('work', TType.DOUBLE, 6)
+            oprot.writeDouble(self.work)
+            oprot.writeFieldEnd()
+        if self.fingerprint is not None:
+            oprot.writeFieldBegin('fingerprint', TType.STRING, 7)
+            oprot.writeString(self.fingerprint.encode('utf-8') if sys.version_info[0] == 2 else self.fingerprint)
+            oprot.writeFieldEnd()
+        if self.max_wait_s is not None:
+            oprot.writeFieldBegin('max_wait_s', TType.DOUBLE, 8)
+            oprot.writeDouble(self.max_wait_s)
+            oprot.writeFieldEnd()
+        if self.again is not None:
+            oprot.writeFieldBegin('again', TType.BOOL, 9)
+            oprot.writeBool(self.again)
+            oprot.writeFieldEnd()
+        if self.yields is not None:
+            oprot.writeFieldBegin('yields', TType.I32, 10)
+            oprot.writeI32(self.yields)
+            oprot.writeFieldEnd()
+        if self.crashes is not None:
+            oprot.writeFieldBegin('crashes', TType.LIST, 11)
+            oprot.writeListBegin(TType.STRING, len(self.crashes))
+            for iter34 in self.crashes:
+                oprot.writeString(iter34.encode('utf-8') if sys.version_info[0] == 2 else iter34)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.request is None:
+            raise TProtocolException(message='Required field request is unset!')
+        if self.attempt is None:
+            raise TProtocolException(message='Required field attempt is unset!')
+        if self.organisation is None:
+            raise TProtocolException(message='Required field organisation is unset!')
+        if self.rank is None:
+            raise TProtocolException(message='Required field rank is unset!')
+        if self.model is None:
+            raise TProtocolException(message='Required field model is unset!')
+        if self.work is None:
+            raise TProtocolException(message='Required field work is unset!')
+        if self.fingerprint is None:
+            raise TProtocolException(message='Required field fingerprint is unset!')
+        if self.max_wait_s is None:
+            raise TProtocolException(message='Required field max_wait_s is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class GrantSlot(object):
+    """
+    Attributes:
+     - request
+     - attempt
+     - chain
+     - version
+
+    """
+
+    __slots__ = (
+        'request',
+        'attempt',
+        'chain',
+        'version',
+    )
+
+
+    def __init__(self, request=None, attempt=None, chain=None, version=None,):
+        self.request = request
+        self.attempt = attempt
+        self.chain = chain
+        self.version = version
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.request = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.attempt = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.chain = []
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = Stage()
+                        _elem40.read(iprot)
+                        self.chain.append(_elem40)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('GrantSlot')
+        if self.request is not None:
+            oprot.writeFieldBegin('request', TType.STRING, 1)
+            oprot.writeString(self.request.encode('utf-8') if sys.version_info[0] == 2 else self.request)
+            oprot.writeFieldEnd()
+        if self.attempt is not None:
+            oprot.writeFieldBegin('attempt', TType.I32, 2)
+            oprot.writeI32(self.attempt)
+            oprot.writeFieldEnd()
+        if self.chain is not None:
+            oprot.writeFieldBegin('chain', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.chain))
+            for iter41 in self.chain:
+                iter41.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.STRING, 4)
+            oprot.writeString(self.version.encode('utf-8') if sys.version_info[0] == 2 else self.version)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.request is None:
+            raise TProtocolException(message='Required field request is unset!')
+        if self.attempt is None:
+            raise TProtocolException(message='Required field attempt is unset!')
+        if self.chain is None:
+            raise TProtocolException(message='Required field chain is unset!')
+        if self.version is None:
+            raise TProtocolException(message='Required field version is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class DenySlot(object):
+    """
+    Attributes:
+     - request
+     - attempt
+     - code
+     - retry_after_s
+
+    """
+
+    __slots__ = (
+        'request',
+        'attempt',
+        'code',
+        'retry_after_s',
+    )
+
+
+    def __init__(self, request=None, attempt=None, code=None, retry_after_s=None,):
+        self.request = request
+        self.attempt = attempt
+        self.code = code
+        self.retry_after_s = retry_after_s
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.request = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.attempt = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.code = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.DOUBLE:
+                    self.retry_after_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('DenySlot')
+        if self.request is not None:
+            oprot.writeFieldBegin('request', TType.STRING, 1)
+            oprot.writeString(self.request.encode('utf-8') if sys.version_info[0] == 2 else self.request)
+            oprot.writeFieldEnd()
+        if self.attempt is not None:
+            oprot.writeFieldBegin('attempt', TType.I32, 2)
+            oprot.writeI32(self.attempt)
+            oprot.writeFieldEnd()
+        if self.code is not None:
+            oprot.writeFieldBegin('code', TType.I32, 3)
+            oprot.writeI32(self.code)
+            oprot.writeFieldEnd()
+        if self.retry_after_s is not None:
+            oprot.writeFieldBegin('retry_after_s', TType.DOUBLE, 4)
+            oprot.writeDouble(self.retry_after_s)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.request is None:
+            raise TProtocolException(message='Required field request is unset!')
+        if self.attempt is None:
+            raise TProtocolException(message='Required field attempt is unset!')
+        if self.code is None:
+            raise TProtocolException(message='Required field code is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RevokeSlot(object):
+    """
+    Attributes:
+     - request
+     - attempt
+
+    """
+
+    __slots__ = (
+        'request',
+        'attempt',
+    )
+
+
+    def __init__(self, request=None, attempt=None,):
+        self.request = request
+        self.attempt = attempt
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.request = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.attempt = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RevokeSlot')
+        if self.request is not None:
+            oprot.writeFieldBegin('request', TType.STRING, 1)
+            oprot.writeString(self.request.encode('utf-8') if sys.version_info[0] == 2 else self.request)
+            oprot.writeFieldEnd()
+        if self.attempt is not None:
+            oprot.writeFieldBegin('attempt', TType.I32, 2)
+            oprot.writeI32(self.attempt)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.request is None:
+            raise TProtocolException(message='Required field request is unset!')
+        if self.attempt is None:
+            raise TProtocolException(message='Required field attempt is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Sample(object):
+    """
+    Attributes:
+     - endpoint
+     - step_s
+     - failed
+     - crashed
+     - boot
+
+    """
+
+    __slots__ = (
+        'endpoint',
+        'step_s',
+        'failed',
+        'crashed',
+        'boot',
+    )
+
+
+    def __init__(self, endpoint=None, step_s=float(0), failed=False, crashed=False, boot="",):
+        self.endpoint = endpoint
+        self.step_s = step_s
+        self.failed = failed
+        self.crashed = crashed
+        self.boot = boot
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.endpoint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.DOUBLE:
+                    self.step_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.failed = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.crashed = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.boot = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Sample')
+        if self.endpoint is not None:
+            oprot.writeFieldBegin('endpoint', TType.STRING, 1)
+            oprot.writeString(self.endpoint.encode('utf-8') if sys.version_info[0] == 2 else self.endpoint)
+            oprot.writeFieldEnd()
+        if self.step_s is not None:
+            oprot.writeFieldBegin('step_s', TType.DOUBLE, 2)
+            oprot.writeDouble(self.step_s)
+            oprot.writeFieldEnd()
+        if self.failed is not None:
+            oprot.writeFieldBegin('failed', TType.BOOL, 3)
+            oprot.writeBool(self.failed)
+            oprot.writeFieldEnd()
+        if self.crashed is not None:
+            oprot.writeFieldBegin('crashed', TType.BOOL, 4)
+            oprot.writeBool(self.crashed)
+            oprot.writeFieldEnd()
+        if self.boot is not None:
+            oprot.writeFieldBegin('boot', TType.STRING, 5)
+            oprot.writeString(self.boot.encode('utf-8') if sys.version_info[0] == 2 else self.boot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.endpoint is None:
+            raise TProtocolException(message='Required field endpoint is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ReleaseSlot(object):
+    """
+    Attributes:
+     - request
+     - attempt
+     - used
+     - samples
+
+    """
+
+    __slots__ = (
+        'request',
+        'attempt',
+        'used',
+        'samples',
+    )
+
+
+    def __init__(self, request=None, attempt=None, used=float(0), samples=[
+    ],):
+        self.request = request
+        self.attempt = attempt
+        self.used = used
+        if samples is self.thrift_spec[4][4]:
+            samples = [
+            ]
+        self.samples = samples
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.request = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.attempt = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.used = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.samples = []
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = Sample()
+                        _elem47.read(iprot)
+                        self.samples.append(_elem47)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ReleaseSlot')
+        if self.request is not None:
+            oprot.writeFieldBegin('request', TType.STRING, 1)
+            oprot.writeString(self.request.encode('utf-8') if sys.version_info[0] == 2 else self.request)
+            oprot.writeFieldEnd()
+        if self.attempt is not None:
+            oprot.writeFieldBegin('attempt', TType.I32, 2)
+            oprot.writeI32(self.attempt)
+            oprot.writeFieldEnd()
+        if self.used is not None:
+            oprot.writeFieldBegin('used', TType.DOUBLE, 3)
+            oprot.writeDouble(self.used)
+            oprot.writeFieldEnd()
+        if self.samples is not None:
+            oprot.writeFieldBegin('samples', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.samples))
+            for iter48 in self.samples:
+                iter48.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.request is None:
+            raise TProtocolException(message='Required field request is unset!')
+        if self.attempt is None:
+            raise TProtocolException(message='Required field attempt is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Holding(object):
+    """
+    Attributes:
+     - request
+     - attempt
+     - organisation
+     - rank
+     - model
+     - chain
+
+    """
+
+    __slots__ = (
+        'request',
+        'attempt',
+        'organisation',
+        'rank',
+        'model',
+        'chain',
+    )
+
+
+    def __init__(self, request=None, attempt=None, organisation=None, rank=None, model=None, chain=None,):
+        self.request = request
+        self.attempt = attempt
+        self.organisation = organisation
+        self.rank = rank
+        self.model = model
+        self.chain = chain
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.request = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.attempt = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.organisation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.rank = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.model = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.chain = []
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = Stage()
+                        _elem54.read(iprot)
+                        self.chain.append(_elem54)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Holding')
+        if self.request is not None:
+            oprot.writeFieldBegin('request', TType.STRING, 1)
+            oprot.writeString(self.request.encode('utf-8') if sys.version_info[0] == 2 else self.request)
+            oprot.writeFieldEnd()
+        if self.attempt is not None:
+            oprot.writeFieldBegin('attempt', TType.I32, 2)
+            oprot.writeI32(self.attempt)
+            oprot.writeFieldEnd()
+        if self.organisation is not None:
+            oprot.writeFieldBegin('organisation', TType.STRING, 3)
+            oprot.writeString(self.organisation.encode('utf-8') if sys.version_info[0] == 2 else self.organisation)
+            oprot.writeFieldEnd()
+        if self.rank is not None:
+            oprot.writeFieldBegin('rank', TType.I32, 4)
+            oprot.writeI32(self.rank)
+            oprot.writeFieldEnd()
+        if self.model is not None:
+            oprot.writeFieldBegin('model', TType.STRING, 5)
+            oprot.writeString(self.model.encode('utf-8') if sys.version_info[0] == 2 else self.model)
+            oprot.writeFieldEnd()
+        if self.chain is not None:
+            oprot.writeFieldBegin('chain', TType.LIST, 6)
+            oprot.writeListBegin(TType.STRUCT, len(self.chain))
+            for iter55 in self.chain:
+                iter55.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.request is None:
+            raise TProtocolException(message='Required field request is unset!')
+        if self.attempt is None:
+            raise TProtocolException(message='Required field attempt is unset!')
+        if self.organisation is None:
+            raise TProtocolException(message='Required field organisation is unset!')
+        if self.rank is None:
+            raise TProtocolException(message='Required field rank is unset!')
+        if self.model is None:
+            raise TProtocolException(message='Required field model is unset!')
+        if self.chain is None:
+            raise TProtocolException(message='Required field chain is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class HoldSlots(object):
+    """
+    Attributes:
+     - holdings
+     - asked
+
+    """
+
+    __slots__ = (
+        'holdings',
+        'asked',
+    )
+
+
+    def __init__(self, holdings=[
+    ], asked=[
+    ],):
+        if holdings is self.thrift_spec[1][4]:
+            holdings = [
+            ]
+        self.holdings = holdings
+        if asked is self.thrift_spec[2][4]:
+            asked = [
+            ]
+        self.asked = asked
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.holdings = []
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = Holding()
+                        _elem61.read(iprot)
+                        self.holdings.append(_elem61)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.asked = []
+                    (_etype65, _size62) = iprot.readListBegin()
+                    for _i66 in range(_size62):
+                        _elem67 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.asked.append(_elem67)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('HoldSlots')
+        if self.holdings is not None:
+            oprot.writeFieldBegin('holdings', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.holdings))
+            for iter68 in self.holdings:
+                iter68.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.asked is not None:
+            oprot.writeFieldBegin('asked', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRING, len(self.asked))
+            for iter69 in self.asked:
+                oprot.writeString(iter69.encode('utf-8') if sys.version_info[0] == 2 else iter69)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ForgotSlots(object):
+    """
+    Attributes:
+     - requests
+
+    """
+
+    __slots__ = (
+        'requests',
+    )
+
+
+    def __init__(self, requests=[
+    ],):
+        if requests is self.thrift_spec[1][4]:
+            requests = [
+            ]
+        self.requests = requests
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.requests = []
+                    (_etype73, _size70) = iprot.readListBegin()
+                    for _i74 in range(_size70):
+                        _elem75 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.requests.append(_elem75)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ForgotSlots')
+        if self.requests is not None:
+            oprot.writeFieldBegin('requests', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRING, len(self.requests))
+            for iter76 in self.requests:
+                oprot.writeString(iter76.encode('utf-8') if sys.version_info[0] == 2 else iter76)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Post(object):
+    """
+    Attributes:
+     - ask
+     - grant
+     - denial
+     - revocation
+     - release
+     - holdings
+     - forgotten
+
+    """
+
+    __slots__ = (
+        'ask',
+        'grant',
+        'denial',
+        'revocation',
+        'release',
+        'holdings',
+        'forgotten',
+    )
+
+
+    def __init__(self, ask=None, grant=None, denial=None, revocation=None, release=None, holdings=None, forgotten=None,):
+        self.ask = ask
+        self.grant = grant
+        self.denial = denial
+        self.revocation = revocation
+        self.release = release
+        self.holdings = holdings
+        self.forgotten = forgotten
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.ask = AskSlot()
+                    self.ask.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRUCT:
+                    self.grant = GrantSlot()
+                    self.grant.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRUCT:
+                    self.denial = DenySlot()
+                    self.denial.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRUCT:
+                    self.revocation = RevokeSlot()
+                    self.revocation.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRUCT:
+                    self.release = ReleaseSlot()
+                    self.release.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRUCT:
+                    self.holdings = HoldSlots()
+                    self.holdings.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRUCT:
+                    self.forgotten = ForgotSlots()
+                    self.forgotten.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Post')
+        if self.ask is not None:
+            oprot.writeFieldBegin('ask', TType.STRUCT, 1)
+            self.ask.write(oprot)
+            oprot.writeFieldEnd()
+        if self.grant is not None:
+            oprot.writeFieldBegin('grant', TType.STRUCT, 2)
+            self.grant.write(oprot)
+            oprot.writeFieldEnd()
+        if self.denial is not None:
+            oprot.writeFieldBegin('denial', TType.STRUCT, 3)
+            self.denial.write(oprot)
+            oprot.writeFieldEnd()
+        if self.revocation is not None:
+            oprot.writeFieldBegin('revocation', TType.STRUCT, 4)
+            self.revocation.write(oprot)
+            oprot.writeFieldEnd()
+        if self.release is not None:
+            oprot.writeFieldBegin('release', TType.STRUCT, 5)
+            self.release.write(oprot)
+            oprot.writeFieldEnd()
+        if self.holdings is not None:
+            oprot.writeFieldBegin('holdings', TType.STRUCT, 6)
+            self.holdings.write(oprot)
+            oprot.writeFieldEnd()
+        if self.forgotten is not None:
+            oprot.writeFieldBegin('forgotten', TType.STRUCT, 7)
+            self.forgotten.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Rejected(TException):
     """
     Attributes:
@@ -826,6 +2175,104 @@
     (18, TType.STRING, 'digest', 'BINARY', b"", ),  # 18
     (19, TType.STRING, 'snapshot', 'UTF8', "", ),  # 19
 )
+all_structs.append(Stage)
+Stage.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'endpoint', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'first_layer', None, None, ),  # 2
+    (3, TType.I32, 'end_layer', None, None, ),  # 3
+)
+all_structs.append(AskSlot)
+AskSlot.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'request', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'attempt', None, None, ),  # 2
+    (3, TType.STRING, 'organisation', 'UTF8', None, ),  # 3
+    (4, TType.I32, 'rank', None, None, ),  # 4
+    (5, TType.STRING, 'model', 'UTF8', None, ),  # 5
+    (6, TType.DOUBLE, 'work', None, None, ),  # 6
+    (7, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 7
+    (8, TType.DOUBLE, 'max_wait_s', None, None, ),  # 8
+    (9, TType.BOOL, 'again', None, False, ),  # 9
+    (10, TType.I32, 'yields', None, 0, ),  # 10
+    (11, TType.LIST, 'crashes', (TType.STRING, 'UTF8', False), [
+    ], ),  # 11
+)
+all_structs.append(GrantSlot)
+GrantSlot.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'request', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'attempt', None, None, ),  # 2
+    (3, TType.LIST, 'chain', (TType.STRUCT, [Stage, None], False), None, ),  # 3
+    (4, TType.STRING, 'version', 'UTF8', None, ),  # 4
+)
+all_structs.append(DenySlot)
+DenySlot.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'request', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'attempt', None, None, ),  # 2
+    (3, TType.I32, 'code', None, None, ),  # 3
+    (4, TType.DOUBLE, 'retry_after_s', None, None, ),  # 4
+)
+all_structs.append(RevokeSlot)
+RevokeSlot.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'request', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'attempt', None, None, ),  # 2
+)
+all_structs.append(Sample)
+Sample.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'endpoint', 'UTF8', None, ),  # 1
+    (2, TType.DOUBLE, 'step_s', None, float(0), ),  # 2
+    (3, TType.BOOL, 'failed', None, False, ),  # 3
+    (4, TType.BOOL, 'crashed', None, False, ),  # 4
+    (5, TType.STRING, 'boot', 'UTF8', "", ),  # 5
+)
+all_structs.append(ReleaseSlot)
+ReleaseSlot.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'request', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'attempt', None, None, ),  # 2
+    (3, TType.DOUBLE, 'used', None, float(0), ),  # 3
+    (4, TType.LIST, 'samples', (TType.STRUCT, [Sample, None], False), [
+    ], ),  # 4
+)
+all_structs.append(Holding)
+Holding.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'request', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'attempt', None, None, ),  # 2
+    (3, TType.STRING, 'organisation', 'UTF8', None, ),  # 3
+    (4, TType.I32, 'rank', None, None, ),  # 4
+    (5, TType.STRING, 'model', 'UTF8', None, ),  # 5
+    (6, TType.LIST, 'chain', (TType.STRUCT, [Stage, None], False), None, ),  # 6
+)
+all_structs.append(HoldSlots)
+HoldSlots.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'holdings', (TType.STRUCT, [Holding, None], False), [
+    ], ),  # 1
+    (2, TType.LIST, 'asked', (TType.STRING, 'UTF8', False), [
+    ], ),  # 2
+)
+all_structs.append(ForgotSlots)
+ForgotSlots.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'requests', (TType.STRING, 'UTF8', False), [
+    ], ),  # 1
+)
+all_structs.append(Post)
+Post.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'ask', [AskSlot, None], None, ),  # 1
+    (2, TType.STRUCT, 'grant', [GrantSlot, None], None, ),  # 2
+    (3, TType.STRUCT, 'denial', [DenySlot, None], None, ),  # 3
+    (4, TType.STRUCT, 'revocation', [RevokeSlot, None], None, ),  # 4
+    (5, TType.STRUCT, 'release', [ReleaseSlot, None], None, ),  # 5
+    (6, TType.STRUCT, 'holdings', [HoldSlots, None], None, ),  # 6
+    (7, TType.STRUCT, 'forgotten', [ForgotSlots, None], None, ),  # 7
+)
 all_structs.append(Rejected)
 Rejected.thrift_spec = (
     None,  # 0
--- a/sniperudder/peers/sniperudder.thrift
+++ b/sniperudder/peers/sniperudder.thrift
@@ -45,12 +45,97 @@
   19: string snapshot = "";
 }
 
+struct Stage {
+  1: required string endpoint;
+  2: required i32 first_layer;
+  3: required i32 end_layer;
+}
+
+struct AskSlot {
+  1: required string request;
+  2: required i32 attempt;
+  3: required string organisation;
+  4: required i32 rank;
+  5: required string model;
+  6: required double work;
+  7: required string fingerprint;
+  8: required double max_wait_s;
+  9: bool again = false;
+  10: i32 yields = 0;
+  11: list<string> crashes = [];
+}
+
+struct GrantSlot {
+  1: required string request;
+  2: required i32 attempt;
+  3: required list<Stage> chain;
+  4: required string version;
+}
+
+struct DenySlot {
+  1: required string request;
+  2: required i32 attempt;
+  3: required i32 code;
+  4: optional double retry_after_s;
+}
+
+struct RevokeSlot {
+  1: required string request;
+  2: required i32 attempt;
+}
+
+struct Sample {
+  1: required string endpoint;
+  2: double step_s = 0;
+  3: bool failed = false;
+  4: bool crashed = false;
+  5: string boot = "";
+}
+
+struct ReleaseSlot {
+  1: required string request;
+  2: required i32 attempt;
+  3: double used = 0;
+  4: list<Sample> samples = [];
+}
+
+struct Holding {
+  1: required string request;
+  2: required i32 attempt;
+  3: required string organisation;
+  4: required i32 rank;
+  5: required string model;
+  6: required list<Stage> chain;
+}
+
+struct HoldSlots {
+  1: list<Holding> holdings = [];
+  2: list<string> asked = [];
+}
+
+struct ForgotSlots {
+  1: list<string> requests = [];
+}
+
+// Exactly one field is set.
+struct Post {
+  1: optional AskSlot ask;
+  2: optional GrantSlot grant;
+  3: optional DenySlot denial;
+  4: optional RevokeSlot revocation;
+  5: optional ReleaseSlot release;
+  6: optional HoldSlots holdings;
+  7: optional ForgotSlots forgotten;
+}
+
 exception Rejected {
   1: required string reason;
 }
 
 service Peer {
   Beat exchange(1: string peer_key, 2: Beat beat) throws (1: Rejected rejected);
+  void tell(1: string peer_key, 2: string sender, 3: list<Post> posts)
+    throws (1: Rejected rejected);
   string ask(1: string peer_key, 2: string query_json, 3: double timeout_s)
     throws (1: Rejected rejected);
 }
--- a/sniperudder/peers/tests/test_peers.py
+++ b/sniperudder/peers/tests/test_peers.py
@@ -17,6 +17,10 @@
     return inputs.Beat(sender, 'h:1', 'milan', 1, 7, **fields)
 
 
+def _drop_posts(sender, messages):
+    pass
+
+
 class CodecTest(testtools.TestCase):
     def test_a_full_beat_survives(self):
         beat = _make_beat(
@@ -50,7 +54,9 @@
             return _make_beat('server')
 
         ask = on_ask or (lambda query, timeout_s: query.upper())
-        server = peers.create_peer_server(address, on_beat, ask, key)
+        server = peers.create_peer_server(
+            address, on_beat, _drop_posts, ask, key
+        )
         server.start()
         self.addCleanup(server.stop)
         return server
