--- a/sniperudder/instance/_assembly.py
+++ b/sniperudder/instance/_assembly.py
@@ -201,7 +201,7 @@
     runtime.submit(inputs.StopRequested())
     limit = runtime.read_clock() + runtime.T.policy.drain_s
     pause = threading.Event()
-    while runtime.ask(_count_work):
+    while runtime.ask(_has_work, runtime.read_clock()):
         if runtime.read_clock() > limit:
             return 1
         pause.wait(_DRAIN_LOOK_S)
@@ -218,8 +218,8 @@
     return T.me in T.config.stopping
 
 
-def _count_work(T):
-    return len(T.requests) + len(T.orders)
+def _has_work(T, now):
+    return now < T.refuse_at or bool(T.requests) or bool(T.orders)
 
 
 def _explain_unready(runtime):
--- a/sniperudder/settings/_sections.py
+++ b/sniperudder/settings/_sections.py
@@ -200,6 +200,13 @@
             _kinds.Number(0.05, 600),
             "Longest wait for a service's answer, seconds.",
         ),
+        _policy_option(
+            'balancer_lag_s',
+            'balancer_lag_s',
+            _kinds.Number(0, 3600),
+            'Time for which a stopping instance still takes new work, '
+            "since the platform's balancer sends it on, seconds.",
+        ),
         _policy_option(
             'drain_s',
             'drain_s',
--- a/sniperudder/systems/dispatch/_grants.py
+++ b/sniperudder/systems/dispatch/_grants.py
@@ -69,12 +69,10 @@
     full = set()
     result = []
     for name in _queues.list_organisations(T, rank):
-        if name not in T.queues[rank]:
+        ticket = _find_candidate(T, rank, name, full)
+        if ticket is None:
             continue
-        ticket = T.tickets[T.queues[rank][name][0]]
-        if ticket.model in full:
-            continue
-        if suspicion.is_condemned(T, ticket.fingerprint):
+        if suspicion.is_condemned(T, ticket.fingerprint, now):
             code = outcomes.Code.CONTENT_CONDEMNED
             result.extend(deny_ticket(T, ticket, code, None, now))
             return Granting(result, done=True)
@@ -91,6 +89,29 @@
     return Granting(result, done=False)
 
 
+def _find_candidate(T, rank, organisation, full):
+    # A suspect runs only where no other one does, and must not hold up
+    # the other requests of its organisation.
+    taken = None
+    for request in T.queues[rank].get(organisation, ()):
+        ticket = T.tickets[request]
+        if ticket.model in full:
+            return None
+        if not suspicion.is_suspect(T, ticket.fingerprint):
+            return ticket
+        if taken is None:
+            taken = _list_suspect_endpoints(T)
+        if _has_place(T, ticket, taken):
+            return ticket
+    return None
+
+
+def _has_place(T, ticket, taken):
+    model = T.models[ticket.model]
+    groups = _chains.list_candidates(T, model, ticket.rank)
+    return all(any(ep.name not in taken for ep in g) for g in groups.values())
+
+
 def _choose_chain(T, ticket, now):
     model = T.models[ticket.model]
     if not suspicion.is_suspect(T, ticket.fingerprint):
--- a/sniperudder/systems/dispatch/_homes.py
+++ b/sniperudder/systems/dispatch/_homes.py
@@ -28,7 +28,7 @@
         return _repeat_grant(T, known, now)
     if known is not None:
         _grants.drop_ticket(T, known)
-    code = _find_denial(T, ask)
+    code = _find_denial(T, ask, now)
     if code is not None:
         return _deny(T, sender, ask, code, _RETRY_MIN_S, now)
     wait_s = _waits.expect_wait(T, ask, now)
@@ -70,10 +70,10 @@
     return _posts.post_message(T, ticket.entry, grant, now)
 
 
-def _find_denial(T, ask):
+def _find_denial(T, ask, now):
     if ask.model not in T.models:
         return outcomes.Code.UNKNOWN_MODEL
-    if suspicion.is_condemned(T, ask.fingerprint):
+    if suspicion.is_condemned(T, ask.fingerprint, now):
         return outcomes.Code.CONTENT_CONDEMNED
     if not _chains.has_chain(T, T.models[ask.model], ask.rank):
         return outcomes.Code.NO_ENDPOINT
--- a/sniperudder/systems/drain.py
+++ b/sniperudder/systems/drain.py
@@ -5,8 +5,15 @@
 
 
 def stop_instance(T, inp, now):
-    """Take no new work from now on; handles ``StopRequested``."""
+    """Begin the planned stop; handles ``StopRequested``.
+
+    Peers and the balancer are told at once, and new work is taken for
+    as long as the balancer may still send some.
+    """
+    if T.stopping:
+        return []
     T.stopping = True
+    T.refuse_at = now + T.policy.balancer_lag_s
     return [effects.Note('instance:drain', T.me)]
 
 
--- a/sniperudder/systems/requests/_admission.py
+++ b/sniperudder/systems/requests/_admission.py
@@ -68,13 +68,13 @@
 
 
 def _find_refusal(T, req, now):
-    if T.stopping or T.me in T.config.stopping:
+    if now >= T.refuse_at:
         return _refuse(outcomes.Code.STOPPING, _RETRY_MIN_S)
     if req.model not in T.models:
         return _refuse(outcomes.Code.UNKNOWN_MODEL, None)
     if not configuration.is_fresh(T, now):
         return _refuse(outcomes.Code.NOT_FRESH, _RETRY_MIN_S)
-    if suspicion.is_condemned(T, req.fingerprint):
+    if suspicion.is_condemned(T, req.fingerprint, now):
         return _refuse(outcomes.Code.CONTENT_CONDEMNED, None)
     if T.rng.random() < _find_shed_share(T, req):
         return _refuse(outcomes.Code.SHED, _RETRY_MIN_S)
--- a/sniperudder/systems/requests/_pipeline.py
+++ b/sniperudder/systems/requests/_pipeline.py
@@ -63,7 +63,7 @@
     req.tokens.append(inp.output)
     if not inp.finished and len(req.tokens) < req.max_tokens:
         return [emit, _steps.make_step(T, req, 0, now, inp.output)]
-    suspicion.clear_content(T, req.fingerprint)
+    suspicion.clear_content(T, req.fingerprint, now)
     return [emit, *_finish.finish_request(T, req, outcomes.Answered(), now)]
 
 
@@ -96,7 +96,7 @@
 def _end_attempt(T, req, inp, now):
     lost = inp.delivery is inputs.Delivery.LOST
     req.maybe_ran = req.maybe_ran or lost
-    if suspicion.is_condemned(T, req.fingerprint):
+    if suspicion.is_condemned(T, req.fingerprint, now):
         failure = outcomes.Failed(outcomes.Code.CRASHED_ENDPOINTS)
         return _finish.finish_request(T, req, failure, now)
     if lost and not _take_retry(T, req):
--- a/sniperudder/systems/requests/_slots.py
+++ b/sniperudder/systems/requests/_slots.py
@@ -36,7 +36,7 @@
     now : float
         Seconds.
     """
-    if suspicion.is_undecided(T, req.fingerprint):
+    if suspicion.is_undecided(T, req.fingerprint, now):
         ask_later(T, req, _PROOF_S, now)
         return []
     placement = dispatch.get_placement(T)
@@ -96,13 +96,18 @@
 def _is_valid(T, req, grant, now):
     if not configuration.is_fresh(T, now) or now >= req.deadline:
         return False
-    if suspicion.is_undecided(T, req.fingerprint):
+    if suspicion.is_undecided(T, req.fingerprint, now):
         return False
-    withdrawn = T.config.withdrawn
-    return all(
-        stage.endpoint in T.endpoints and stage.endpoint not in withdrawn
-        for stage in grant.chain
-    )
+    return all(_is_known(T, stage.endpoint) for stage in grant.chain)
+
+
+def _is_known(T, name):
+    # Without a load report of its present run, an engine's crash could
+    # not be told from a broken connection.
+    ep = T.endpoints.get(name)
+    if ep is None or name in T.config.withdrawn:
+        return False
+    return bool(ep.boot)
 
 
 def _return_slot(T, sender, grant, now):
--- a/sniperudder/systems/requests/tests/test_requests.py
+++ b/sniperudder/systems/requests/tests/test_requests.py
@@ -88,7 +88,7 @@
 class TestRefusals(testtools.TestCase):
     def _refuse(self, fleet, **fields):
         fleet.send_request('entry-0', _fleets.make_arrival(1, **fields))
-        fleet.clock.run_until(1.0)
+        fleet.clock.run_until(fleet.clock.now + 1.0)
         outcome = fleet.heard['req-1'].outcome
         self.assertIsInstance(outcome, outcomes.Refused)
         self.assertEqual([], _fleets.check_promises(fleet))
@@ -103,8 +103,19 @@
     def test_stopping_instance(self):
         fleet = _fleets.create_fleet()
         fleet.submit('entry-0', inputs.StopRequested())
+        lag_s = fleet.entries['entry-0'].policy.balancer_lag_s
+        fleet.clock.run_until(lag_s)
         self.assertEqual(outcomes.Code.STOPPING, self._refuse(fleet))
 
+    def test_stopping_instance_serves_while_the_balancer_lags(self):
+        fleet = _fleets.create_fleet(entries=2)
+        fleet.submit('entry-0', inputs.StopRequested())
+        fleet.clock.run_until(1.0)
+        fleet.send_request('entry-0', _fleets.make_arrival(1))
+        fleet.clock.run_until(3.0)
+        outcome = fleet.heard['req-1'].outcome
+        self.assertIsInstance(outcome, outcomes.Answered)
+
     def test_shed_rank(self):
         fleet = _fleets.create_fleet()
         T = fleet.entries['entry-0']
@@ -150,6 +161,37 @@
             outcome = fleet.heard[f'req-{number}'].outcome
             self.assertIsInstance(outcome, outcomes.Answered)
 
+    def test_dead_engines_prove_their_crashes(self):
+        fleet = _fleets.create_fleet(copies=4)
+        for engine in fleet.engines.values():
+            engine.restart_s = 1e9
+        fleet.clock.run_until(2.0)
+        poison = {'prompt': 'say \0poison now'}
+        fleet.send_request('entry-0', _fleets.make_arrival(1, **poison))
+        fleet.clock.run_until(10.0)
+        fleet.send_request('entry-0', _fleets.make_arrival(2, **poison))
+        fleet.clock.run_until(11.0)
+        crashes = sum(len(e.crashes) for e in fleet.engines.values())
+        self.assertEqual(2, crashes)
+        code = fleet.heard['req-1'].outcome.code
+        self.assertEqual(outcomes.Code.CRASHED_ENDPOINTS, code)
+        code = fleet.heard['req-2'].outcome.code
+        self.assertEqual(outcomes.Code.CONTENT_CONDEMNED, code)
+
+    def test_suspects_do_not_block_others_of_their_organisation(self):
+        fleet = _fleets.create_fleet(copies=2, streams=8)
+        for number in range(8):
+            arrival = _fleets.make_arrival(number, max_tokens=100)
+            fleet.send_request('entry-0', arrival)
+        fleet.clock.run_until(0.5)
+        for name in ('ep-0-0', 'ep-0-1'):
+            fleet.engines[name].crash(0.1)
+        fleet.clock.run_until(3.0)
+        fleet.send_request('entry-0', _fleets.make_arrival(9))
+        fleet.clock.run_until(3.5)
+        outcome = fleet.heard['req-9'].outcome
+        self.assertIsInstance(outcome, outcomes.Answered)
+
 
 class TestBrokenConnections(testtools.TestCase):
     def test_engine_that_lives_on_is_used_again(self):
--- a/sniperudder/systems/suspicion/_suspicion.py
+++ b/sniperudder/systems/suspicion/_suspicion.py
@@ -6,14 +6,17 @@
 run that completes clears its content.
 
 A broken connection is all that an entry sees of a crash. It is proved
-by a report that names another run of the engine, and disproved by one,
-asked for after the break, that names the same run.
+by a report that names another run of the engine, or by silence, and
+disproved by a report, asked for after the break, that names the same
+run.
 """
 
 from sniperudder import tables
 
 _CRASHES_ALLOWED = 2
 _MARKS_KEPT = 2000
+# Reports are asked for about once a second.
+_SILENCE_S = 3.0
 
 
 def name_crash(endpoint, boot):
@@ -33,27 +36,30 @@
     return mark is not None and bool(mark.crashes)
 
 
-def is_condemned(T, fingerprint):
+def is_condemned(T, fingerprint, now):
     """Return whether a content crashed as many endpoints as allowed."""
     mark = T.suspicions.get(fingerprint)
     if mark is None or len(mark.crashes) < _CRASHES_ALLOWED:
         return False
-    proved = [crash for crash in mark.crashes if _is_proved(T, crash)]
+    proved = [c for c in mark.crashes if _is_proved(T, mark, c, now)]
     return len(proved) >= _CRASHES_ALLOWED
 
 
-def is_undecided(T, fingerprint):
+def is_undecided(T, fingerprint, now):
     """Return whether a content waits for the proof of its crashes."""
     mark = T.suspicions.get(fingerprint)
     if mark is None or len(mark.crashes) < _CRASHES_ALLOWED:
         return False
-    return not is_condemned(T, fingerprint)
+    return not is_condemned(T, fingerprint, now)
 
 
-def _is_proved(T, crash):
+def _is_proved(T, mark, crash, now):
     endpoint, _, boot = crash.rpartition(':')
     ep = T.endpoints.get(endpoint)
-    return ep is None or ep.boot != boot
+    if ep is None or ep.boot != boot:
+        return True
+    heard = ep.reported_at > mark.updated_at
+    return not heard and now - mark.updated_at > _SILENCE_S
 
 
 def mark_crash(T, fingerprint, crash, now):
@@ -102,7 +108,7 @@
                 del T.suspicions[mark.fingerprint]
 
 
-def clear_content(T, fingerprint):
+def clear_content(T, fingerprint, now):
     """Forget the suspicion of a content whose run completed."""
-    if not is_condemned(T, fingerprint):
+    if not is_condemned(T, fingerprint, now):
         T.suspicions.pop(fingerprint, None)
--- a/sniperudder/tables/_tables.py
+++ b/sniperudder/tables/_tables.py
@@ -57,6 +57,9 @@
         Longest wait for an answer of the platform.
     drain_s : float
         Longest duration of a planned stop.
+    balancer_lag_s : float
+        Time for which a stopping instance still takes new work, since
+        the platform's balancer sends it on.
     placement : str
         Who decides about endpoints: ``home``, ``independent`` or
         ``round_robin``.
@@ -75,6 +78,7 @@
     order_timeout_s: float = 10.0
     platform_timeout_s: float = 2.0
     drain_s: float = 3600.0
+    balancer_lag_s: float = 5.0
     placement: str = 'home'
 
 
@@ -111,7 +115,9 @@
     poll_pending : bool
         Whether a check of the head awaits its answer.
     stopping : bool
-        Whether this instance takes no new work because it stops.
+        Whether this instance is to stop.
+    refuse_at : float
+        From when on it takes no new work, seconds.
     started_at : float or None
         Time of the first tick, seconds.
     ticked_at : float
@@ -196,6 +202,7 @@
     poll_pending: bool = False
     next_list_at: float = float('-inf')
     stopping: bool = False
+    refuse_at: float = float('inf')
     started_at: float | None = None
     ticked_at: float = float('-inf')
     rooted: bool = False
--- a/sniperudder/testing/_engines.py
+++ b/sniperudder/testing/_engines.py
@@ -60,6 +60,8 @@
         Factor on all times.
     poison : str
         A prompt that holds this text crashes the engine.
+    restart_s : float
+        Time until it comes back from such a crash, seconds.
     """
 
     def __init__(self, clock, ep, speed):
@@ -71,6 +73,7 @@
         self.slow = 1.0
         self.poison = '\0poison'
         self.crashes = []
+        self.restart_s = 1.0
         self._boots = itertools.count(1)
         self._restart()
 
@@ -163,7 +166,7 @@
             self.poison in item.step.payload for item in self._waiting[:count]
         )
         if poisoned:
-            self.crash(1.0)
+            self.crash(self.restart_s)
             return
         batch = self._waiting[:count]
         self._waiting = self._waiting[count:]
--- a/sniperudder/testing/_streams.py
+++ b/sniperudder/testing/_streams.py
@@ -90,7 +90,9 @@
         }
         for kind in _IGNORED:
             self.routes[kind] = _ignore
-        for name in entries:
+        for name, T in entries.items():
+            for ep in T.endpoints.values():
+                ep.boot = engines[ep.name].boot
             clock.call_in(0.0, self._tick, name)
         for name in engines:
             clock.call_in(0.0, self._report, name)
