--- a/sniperudder/commands/tests/test_commands.py
+++ b/sniperudder/commands/tests/test_commands.py
@@ -2,6 +2,7 @@
 import http.server
 import io
 import json
+import pathlib
 import socket
 import threading
 from unittest import mock
@@ -10,6 +11,8 @@
 from sniperudder.commands import Status
 from sniperudder.settings.tests import base
 
+_ROOT = pathlib.Path(__file__).parents[3]
+
 
 class CommandTestCase(base.SettingsTestCase):
     def run_command(self, *argv, **variables):
@@ -68,8 +71,10 @@
         self.assertEqual(Status.USAGE, self.run_command('fly'))
         self.assertEqual(Status.USAGE, self.run_command())
         self.assertEqual(Status.DONE, self.run_command('--help'))
+        page = (_ROOT / 'docs' / 'COMMANDS.md').read_text(encoding='utf-8')
         for status in Status:
             self.assertRegex(self.out, rf'(?m)^  {int(status)} ')
+            self.assertRegex(page, rf'(?m)^\| {int(status)} \|')
 
 
 class _Handler(http.server.BaseHTTPRequestHandler):
@@ -125,6 +130,7 @@
         ((path, key, body),) = self.server.seen
         self.assertEqual(('/admin/query', 'Bearer k-1'), (path, key))
         self.assertEqual('show endpoints', body['text'])
+        self.assertEqual(10, body['timeout_s'])
 
     def test_json(self):
         self.set_answer(columns=[], rows=[])
@@ -144,6 +150,19 @@
         self.assertEqual(Status.REFUSED, status)
         self.assertEqual('sniperudder: this key may only look\n', self.err)
 
+    def test_class_of_the_code_goes_before_the_http_status(self):
+        cases = (
+            (502, 'not run', Status.REFUSED),
+            (409, 'in doubt', Status.IN_DOUBT),
+        )
+        for status, execution, expected in cases:
+            self.server.status = status
+            self.set_answer(
+                **{'code': 207, 'type': 'x', 'class': execution}, detail='y'
+            )
+            self.assertEqual(expected, self.ask('command', 'z'))
+            self.assertIn('207 x: y', self.err)
+
     def test_command_in_doubt_names_its_id(self):
         for status in (None, 500, 502, 504):
             self.server.status = status
--- a/sniperudder/inputs/_endpoints.py
+++ b/sniperudder/inputs/_endpoints.py
@@ -85,8 +85,11 @@
         Streams that the engine holds, of all instances.
     boot : str
         Identifier of the engine's run; changes when it restarts.
+    sent_at : float
+        When the report was asked for, seconds.
     """
 
     endpoint: str
     streams: int
     boot: str = ''
+    sent_at: float = float('-inf')
--- a/sniperudder/instance/_calls.py
+++ b/sniperudder/instance/_calls.py
@@ -1,6 +1,7 @@
 """Threads that call the platform, services and peers."""
 
 import concurrent.futures
+import dataclasses
 
 from sniperudder import effects
 from sniperudder import inputs
@@ -118,9 +119,10 @@
             self.runtime.submit(inputs.BeatReturned(beat, sent_at))
 
     def _read_load(self, ep):
+        sent_at = self.runtime.read_clock()
         report = self.engines.read_load(ep, _LOAD_TIMEOUT_S)
         if report is not None:
-            self.runtime.submit(report)
+            self.runtime.submit(dataclasses.replace(report, sent_at=sent_at))
 
 
 def create_calls(runtime, platform, services, engines, peers):
--- a/sniperudder/queries/__init__.py
+++ b/sniperudder/queries/__init__.py
@@ -41,7 +41,9 @@
 from sniperudder.queries._records import Ordering
 from sniperudder.queries._records import Query
 from sniperudder.queries._records import Range
-from sniperudder.queries._refusals import record_refusal
+from sniperudder.queries._rendering import clean_text
+from sniperudder.queries._rendering import list_fields
+from sniperudder.queries._rendering import render_grid
 from sniperudder.queries._rendering import render_json
 from sniperudder.queries._rendering import render_table
 from sniperudder.queries._rows import list_rows
@@ -70,6 +72,7 @@
     'TABLES',
     'VerifyCommand',
     'WatchCommand',
+    'clean_text',
     'combine_partials',
     'create_problem',
     'decode_partial',
@@ -80,11 +83,12 @@
     'format_intent',
     'format_query',
     'get_columns',
+    'list_fields',
     'list_rows',
     'parse_command',
     'parse_query',
     'plan_intent',
-    'record_refusal',
+    'render_grid',
     'render_json',
     'render_table',
 ]
--- a/sniperudder/queries/_rows.py
+++ b/sniperudder/queries/_rows.py
@@ -3,6 +3,7 @@
 import math
 
 from sniperudder.outcomes import describe_code
+from sniperudder.tables import InstanceState
 from sniperudder.tables import Rank
 from sniperudder.tables import RequestState
 
@@ -56,7 +57,7 @@
 
 def _list_requests(T, now):
     for req in T.requests.values():
-        begun_at = req.begun_at or now
+        begun_at = now if req.begun_at is None else req.begun_at
         endpoint = req.chain[req.stage].endpoint if req.chain else ''
         yield (
             T.me,
@@ -115,6 +116,9 @@
 
 def _list_instances(T, now):
     for inst in T.instances.values():
+        if inst.name == T.me:
+            yield _describe_self(T, inst, now)
+            continue
         yield (
             T.me,
             inst.name,
@@ -129,10 +133,31 @@
         )
 
 
+def _describe_self(T, inst, now):
+    # The record of this instance itself is not kept up to date.
+    return (
+        T.me,
+        inst.name,
+        inst.data_centre,
+        _tell_state(T),
+        inst.listed,
+        T.config.version,
+        len(T.requests),
+        inst.incarnation,
+        0.0,
+        _age(now, T.platform_at),
+    )
+
+
+def _tell_state(T):
+    leaving = T.stopping or T.me in T.config.stopping
+    return (InstanceState.LEAVING if leaving else InstanceState.LIVE).value
+
+
 def _list_organisations(T, now):
     counts = {name: [0, 0, 0] for name in T.organisations}
     for req in T.requests.values():
-        running = req.state is not RequestState.QUEUED
+        running = req.state is RequestState.RUNNING
         counts.setdefault(req.organisation, [0, 0, 0])[running] += 1
     for order in T.orders.values():
         counts.setdefault(order.organisation, [0, 0, 0])[2] += 1
--- a/sniperudder/systems/orders/_calls.py
+++ b/sniperudder/systems/orders/_calls.py
@@ -12,6 +12,7 @@
 
 _MIN_CALLS = 4
 _MAX_STALE_CHECKS = 5
+_DOUBTFUL = (OrderState.ASKING, OrderState.MARKING, OrderState.LISTENING)
 
 
 def may_call(T, call, now):
@@ -56,14 +57,21 @@
     if order.holds and now >= order.ends_at:
         return _endings.end_in_doubt(T, order, now)
     service = T.services[order.service]
-    _timing.await_service(T, order, now)
+    question = _timing.await_service(T, order, now)
     order.asked_at = now
-    address = T.rng.choice(service.addresses)
-    return [effects.AskService(order.name, address, _format_key(order))]
+    return [
+        effects.AskService(
+            order=order.name,
+            address=T.rng.choice(service.addresses),
+            key=_format_key(order),
+            question=question,
+        )
+    ]
 
 
 def handle_returned(T, order, inp, now):
     """Take the answer of a service, or the news that none came."""
+    order.unreported = max(0, order.unreported - 1)
     if inp.delivery is None:
         if order.result is not None or not order.open_calls:
             return [effects.Note('order:late-answer', order.name)]
@@ -158,6 +166,7 @@
         raise errors.InvariantBroken(f'{order.name} has no claim')
     start_by = _timing.compute_start_by(order, service)
     order.open_calls += 1
+    order.unreported += 1
     order.tries += 1
     order.address = address
     _timing.await_service(T, order, now)
@@ -167,7 +176,6 @@
             address=address,
             key=_format_key(order),
             body=order.body,
-            deadline_s=start_by - now,
             start_by=start_by,
         )
     ]
@@ -185,10 +193,12 @@
 
 
 def _reconsider(T, order, now):
-    """Act on the news that an overdue call was not sent after all."""
+    """Act on the report of a call that was taken for lost."""
+    if order.state is OrderState.LISTENING and not order.unreported:
+        order.next_at = now
     if order.open_calls or order.result is not None or not order.holds:
         return []
-    if order.state not in (OrderState.ASKING, OrderState.MARKING):
+    if order.state not in _DOUBTFUL:
         return []
     if order.answered:
         code = outcomes.Code.SERVICE_UNREACHABLE
--- a/sniperudder/systems/orders/_endings.py
+++ b/sniperudder/systems/orders/_endings.py
@@ -10,6 +10,11 @@
 from sniperudder.tables import OrderState
 
 _RETRY_AFTER_S = 2.0
+_LISTENING_VISITS = 60
+_VISIT_S = 1.0
+_UNSEEN = (
+    'This call was not run; an earlier one with the same key may have been.'
+)
 
 
 def finish(order, outcome):
@@ -47,9 +52,11 @@
 
 def end_in_doubt(T, order, now):
     """Tell the caller that its order is in doubt, and record it."""
-    out = []
+    key = _rows.format_row_key(order.organisation, order.service, order.key)
+    out = [effects.Note('order:in-doubt', order.name, key)]
     if not order.answered:
-        out = finish(order, outcomes.InDoubt(outcomes.Code.ORDER_IN_DOUBT, ''))
+        code = outcomes.Code.ORDER_IN_DOUBT
+        out += finish(order, outcomes.InDoubt(code))
     if order.holds:
         enter(order, OrderState.MARKING, now)
     else:
@@ -107,6 +114,20 @@
     return _write_row(T, order, now, _purposes.ReleaseOrder, row)
 
 
+def run_listening(T, order, now):
+    """Wait on for the client's report, then forget the order.
+
+    Visits are counted and not seconds: a process that is frozen learns
+    the time before it hears its own threads.
+    """
+    if not order.unreported or order.failures >= _LISTENING_VISITS:
+        drop(T, order)
+        return []
+    order.failures += 1
+    order.next_at = now + _VISIT_S
+    return []
+
+
 def handle_stored(T, order, outcome, now):
     """Take the answer to a write of the result."""
     match outcome:
@@ -122,7 +143,7 @@
     """Take the answer to a write of a mark or a release."""
     match outcome:
         case inputs.Committed():
-            drop(T, order)
+            _end_marked(T, order, now)
             return []
         case inputs.Conflicted():
             return _settle_marked(T, order, outcome, now)
@@ -142,6 +163,8 @@
 def _describe_refusal(order, code, detail):
     if order.takes_over:
         return outcomes.InDoubt(outcomes.Code.ORDER_IN_DOUBT, detail)
+    if order.state in (OrderState.QUEUED, OrderState.CLAIMING):
+        detail = _UNSEEN
     return outcomes.Refused(code, detail, _RETRY_AFTER_S)
 
 
@@ -219,6 +242,13 @@
     return [note] + _end_stored(T, order)
 
 
+def _end_marked(T, order, now):
+    if order.state is OrderState.MARKING and order.unreported:
+        enter(order, OrderState.LISTENING, now)
+    else:
+        drop(T, order)
+
+
 def _settle_marked(T, order, outcome, now):
     row = find_row(order, outcome.rows)
     content = None if row is None else _rows.decode_row(row.value)
@@ -229,7 +259,7 @@
     releasing = order.state is OrderState.RELEASING
     outdated = content.state is _rows.RowState.CLAIMED
     if not outdated and not (marked and releasing):
-        drop(T, order)
+        _end_marked(T, order, now)
         return []
     order.holds = True
     order.row_version = row.version
--- a/sniperudder/systems/orders/tests/_mutants.py
+++ b/sniperudder/systems/orders/tests/_mutants.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import dataclasses
+import typing
 from unittest import mock
 
 from sniperudder import inputs
@@ -15,7 +16,9 @@
 from sniperudder.systems.orders import _steps
 from sniperudder.systems.orders import _timing
 from sniperudder.tables import OrderState
+from sniperudder.testing import _orderplans
 from sniperudder.testing import _orders
+from sniperudder.testing._orders import FaultKind as Kind
 
 _TAKEOVER_S = 2.0
 
@@ -194,6 +197,16 @@
     return mock.patch.dict(_steps.HANDLERS, {inputs.CallerLeft: handle})
 
 
+def release_taken_over_claims():
+    """Forget that a claim took the place of one that may have run."""
+    real = _claims.begin_claim
+
+    def begin(T, order, now, base_version=0, takes_over=False):
+        real(T, order, now, base_version)
+
+    return mock.patch.object(_claims, 'begin_claim', begin)
+
+
 def forget_results():
     """Answer the caller and store nothing."""
 
@@ -206,10 +219,19 @@
 def send_after_thaw():
     """Send what was decided before a freeze, with the time left then."""
 
+    left_s = {}
+    real = _calls._send_call
+
+    def send(T, order, service, address, now):
+        start_by = _timing.compute_start_by(order, service)
+        left_s[order.name] = start_by - now
+        return real(T, order, service, address, now)
+
     def compute(world, entry, call):
-        return world.now + call.deadline_s
+        return world.now + left_s[call.order]
 
     stack = contextlib.ExitStack()
+    stack.enter_context(mock.patch.object(_calls, '_send_call', send))
     stack.enter_context(
         mock.patch.object(orders, 'may_call', lambda T, call, now: True)
     )
@@ -219,23 +241,86 @@
     return stack
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Mutant:
+    """A naive variant and where its fault shows.
+
+    Attributes
+    ----------
+    apply : callable
+        Gives a context manager in which the variant is in force.
+    breaks : str
+        Part of the sentence that the checker must say.
+    services : tuple of str or None
+        Kinds of services to try; None for all.
+    kinds : tuple of FaultKind or None
+        Kinds of faults to try; None for all.
+    script : callable or None
+        Gives the scenario of a seed where random ones seldom show it.
+    """
+
+    apply: typing.Any
+    breaks: str
+    services: tuple | None = None
+    kinds: tuple | None = None
+    script: typing.Any = None
+
+    def draw(self, seed):
+        """Return the scenario that belongs to a seed."""
+        if self.script is not None:
+            return self.script(seed)
+        return _orderplans.draw_scenario(
+            seed, services=self.services, kinds=self.kinds
+        )
+
+
+def _script_takeover(seed):
+    """Kill the first holder; hide the service from the second one."""
+    plan = _orders.Plan(
+        0.0, 'north', _orders.DEDUPLICATING, 'a', '{"boxes":1}', repeats=0
+    )
+    second = dataclasses.replace(plan, at=1.0, entry=1)
+    other = dataclasses.replace(plan, at=13.0, entry=2, body='{"boxes":2}')
+    faults = (
+        _orders.Fault(Kind.KILL, 0.1, 0.0, 0),
+        _orders.Fault(Kind.SERVICE_REFUSES, 0.5, 12.0),
+    )
+    return _orders.Scenario(seed, (plan, second, other), faults)
+
+
+_TWICE = 'ran twice'
+_UNTRUE = 'was refused as not run but ran'
+_CROSSED = 'got a result of another order'
+_UNSETTLED = 'is not settled'
+
+_PLAIN = (_orders.PLAIN,)
+_LOOKUP = (_orders.LOOKUP,)
+_DEDUPLICATING = (_orders.DEDUPLICATING,)
+_PLATFORM = (Kind.PLATFORM_LOSES, Kind.PLATFORM_SLOW, Kind.PLATFORM_DOWN)
+_CALLS = (Kind.SERVICE_LOSES, Kind.SERVICE_LATE, Kind.SERVICE_CRASHES)
+_RUNS = (Kind.SERVICE_SLOW, Kind.SERVICE_LOSES, Kind.KILL_MIDWAY)
+_LATE_STARTS = (Kind.SERVICE_REFUSES, Kind.FREEZE, Kind.SERVICE_LATE)
+_PROCESSES = (Kind.FREEZE_MIDWAY, Kind.KILL_MIDWAY)
+
 MUTANTS = (
-    skip_read_back,
-    claim_without_condition,
-    take_over_after_time,
-    release_after_sending,
-    resend_after_loss,
-    ignore_start_limit,
-    settle_at_once,
-    ignore_running_calls,
-    share_keys,
-    share_rows,
-    ignore_digest,
-    repeat_nonces,
-    refuse_without_release,
-    release_unfenced,
-    refuse_while_calling,
-    release_for_leavers,
-    forget_results,
-    send_after_thaw,
+    Mutant(skip_read_back, _TWICE, _PLAIN, _PLATFORM),
+    Mutant(claim_without_condition, _TWICE),
+    Mutant(take_over_after_time, _TWICE, _PLAIN, _PROCESSES),
+    Mutant(release_after_sending, _UNTRUE, _PLAIN, _CALLS),
+    Mutant(release_after_sending, _TWICE, _PLAIN, _CALLS),
+    Mutant(resend_after_loss, _TWICE, _PLAIN, _CALLS),
+    Mutant(ignore_start_limit, _TWICE, _LOOKUP, _LATE_STARTS),
+    Mutant(settle_at_once, _TWICE, _LOOKUP, _CALLS),
+    Mutant(ignore_running_calls, _TWICE, _LOOKUP, _RUNS),
+    Mutant(share_keys, _CROSSED, _DEDUPLICATING),
+    Mutant(share_rows, _CROSSED),
+    Mutant(ignore_digest, _CROSSED),
+    Mutant(repeat_nonces, _TWICE, _PLAIN),
+    Mutant(refuse_without_release, _UNSETTLED, _PLAIN, _PLATFORM),
+    Mutant(release_unfenced, _UNSETTLED, _PLAIN, _PLATFORM),
+    Mutant(refuse_while_calling, _UNTRUE, _PLAIN, _CALLS),
+    Mutant(release_for_leavers, _UNTRUE, _PLAIN),
+    Mutant(release_taken_over_claims, _CROSSED, script=_script_takeover),
+    Mutant(forget_results, _UNSETTLED, _PLAIN, _PLATFORM),
+    Mutant(send_after_thaw, _TWICE, _LOOKUP, _PROCESSES),
 )
--- a/sniperudder/systems/requests/_pipeline.py
+++ b/sniperudder/systems/requests/_pipeline.py
@@ -79,7 +79,7 @@
             inp.endpoint, failed=True, crashed=inp.crashed, boot=boot
         )
     if inp.crashed:
-        crash = f'{inp.endpoint}:{boot}'
+        crash = suspicion.name_crash(inp.endpoint, boot)
         suspicion.mark_crash(T, req.fingerprint, crash, now)
     if _may_resend(ep, req, inp):
         req.resent = True
