--- a/Makefile
+++ b/Makefile
@@ -53,3 +53,7 @@
 	thrift --gen py:slots,enum -out sniperudder/peers/gen \
 		sniperudder/peers/sniperudder.thrift
 	rm -f sniperudder/peers/gen/wire/*-remote
+
+# Random faults over many decision cores; prints the seed of a failure.
+soak: setup
+	$(BIN)/python -m measurements.soak $(SECONDS) $(SEED)
