--- a/sniperudder/systems/health/_health.py
+++ b/sniperudder/systems/health/_health.py
@@ -20,6 +20,7 @@
     ep.reported_own = ep.streams
     ep.reported_at = now
     ep.boot = inp.boot
+    ep.asked_at = inp.sent_at
     if ep.crashed_boot is None:
         return []
     if inp.boot != ep.crashed_boot or inp.sent_at > ep.failed_at:
--- a/sniperudder/systems/orders/_admission.py
+++ b/sniperudder/systems/orders/_admission.py
@@ -16,11 +16,11 @@
 _RUNNING = (OrderState.CLAIMING, OrderState.CALLING)
 
 
-def find_refusal(T, inp):
+def find_refusal(T, inp, now):
     """Return the code with which an arrival is refused, or None."""
     if inp.service not in T.services:
         return outcomes.Code.UNKNOWN_SERVICE
-    if T.stopping:
+    if now >= T.refuse_at:
         return outcomes.Code.STOPPING
     if _is_full(T, inp):
         return outcomes.Code.QUEUE_FULL
--- a/sniperudder/systems/orders/_steps.py
+++ b/sniperudder/systems/orders/_steps.py
@@ -43,7 +43,7 @@
     """Take an order from its caller."""
     if inp.order in T.orders:
         raise errors.InvariantBroken(f'{inp.order} arrived twice')
-    refusal = _admission.find_refusal(T, inp)
+    refusal = _admission.find_refusal(T, inp, now)
     if refusal is not None:
         outcome = outcomes.Refused(refusal)
         return [effects.Finish(inp.order, outcome)]
--- a/sniperudder/systems/orders/tests/test_orders.py
+++ b/sniperudder/systems/orders/tests/test_orders.py
@@ -464,12 +464,14 @@
     def test_stopping_instance_takes_no_order(self):
         bench = _bench.Bench()
         bench.T.stopping = True
+        bench.T.refuse_at = bench.now
         self.assertEqual([Code.STOPPING], _bench.list_codes(bench.send()))
 
     def test_stopping_instance_finishes_its_orders(self):
         bench = _bench.Bench()
         bench.send()
         bench.T.stopping = True
+        bench.T.refuse_at = bench.now
         bench.commit()
         self.assertEqual(1, bench.count(effects.CallService))
 
--- a/sniperudder/systems/suspicion/_suspicion.py
+++ b/sniperudder/systems/suspicion/_suspicion.py
@@ -58,7 +58,7 @@
     ep = T.endpoints.get(endpoint)
     if ep is None or ep.boot != boot:
         return True
-    heard = ep.reported_at > mark.updated_at
+    heard = ep.asked_at > mark.updated_at
     return not heard and now - mark.updated_at > _SILENCE_S
 
 
@@ -78,6 +78,8 @@
     if mark is None:
         mark = tables.Suspicion(fingerprint)
         T.suspicions[fingerprint] = mark
+    if crash in mark.crashes:
+        return
     mark.crashes = mark.crashes | {crash}
     mark.updated_at = now
     if len(T.suspicions) > _MARKS_KEPT:
--- a/sniperudder/tables/_endpoints.py
+++ b/sniperudder/tables/_endpoints.py
@@ -78,6 +78,8 @@
         report tells that it runs.
     failed_at : float
         When it was last set aside, seconds.
+    asked_at : float
+        When the last load report was asked for, seconds.
     """
 
     name: str
@@ -104,6 +106,7 @@
     boot: str = ''
     crashed_boot: str | None = None
     failed_at: float = float('-inf')
+    asked_at: float = float('-inf')
 
 
 @dataclasses.dataclass(slots=True)
--- a/sniperudder/testing/_orders.py
+++ b/sniperudder/testing/_orders.py
@@ -300,6 +300,7 @@
                 self._freeze(entry, fault.duration_s)
             case FaultKind.STOP:
                 entry.T.stopping = True
+                entry.T.refuse_at = self.now
                 at = self.now + fault.duration_s
                 self._schedule(at, self._replace_stopped, entry)
             case FaultKind.STALE:
