Prove the promises on streams in three entries under faults; close holes of suspicion

Ruled out: innocent batches (checked by request). Change: every lost step marks a possible crash; grants carry the runs as the home knows them; a suspect does not run on the run that it may have ended; undecided content is not granted.

--- a/sniperudder/messages/_slots.py
+++ b/sniperudder/messages/_slots.py
@@ -57,12 +57,16 @@
     chain : tuple of Stage
     version : str
         Version of the model.
+    boots : tuple of str
+        Run of each endpoint of the chain, as the home knows it; empty
+        texts where it had no load report.
     """
 
     request: str
     attempt: int
     chain: tuple
     version: str
+    boots: tuple = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/sniperudder/peers/_posts.py
+++ b/sniperudder/peers/_posts.py
@@ -75,13 +75,16 @@
         grant.attempt,
         _encode_chain(grant.chain),
         grant.version,
+        list(grant.boots),
     )
     return ttypes.Post(grant=wire)
 
 
 def _decode_grant(wire):
     chain = _decode_chain(wire.chain)
-    return messages.GrantSlot(wire.request, wire.attempt, chain, wire.version)
+    return messages.GrantSlot(
+        wire.request, wire.attempt, chain, wire.version, tuple(wire.boots)
+    )
 
 
 def _encode_denial(denial):
--- a/sniperudder/peers/gen/wire/Peer.py
+++ b/sniperudder/peers/gen/wire/Peer.py
@@ -494,11 +494,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.posts = []
-                    (_etype80, _size77) = iprot.readListBegin()
-                    for _i81 in range(_size77):
-                        _elem82 = Post()
-                        _elem82.read(iprot)
-                        self.posts.append(_elem82)
+                    (_etype87, _size84) = iprot.readListBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = Post()
+                        _elem89.read(iprot)
+                        self.posts.append(_elem89)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -523,8 +523,8 @@
         if self.posts is not None:
             oprot.writeFieldBegin('posts', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.posts))
-            for iter83 in self.posts:
-                iter83.write(oprot)
+            for iter90 in self.posts:
+                iter90.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
--- a/sniperudder/peers/gen/wire/ttypes.py
+++ b/sniperudder/peers/gen/wire/ttypes.py
@@ -1013,6 +1013,7 @@
      - attempt
      - chain
      - version
+     - boots
 
     """
 
@@ -1021,14 +1022,20 @@
         'attempt',
         'chain',
         'version',
+        'boots',
     )
 
 
-    def __init__(self, request=None, attempt=None, chain=None, version=None,):
+    def __init__(self, request=None, attempt=None, chain=None, version=None, boots=[
+    ],):
         self.request = request
         self.attempt = attempt
         self.chain = chain
         self.version = version
+        if boots is self.thrift_spec[5][4]:
+            boots = [
+            ]
+        self.boots = boots
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1065,6 +1072,16 @@
                     self.version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.boots = []
+                    (_etype44, _size41) = iprot.readListBegin()
+                    for _i45 in range(_size41):
+                        _elem46 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.boots.append(_elem46)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1086,14 +1103,21 @@
         if self.chain is not None:
             oprot.writeFieldBegin('chain', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.chain))
-            for iter41 in self.chain:
-                iter41.write(oprot)
+            for iter47 in self.chain:
+                iter47.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.version is not None:
             oprot.writeFieldBegin('version', TType.STRING, 4)
             oprot.writeString(self.version.encode('utf-8') if sys.version_info[0] == 2 else self.version)
             oprot.writeFieldEnd()
+        if self.boots is not None:
+            oprot.writeFieldBegin('boots', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRING, len(self.boots))
+            for iter48 in self.boots:
+                oprot.writeString(iter48.encode('utf-8') if sys.version_info[0] == 2 else iter48)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1494,11 +1518,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.samples = []
-                    (_etype45, _size42) = iprot.readListBegin()
-                    for _i46 in range(_size42):
-                        _elem47 = Sample()
-                        _elem47.read(iprot)
-                        self.samples.append(_elem47)
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = Sample()
+                        _elem54.read(iprot)
+                        self.samples.append(_elem54)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1527,8 +1551,8 @@
         if self.samples is not None:
             oprot.writeFieldBegin('samples', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.samples))
-            for iter48 in self.samples:
-                iter48.write(oprot)
+            for iter55 in self.samples:
+                iter55.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1627,11 +1651,11 @@
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.chain = []
-                    (_etype52, _size49) = iprot.readListBegin()
-                    for _i53 in range(_size49):
-                        _elem54 = Stage()
-                        _elem54.read(iprot)
-                        self.chain.append(_elem54)
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = Stage()
+                        _elem61.read(iprot)
+                        self.chain.append(_elem61)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1668,8 +1692,8 @@
         if self.chain is not None:
             oprot.writeFieldBegin('chain', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.chain))
-            for iter55 in self.chain:
-                iter55.write(oprot)
+            for iter62 in self.chain:
+                iter62.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1747,21 +1771,21 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.holdings = []
-                    (_etype59, _size56) = iprot.readListBegin()
-                    for _i60 in range(_size56):
-                        _elem61 = Holding()
-                        _elem61.read(iprot)
-                        self.holdings.append(_elem61)
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = Holding()
+                        _elem68.read(iprot)
+                        self.holdings.append(_elem68)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.asked = []
-                    (_etype65, _size62) = iprot.readListBegin()
-                    for _i66 in range(_size62):
-                        _elem67 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.asked.append(_elem67)
+                    (_etype72, _size69) = iprot.readListBegin()
+                    for _i73 in range(_size69):
+                        _elem74 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.asked.append(_elem74)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1778,15 +1802,15 @@
         if self.holdings is not None:
             oprot.writeFieldBegin('holdings', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.holdings))
-            for iter68 in self.holdings:
-                iter68.write(oprot)
+            for iter75 in self.holdings:
+                iter75.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.asked is not None:
             oprot.writeFieldBegin('asked', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.asked))
-            for iter69 in self.asked:
-                oprot.writeString(iter69.encode('utf-8') if sys.version_info[0] == 2 else iter69)
+            for iter76 in self.asked:
+                oprot.writeString(iter76.encode('utf-8') if sys.version_info[0] == 2 else iter76)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1845,10 +1869,10 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.requests = []
-                    (_etype73, _size70) = iprot.readListBegin()
-                    for _i74 in range(_size70):
-                        _elem75 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.requests.append(_elem75)
+                    (_etype80, _size77) = iprot.readListBegin()
+                    for _i81 in range(_size77):
+                        _elem82 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.requests.append(_elem82)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1865,8 +1889,8 @@
         if self.requests is not None:
             oprot.writeFieldBegin('requests', TType.LIST, 1)
             oprot.writeListBegin(TType.STRING, len(self.requests))
-            for iter76 in self.requests:
-                oprot.writeString(iter76.encode('utf-8') if sys.version_info[0] == 2 else iter76)
+            for iter83 in self.requests:
+                oprot.writeString(iter83.encode('utf-8') if sys.version_info[0] == 2 else iter83)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2205,6 +2229,8 @@
     (2, TType.I32, 'attempt', None, None, ),  # 2
     (3, TType.LIST, 'chain', (TType.STRUCT, [Stage, None], False), None, ),  # 3
     (4, TType.STRING, 'version', 'UTF8', None, ),  # 4
+    (5, TType.LIST, 'boots', (TType.STRING, 'UTF8', False), [
+    ], ),  # 5
 )
 all_structs.append(DenySlot)
 DenySlot.thrift_spec = (
--- a/sniperudder/peers/sniperudder.thrift
+++ b/sniperudder/peers/sniperudder.thrift
@@ -70,6 +70,7 @@
   2: required i32 attempt;
   3: required list<Stage> chain;
   4: required string version;
+  5: list<string> boots = [];
 }
 
 struct DenySlot {
--- a/sniperudder/peers/tests/test_posts.py
+++ b/sniperudder/peers/tests/test_posts.py
@@ -15,7 +15,7 @@
     messages.AskSlot(
         'r', 2, 'org', _URGENT, 'm', 3.5, 'f', 1.0, True, 1, ('a:b',)
     ),
-    messages.GrantSlot('r', 2, _CHAIN, '1'),
+    messages.GrantSlot('r', 2, _CHAIN, '1', ('x', 'y')),
     messages.DenySlot('r', 2, outcomes.Code.NO_ENDPOINT, 1.5),
     messages.DenySlot('r', 2, outcomes.Code.CONTENT_CONDEMNED, None),
     messages.RevokeSlot('r', 2),
--- a/sniperudder/systems/dispatch/_grants.py
+++ b/sniperudder/systems/dispatch/_grants.py
@@ -69,7 +69,7 @@
     full = set()
     result = []
     for name in _queues.list_organisations(T, rank):
-        ticket = _find_candidate(T, rank, name, full)
+        ticket = _find_candidate(T, rank, name, full, now)
         if ticket is None:
             continue
         if suspicion.is_condemned(T, ticket.fingerprint, now):
@@ -89,7 +89,7 @@
     return Granting(result, done=False)
 
 
-def _find_candidate(T, rank, organisation, full):
+def _find_candidate(T, rank, organisation, full, now):
     # A suspect runs only where no other one does, and must not hold up
     # the other requests of its organisation.
     taken = None
@@ -99,6 +99,8 @@
             return None
         if not suspicion.is_suspect(T, ticket.fingerprint):
             return ticket
+        if suspicion.is_undecided(T, ticket.fingerprint, now):
+            continue
         if taken is None:
             taken = _list_suspect_endpoints(T)
         if _has_place(T, ticket, taken):
@@ -109,7 +111,18 @@
 def _has_place(T, ticket, taken):
     model = T.models[ticket.model]
     groups = _chains.list_candidates(T, model, ticket.rank)
-    return all(any(ep.name not in taken for ep in g) for g in groups.values())
+    return all(
+        any(_may_take(T, ticket, ep, taken) for ep in eps)
+        for eps in groups.values()
+    )
+
+
+def _may_take(T, ticket, ep, taken):
+    # Not where another suspect runs, and not on a run of an engine that
+    # it may have ended: that would not show as a second crash.
+    mark = T.suspicions[ticket.fingerprint]
+    crash = suspicion.name_crash(ep.name, ep.boot)
+    return ep.name not in taken and crash not in mark.crashes
 
 
 def _choose_chain(T, ticket, now):
@@ -118,7 +131,7 @@
         return _chains.choose_chain(T, model, ticket.rank, now)
     taken = _list_suspect_endpoints(T)
     return _chains.choose_chain(
-        T, model, ticket.rank, now, lambda ep: ep.name not in taken
+        T, model, ticket.rank, now, lambda ep: _may_take(T, ticket, ep, taken)
     )
 
 
@@ -139,8 +152,17 @@
     _queues.charge_work(T, ticket, ticket.work)
     _waits.count_grant(T, ticket, now)
     hold_chain(T, ticket, chain, now)
+    return post_grant(T, ticket, now)
+
+
+def post_grant(T, ticket, now):
+    """Tell the entry of a ticket which chain it holds."""
     grant = messages.GrantSlot(
-        ticket.request, ticket.attempt, chain, model.version
+        ticket.request,
+        ticket.attempt,
+        ticket.chain,
+        T.models[ticket.model].version,
+        tuple(T.endpoints[stage.endpoint].boot for stage in ticket.chain),
     )
     return _posts.post_message(T, ticket.entry, grant, now)
 
--- a/sniperudder/systems/dispatch/_homes.py
+++ b/sniperudder/systems/dispatch/_homes.py
@@ -63,11 +63,7 @@
 def _repeat_grant(T, ticket, now):
     if not ticket.chain:
         return []
-    version = T.models[ticket.model].version
-    grant = messages.GrantSlot(
-        ticket.request, ticket.attempt, ticket.chain, version
-    )
-    return _posts.post_message(T, ticket.entry, grant, now)
+    return _grants.post_grant(T, ticket, now)
 
 
 def _find_denial(T, ask, now):
--- a/sniperudder/systems/requests/_finish.py
+++ b/sniperudder/systems/requests/_finish.py
@@ -54,6 +54,15 @@
     return tuple(samples.values())
 
 
+def end_condemned(T, req, now):
+    """End a request whose content crashed two endpoints."""
+    if has_started(req):
+        outcome = outcomes.Failed(outcomes.Code.CRASHED_ENDPOINTS)
+    else:
+        outcome = outcomes.Refused(outcomes.Code.CONTENT_CONDEMNED)
+    return finish_request(T, req, outcome, now)
+
+
 def finish_request(T, req, outcome, now):
     """End a request with its outcome.
 
--- a/sniperudder/systems/requests/_pipeline.py
+++ b/sniperudder/systems/requests/_pipeline.py
@@ -73,12 +73,14 @@
     if req is None:
         return []
     ep = T.endpoints.get(inp.endpoint)
-    boot = ep.boot if ep is not None else ''
+    boot = req.boots.get(inp.endpoint, '')
     if not inp.refused:
         req.samples[inp.endpoint] = messages.Sample(
             inp.endpoint, failed=True, crashed=inp.crashed, boot=boot
         )
-    if inp.crashed:
+    if inp.delivery is inputs.Delivery.LOST:
+        # A crash may show as a broken connection or only as silence;
+        # the engine's next report tells whether there was one.
         crash = suspicion.name_crash(inp.endpoint, boot)
         suspicion.mark_crash(T, req.fingerprint, crash, now)
     if _may_resend(ep, req, inp):
@@ -97,8 +99,7 @@
     lost = inp.delivery is inputs.Delivery.LOST
     req.maybe_ran = req.maybe_ran or lost
     if suspicion.is_condemned(T, req.fingerprint, now):
-        failure = outcomes.Failed(outcomes.Code.CRASHED_ENDPOINTS)
-        return _finish.finish_request(T, req, failure, now)
+        return _finish.end_condemned(T, req, now)
     if lost and not _take_retry(T, req):
         failure = outcomes.Failed(outcomes.Code.RETRIES_EXHAUSTED)
         return _finish.finish_request(T, req, failure, now)
--- a/sniperudder/systems/requests/_slots.py
+++ b/sniperudder/systems/requests/_slots.py
@@ -36,6 +36,8 @@
     now : float
         Seconds.
     """
+    if suspicion.is_condemned(T, req.fingerprint, now):
+        return _finish.end_condemned(T, req, now)
     if suspicion.is_undecided(T, req.fingerprint, now):
         ask_later(T, req, _PROOF_S, now)
         return []
@@ -98,16 +100,15 @@
         return False
     if suspicion.is_undecided(T, req.fingerprint, now):
         return False
-    return all(_is_known(T, stage.endpoint) for stage in grant.chain)
-
-
-def _is_known(T, name):
-    # Without a load report of its present run, an engine's crash could
+    # Without the identifier of its present run, an engine's crash could
     # not be told from a broken connection.
-    ep = T.endpoints.get(name)
-    if ep is None or name in T.config.withdrawn:
+    if not all(grant.boots):
         return False
-    return bool(ep.boot)
+    withdrawn = T.config.withdrawn
+    return all(
+        stage.endpoint in T.endpoints and stage.endpoint not in withdrawn
+        for stage in grant.chain
+    )
 
 
 def _return_slot(T, sender, grant, now):
@@ -127,6 +128,10 @@
     req.version = grant.version
     req.begun_at = now
     req.first_position = len(req.tokens)
+    req.boots = {
+        stage.endpoint: boot
+        for stage, boot in zip(grant.chain, grant.boots, strict=True)
+    }
     note = effects.Note('request:start', req.name, f'attempt {req.attempt}')
     return [note, _steps.make_step(T, req, 0, now)]
 
@@ -142,8 +147,7 @@
         refusal = outcomes.Refused(denial.code, meaning, denial.retry_after_s)
         return _finish.finish_request(T, req, refusal, now)
     if condemned:
-        failure = outcomes.Failed(outcomes.Code.CRASHED_ENDPOINTS)
-        return _finish.finish_request(T, req, failure, now)
+        return _finish.end_condemned(T, req, now)
     ask_later(T, req, _RETRY_S, now)
     return []
 
--- a/sniperudder/tables/_requests.py
+++ b/sniperudder/tables/_requests.py
@@ -77,6 +77,8 @@
     resent : bool
         Whether the awaited step was sent again to an endpoint that
         deduplicates.
+    boots : dict of str to str
+        Run of each endpoint when the current attempt began.
     yields : int
         How often it gave way to more urgent work.
     failures : int
@@ -105,6 +107,7 @@
     samples: dict = dataclasses.field(default_factory=dict)
     begun_at: float | None = None
     first_position: int = 0
+    boots: dict = dataclasses.field(default_factory=dict)
     resent: bool = False
     yields: int = 0
     failures: int = 0
--- a/sniperudder/testing/__init__.py
+++ b/sniperudder/testing/__init__.py
@@ -7,6 +7,15 @@
 from sniperudder.testing._engines import predict_tokens
 from sniperudder.testing._engines import RunRecord
 from sniperudder.testing._engines import Speed
+from sniperudder.testing._faults import Caller
+from sniperudder.testing._faults import check_streams
+from sniperudder.testing._faults import create_stream_fleet
+from sniperudder.testing._faults import draw_plan
+from sniperudder.testing._faults import Fault
+from sniperudder.testing._faults import FaultKind
+from sniperudder.testing._faults import list_endpoints
+from sniperudder.testing._faults import StreamPlan
+from sniperudder.testing._faults import StreamWorld
 from sniperudder.testing._fleet import create_fleet
 from sniperudder.testing._fleet import Fleet
 from sniperudder.testing._fleet import Node
@@ -25,6 +34,8 @@
     'Chaos',
     'ENDPOINTS',
     'FakeEngine',
+    'Fault',
+    'FaultKind',
     'FakePlatform',
     'Fleet',
     'Heard',
@@ -32,11 +43,18 @@
     'RunRecord',
     'Speed',
     'StreamFleet',
+    'StreamPlan',
+    'StreamWorld',
     'VirtualTime',
     'Watch',
+    'Caller',
+    'check_streams',
     'create_fleet',
+    'create_stream_fleet',
+    'draw_plan',
     'draw_steps',
     'fill_endpoints',
+    'list_endpoints',
     'list_violations',
     'predict_tokens',
     'run_chaos',
--- a/sniperudder/testing/_engines.py
+++ b/sniperudder/testing/_engines.py
@@ -55,6 +55,10 @@
     ----------
     log : list of RunRecord
     boot : str
+    poisoned : list of str
+        Requests that crashed it.
+    begun : list of (float, str)
+        Time and request of each attempt that it began.
     up : bool
     slow : float
         Factor on all times.
@@ -73,6 +77,8 @@
         self.slow = 1.0
         self.poison = '\0poison'
         self.crashes = []
+        self.poisoned = []
+        self.begun = []
         self.restart_s = 1.0
         self._boots = itertools.count(1)
         self._restart()
@@ -96,6 +102,8 @@
             answer(dataclasses.replace(failed, refused=True, detail=reason))
             return
         key = (step.request, step.attempt)
+        if key not in self.positions:
+            self.begun.append((self.clock.now, step.request))
         self.positions[key] = step.position
         self._waiting.append(_Waiting(step, answer))
         if not self._busy:
@@ -162,9 +170,12 @@
     def _end(self, boot, count):
         if boot != self.boot or not self.up:
             return
-        poisoned = any(
-            self.poison in item.step.payload for item in self._waiting[:count]
-        )
+        poisoned = [
+            item.step.request
+            for item in self._waiting[:count]
+            if self.poison in item.step.payload
+        ]
+        self.poisoned.extend(poisoned)
         if poisoned:
             self.crash(self.restart_s)
             return
--- /dev/null
+++ b/sniperudder/testing/_faults.py
@@ -0,0 +1,298 @@
+"""Random loads and faults for fleets of entries and engines."""
+
+import dataclasses
+import enum
+import random
+
+from sniperudder import inputs
+from sniperudder import tables
+from sniperudder.testing._engines import FakeEngine
+from sniperudder.testing._engines import predict_tokens
+from sniperudder.testing._engines import Speed
+from sniperudder.testing._streams import list_violations
+from sniperudder.testing._streams import StreamFleet
+from sniperudder.testing._timeline import VirtualTime
+
+LAYERS = 8
+
+_STAGES = (0, 4)
+_RUN_S = 40.0
+_FAULTS_UNTIL_S = 20.0
+_END_S = 5.0
+_CRASHES_ALLOWED = 2
+_LINK_SLACK_S = 0.01
+
+
+class FaultKind(enum.Enum):
+    """What happens to an endpoint or an entry."""
+
+    CRASH = 'crash'
+    SLOW = 'slow'
+    LOSE = 'lose'
+    BREAK = 'break'
+    WITHDRAW = 'withdraw'
+    KILL_ENTRY = 'kill entry'
+    STOP_ENTRY = 'stop entry'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Fault:
+    """One fault; the last entry of a fleet is never killed."""
+
+    time: float
+    kind: FaultKind
+    endpoint: str
+    entry: str
+    duration_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Caller:
+    """One request and how its caller behaves."""
+
+    time: float
+    entry: str
+    rank: tables.Rank
+    organisation: str
+    max_tokens: int
+    leaves: bool = False
+    poison: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StreamPlan:
+    """A load and its faults."""
+
+    seed: int
+    callers: tuple
+    faults: tuple
+
+
+def list_endpoints(copies=2):
+    """Return the names of the endpoints of a random run."""
+    return [f'ep-{first}-{n}' for first in _STAGES for n in range(copies)]
+
+
+def draw_plan(seed):
+    """Return the plan of a seed.
+
+    Examples
+    --------
+    >>> draw_plan(7) == draw_plan(7)
+    True
+    """
+    rng = random.Random(seed)
+    callers = [_draw_caller(rng) for _ in range(rng.randint(1, 40))]
+    faults = [_draw_fault(rng) for _ in range(rng.randint(0, 8))]
+    return StreamPlan(seed, tuple(callers), tuple(faults))
+
+
+def _draw_caller(rng):
+    behaviour = rng.choice(['stay', 'stay', 'stay', 'leave', 'poison'])
+    return Caller(
+        rng.uniform(0, _FAULTS_UNTIL_S),
+        f'entry-{rng.randrange(3)}',
+        rng.choice(tables.RANKS),
+        rng.choice(['big', 'small']),
+        rng.randint(1, 30),
+        behaviour == 'leave',
+        behaviour == 'poison',
+    )
+
+
+def _draw_fault(rng):
+    return Fault(
+        rng.uniform(0, _FAULTS_UNTIL_S),
+        rng.choice(list(FaultKind)),
+        rng.choice(list_endpoints()),
+        f'entry-{rng.randrange(2)}',
+        rng.uniform(0.1, 6.0),
+    )
+
+
+class StreamWorld:
+    """A fleet that runs one plan.
+
+    Attributes
+    ----------
+    fleet : StreamFleet
+    withdrawn : list of (str, float, float)
+        Endpoint, begin and end of each withdrawal, seconds.
+    """
+
+    def __init__(self, plan, entries=3, copies=2, streams=4):
+        self.plan = plan
+        self.fleet = create_stream_fleet(entries, copies, streams, plan.seed)
+        self.fleet.step_timeout_s = 1.0
+        self.withdrawn = []
+
+    def run(self):
+        """Run the plan to its end and return this world."""
+        clock = self.fleet.clock
+        for number, caller in enumerate(self.plan.callers):
+            clock.call_at(caller.time, self._send, number, caller)
+        for fault in self.plan.faults:
+            clock.call_at(fault.time, self._inject, fault)
+        clock.run_until(_RUN_S)
+        for T in self.fleet.entries.values():
+            for name in list(T.requests):
+                self.fleet.submit(T.me, inputs.CallerLeft(name))
+        clock.run_until(_RUN_S + _END_S)
+        return self
+
+    def _send(self, number, caller):
+        if caller.entry in self.fleet.dead:
+            return
+        prompt = f'prompt {number}'
+        if caller.poison:
+            prompt = f'{prompt} \0poison'
+        arrival = inputs.RequestArrived(
+            f'req-{number}',
+            caller.organisation,
+            caller.rank,
+            'm',
+            prompt,
+            caller.max_tokens,
+        )
+        self.fleet.send_request(caller.entry, arrival)
+        if caller.leaves:
+            left = inputs.CallerLeft(arrival.request)
+            clock = self.fleet.clock
+            clock.call_in(0.3, self.fleet.submit, caller.entry, left)
+
+    def _inject(self, fault):
+        engine = self.fleet.engines[fault.endpoint]
+        clock = self.fleet.clock
+        match fault.kind:
+            case FaultKind.CRASH:
+                engine.crash(fault.duration_s)
+            case FaultKind.SLOW:
+                engine.slow = 30.0
+                clock.call_in(fault.duration_s, setattr, engine, 'slow', 1.0)
+            case FaultKind.LOSE:
+                self.fleet.lose.add(fault.endpoint)
+                clock.call_in(
+                    fault.duration_s, self.fleet.lose.discard, fault.endpoint
+                )
+            case FaultKind.BREAK:
+                engine.break_calls()
+            case FaultKind.WITHDRAW:
+                self._withdraw(fault)
+            case FaultKind.KILL_ENTRY:
+                self.fleet.dead.add(fault.entry)
+            case FaultKind.STOP_ENTRY:
+                self.fleet.submit(fault.entry, inputs.StopRequested())
+
+    def _withdraw(self, fault):
+        begin = self.fleet.clock.now
+        if any(name == fault.endpoint for name, _, _ in self.withdrawn):
+            return
+        self.withdrawn.append(
+            (fault.endpoint, begin, begin + fault.duration_s)
+        )
+        for T in self.fleet.entries.values():
+            T.config.withdrawn.add(fault.endpoint)
+            self.fleet.clock.call_in(
+                fault.duration_s, T.config.withdrawn.discard, fault.endpoint
+            )
+
+
+def create_stream_fleet(entries, copies, streams, seed, lag_s=0.5):
+    """Return a fleet with ``copies`` engines of each of two stages."""
+    clock = VirtualTime()
+    cores = {}
+    for number in range(entries):
+        T = _create_core(f'entry-{number}', seed + number, copies, streams)
+        cores[T.me] = T
+    for T in cores.values():
+        for name in cores:
+            T.instances[name] = tables.Instance(
+                name, 'h:1', 'dc', state=tables.InstanceState.LIVE
+            )
+    engines = {
+        ep.name: FakeEngine(clock, ep, Speed())
+        for ep in _create_endpoints(copies, streams)
+    }
+    return StreamFleet(clock, cores, engines, lag_s)
+
+
+def _create_core(name, seed, copies, streams):
+    T = tables.create_tables(name, 'dc', seed)
+    T.confirmed_at = 0.0
+    T.models['m'] = tables.Model('m', LAYERS)
+    for ep in _create_endpoints(copies, streams):
+        T.endpoints[ep.name] = ep
+    return T
+
+
+def _create_endpoints(copies, streams):
+    width = LAYERS // len(_STAGES)
+    return [
+        tables.Endpoint(
+            f'ep-{first}-{n}',
+            'h:1',
+            'dc',
+            'kind',
+            'm',
+            '1',
+            first,
+            first + width,
+            streams,
+        )
+        for first in _STAGES
+        for n in range(copies)
+    ]
+
+
+def check_streams(world):
+    """Return the promises that a finished run broke.
+
+    Sees only what callers heard, what the engines' own logs hold, and,
+    at the end, whether anything was left behind.
+
+    Returns
+    -------
+    list of str
+    """
+    fleet = world.fleet
+    found = list_violations(fleet, LAYERS, predict_tokens)
+    found.extend(_check_withdrawals(world))
+    found.extend(_check_crashes(fleet))
+    found.extend(_check_ends(fleet))
+    found.extend(_check_leftovers(fleet))
+    return found
+
+
+def _check_withdrawals(world):
+    for name, begin, end in world.withdrawn:
+        for time, request in world.fleet.engines[name].begun:
+            if begin + _LINK_SLACK_S < time < end:
+                yield f'{request} was begun at the withdrawn {name}'
+
+
+def _check_crashes(fleet):
+    counts = {}
+    for engine in fleet.engines.values():
+        for request in engine.poisoned:
+            counts[request] = counts.get(request, 0) + 1
+    for request, count in counts.items():
+        if count > _CRASHES_ALLOWED:
+            yield f'{request} crashed {count} engines'
+
+
+def _check_ends(fleet):
+    for name, heard in fleet.heard.items():
+        if heard.entry in fleet.dead:
+            continue
+        if heard.outcome is None:
+            yield f'{name}: no outcome'
+
+
+def _check_leftovers(fleet):
+    for T in fleet.entries.values():
+        if T.me in fleet.dead:
+            continue
+        if T.requests or T.tickets:
+            yield f'{T.me}: something is left behind'
+        if any(ep.streams for ep in T.endpoints.values()):
+            yield f'{T.me}: slots are left taken'
--- a/sniperudder/testing/_streams.py
+++ b/sniperudder/testing/_streams.py
@@ -29,6 +29,7 @@
     Attributes
     ----------
     arrival : RequestArrived
+    entry : str
     sent_at : float
         Seconds.
     tokens : list of str
@@ -40,6 +41,7 @@
     """
 
     arrival: inputs.RequestArrived
+    entry: str
     sent_at: float
     tokens: list = dataclasses.field(default_factory=list)
     times: list = dataclasses.field(default_factory=list)
@@ -106,7 +108,7 @@
 
     def send_request(self, name, arrival):
         """Let a caller send a request to an entry."""
-        self.heard[arrival.request] = Heard(arrival, self.clock.now)
+        self.heard[arrival.request] = Heard(arrival, name, self.clock.now)
         self.submit(name, arrival)
 
     def _tick(self, name):
