--- a/sniperudder/systems/configuration/__init__.py
+++ b/sniperudder/systems/configuration/__init__.py
@@ -63,6 +63,7 @@
 }
 
 _EAGER_SHARE = 0.6
+_MAJORITY_PAUSE_S = 0.2
 
 
 def run_configuration(T, now):
@@ -82,7 +83,9 @@
     effects += _history.fetch_changes(T, now)
     _freshness.confirm_by_platform(T)
     age = now - T.confirmed_at
-    if age > _EAGER_SHARE * T.policy.freshness_s:
+    late = age > _EAGER_SHARE * T.policy.freshness_s
+    if late and now >= T.next_majority_at:
+        T.next_majority_at = now + _MAJORITY_PAUSE_S
         confirm_by_majority(T, now)
     _acceptance.update_acceptance(T, now)
     effects += _members.join_members(T, now)
--- a/sniperudder/tables/_tables.py
+++ b/sniperudder/tables/_tables.py
@@ -131,6 +131,8 @@
         Whether a read of missing changes awaits its answer.
     next_fetch_at : float
         When missing changes may be read again, seconds.
+    next_majority_at : float
+        When the majority's evidence may be counted again, seconds.
     snapshot_read : bool
         Whether the kept snapshot was read since changes last were.
     rosters : list of Roster
@@ -205,6 +207,7 @@
     pending: dict = dataclasses.field(default_factory=dict)
     fetch_pending: bool = False
     next_fetch_at: float = float('-inf')
+    next_majority_at: float = float('-inf')
     snapshot_read: bool = False
     rosters: list = dataclasses.field(default_factory=list)
     acceptances: list = dataclasses.field(default_factory=list)
