--- a/scenarios/run.py
+++ b/scenarios/run.py
@@ -1,6 +1,7 @@
 """Runs scenarios: ``python -m scenarios.run FILE...``."""
 
 import pathlib
+import signal
 import sys
 import tempfile
 
@@ -73,4 +74,6 @@
 
 
 if __name__ == '__main__':
+    # Unwinds, so that the processes started here are ended.
+    signal.signal(signal.SIGTERM, lambda *args: sys.exit(_BROKEN))
     sys.exit(defopt.run(run, short={}, no_negated_flags=True))
