--- a/sniperudder/effects/_endpoints.py
+++ b/sniperudder/effects/_endpoints.py
@@ -28,6 +28,9 @@
         Whether this is the last stage, which gives a token.
     deadline_s : float
         Time left for the whole answer, seconds.
+    start_by : float or None
+        When the engine must have begun the attempt, seconds on the
+        instance's clock; None where the attempt has begun.
     """
 
     request: str
@@ -42,6 +45,7 @@
     payload: str
     last: bool
     deadline_s: float
+    start_by: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/sniperudder/endpoints/_http.py
+++ b/sniperudder/endpoints/_http.py
@@ -3,7 +3,9 @@
 import collections
 import dataclasses
 import json
+import time
 
+from sniperudder import clocks
 from sniperudder.endpoints import _client
 from sniperudder import inputs
 from sniperudder import transports
@@ -87,9 +89,18 @@
         'payload': step.payload,
         'last': step.last,
         'deadline_s': step.deadline_s,
+        'expires_at': _find_expiry(step),
     }
 
 
+def _find_expiry(step):
+    # Wall-clock time: a length of time would begin anew when bytes that
+    # were long under way arrive.
+    if step.start_by is None:
+        return None
+    return time.time() + step.start_by - clocks.read_clock()
+
+
 def _decode(reply):
     """Return the value of a good answer, or None."""
     if isinstance(reply, transports.NoReply) or reply.status != _OK:
--- a/sniperudder/instance/_engines.py
+++ b/sniperudder/instance/_engines.py
@@ -1,5 +1,6 @@
 """Threads that send steps to engines, many streams to a call."""
 
+import dataclasses
 import queue
 
 from sniperudder import effects
@@ -45,20 +46,22 @@
     def _run_steps(self):
         while True:
             steps = _batches.take_all(self.steps, _STEPS_PER_CALL)
-            ready = [step for step in steps if self._may_send(step)]
+            checked = [self._check_start(step) for step in steps]
+            ready = [step for step in checked if step is not None]
             if not ready:
                 continue
             answers = self.client.send_steps(self.ep, ready, self.timeout_s)
             for answer in answers:
                 self.runtime.submit(answer)
 
-    def _may_send(self, step):
+    def _check_start(self, step):
         # Only the first step of an attempt gives out new work.
         if not (step.prefill and step.first_layer == 0):
-            return True
+            return step
         now = self.runtime.read_clock()
-        if self.runtime.ask(requests.may_start, step, now):
-            return True
+        start_by = self.runtime.ask(requests.find_start_by, step, now)
+        if start_by is not None:
+            return dataclasses.replace(step, start_by=start_by)
         held = inputs.StepFailed(
             self.ep.name,
             step.request,
@@ -69,7 +72,7 @@
             refused=True,
         )
         self.runtime.submit(held)
-        return False
+        return None
 
     def _run_cancels(self):
         while True:
--- a/sniperudder/systems/requests/__init__.py
+++ b/sniperudder/systems/requests/__init__.py
@@ -9,7 +9,7 @@
 from sniperudder.systems.requests._pipeline import drop_caller
 from sniperudder.systems.requests._pipeline import handle_failure
 from sniperudder.systems.requests import _slots
-from sniperudder.systems.requests._steps import may_start
+from sniperudder.systems.requests._steps import find_start_by
 from sniperudder.systems.requests._timers import run_requests
 
 __all__ = [
@@ -19,8 +19,8 @@
     'admit_request',
     'compute_fingerprint',
     'drop_caller',
+    'find_start_by',
     'handle_failure',
-    'may_start',
     'run_requests',
 ]
 
--- a/sniperudder/systems/requests/_steps.py
+++ b/sniperudder/systems/requests/_steps.py
@@ -41,8 +41,8 @@
     return effects.SendStep(stage.endpoint, step)
 
 
-def may_start(T, step, now):
-    """Return whether the first step of an attempt may still be sent.
+def find_start_by(T, step, now):
+    """Return until when the first step of an attempt may be begun.
 
     Asked right before the bytes leave, since the process may have been
     frozen, or the configuration changed, after the grant.
@@ -54,11 +54,20 @@
         With its endpoint in the chain of its request.
     now : float
         Seconds.
+
+    Returns
+    -------
+    float or None
+        Seconds on the instance's clock; None where it may not be sent.
+        The engine is told, for the process may be frozen once more
+        before the bytes leave.
     """
     req = T.requests.get(step.request)
     if req is None or req.attempt != step.attempt:
-        return False
+        return None
     if now >= req.deadline or not configuration.is_fresh(T, now):
-        return False
+        return None
     withdrawn = T.config.withdrawn
-    return not any(stage.endpoint in withdrawn for stage in req.chain)
+    if any(stage.endpoint in withdrawn for stage in req.chain):
+        return None
+    return min(req.deadline, T.confirmed_at + T.policy.freshness_s)
--- a/sniperudder/systems/requests/tests/_mutants.py
+++ b/sniperudder/systems/requests/tests/_mutants.py
@@ -16,6 +16,7 @@
 from sniperudder.systems.requests import _slots
 from sniperudder.systems.requests import _steps
 from sniperudder.systems import suspicion
+from sniperudder import testing
 
 
 def resend_lost_steps():
@@ -134,24 +135,52 @@
     return mock.patch.object(_grants, '_may_take', may_take)
 
 
+def draw_losses(seed):
+    """Return a plan of lost answers only."""
+    return testing.draw_plan(seed, (testing.FaultKind.LOSE,))
+
+
+def draw_blinks(seed):
+    """Return a plan of engines that restart faster than a step."""
+    kinds = (testing.FaultKind.CRASH,)
+    return testing.draw_plan(seed, kinds, (0.0, 0.0), 60)
+
+
+def draw_changes(seed):
+    """Return a plan of entries that stop or die."""
+    kinds = (testing.FaultKind.KILL_ENTRY, testing.FaultKind.STOP_ENTRY)
+    return testing.draw_plan(seed, kinds)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Mutant:
-    """A naive variant and a part of the sentence that names its fault."""
+    """A naive variant.
+
+    Attributes
+    ----------
+    apply : callable
+        Returns a context in which the variant is in force.
+    breaks : str
+        Part of the sentence that names its fault.
+    draw : callable
+        Returns the plan of a seed.
+    """
 
     apply: typing.Callable
     breaks: str
+    draw: typing.Callable = testing.draw_plan
 
 
 MUTANTS = [
-    Mutant(resend_lost_steps, 'ran twice'),
-    Mutant(accept_late_answers, 'InvariantBroken'),
-    Mutant(begin_without_state, 'wrong tokens'),
+    Mutant(resend_lost_steps, 'ran twice', draw_losses),
+    Mutant(accept_late_answers, 'wrong tokens'),
+    Mutant(begin_without_state, 'wrong tokens', draw_blinks),
     Mutant(call_cut_answers_whole, 'looks whole'),
     Mutant(refuse_after_lost_step, 'refused as not run, but ran'),
     Mutant(ignore_crashes, 'crashed'),
     Mutant(take_timeouts_for_harmless, 'crashed'),
     Mutant(use_withdrawn_endpoints, 'withdrawn'),
-    Mutant(keep_slots_of_the_old_home, 'left'),
+    Mutant(keep_slots_of_the_old_home, 'left', draw_changes),
     Mutant(grant_undecided_contents, 'crashed'),
     Mutant(use_the_crashed_run_again, 'crashed'),
 ]
--- /dev/null
+++ b/sniperudder/systems/requests/tests/test_mutants.py
@@ -0,0 +1,38 @@
+"""The checker catches naive variants of the request systems."""
+
+import testtools
+
+from sniperudder import errors
+from sniperudder.systems.requests.tests import _mutants
+from sniperudder import testing
+
+_MAX_SEEDS = 200
+
+
+def find_seed(mutant, max_seeds=_MAX_SEEDS):
+    """Return the first seed that shows a variant's fault, or None."""
+    with mutant.apply():
+        for seed in range(max_seeds):
+            world = testing.StreamWorld(mutant.draw(seed))
+            if any(mutant.breaks in text for text in _run(world)):
+                return seed
+    return None
+
+
+def _run(world):
+    # An invariant inside the program, or a caller that hears nonsense,
+    # ends a run early.
+    try:
+        return testing.check_streams(world.run())
+    except (AssertionError, errors.InvariantBroken) as exc:
+        return [str(exc)]
+
+
+class TestMutants(testtools.TestCase):
+    def test_each_variant_is_caught(self):
+        missed = [
+            mutant.apply.__name__
+            for mutant in _mutants.MUTANTS
+            if find_seed(mutant) is None
+        ]
+        self.assertEqual([], missed)
--- a/sniperudder/testing/_engines.py
+++ b/sniperudder/testing/_engines.py
@@ -64,6 +64,8 @@
         Factor on all times.
     poison : str
         A prompt that holds this text crashes the engine.
+    checks_positions : bool
+        Whether it refuses a position that does not follow the last.
     restart_s : float
         Time until it comes back from such a crash, seconds.
     """
@@ -80,6 +82,7 @@
         self.poisoned = []
         self.begun = []
         self.restart_s = 1.0
+        self.checks_positions = True
         self._boots = itertools.count(1)
         self._restart()
 
@@ -152,7 +155,7 @@
             if len(self.positions) >= self.ep.max_streams:
                 return 'busy'
             return ''
-        if step.position != last + 1:
+        if self.checks_positions and step.position != last + 1:
             return 'out of order'
         return ''
 
--- a/sniperudder/testing/_faults.py
+++ b/sniperudder/testing/_faults.py
@@ -73,9 +73,19 @@
     return [f'ep-{first}-{n}' for first in _STAGES for n in range(copies)]
 
 
-def draw_plan(seed):
+def draw_plan(seed, kinds=tuple(FaultKind), durations_s=(0.1, 6.0), most=8):
     """Return the plan of a seed.
 
+    Parameters
+    ----------
+    seed : int
+    kinds : tuple of FaultKind
+        Kinds of faults to draw from.
+    durations_s : tuple of float
+        Shortest and longest duration of a fault, seconds.
+    most : int
+        Largest number of faults.
+
     Examples
     --------
     >>> draw_plan(7) == draw_plan(7)
@@ -83,7 +93,10 @@
     """
     rng = random.Random(seed)
     callers = [_draw_caller(rng) for _ in range(rng.randint(1, 40))]
-    faults = [_draw_fault(rng) for _ in range(rng.randint(0, 8))]
+    faults = [
+        _draw_fault(rng, kinds, durations_s)
+        for _ in range(rng.randint(0, most))
+    ]
     return StreamPlan(seed, tuple(callers), tuple(faults))
 
 
@@ -100,13 +113,13 @@
     )
 
 
-def _draw_fault(rng):
+def _draw_fault(rng, kinds, durations_s):
     return Fault(
         rng.uniform(0, _FAULTS_UNTIL_S),
-        rng.choice(list(FaultKind)),
+        rng.choice(kinds),
         rng.choice(list_endpoints()),
         f'entry-{rng.randrange(2)}',
-        rng.uniform(0.1, 6.0),
+        rng.uniform(*durations_s),
     )
 
 
@@ -213,6 +226,9 @@
         ep.name: FakeEngine(clock, ep, Speed())
         for ep in _create_endpoints(copies, streams)
     }
+    # Half of the engines run whatever they are told to.
+    for name in engines:
+        engines[name].checks_positions = not name.endswith('1')
     return StreamFleet(clock, cores, engines, lag_s)
 
 
--- a/standins/streams.py
+++ b/standins/streams.py
@@ -117,6 +117,9 @@
     def _start(self, step):
         if not step['prefill']:
             raise Refused('not_run', 'the attempt is not held')
+        expires_at = step.get('expires_at')
+        if expires_at is not None and time.time() > expires_at:
+            raise Refused('not_run', 'the attempt came too late')
         old = self._streams.get(step['request'])
         held = self.count() - bool(old and not old.ended)
         if held >= self._options.max_streams:
