--- /dev/null
+++ b/measurements/_entries.py
@@ -0,0 +1,102 @@
+"""Entry instances and stand-ins as processes, for measurements."""
+
+import contextlib
+import json
+import os
+import pathlib
+import tempfile
+import time
+
+import urllib3
+
+from scenarios import _processes
+from scenarios import _settings
+from scenarios import parse_scenario
+
+_READY_S = 20.0
+_LOOK_S = 0.1
+_PAGE_BYTES = os.sysconf('SC_PAGE_SIZE')
+_TICKS_PER_S = os.sysconf('SC_CLK_TCK')
+
+KEY = _settings.make_key('studio', 'middle')
+
+
+@contextlib.contextmanager
+def run_fleet(text):
+    """Run the processes that a scenario defines until the block ends.
+
+    Parameters
+    ----------
+    text : str
+        Definitions in the language of docs/SCENARIOS.md.
+
+    Yields
+    ------
+    scenarios._processes.Fleet
+    """
+    scenario = parse_scenario(text, 'measurement')
+    with tempfile.TemporaryDirectory(dir='/dev/shm') as folder:
+        fleet = _processes.Fleet(scenario, pathlib.Path(folder))
+        try:
+            fleet.start_standins()
+            for name in fleet.start_entries():
+                _await_ready(fleet, name)
+            yield fleet
+        finally:
+            fleet.end()
+
+
+def _await_ready(fleet, name):
+    url = f'http://{fleet.addresses[f"{name}/callers"]}/readyz'
+    until = time.monotonic() + _READY_S
+    while time.monotonic() < until:
+        with contextlib.suppress(urllib3.exceptions.HTTPError):
+            if urllib3.request('GET', url, retries=False).status == 200:
+                return
+        time.sleep(_LOOK_S)
+    raise RuntimeError(f'{name} is not ready: {fleet.read_errors(name)}')
+
+
+def read_cpu_s(pid):
+    """Return the processor time that a process has used, seconds."""
+    stat = pathlib.Path(f'/proc/{pid}/stat').read_text()
+    fields = stat.rpartition(')')[2].split()
+    return (int(fields[11]) + int(fields[12])) / _TICKS_PER_S
+
+
+def read_memory_mb(pid):
+    """Return the resident memory of a process, MB."""
+    statm = pathlib.Path(f'/proc/{pid}/statm').read_text()
+    return int(statm.split()[1]) * _PAGE_BYTES / 1e6
+
+
+def send_chain(pool, engines, name):
+    """Send the steps of one token straight to engines.
+
+    Parameters
+    ----------
+    pool : urllib3.PoolManager
+    engines : list of tuple
+        Address, first layer and end layer of each.
+    name : str
+        Of the request.
+    """
+    payload = 'linen or wool'
+    for address, first, end in engines:
+        step = {
+            'request': name,
+            'attempt': 1,
+            'position': 0,
+            'first_layer': first,
+            'end_layer': end,
+            'model': 'demo',
+            'version': '1',
+            'rank': 1,
+            'prefill': True,
+            'payload': payload,
+            'last': address == engines[-1][0],
+            'deadline_s': 60.0,
+        }
+        body = json.dumps({'steps': [step]}).encode()
+        reply = pool.request('POST', f'http://{address}/v1/steps', body=body)
+        payload = json.loads(reply.data)['results'][0]['output']
--- a/scenarios/_processes.py
+++ b/scenarios/_processes.py
@@ -210,6 +210,10 @@
                 env=os.environ | {_settings.PEER_KEY_VARIABLE: _PEER_KEY},
             )
 
+    def find_pid(self, name):
+        """Return the number of a process of this fleet."""
+        return self._processes[name].pid
+
     def read_errors(self, name):
         """Return the end of what a process wrote as errors."""
         text = (self._folder / f'{name}.err').read_text()
--- a/scenarios/_settings.py
+++ b/scenarios/_settings.py
@@ -8,6 +8,7 @@
 
 _RANKS = ('urgent', 'middle', 'least')
 _ACCELERATOR = 'standin'
+_THREADS = 512
 DATA_CENTRE = 'here'
 OPERATOR_KEY = 'operator-key'
 PEER_KEY_VARIABLE = 'SNIPERUDDER_PEER_KEY'
@@ -45,7 +46,7 @@
             'caller_address': addresses[f'{name}/callers'],
             'admin_address': addresses[f'{name}/admin'],
             'peer_address': addresses[f'{name}/peers'],
-            'threads': 256,
+            'threads': _THREADS,
             'log': log,
             'peer_key_env': PEER_KEY_VARIABLE,
         },
