Serve as many callers at once as the settings say

Cause: cheroot's pool starts numthreads workers and grows only when told to; with min(threads, 16) an entry answered 16 callers at once and the others waited unseen. Ruled out: endpoints' limits (512 streams each). Change: start all threads at once.

--- a/measurements/_entries.py
+++ b/measurements/_entries.py
@@ -22,13 +22,15 @@
 
 
 @contextlib.contextmanager
-def run_fleet(text):
+def run_fleet(text, module='sniperudder'):
     """Run the processes that a scenario defines until the block ends.
 
     Parameters
     ----------
     text : str
         Definitions in the language of docs/SCENARIOS.md.
+    module : str
+        What the entry instances run.
 
     Yields
     ------
@@ -36,7 +38,7 @@
     """
     scenario = parse_scenario(text, 'measurement')
     with tempfile.TemporaryDirectory(dir='/dev/shm') as folder:
-        fleet = _processes.Fleet(scenario, pathlib.Path(folder))
+        fleet = _processes.Fleet(scenario, pathlib.Path(folder), module)
         try:
             fleet.start_standins()
             for name in fleet.start_entries():
--- a/measurements/entry.py
+++ b/measurements/entry.py
@@ -25,7 +25,7 @@
 organisation studio
 """
 _STREAMS = (50, 100, 200, 400)
-_STEP_MS = 10
+STEP_MS = 10
 _WARM_S = 3.0
 _WINDOW_S = 4.0
 _PAUSE_S = 1.5
@@ -34,12 +34,12 @@
 _DIRECT = 500
 
 
-def _define_fleet(entries, step_ms):
+def define_fleet(entries, step_ms):
     lines = [f'entry entry-{i}' for i in range(1, entries + 1)]
     return _CHAIN.format(step_ms=step_ms) + '\n'.join(lines) + '\n'
 
 
-def _make_completion(tokens, stream):
+def make_completion(tokens, stream):
     body = {
         'model': 'demo',
         'prompt': 'linen or wool',
@@ -61,10 +61,10 @@
     """Return rows of requests and orders through one entry."""
     rows = []
     order = _readers.Call('/services/swatches', _entries.KEY, {'yards': 3})
-    with _entries.run_fleet(_define_fleet(1, 0)) as fleet:
+    with _entries.run_fleet(define_fleet(1, 0)) as fleet:
         rows.append(_measure_direct(fleet))
         for count in _CALLERS:
-            call = _make_completion(1, False)
+            call = make_completion(1, False)
             rows.append(_measure_calls(fleet, 'completion', call, count))
         for count in _CALLERS:
             rows.append(_measure_calls(fleet, 'order', order, count))
@@ -111,7 +111,7 @@
 def measure_streams():
     """Return a row for each number of open streams."""
     rows = []
-    with _entries.run_fleet(_define_fleet(1, _STEP_MS)) as fleet:
+    with _entries.run_fleet(define_fleet(1, STEP_MS)) as fleet:
         memory = _entries.read_memory_mb(fleet.find_pid('entry-1'))
         rows.append([0, '', '', '', '', '', '', f'{memory:.0f}', 0])
         for count in _STREAMS:
@@ -124,7 +124,7 @@
     reader = _readers.Reader(fleet.addresses['entry-1/callers'])
     pid = fleet.find_pid('entry-1')
     for _ in range(count):
-        reader.open_caller(_make_completion(30000, True))
+        reader.open_caller(make_completion(30000, True))
     warm = reader.run(_WARM_S)
     cpu_s = _entries.read_cpu_s(pid)
     counts = reader.run(_WINDOW_S)
@@ -145,7 +145,7 @@
 def measure_idle():
     """Return the share of a core that each of three idle entries uses."""
     names = ('entry-1', 'entry-2', 'entry-3')
-    with _entries.run_fleet(_define_fleet(len(names), 0)) as fleet:
+    with _entries.run_fleet(define_fleet(len(names), 0)) as fleet:
         pids = [fleet.find_pid(name) for name in names]
         before = [_entries.read_cpu_s(pid) for pid in pids]
         time.sleep(_IDLE_S)
--- a/scenarios/_processes.py
+++ b/scenarios/_processes.py
@@ -30,6 +30,8 @@
     scenario : Scenario
     folder : pathlib.Path
         For settings and logs.
+    module : str
+        What the entry instances run.
 
     Attributes
     ----------
@@ -39,8 +41,9 @@
         Processes that were ever killed, or ended by themselves.
     """
 
-    def __init__(self, scenario, folder):
+    def __init__(self, scenario, folder, module='sniperudder'):
         self._scenario = scenario
+        self._module = module
         self._folder = folder
         self._processes = {}
         self.killed = set()
@@ -197,7 +200,7 @@
                 self._scenario, name, self.addresses, str(log)
             )
         )
-        return self._spawn(name, ['-m', 'sniperudder', 'serve', str(path)])
+        return self._spawn(name, ['-m', self._module, 'serve', str(path)])
 
     def _spawn(self, name, arguments, stdout=None):
         errors = (self._folder / f'{name}.err').open('ab')
@@ -214,10 +217,10 @@
         """Return the number of a process of this fleet."""
         return self._processes[name].pid
 
-    def read_errors(self, name):
-        """Return the end of what a process wrote as errors."""
+    def read_errors(self, name, shown=_SHOWN_ERRORS):
+        """Return the last characters that a process wrote as errors."""
         text = (self._folder / f'{name}.err').read_text()
-        return text[-_SHOWN_ERRORS:].strip()
+        return text[-shown:].strip()
 
     def signal(self, name, number):
         """Send a signal to a process of this fleet."""
--- a/sniperudder/callers/_server.py
+++ b/sniperudder/callers/_server.py
@@ -61,7 +61,7 @@
     server = wsgi.Server(
         (host, int(port)),
         application,
-        numthreads=min(threads, 16),
+        numthreads=threads,
         max=threads,
         request_queue_size=_BACKLOG,
         timeout=_READ_TIMEOUT_S,
