Take in all answers of one call under one hold of the lock

Cause: each answer of a call took and gave back the runtime's lock, so that the threads of callers and of other engines came in between. Change: Runtime.submit_all, also for slot messages of peers.

--- a/sniperudder/instance/_engines.py
+++ b/sniperudder/instance/_engines.py
@@ -49,8 +49,7 @@
             if not ready:
                 continue
             answers = self.client.send_steps(self.ep, ready, self.timeout_s)
-            for answer in answers:
-                self.runtime.submit(answer)
+            self.runtime.submit_all(answers)
 
     def _may_send(self, step):
         # Only the first step of an attempt gives out new work.
--- a/sniperudder/instance/_runtime.py
+++ b/sniperudder/instance/_runtime.py
@@ -58,6 +58,12 @@
                 result = [_note_broken(exc)]
             self._route(result)
 
+    def submit_all(self, inps):
+        """Give inputs to the core while nothing else comes between."""
+        with self.lock:
+            for inp in inps:
+                self.submit(inp)
+
     def answer_beat(self, beat):
         """Take in a peer's heartbeat and return the answer to it."""
         with self.lock:
@@ -70,9 +76,9 @@
 
     def take_posts(self, sender, messages):
         """Take in messages about slots from another entry."""
-        with self.lock:
-            for message in messages:
-                self.submit(inputs.PostArrived(sender, message))
+        self.submit_all(
+            [inputs.PostArrived(sender, message) for message in messages]
+        )
 
     def leave(self):
         """Take this instance out of the members; it gives out no work."""
