Look at the headers of an answer once, not for each step

Cause: the profile showed 20,000 header look-ups for 16,500 steps of 768 calls, and each result's key made four times. Change: a refused call is told before its results are read; results are counted only where two have one key.

--- a/sniperudder/endpoints/_http.py
+++ b/sniperudder/endpoints/_http.py
@@ -43,6 +43,13 @@
                 )
                 for step in steps
             ]
+        if reply.not_run:
+            # The engine takes no calls at all, which counts against it.
+            detail = f'refused with {reply.status}'
+            return [
+                _make_failure(ep, step, reply.call, _NOT_SENT, detail)
+                for step in steps
+            ]
         results = _index_results(reply)
         return [_read_result(ep, step, reply, results) for step in steps]
 
@@ -108,12 +115,11 @@
     value = _decode(reply)
     try:
         listed = value['results']
+        results = {_make_key(result): result for result in listed}
+        if len(results) == len(listed):
+            return results
         counts = collections.Counter(_make_key(result) for result in listed)
-        return {
-            _make_key(result): result
-            for result in listed
-            if counts[_make_key(result)] == 1
-        }
+        return {key: results[key] for key in results if counts[key] == 1}
     except (KeyError, TypeError):
         return {}
 
@@ -127,10 +133,6 @@
 
 
 def _read_result(ep, step, reply, results):
-    if reply.not_run:
-        # The engine takes no calls at all, which counts against it.
-        detail = f'refused with {reply.status}'
-        return _make_failure(ep, step, reply.call, _NOT_SENT, detail)
     result = results.get(_make_step_key(step))
     if result is None:
         detail = f'no result in an answer of {reply.status}'
