--- a/sniperudder/callers/_answers.py
+++ b/sniperudder/callers/_answers.py
@@ -1,6 +1,7 @@
 """The form of answers: JSON bodies and server-sent events."""
 
 import json
+import uuid
 
 from sniperudder import outcomes
 
@@ -87,6 +88,32 @@
     }
 
 
+class PieceRenderer:
+    """Renders the tokens of one answer as server-sent events.
+
+    Parameters
+    ----------
+    request : str
+    prompt : Prompt
+
+    Notes
+    -----
+    All but the token is the same in each event and is rendered once.
+    """
+
+    __slots__ = ('_head', '_end')
+
+    def __init__(self, request, prompt):
+        # A piece around a token whose text stands nowhere else in it.
+        token = uuid.uuid4().hex
+        event = render_event(render_piece(request, prompt, token))
+        self._head, _, self._end = event.partition(f'"{token}"'.encode())
+
+    def render(self, token):
+        """Return the event that carries a token."""
+        return b''.join((self._head, json.dumps(token).encode(), self._end))
+
+
 def render_whole(request, prompt, tokens, reason):
     """Return the body of an answer that is not streamed."""
     text = ''.join(tokens)
--- a/sniperudder/callers/_application.py
+++ b/sniperudder/callers/_application.py
@@ -176,13 +176,11 @@
 
     def _iterate(self, prompt, reply):
         count = 0
+        renderer = _answers.PieceRenderer(self.request, prompt)
         try:
             while isinstance(reply, effects.EmitToken):
                 count += 1
-                piece = _answers.render_piece(
-                    self.request, prompt, reply.token
-                )
-                yield _answers.render_event(piece)
+                yield renderer.render(reply.token)
                 reply = self._next()
             yield from self._end_stream(prompt, reply.outcome, count)
             reply = None
