Record the times between tokens of an answer in groups

Cause: finding the series of a time took longer than recording it. Change: an answer keeps up to 32 times and records them together, the rest as it ends or its caller leaves; metrics.record_times.

--- a/sniperudder/callers/_application.py
+++ b/sniperudder/callers/_application.py
@@ -14,6 +14,8 @@
 # How often a waiting thread looks whether its caller has left.
 _LOOK_S = 0.25
 _BODY_BYTES = 1024 * 1024
+# Times between tokens that an answer keeps before it records them.
+_GAPS_KEPT = 32
 _JSON = ('Content-Type', 'application/json')
 
 
@@ -38,17 +40,17 @@
         'find_key',
         'render_metrics',
         'is_ready',
-        'record_latency',
+        'record_latencies',
     )
 
     def __init__(
-        self, runtime, find_key, render_metrics, is_ready, record_latency
+        self, runtime, find_key, render_metrics, is_ready, record_latencies
     ):
         self.runtime = runtime
         self.find_key = find_key
         self.render_metrics = render_metrics
         self.is_ready = is_ready
-        self.record_latency = record_latency
+        self.record_latencies = record_latencies
 
     def __call__(self, environ, start_response):
         request = uuid.uuid4().hex
@@ -149,6 +151,7 @@
         'connection',
         'began_at',
         'last_at',
+        'gaps_s',
     )
 
     def __init__(self, app, caller, request, replies, environ):
@@ -159,6 +162,7 @@
         self.connection = environ.get(_server.CONNECTION)
         self.began_at = app.runtime.read_clock()
         self.last_at = None
+        self.gaps_s = []
 
     def stream(self, prompt, start_response):
         """Return the iterable of a streamed answer."""
@@ -231,24 +235,35 @@
                     # The core answers with the request's last reply.
                     self._leave()
                 continue
-            self._record(reply)
+            self._note_time(reply)
             return reply
 
-    def _record(self, reply):
+    def _note_time(self, reply):
         now = self.app.runtime.read_clock()
-        last_at = self.last_at
-        self.last_at = now
         if isinstance(reply, effects.Finish):
-            name, since = 'total', self.began_at
-        elif last_at is None:
-            name, since = 'first_token', self.began_at
+            self._record_gaps()
+            self._record('total', [now - self.began_at])
+        elif self.last_at is None:
+            self._record('first_token', [now - self.began_at])
         else:
-            name, since = 'next_token', last_at
-        self.app.record_latency(
-            self.caller.rank, self.caller.organisation, name, now - since
+            self.gaps_s.append(now - self.last_at)
+            if len(self.gaps_s) >= _GAPS_KEPT:
+                self._record_gaps()
+        self.last_at = now
+
+    def _record_gaps(self):
+        if self.gaps_s:
+            self._record('next_token', self.gaps_s)
+            self.gaps_s = []
+
+    def _record(self, name, spans_s):
+        caller = self.caller
+        self.app.record_latencies(
+            caller.rank, caller.organisation, name, spans_s
         )
 
     def _leave(self):
+        self._record_gaps()
         self.app.runtime.submit(inputs.CallerLeft(self.request))
 
 
@@ -257,11 +272,11 @@
     find_key,
     render_metrics=lambda: '',
     is_ready=lambda: '',
-    record_latency=lambda *args: None,
+    record_latencies=lambda *args: None,
 ):
     """Return the callers' application of an instance."""
     return Application(
-        runtime, find_key, render_metrics, is_ready, record_latency
+        runtime, find_key, render_metrics, is_ready, record_latencies
     )
 
 
--- a/sniperudder/instance/_assembly.py
+++ b/sniperudder/instance/_assembly.py
@@ -109,7 +109,7 @@
         lambda presented: settings_module.find_key(settings, presented),
         lambda: _render_metrics(runtime, M),
         lambda: _explain_unready(runtime),
-        lambda *args: _record_latency(M, *args),
+        lambda *args: _record_latencies(M, *args),
     )
     server = callers.create_server(
         mine.caller_address, application, mine.threads
@@ -238,8 +238,8 @@
 }
 
 
-def _record_latency(M, rank, organisation, name, seconds):
-    metrics.record_time(M, _TIMINGS[name], rank, organisation, seconds)
+def _record_latencies(M, rank, organisation, name, spans_s):
+    metrics.record_times(M, _TIMINGS[name], rank, organisation, spans_s)
 
 
 def _render_metrics(runtime, M):
--- a/sniperudder/metrics/__init__.py
+++ b/sniperudder/metrics/__init__.py
@@ -5,6 +5,7 @@
 from sniperudder.metrics._metrics import Metrics
 from sniperudder.metrics._metrics import read_quantile
 from sniperudder.metrics._metrics import record_time
+from sniperudder.metrics._metrics import record_times
 from sniperudder.metrics._metrics import set_gauge
 from sniperudder.metrics._metrics import Timing
 from sniperudder.metrics._prometheus import render_metrics
@@ -16,6 +17,7 @@
     'create_metrics',
     'read_quantile',
     'record_time',
+    'record_times',
     'render_metrics',
     'set_gauge',
 ]
--- a/sniperudder/metrics/_metrics.py
+++ b/sniperudder/metrics/_metrics.py
@@ -119,12 +119,28 @@
     seconds : float
         Times above an hour count as an hour.
     """
-    value_us = round(seconds * _US_PER_S)
-    value_us = min(max(value_us, _LOWEST_US), _HIGHEST_US)
+    record_times(M, timing, rank, organisation, (seconds,))
+
+
+def record_times(M, timing, rank, organisation, spans_s):
+    """Record spans of time of one series.
+
+    Parameters
+    ----------
+    M : Metrics
+    timing : Timing
+    rank : sniperudder.tables.Rank
+    organisation : str
+    spans_s : sequence of float
+        Seconds; as for ``record_time``.
+    """
     with M.lock:
         times = _find_times(M, timing, rank, organisation)
-        times.histogram.record_value(value_us)
-        times.total_s += seconds
+        for span_s in spans_s:
+            value_us = round(span_s * _US_PER_S)
+            value_us = min(max(value_us, _LOWEST_US), _HIGHEST_US)
+            times.histogram.record_value(value_us)
+            times.total_s += span_s
 
 
 def _find_times(M, timing, rank, organisation):
