--- a/measurements/home.py
+++ b/measurements/home.py
@@ -98,6 +98,18 @@
     return rows
 
 
+def measure_tables():
+    """Return rows of the memory of all endpoints by their number."""
+    rows = []
+    for own, total in ((30, 30), (750, 3000), (750, 12000)):
+        tracemalloc.start()
+        T = _create_home(own, total)
+        memory_b = tracemalloc.get_traced_memory()[0]
+        tracemalloc.stop()
+        rows.append([len(T.endpoints), f'{memory_b / 1e6:.2f}'])
+    return rows
+
+
 def measure_tickets():
     """Return rows of the cost of held slots by their number."""
     rows = []
@@ -135,6 +147,7 @@
     """Print the tables."""
     columns = ('endpoints of the model', 'of all', 'us_slot')
     print(queries.render_grid(columns, measure_slots()))
+    print(queries.render_grid(('endpoints', 'memory_mb'), measure_tables()))
     columns = ('slots held', 'us_holdings', 'us_tick', 'bytes_slot')
     print(queries.render_grid(columns, measure_tickets()))
     print(queries.render_grid(('instances', 'us_choice'), measure_choice()))
