Let urgent work take the fastest chain that gives way

Cause: in a flood of the least rank every slot is taken, the youngest stream gave way wherever it ran, and a slot that became free on a slow chain was taken although a least stream held a fast one. An urgent first token then waited for iterations of the slow endpoints. Ruled out: the messages of a revocation (about 2 ms of virtual time).

Change: the victim is a stream on the fastest chain, the youngest of those; a free chain is left for a revocable one that takes at most 0.75 of its time, for 0.1 s at most. A first try compared chains with their streams counted and made urgent work drive streams off chains of the same speed; the test of the slow chain showed it.

--- a/sniperudder/systems/dispatch/_grants.py
+++ b/sniperudder/systems/dispatch/_grants.py
@@ -79,18 +79,27 @@
             result.extend(deny_ticket(T, ticket, code, None, now))
             return Granting(result, done=True)
         chain = _choose_chain(T, ticket, now)
-        if chain is not None:
-            result.extend(_grant(T, ticket, chain, now))
-            return Granting(result, done=True)
-        victim = _victims.find_victim(T, ticket, find_floor)
+        victim = _find_victim(T, ticket, chain)
         if victim is not None:
             result.extend(_victims.revoke_slot(T, victim, now))
             continue
+        if chain is not None:
+            if _victims.awaits_faster(T, ticket, chain, now):
+                continue
+            result.extend(_grant(T, ticket, chain, now))
+            return Granting(result, done=True)
         if not suspicion.is_suspect(T, ticket.fingerprint):
             full.add(ticket.model)
     return Granting(result, done=False)
 
 
+def _find_victim(T, ticket, chain):
+    victim = _victims.find_victim(T, ticket, find_floor)
+    if victim is None or chain is None:
+        return victim
+    return victim if _victims.is_faster(T, victim, chain) else None
+
+
 def _choose_chain(T, ticket, now):
     model = T.models[ticket.model]
     if not suspicion.is_suspect(T, ticket.fingerprint):
--- a/sniperudder/systems/dispatch/_placements.py
+++ b/sniperudder/systems/dispatch/_placements.py
@@ -9,7 +9,7 @@
 
 from sniperudder import tables
 
-_DEFAULT_STEP_S = 0.02
+DEFAULT_STEP_S = 0.02
 
 
 class Placement(abc.ABC):
@@ -146,6 +146,6 @@
 
 def expect_step(ep):
     """Return the expected time of a step with one more stream."""
-    step_s = ep.step_s or _DEFAULT_STEP_S
+    step_s = ep.step_s or DEFAULT_STEP_S
     streams = max(ep.streams, ep.reported_streams)
     return step_s * (1 + streams / ep.max_streams)
--- a/sniperudder/systems/dispatch/_victims.py
+++ b/sniperudder/systems/dispatch/_victims.py
@@ -2,6 +2,7 @@
 
 from sniperudder import messages
 from sniperudder.systems.dispatch import _chains
+from sniperudder.systems.dispatch import _placements
 from sniperudder.systems.dispatch import _posts
 from sniperudder import tables
 
@@ -10,12 +11,17 @@
 # Each urgent ticket that waits asks for one stream to give way; an
 # entry that does not answer is asked again after this time.
 _REVOKED_S = 1.0
+# A free chain is left for a busy one that takes at most this share of
+# its time, while the stream there may still be giving way.
+_FASTER_SHARE = 0.75
+_FASTER_WAIT_S = 0.1
 
 
 def find_victim(T, ticket, find_floor):
     """Return the granted ticket that gives way, or None.
 
-    The youngest stream of the least rank has the least to lose.
+    Of the streams of the least rank it is one on the fastest chain;
+    among those the youngest has the least to lose.
 
     Parameters
     ----------
@@ -44,7 +50,36 @@
         and other.yields < _YIELDS_ALLOWED
         and _is_reusable(T, other, ticket)
     ]
-    return max(victims, key=lambda v: v.granted_at, default=None)
+    return min(
+        victims,
+        key=lambda v: (_time_chain(T, v.chain), -v.granted_at),
+        default=None,
+    )
+
+
+def is_faster(T, victim, chain):
+    """Return whether a victim's chain is worth more than a free one."""
+    busy_s = _time_chain(T, victim.chain)
+    return busy_s <= _FASTER_SHARE * _time_chain(T, chain)
+
+
+def awaits_faster(T, ticket, chain, now):
+    """Return whether urgent work had better wait for a revoked slot."""
+    if ticket.rank is not tables.Rank.URGENT:
+        return False
+    return any(
+        now - at < _FASTER_WAIT_S
+        and request in T.granted
+        and _is_reusable(T, T.granted[request], ticket)
+        and is_faster(T, T.granted[request], chain)
+        for request, at in T.revoked.items()
+    )
+
+
+def _time_chain(T, chain):
+    # Without the streams on it, which the victim is one of.
+    eps = [T.endpoints[stage.endpoint] for stage in chain]
+    return sum(ep.step_s or _placements.DEFAULT_STEP_S for ep in eps)
 
 
 def revoke_slot(T, ticket, now):
