--- a/sniperudder/systems/dispatch/_homes.py
+++ b/sniperudder/systems/dispatch/_homes.py
@@ -31,7 +31,10 @@
     code = _find_denial(T, ask)
     if code is not None:
         return _deny(T, sender, ask, code, _RETRY_MIN_S, now)
-    wait_s = _waits.expect_wait(T, ask, now)
+    if not ask.again and _queues.is_over_share(T, ask):
+        code = outcomes.Code.QUEUE_FULL
+        return _deny(T, sender, ask, code, _RETRY_MIN_S, now)
+    wait_s = _waits.expect_wait(T, ask, now, _grants.find_floor)
     if wait_s > ask.max_wait_s:
         code = outcomes.Code.TARGET_UNREACHABLE
         return _deny(T, sender, ask, code, wait_s, now)
--- a/sniperudder/systems/dispatch/_queues.py
+++ b/sniperudder/systems/dispatch/_queues.py
@@ -12,6 +12,7 @@
 """
 
 import collections
+import math
 
 from sniperudder import tables
 
@@ -50,6 +51,54 @@
     T.queued[ticket.rank] += 1
 
 
+def is_over_share(T, ask):
+    """Return whether the asking organisation fills its part of a queue.
+
+    The queue of a rank is split evenly among the organisations that
+    queue in it, so that the one which fills it is told at once.
+    """
+    queues = T.queues[ask.rank]
+    active = len(queues) + (ask.organisation not in queues)
+    own = len(queues.get(ask.organisation, ()))
+    return own * active >= T.policy.ranks[ask.rank].max_queued
+
+
+def count_ahead(T, ask):
+    """Return how many queued tickets fair queueing serves first.
+
+    Every ticket is taken to need as much work as the one that asks.
+
+    Notes
+    -----
+    O(n) in the number of organisations with queued work.
+    """
+    rank = ask.rank
+    queues = T.queues[rank]
+    own = len(queues.get(ask.organisation, ()))
+    work = max(ask.work, 1.0)
+    start = _find_start(T, ask.organisation, rank)
+    start += own * work / _find_weight(T, ask.organisation)
+    ahead = float(own)
+    for name, queue in queues.items():
+        if name == ask.organisation:
+            continue
+        lead = (start - T.organisations[name].finish[rank]) / work
+        turns = math.floor(lead * _find_weight(T, name)) + 1
+        ahead += min(len(queue), max(0, turns))
+    return ahead
+
+
+def _find_start(T, name, rank):
+    org = get_organisation(T, name)
+    if name in T.queues[rank]:
+        return org.finish[rank]
+    return max(org.finish.get(rank, 0.0), T.virtual[rank])
+
+
+def _find_weight(T, name):
+    return T.config.weights.get(name, get_organisation(T, name).weight)
+
+
 def remove_ticket(T, ticket):
     """Take a ticket out of its queue."""
     queues = T.queues[ticket.rank]
@@ -84,7 +133,7 @@
         Tokens; negative where too much was charged before.
     """
     org = get_organisation(T, ticket.organisation)
-    weight = T.config.weights.get(org.name, org.weight)
+    weight = _find_weight(T, org.name)
     before = org.finish.get(ticket.rank, 0.0)
     org.finish[ticket.rank] = before + work / weight
     ticket.charged += work
--- a/sniperudder/tables/_tickets.py
+++ b/sniperudder/tables/_tickets.py
@@ -53,18 +53,18 @@
 
 @dataclasses.dataclass(slots=True)
 class GrantRate:
-    """How often slots were granted lately.
+    """How much work was granted lately.
 
     Attributes
     ----------
-    count : float
-        Number of grants, older ones counted less.
+    work : float
+        Work of the grants, tokens, older ones counted less.
     at : float
-        When ``count`` was last updated, seconds.
+        When ``work`` was last updated, seconds.
     since : float
         When the rank last had an empty queue, seconds.
     """
 
-    count: float = 0.0
+    work: float = 0.0
     at: float = 0.0
     since: float = 0.0
