--- a/sniperudder/systems/dispatch/_chains.py
+++ b/sniperudder/systems/dispatch/_chains.py
@@ -101,6 +101,15 @@
     )
 
 
+def expect_speed(T, chain):
+    """Return the tokens a second of a chain with one stream."""
+    eps = [T.endpoints.get(stage.endpoint) for stage in chain]
+    time_s = sum(
+        ep.step_s or _placements.DEFAULT_STEP_S for ep in eps if ep is not None
+    )
+    return 1.0 / time_s if time_s else 0.0
+
+
 def is_chain_whole(chain, layers):
     """Return whether stages tile ``[0, layers)`` without gap or overlap.
 
--- a/sniperudder/systems/dispatch/_grants.py
+++ b/sniperudder/systems/dispatch/_grants.py
@@ -50,16 +50,25 @@
 
 def _choose_rank(T, blocked):
     # Ranks below their floor go first; then the most urgent.
-    total = sum(T.running.values()) + 1
     waiting = [r for r in tables.RANKS if T.queues[r] and r not in blocked]
     for rank in waiting:
-        if T.running[rank] < find_floor(T, rank) * total:
+        if is_below_floor(T, rank):
             return rank
     return waiting[0] if waiting else None
 
 
+def is_below_floor(T, rank):
+    """Return whether a rank holds less than its floor.
+
+    Slots are weighed by speed, since a rank with its share of them on
+    slow endpoints alone would not have its share of the tokens.
+    """
+    total = sum(T.speeds.values())
+    return T.speeds[rank] < find_floor(T, rank) * total
+
+
 def find_floor(T, rank):
-    """Return the share of the slots that a rank keeps."""
+    """Return the share of the fleet's speed that a rank keeps."""
     return T.config.floors.get(rank, T.policy.ranks[rank].floor)
 
 
@@ -140,6 +149,8 @@
     ticket.seen_at = now
     T.granted[ticket.request] = ticket
     T.running[ticket.rank] += 1
+    ticket.speed = _chains.expect_speed(T, chain)
+    T.speeds[ticket.rank] += ticket.speed
     for stage in chain:
         ep = T.endpoints.get(stage.endpoint)
         if ep is not None:
@@ -162,6 +173,10 @@
         if ep is not None:
             ep.streams -= 1
     T.running[ticket.rank] -= 1
+    T.speeds[ticket.rank] -= ticket.speed
+    if not T.running[ticket.rank]:
+        # Leaves no rest of rounding behind.
+        T.speeds[ticket.rank] = 0.0
     del T.granted[ticket.request]
     ticket.chain = ()
 
--- a/sniperudder/systems/dispatch/_victims.py
+++ b/sniperudder/systems/dispatch/_victims.py
@@ -2,7 +2,6 @@
 
 from sniperudder import messages
 from sniperudder.systems.dispatch import _chains
-from sniperudder.systems.dispatch import _placements
 from sniperudder.systems.dispatch import _posts
 from sniperudder import tables
 
@@ -11,8 +10,8 @@
 # Each urgent ticket that waits asks for one stream to give way; an
 # entry that does not answer is asked again after this time.
 _REVOKED_S = 1.0
-# A free chain is left for a busy one that takes at most this share of
-# its time, while the stream there may still be giving way.
+# A free chain is left for a busy one where it gives at most this
+# share of its speed, while the stream there may still be giving way.
 _FASTER_SHARE = 0.75
 _FASTER_WAIT_S = 0.1
 
@@ -38,29 +37,31 @@
     if ticket.rank is not tables.Rank.URGENT:
         return None
     least = tables.Rank.LEAST
-    kept = find_floor(T, least) * sum(T.running.values())
-    if T.running[least] - 1 < kept or _has_pending(T):
+    if _has_pending(T):
         return None
+    kept = find_floor(T, least) * sum(T.speeds.values())
+    spare = T.speeds[least] - kept
     victims = [
         other
         for other in T.granted.values()
         if other.rank is least
+        and other.speed <= spare
         and other.model == ticket.model
         and other.request not in T.revoked
         and other.yields < _YIELDS_ALLOWED
         and _is_reusable(T, other, ticket)
     ]
-    return min(
+    return max(
         victims,
-        key=lambda v: (_time_chain(T, v.chain), -v.granted_at),
+        key=lambda v: (v.speed, v.granted_at),
         default=None,
     )
 
 
 def is_faster(T, victim, chain):
     """Return whether a victim's chain is worth more than a free one."""
-    busy_s = _time_chain(T, victim.chain)
-    return busy_s <= _FASTER_SHARE * _time_chain(T, chain)
+    free = _chains.expect_speed(T, chain)
+    return free <= _FASTER_SHARE * victim.speed
 
 
 def awaits_faster(T, ticket, chain, now):
@@ -70,18 +71,11 @@
     return any(
         now - at < _FASTER_WAIT_S
         and request in T.granted
-        and _is_reusable(T, T.granted[request], ticket)
         and is_faster(T, T.granted[request], chain)
         for request, at in T.revoked.items()
     )
 
 
-def _time_chain(T, chain):
-    # Without the streams on it, which the victim is one of.
-    eps = [T.endpoints[stage.endpoint] for stage in chain]
-    return sum(ep.step_s or _placements.DEFAULT_STEP_S for ep in eps)
-
-
 def revoke_slot(T, ticket, now):
     """Ask an entry to give a slot back."""
     T.revoked[ticket.request] = now
--- a/sniperudder/tables/_tables.py
+++ b/sniperudder/tables/_tables.py
@@ -222,6 +222,7 @@
     next_sweep_at: float = float('-inf')
     virtual: dict = dataclasses.field(default_factory=dict)
     running: dict = dataclasses.field(default_factory=dict)
+    speeds: dict = dataclasses.field(default_factory=dict)
     timers: list = dataclasses.field(default_factory=list)
     retry_tokens: float = 10.0
     arrivals: dict = dataclasses.field(default_factory=dict)
@@ -261,6 +262,7 @@
         queues={rank: {} for rank in _ranks.RANKS},
         virtual=dict.fromkeys(_ranks.RANKS, 0.0),
         running=dict.fromkeys(_ranks.RANKS, 0),
+        speeds=dict.fromkeys(_ranks.RANKS, 0.0),
         queued=dict.fromkeys(_ranks.RANKS, 0),
         grant_rates={rank: _tickets.GrantRate() for rank in _ranks.RANKS},
     )
--- a/sniperudder/tables/_tickets.py
+++ b/sniperudder/tables/_tickets.py
@@ -32,6 +32,8 @@
         seconds.
     charged : float
         Work charged to the organisation, tokens.
+    speed : float
+        Tokens a second that its chain gives alone.
     """
 
     request: str
@@ -49,6 +51,7 @@
     granted_at: float = 0.0
     seen_at: float = 0.0
     charged: float = 0.0
+    speed: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
