Serve tickets with little time left out of turn

Change: with less than 0.3 of its time left a ticket goes first in its rank, since it was let in by its own share.

--- a/sniperudder/systems/dispatch/_grants.py
+++ b/sniperudder/systems/dispatch/_grants.py
@@ -77,7 +77,7 @@
     # unless that one is choosier.
     full = set()
     result = []
-    for name in _queues.list_organisations(T, rank):
+    for name in _queues.list_organisations(T, rank, now):
         if name not in T.queues[rank]:
             continue
         ticket = T.tickets[T.queues[rank][name][0]]
--- a/sniperudder/systems/dispatch/_queues.py
+++ b/sniperudder/systems/dispatch/_queues.py
@@ -16,6 +16,10 @@
 
 from sniperudder import tables
 
+# A ticket with less than this share of its longest wait left is served
+# out of turn.
+_OVERDUE_SHARE = 0.3
+
 
 def get_organisation(T, name):
     """Return the record of an organisation, made where it is absent."""
@@ -109,17 +113,29 @@
     T.queued[ticket.rank] -= 1
 
 
-def list_organisations(T, rank):
+def list_organisations(T, rank, now):
     """Return the names of queueing organisations, next one first.
 
+    A ticket that has little of its time left goes first: it was let in
+    because it would be served, so its share is its own already.
+
     Notes
     -----
     O(n log n) in the number of organisations with queued work.
     """
-    finish = {
-        name: T.organisations[name].finish[rank] for name in T.queues[rank]
-    }
-    return sorted(finish, key=lambda name: (finish[name], name))
+    keys = {}
+    for name, queue in T.queues[rank].items():
+        ticket = T.tickets[queue[0]]
+        if _is_overdue(ticket, now):
+            keys[name] = (0, ticket.latest, name)
+        else:
+            keys[name] = (1, T.organisations[name].finish[rank], name)
+    return sorted(keys, key=keys.get)
+
+
+def _is_overdue(ticket, now):
+    left_s = ticket.latest - now
+    return left_s < _OVERDUE_SHARE * (ticket.latest - ticket.asked_at)
 
 
 def charge_work(T, ticket, work):
--- a/sniperudder/tables/_ranks.py
+++ b/sniperudder/tables/_ranks.py
@@ -22,8 +22,8 @@
     Attributes
     ----------
     floor : float
-        Share of the slots that this rank keeps while it has work,
-        0 to 1.
+        Share of the slots, weighed by speed, that this rank keeps
+        while it has work, 0 to 1.
     max_wait_s : float
         Longest expected wait before the first token; work that would
         wait longer is refused.
--- a/sniperudder/tables/_tables.py
+++ b/sniperudder/tables/_tables.py
@@ -165,6 +165,8 @@
         Virtual time of the fair queue of each rank, tokens.
     running : dict of Rank to int
         Streams of each rank that hold slots.
+    speeds : dict of Rank to float
+        Tokens a second of the chains that each rank holds, each alone.
     timers : list of (float, str)
         Heap of times at which a request must be looked at, seconds.
     retry_tokens : float
