--- a/Makefile
+++ b/Makefile
@@ -53,3 +53,7 @@
 	thrift --gen py:slots,enum -out sniperudder/peers/gen \
 		sniperudder/peers/sniperudder.thrift
 	rm -f sniperudder/peers/gen/wire/*-remote
+
+# Writes reports/policy.md and its plot.
+measure: setup
+	$(BIN)/python -m measurements.policy
--- /dev/null
+++ b/measurements/policy.py
@@ -0,0 +1,337 @@
+"""Measures dispatch under floods, unfair callers and a home's death.
+
+Run as ``python -m measurements.policy``; writes ``reports/policy.md``
+and ``reports/policy.png``. Time is simulated and seeds are fixed, so
+that every run gives the same figures.
+"""
+
+import dataclasses
+import pathlib
+
+import matplotlib
+
+matplotlib.use('Agg')
+
+from matplotlib import pyplot  # noqa: E402
+
+from measurements import _cases  # noqa: E402
+from measurements import _fleets  # noqa: E402
+from measurements import _loads  # noqa: E402
+from sniperudder import outcomes  # noqa: E402
+from sniperudder import tables  # noqa: E402
+
+_SEED = 1
+_LONG_S = 40.0
+# The baselines send every refused step again and run slowly.
+_SHORT_S = 8.0
+_LAGS_S = (0.0, 1.0, 10.0)
+_KILL_S = 20.0
+_PROMPT_S = 0.05
+_REPORTS = pathlib.Path('reports')
+_URGENT = tables.Rank.URGENT
+
+
+def run_case(case):
+    """Return the fleet after a case."""
+    size = dataclasses.replace(_cases.SIZE, lag_s=case.lag_s)
+
+    def configure(T):
+        T.policy.placement = case.placement
+
+    fleet = _fleets.create_fleet(size, _SEED, configure)
+    _loads.send_loads(fleet, case.loads, _SEED)
+    if case.kill_s is not None:
+        fleet.clock.call_at(case.kill_s, _kill_home, fleet)
+    fleet.clock.run_until(case.end_s)
+    return fleet
+
+
+def _kill_home(fleet):
+    fleet.dead.add(max(fleet.entries.values(), key=_count_granted).me)
+
+
+def _count_granted(T):
+    return len(T.granted)
+
+
+@dataclasses.dataclass(slots=True)
+class Result:
+    """Figures of one case.
+
+    Attributes
+    ----------
+    case : Case
+    services : dict of Rank to Service
+    share : float
+        Tokens given, as a share of the bound.
+    late : int
+        Refusals that took longer than allowed.
+    refused : int
+    yields : int
+    jain : float
+        Over the organisations, of tokens given in a second.
+    """
+
+    case: _cases.Case
+    services: dict
+    share: float
+    late: int
+    refused: int
+    yields: int
+    jain: float
+
+
+def measure_case(case):
+    """Run a case and return its result."""
+    return summarise(case, run_case(case))
+
+
+def summarise(case, fleet):
+    """Return the result of a fleet after its case."""
+    window = (case.end_s / 2, case.end_s)
+    services = {}
+    for rank in tables.RANKS:
+        services[rank] = _loads.summarise_service(
+            fleet, window, lambda a, rank=rank: a.rank is rank
+        )
+    given = sum(service.tokens_per_s for service in services.values())
+    refusals = [
+        heard.ended_at - heard.sent_at
+        for heard in fleet.heard.values()
+        if isinstance(heard.outcome, outcomes.Refused)
+    ]
+    yields = [T.counters.get('yields', 0) for T in fleet.entries.values()]
+    return Result(
+        case,
+        services,
+        given / _fleets.compute_bound(_cases.SIZE),
+        sum(wait_s > _PROMPT_S for wait_s in refusals),
+        len(refusals),
+        sum(yields),
+        _loads.compute_fairness(_list_given(fleet, window)),
+    )
+
+
+def _list_given(fleet, window):
+    # Tokens by organisation as a share of what it asked for or of an
+    # equal part of all, whichever is less.
+    begin, end = window
+    given = {}
+    asked = {}
+    for heard in fleet.heard.values():
+        org = heard.arrival.organisation
+        count = sum(begin <= time < end for time in heard.times)
+        given[org] = given.get(org, 0) + count
+        if begin <= heard.sent_at < end:
+            asked[org] = asked.get(org, 0) + heard.arrival.max_tokens
+    part = sum(given.values()) / max(1, len(given))
+    return [
+        given[org] / max(1.0, min(part, asked.get(org, 0.0)))
+        for org in sorted(given)
+    ]
+
+
+def render_floods(results):
+    """Return the table of results by rank."""
+    lines = [
+        '| placement | load | lag s | run s | rank | sent | answered '
+        '| refused | first p50 s | first p95 s | refusal p95 s | tokens/s '
+        '| of given | of bound | late refusals | Jain | yields |',
+        '|---' * 17 + '|',
+    ]
+    for result in results:
+        lines.extend(_render_result(result))
+    return lines
+
+
+def _render_result(result):
+    case = result.case
+    total = sum(s.tokens_per_s for s in result.services.values())
+    for rank, service in result.services.items():
+        if not service.sent:
+            continue
+        yield (
+            f'| {case.placement} | {case.name} | {case.lag_s:g} '
+            f'| {case.end_s:g} | {rank.name.lower()} | {service.sent} '
+            f'| {service.answered} | {service.refused} '
+            f'| {service.first_p50_s:.3f} | {service.first_p95_s:.3f} '
+            f'| {service.refusal_p95_s:.3f} | {service.tokens_per_s:.0f} '
+            f'| {service.tokens_per_s / total:.2f} | {result.share:.2f} '
+            f'| {result.late}/{result.refused} | {result.jain:.3f} '
+            f'| {result.yields} |'
+        )
+
+
+def judge_floods(results):
+    """Return one line for each goal and case, met or not."""
+    calm_s = results[0].services[_URGENT].first_p95_s
+    policy = tables.create_tables('any', 'any').policy
+    lines = []
+    for result in results[1:]:
+        name = result.case.name
+        if name.startswith('least'):
+            p95_s = result.services[_URGENT].first_p95_s
+            ratio = p95_s / calm_s
+            text = f'{name}: urgent p95 {ratio:.2f} times calm (1.2)'
+            lines.append(_judge(text, ratio <= 1.2))
+        else:
+            lines.extend(_judge_floors(result, policy))
+        text = f'{name}: {result.share:.2f} of the bound (0.95)'
+        lines.append(_judge(text, result.share >= 0.95))
+        p95_s = max(
+            service.refusal_p95_s
+            for service in result.services.values()
+            if service.refused
+        )
+        text = f'{name}: refusals p95 at most {p95_s * 1000:.0f} ms (50)'
+        lines.append(_judge(text, p95_s <= _PROMPT_S))
+    return lines
+
+
+def _judge_floors(result, policy):
+    total = sum(s.tokens_per_s for s in result.services.values())
+    for rank in (tables.Rank.MIDDLE, tables.Rank.LEAST):
+        floor = policy.ranks[rank].floor
+        part = result.services[rank].tokens_per_s / total
+        name = f'{result.case.name}: {rank.name.lower()}'
+        text = f'{name} got {part:.3f} of what was given ({floor:g})'
+        yield _judge(text, part >= floor)
+
+
+def _judge(text, met):
+    return f'- {"met" if met else "NOT MET"}: {text}'
+
+
+def measure_hogs(end_s):
+    """Return lines about small organisations beside a large one."""
+    lines = [
+        '| large organisation | small sent | answered of sent | first p95 s '
+        '| times idle | Jain | goal |',
+        '|---|---|---|---|---|---|---|',
+    ]
+    idle_s = None
+    for case in _cases.list_hogs(end_s):
+        fleet = run_case(case)
+        small = _loads.summarise_service(
+            fleet,
+            (case.end_s / 2, case.end_s - 5.0),
+            lambda a: a.organisation != _cases.LARGE,
+        )
+        if idle_s is None:
+            idle_s = small.first_p95_s
+        share = small.answered / small.sent
+        ratio = small.first_p95_s / idle_s
+        met = share >= 0.95 and ratio <= 1.2
+        jain = summarise(case, fleet).jain
+        lines.append(
+            f'| {case.name} | {small.sent} | {share:.3f} '
+            f'| {small.first_p95_s:.3f} | {ratio:.2f} | {jain:.3f} '
+            f'| {"met" if met else "NOT MET"} |'
+        )
+    return lines
+
+
+def measure_death():
+    """Return lines about urgent service after the death of the home."""
+    calm = _cases.list_floods(_LONG_S, ())[0]
+    fleet = run_case(dataclasses.replace(calm, kill_s=_KILL_S))
+    after = [
+        heard
+        for heard in fleet.heard.values()
+        if heard.arrival.rank is _URGENT
+        and heard.sent_at >= _KILL_S
+        and heard.times
+    ]
+    slow = [h for h in after if h.times[0] - h.sent_at > 0.5]
+    back_s = max((h.times[0] - _KILL_S for h in slow), default=0.0)
+    worst_s = max(h.times[0] - h.sent_at for h in after)
+    return [
+        f'The home dies at {_KILL_S:g} s of the calm load. Of the '
+        f'{len(after)} urgent requests that reached a live entry and were '
+        f'begun after it, {len(slow)} waited longer than 0.5 s, the longest '
+        f'{worst_s:.2f} s; the last of those had its first token '
+        f'{back_s:.2f} s after the death.'
+    ]
+
+
+def plot(results, path):
+    """Draw urgent first tokens and throughput by load."""
+    names = [result.case.name for result in results]
+    places = range(len(names))
+    figure, (top, bottom) = pyplot.subplots(2, 1, figsize=(8, 7), sharex=True)
+    for rank in tables.RANKS:
+        waits = [result.services[rank].first_p95_s for result in results]
+        top.plot(places, waits, marker='o', label=rank.name.lower())
+    top.set_yscale('log')
+    top.set_ylabel('first token p95, s')
+    top.legend()
+    base = [0.0] * len(results)
+    for rank in tables.RANKS:
+        parts = [result.services[rank].tokens_per_s for result in results]
+        bottom.bar(places, parts, bottom=base, label=rank.name.lower())
+        base = [low + part for low, part in zip(base, parts)]
+    bound = _fleets.compute_bound(_cases.SIZE)
+    bottom.axhline(bound, color='black', linestyle='--', label='bound')
+    bottom.set_ylabel('tokens given, 1/s')
+    bottom.set_xticks(list(places), names, rotation=45, ha='right')
+    bottom.legend(loc='lower right')
+    figure.tight_layout()
+    figure.savefig(path, dpi=110)
+
+
+def list_comparisons():
+    """Return short runs of every placement, and lags of the default."""
+    short = _cases.list_floods(_SHORT_S, (5,))[:3]
+    cases = [
+        dataclasses.replace(case, placement=placement)
+        for placement in ('home', 'independent', 'round_robin')
+        for case in short
+    ]
+    flood = _cases.list_floods(_LONG_S, (5,))[1]
+    cases += [dataclasses.replace(flood, lag_s=lag_s) for lag_s in _LAGS_S]
+    return cases
+
+
+def main():
+    """Write the report and the plot."""
+    _REPORTS.mkdir(exist_ok=True)
+    floods = [measure_case(case) for case in _cases.list_floods(_LONG_S)]
+    plot(floods, _REPORTS / 'policy.png')
+    others = [measure_case(case) for case in list_comparisons()]
+    bound = _fleets.compute_bound(_cases.SIZE)
+    lines = [
+        '# Dispatch under load',
+        '',
+        f'`python -m measurements.policy`, seed {_SEED}, simulated time; '
+        f'the second half of each run counts. Bound: {bound:.0f} tokens/s, '
+        'without links and prompts. Floors are shares of what is given; '
+        'late refusals took longer than 50 ms, of all in the run.',
+        '',
+        '## Floods, default placement',
+        '',
+        *render_floods(floods),
+        '',
+        '## Goals',
+        '',
+        *judge_floods(floods),
+        '',
+        '## Placements (short runs), and lag of load reports',
+        '',
+        *render_floods(others),
+        '',
+        '## One large organisation, nine small ones, urgent rank',
+        '',
+        *measure_hogs(_LONG_S),
+        '',
+        "## Death of the models' home",
+        '',
+        *measure_death(),
+        '',
+        '![Service by load](policy.png)',
+        '',
+    ]
+    (_REPORTS / 'policy.md').write_text('\n'.join(lines))
+
+
+if __name__ == '__main__':
+    main()
--- a/sniperudder/systems/dispatch/_placements.py
+++ b/sniperudder/systems/dispatch/_placements.py
@@ -5,6 +5,7 @@
 """
 
 import abc
+import functools
 import hashlib
 import math
 
@@ -12,6 +13,7 @@
 
 DEFAULT_STEP_S = 0.02
 _SPEEDS_PER_DOUBLING = 2
+_MAX_SCORES = 16384
 
 
 class Placement(abc.ABC):
@@ -181,6 +183,7 @@
     return names
 
 
+@functools.lru_cache(maxsize=_MAX_SCORES)
 def score_home(instance, subject):
     """Return the rendezvous weight of an instance for a subject."""
     text = f'{instance}\0{subject}'.encode()
