--- a/sniperudder/settings/_sections.py
+++ b/sniperudder/settings/_sections.py
@@ -237,7 +237,8 @@
             option(
                 'floor',
                 _kinds.Number(0, 1),
-                'Share of the slots that the rank keeps while it has work.',
+                'Share of the slots, weighed by their speed, that the rank '
+                'keeps while it has work.',
             ),
             option(
                 'max_wait_s',
