Let no flooding organisation pass small ones by its time left

Change: only an organisation that queues no more than its part, or two, is served out of turn; a test for it. The report counts first tokens of all that got one, Jain's index over the parts of their due, and short urgent requests around the home's death.

--- a/measurements/_cases.py
+++ b/measurements/_cases.py
@@ -12,6 +12,7 @@
 _CALM_SHARE = 0.2
 # A small organisation asks for half of its equal share of one rank.
 _SMALL_SHARE = 0.5
+_PROBES_PER_S = 30.0
 LARGE = 'org-0'
 _LEAST = tables.Rank.LEAST
 _URGENT = tables.Rank.URGENT
@@ -88,6 +89,18 @@
     )
 
 
+def create_death(end_s, kill_s):
+    """Return the case of a home that dies in a calm load.
+
+    Many short urgent requests show when service is back.
+    """
+    probe = _loads.Load(
+        _URGENT, 'org-1', _PROBES_PER_S, max_tokens=2, end_s=end_s
+    )
+    loads = (*create_loads({}, end_s), probe)
+    return Case('death', loads, end_s, kill_s=kill_s)
+
+
 def list_hogs(end_s):
     """Return the cases of one large organisation among small ones.
 
--- a/measurements/_loads.py
+++ b/measurements/_loads.py
@@ -48,7 +48,7 @@
         Tokens given in the window, by second, those of answers that
         failed left out.
     first_p50_s, first_p95_s : float
-        Time to the first token of answered requests, seconds.
+        Time to the first token of requests that got one, seconds.
     refusal_p95_s : float
         Time to a refusal, seconds.
     wasted : int
@@ -122,7 +122,7 @@
     answered = _select(sent, outcomes.Answered)
     refused = _select(sent, outcomes.Refused)
     failed = _select(sent, outcomes.Failed)
-    firsts = [h.times[0] - h.sent_at for h in answered]
+    firsts = [h.times[0] - h.sent_at for h in sent if h.times]
     refusals = [h.ended_at - h.sent_at for h in refused]
     return Service(
         len(sent),
--- a/measurements/policy.py
+++ b/measurements/policy.py
@@ -21,11 +21,12 @@
 from sniperudder import tables  # noqa: E402
 
 _SEED = 1
-_LONG_S = 40.0
+_LONG_S = 60.0
 # The baselines send every refused step again and run slowly.
-_SHORT_S = 8.0
+_SHORT_S = 12.0
 _LAGS_S = (0.0, 1.0, 10.0)
 _KILL_S = 20.0
+_AROUND_S = 5.0
 _PROMPT_S = 0.05
 _REPORTS = pathlib.Path('reports')
 _URGENT = tables.Rank.URGENT
@@ -69,7 +70,7 @@
     refused : int
     yields : int
     jain : float
-        Over the organisations, of tokens given in a second.
+        Over the organisations, of the parts of their due they got.
     """
 
     case: _cases.Case
@@ -108,26 +109,22 @@
         sum(wait_s > _PROMPT_S for wait_s in refusals),
         len(refusals),
         sum(yields),
-        _loads.compute_fairness(_list_given(fleet, window)),
+        _loads.compute_fairness(_list_given(fleet)),
     )
 
 
-def _list_given(fleet, window):
+def _list_given(fleet):
     # Tokens by organisation as a share of what it asked for or of an
-    # equal part of all, whichever is less.
-    begin, end = window
+    # equal part of all, whichever is less; more than that counts as 1.
     given = {}
     asked = {}
     for heard in fleet.heard.values():
         org = heard.arrival.organisation
-        count = sum(begin <= time < end for time in heard.times)
-        given[org] = given.get(org, 0) + count
-        if begin <= heard.sent_at < end:
-            asked[org] = asked.get(org, 0) + heard.arrival.max_tokens
-    part = sum(given.values()) / max(1, len(given))
+        given[org] = given.get(org, 0) + len(heard.tokens)
+        asked[org] = asked.get(org, 0) + heard.arrival.max_tokens
+    part = sum(given.values()) / len(given)
     return [
-        given[org] / max(1.0, min(part, asked.get(org, 0.0)))
-        for org in sorted(given)
+        min(1.0, given[org] / min(part, asked[org])) for org in sorted(given)
     ]
 
 
@@ -233,27 +230,39 @@
 
 def measure_death():
     """Return lines about urgent service after the death of the home."""
-    calm = _cases.list_floods(_LONG_S, ())[0]
-    fleet = run_case(dataclasses.replace(calm, kill_s=_KILL_S))
-    after = [
-        heard
-        for heard in fleet.heard.values()
-        if heard.arrival.rank is _URGENT
-        and heard.sent_at >= _KILL_S
-        and heard.times
+    fleet = run_case(_cases.create_death(_LONG_S, _KILL_S))
+    urgent = [h for h in fleet.heard.values() if h.arrival.rank is _URGENT]
+    before = _list_firsts(urgent, _KILL_S - _AROUND_S, _KILL_S)
+    after = _list_firsts(urgent, _KILL_S, _KILL_S + _AROUND_S)
+    later = _list_firsts(urgent, _KILL_S + _AROUND_S, _LONG_S - _AROUND_S)
+    calm_s = _find_p95(before)
+    slow = [sent_at + wait_s for sent_at, wait_s in after if wait_s > 0.5]
+    back_s = max(slow, default=_KILL_S) - _KILL_S
+    return [
+        f'The home dies at {_KILL_S:g} s of the calm load with 30 short '
+        'urgent requests a second more. First token of urgent requests '
+        'that reached a live entry, p95: '
+        f'{calm_s:.3f} s in the {_AROUND_S:g} s before, '
+        f'{_find_p95(after):.3f} s in the {_AROUND_S:g} s after '
+        f'({len(slow)} of {len(after)} waited longer than 0.5 s, the '
+        f'longest {max(wait_s for _, wait_s in after):.3f} s; the last of '
+        f'them was served {back_s:.2f} s after the death), '
+        f'{_find_p95(later):.3f} s from then on.'
     ]
-    slow = [h for h in after if h.times[0] - h.sent_at > 0.5]
-    back_s = max((h.times[0] - _KILL_S for h in slow), default=0.0)
-    worst_s = max(h.times[0] - h.sent_at for h in after)
+
+
+def _list_firsts(heard, begin, end):
     return [
-        f'The home dies at {_KILL_S:g} s of the calm load. Of the '
-        f'{len(after)} urgent requests that reached a live entry and were '
-        f'begun after it, {len(slow)} waited longer than 0.5 s, the longest '
-        f'{worst_s:.2f} s; the last of those had its first token '
-        f'{back_s:.2f} s after the death.'
+        (h.sent_at, h.times[0] - h.sent_at)
+        for h in heard
+        if begin <= h.sent_at < end and h.times
     ]
 
 
+def _find_p95(firsts):
+    return _loads.find_quantile([wait_s for _, wait_s in firsts], 0.95)
+
+
 def plot(results, path):
     """Draw urgent first tokens and throughput by load."""
     names = [result.case.name for result in results]
--- a/sniperudder/systems/dispatch/_queues.py
+++ b/sniperudder/systems/dispatch/_queues.py
@@ -19,6 +19,8 @@
 # A ticket with less than this share of its longest wait left is served
 # out of turn.
 _OVERDUE_SHARE = 0.3
+# So many queued tickets are no flood of an organisation.
+_FEW_QUEUED = 2
 
 
 def get_organisation(T, name):
@@ -116,17 +118,20 @@
 def list_organisations(T, rank, now):
     """Return the names of queueing organisations, next one first.
 
-    A ticket that has little of its time left goes first: it was let in
-    because it would be served, so its share is its own already.
+    A ticket that has little of its time left goes first, since it was
+    let in because it would be served; but not one of an organisation
+    that queues more than its part, which would pass the small ones.
 
     Notes
     -----
     O(n log n) in the number of organisations with queued work.
     """
     keys = {}
+    part = T.queued[rank] / max(1, len(T.queues[rank]))
+    allowed = max(part, _FEW_QUEUED)
     for name, queue in T.queues[rank].items():
         ticket = T.tickets[queue[0]]
-        if _is_overdue(ticket, now):
+        if len(queue) <= allowed and _is_overdue(ticket, now):
             keys[name] = (0, ticket.latest, name)
         else:
             keys[name] = (1, T.organisations[name].finish[rank], name)
--- a/sniperudder/systems/dispatch/tests/test_waits.py
+++ b/sniperudder/systems/dispatch/tests/test_waits.py
@@ -91,3 +91,12 @@
         late = _queues.list_organisations(T, MIDDLE, 8.0)
         self.assertEqual(['small', 'large'], early)
         self.assertEqual(['large', 'small'], late)
+
+    def test_flooding_organisation_does_not_pass_a_small_one(self):
+        T = _homes.create_home()
+        _ask_many(T, 0.0, 9, LEAST, org='large', max_wait_s=100.0)
+        ask = _homes.make_ask('s', LEAST, org='small', max_wait_s=100.0)
+        _homes.ask_home(T, 0.0, ask)
+        order = _queues.list_organisations(T, LEAST, 90.0)
+        self.assertEqual(5, len(T.queues[LEAST]['large']))
+        self.assertEqual(['small', 'large'], order)
