--- a/Makefile
+++ b/Makefile
@@ -57,3 +57,7 @@
 # Writes reports/policy.md and its plot.
 measure: setup
 	$(BIN)/python -m measurements.policy
+
+# Random faults over many decision cores; prints the seed of a failure.
+soak: setup
+	$(BIN)/python -m measurements.soak $(SECONDS) $(SEED)
--- a/sniperudder/systems/dispatch/_chains.py
+++ b/sniperudder/systems/dispatch/_chains.py
@@ -89,11 +89,17 @@
     endpoints each.
     """
     groups = list_candidates(T, model, rank)
+    if usable is not None:
+        # Lanes are formed of what is left, lest each miss an endpoint.
+        groups = {
+            key: [ep for ep in eps if usable(ep)]
+            for key, eps in groups.items()
+        }
     free = {
         ep.name
         for eps in groups.values()
         for ep in eps
-        if has_slot(T, ep, now) and (usable is None or usable(ep))
+        if has_slot(T, ep, now)
     }
     for ways in _placements.get_placement(T).list_ways(T, groups, free):
         found = [_tile_layers(T, model, picks) for picks in ways]
--- a/sniperudder/systems/dispatch/tests/test_lanes.py
+++ b/sniperudder/systems/dispatch/tests/test_lanes.py
@@ -32,6 +32,14 @@
         chain = _chains.choose_chain(T, T.models['m'], LEAST, 0.0)
         self.assertIsNone(chain)
 
+    def test_choosy_request_crosses_lanes(self):
+        T = _homes.create_home()
+        names = {'fast-0', 'slow-4'}
+        chain = _chains.choose_chain(
+            T, T.models['m'], LEAST, 0.0, lambda ep: ep.name in names
+        )
+        self.assertEqual(names, {stage.endpoint for stage in chain})
+
     def test_dead_endpoint_leaves_its_partner_to_the_others(self):
         T = _homes.create_home()
         T.endpoints['fast-4'].state = tables.EndpointState.DOWN
--- a/sniperudder/systems/requests/_slots.py
+++ b/sniperudder/systems/requests/_slots.py
@@ -36,7 +36,9 @@
     now : float
         Seconds.
     """
-    if suspicion.is_undecided(T, req.fingerprint):
+    if suspicion.is_condemned(T, req.fingerprint, now):
+        return _finish.end_condemned(T, req, now)
+    if suspicion.is_undecided(T, req.fingerprint, now):
         ask_later(T, req, _PROOF_S, now)
         return []
     placement = dispatch.get_placement(T)
@@ -96,7 +98,11 @@
 def _is_valid(T, req, grant, now):
     if not configuration.is_fresh(T, now) or now >= req.deadline:
         return False
-    if suspicion.is_undecided(T, req.fingerprint):
+    if suspicion.is_undecided(T, req.fingerprint, now):
+        return False
+    # Without the identifier of its present run, an engine's crash could
+    # not be told from a broken connection.
+    if not all(grant.boots):
         return False
     withdrawn = T.config.withdrawn
     return all(
@@ -122,6 +128,10 @@
     req.version = grant.version
     req.begun_at = now
     req.first_position = len(req.tokens)
+    req.boots = {
+        stage.endpoint: boot
+        for stage, boot in zip(grant.chain, grant.boots, strict=True)
+    }
     note = effects.Note('request:start', req.name, f'attempt {req.attempt}')
     return [note, _steps.make_step(T, req, 0, now)]
 
@@ -137,8 +147,7 @@
         refusal = outcomes.Refused(denial.code, meaning, denial.retry_after_s)
         return _finish.finish_request(T, req, refusal, now)
     if condemned:
-        failure = outcomes.Failed(outcomes.Code.CRASHED_ENDPOINTS)
-        return _finish.finish_request(T, req, failure, now)
+        return _finish.end_condemned(T, req, now)
     ask_later(T, req, _RETRY_S, now)
     return []
 
