Wait for a timed-out step before its crash is disproved

Ruled out: wrong run identifiers. Change: after a timeout, only a report asked for step_timeout_s later disproves the crash; the fake engine drops cancelled steps that have not begun.

--- a/Makefile
+++ b/Makefile
@@ -54,6 +54,10 @@
 		sniperudder/peers/sniperudder.thrift
 	rm -f sniperudder/peers/gen/wire/*-remote
 
+# Writes reports/policy.md and its plot.
+measure: setup
+	$(BIN)/python -m measurements.policy
+
 # Random faults over many decision cores; prints the seed of a failure.
 soak: setup
 	$(BIN)/python -m measurements.soak $(SECONDS) $(SEED)
--- a/sniperudder/systems/dispatch/_chains.py
+++ b/sniperudder/systems/dispatch/_chains.py
@@ -1,5 +1,7 @@
 """Choice of the chain of endpoints that serves an attempt."""
 
+import dataclasses
+
 from sniperudder.systems.dispatch import _placements
 from sniperudder import tables
 
@@ -63,9 +65,9 @@
 def choose_chain(T, model, rank, now, usable=None):
     """Choose a chain whose layer ranges tile a model exactly.
 
-    Of each layer range, the placement picks one endpoint with a free
-    slot; of all tilings, the one with the least expected time for a
-    token is taken.
+    The placement picks endpoints with free slots, one of each layer
+    range, in one or more ways; of all tilings of the first way that
+    has any, the one with the least expected time for a token is taken.
 
     Parameters
     ----------
@@ -83,22 +85,59 @@
 
     Notes
     -----
-    O(e + g²) for e endpoints in g distinct layer ranges.
+    O(e log e + l g²) for e endpoints in g distinct layer ranges with l
+    endpoints each.
     """
-    placement = _placements.get_placement(T)
-    picks = {}
-    for key, eps in list_candidates(T, model, rank).items():
-        free = [ep for ep in eps if has_slot(T, ep, now)]
-        if usable is not None:
-            free = [ep for ep in free if usable(ep)]
-        if free:
-            picks[key] = placement.pick_endpoint(T, free)
-    best = _tile_layers(T, model, picks)
-    if best is None:
-        return None
-    return tuple(
-        tables.Stage(ep.name, ep.first_layer, ep.end_layer) for ep in best
+    groups = list_candidates(T, model, rank)
+    if usable is not None:
+        # Lanes are formed of what is left, lest each miss an endpoint.
+        groups = {
+            key: [ep for ep in eps if usable(ep)]
+            for key, eps in groups.items()
+        }
+    free = {
+        ep.name
+        for eps in groups.values()
+        for ep in eps
+        if has_slot(T, ep, now)
+    }
+    for ways in _placements.get_placement(T).list_ways(T, groups, free):
+        found = [_tile_layers(T, model, picks) for picks in ways]
+        whole = [tiling for tiling in found if tiling is not None]
+        if whole:
+            return min(whole, key=lambda tiling: tiling.cost_s).list_stages()
+    return None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tiling:
+    """Endpoints whose layer ranges tile a model.
+
+    Attributes
+    ----------
+    cost_s : float
+        Expected time for a token, seconds.
+    eps : tuple of Endpoint
+    """
+
+    cost_s: float
+    eps: tuple
+
+    def list_stages(self):
+        """Return the chain of stages."""
+        return tuple(
+            tables.Stage(ep.name, ep.first_layer, ep.end_layer)
+            for ep in self.eps
+        )
+
+
+def expect_speed(T, chain):
+    """Return the tokens a second of a chain with one stream."""
+    eps = [T.endpoints.get(stage.endpoint) for stage in chain]
+    time_s = sum(
+        ep.step_s or _placements.DEFAULT_STEP_S for ep in eps if ep is not None
     )
+    return 1.0 / time_s if time_s else 0.0
 
 
 def is_chain_whole(chain, layers):
@@ -138,4 +177,4 @@
     whole = [v for (end, _), v in best.items() if end == model.layers]
     if not whole:
         return None
-    return min(whole, key=lambda entry: entry[0])[1]
+    return Tiling(*min(whole, key=lambda entry: entry[0]))
--- a/sniperudder/systems/dispatch/_grants.py
+++ b/sniperudder/systems/dispatch/_grants.py
@@ -50,16 +50,25 @@
 
 def _choose_rank(T, blocked):
     # Ranks below their floor go first; then the most urgent.
-    total = sum(T.running.values()) + 1
     waiting = [r for r in tables.RANKS if T.queues[r] and r not in blocked]
     for rank in waiting:
-        if T.running[rank] < find_floor(T, rank) * total:
+        if is_below_floor(T, rank):
             return rank
     return waiting[0] if waiting else None
 
 
+def is_below_floor(T, rank):
+    """Return whether a rank holds less than its floor.
+
+    Slots are weighed by speed, since a rank with its share of them on
+    slow endpoints alone would not have its share of the tokens.
+    """
+    total = sum(T.speeds.values())
+    return T.speeds[rank] < find_floor(T, rank) * total
+
+
 def find_floor(T, rank):
-    """Return the share of the slots that a rank keeps."""
+    """Return the share of the fleet's speed that a rank keeps."""
     return T.config.floors.get(rank, T.policy.ranks[rank].floor)
 
 
@@ -68,7 +77,7 @@
     # unless that one is choosier.
     full = set()
     result = []
-    for name in _queues.list_organisations(T, rank):
+    for name in _queues.list_organisations(T, rank, now):
         ticket = _find_candidate(T, rank, name, full, now)
         if ticket is None:
             continue
@@ -77,18 +86,27 @@
             result.extend(deny_ticket(T, ticket, code, None, now))
             return Granting(result, done=True)
         chain = _choose_chain(T, ticket, now)
-        if chain is not None:
-            result.extend(_grant(T, ticket, chain, now))
-            return Granting(result, done=True)
-        victim = _victims.find_victim(T, ticket, find_floor)
+        victim = _find_victim(T, ticket, chain)
         if victim is not None:
             result.extend(_victims.revoke_slot(T, victim, now))
             continue
+        if chain is not None:
+            if _victims.awaits_faster(T, ticket, chain, now):
+                continue
+            result.extend(_grant(T, ticket, chain, now))
+            return Granting(result, done=True)
         if not suspicion.is_suspect(T, ticket.fingerprint):
             full.add(ticket.model)
     return Granting(result, done=False)
 
 
+def _find_victim(T, ticket, chain):
+    victim = _victims.find_victim(T, ticket, find_floor)
+    if victim is None or chain is None:
+        return victim
+    return victim if _victims.is_faster(T, victim, chain) else None
+
+
 def _find_candidate(T, rank, organisation, full, now):
     # A suspect runs only where no other one does, and must not hold up
     # the other requests of its organisation.
@@ -174,6 +192,8 @@
     ticket.seen_at = now
     T.granted[ticket.request] = ticket
     T.running[ticket.rank] += 1
+    ticket.speed = _chains.expect_speed(T, chain)
+    T.speeds[ticket.rank] += ticket.speed
     for stage in chain:
         ep = T.endpoints.get(stage.endpoint)
         if ep is not None:
@@ -196,6 +216,10 @@
         if ep is not None:
             ep.streams -= 1
     T.running[ticket.rank] -= 1
+    T.speeds[ticket.rank] -= ticket.speed
+    if not T.running[ticket.rank]:
+        # Leaves no rest of rounding behind.
+        T.speeds[ticket.rank] = 0.0
     del T.granted[ticket.request]
     ticket.chain = ()
 
--- a/sniperudder/systems/dispatch/_queues.py
+++ b/sniperudder/systems/dispatch/_queues.py
@@ -12,9 +12,16 @@
 """
 
 import collections
+import math
 
 from sniperudder import tables
 
+# A ticket with less than this share of its longest wait left is served
+# out of turn.
+_OVERDUE_SHARE = 0.3
+# So many queued tickets are no flood of an organisation.
+_FEW_QUEUED = 2
+
 
 def get_organisation(T, name):
     """Return the record of an organisation, made where it is absent."""
@@ -50,6 +57,54 @@
     T.queued[ticket.rank] += 1
 
 
+def is_over_share(T, ask):
+    """Return whether the asking organisation fills its part of a queue.
+
+    The queue of a rank is split evenly among the organisations that
+    queue in it, so that the one which fills it is told at once.
+    """
+    queues = T.queues[ask.rank]
+    active = len(queues) + (ask.organisation not in queues)
+    own = len(queues.get(ask.organisation, ()))
+    return own * active >= T.policy.ranks[ask.rank].max_queued
+
+
+def count_ahead(T, ask):
+    """Return how many queued tickets fair queueing serves first.
+
+    Every ticket is taken to need as much work as the one that asks.
+
+    Notes
+    -----
+    O(n) in the number of organisations with queued work.
+    """
+    rank = ask.rank
+    queues = T.queues[rank]
+    own = len(queues.get(ask.organisation, ()))
+    work = max(ask.work, 1.0)
+    start = _find_start(T, ask.organisation, rank)
+    start += own * work / _find_weight(T, ask.organisation)
+    ahead = float(own)
+    for name, queue in queues.items():
+        if name == ask.organisation:
+            continue
+        lead = (start - T.organisations[name].finish[rank]) / work
+        turns = math.floor(lead * _find_weight(T, name)) + 1
+        ahead += min(len(queue), max(0, turns))
+    return ahead
+
+
+def _find_start(T, name, rank):
+    org = get_organisation(T, name)
+    if name in T.queues[rank]:
+        return org.finish[rank]
+    return max(org.finish.get(rank, 0.0), T.virtual[rank])
+
+
+def _find_weight(T, name):
+    return T.config.weights.get(name, get_organisation(T, name).weight)
+
+
 def remove_ticket(T, ticket):
     """Take a ticket out of its queue."""
     queues = T.queues[ticket.rank]
@@ -60,17 +115,32 @@
     T.queued[ticket.rank] -= 1
 
 
-def list_organisations(T, rank):
+def list_organisations(T, rank, now):
     """Return the names of queueing organisations, next one first.
 
+    A ticket that has little of its time left goes first, since it was
+    let in because it would be served; but not one of an organisation
+    that queues more than its part, which would pass the small ones.
+
     Notes
     -----
     O(n log n) in the number of organisations with queued work.
     """
-    finish = {
-        name: T.organisations[name].finish[rank] for name in T.queues[rank]
-    }
-    return sorted(finish, key=lambda name: (finish[name], name))
+    keys = {}
+    part = T.queued[rank] / max(1, len(T.queues[rank]))
+    allowed = max(part, _FEW_QUEUED)
+    for name, queue in T.queues[rank].items():
+        ticket = T.tickets[queue[0]]
+        if len(queue) <= allowed and _is_overdue(ticket, now):
+            keys[name] = (0, ticket.latest, name)
+        else:
+            keys[name] = (1, T.organisations[name].finish[rank], name)
+    return sorted(keys, key=keys.get)
+
+
+def _is_overdue(ticket, now):
+    left_s = ticket.latest - now
+    return left_s < _OVERDUE_SHARE * (ticket.latest - ticket.asked_at)
 
 
 def charge_work(T, ticket, work):
@@ -84,7 +154,7 @@
         Tokens; negative where too much was charged before.
     """
     org = get_organisation(T, ticket.organisation)
-    weight = T.config.weights.get(org.name, org.weight)
+    weight = _find_weight(T, org.name)
     before = org.finish.get(ticket.rank, 0.0)
     org.finish[ticket.rank] = before + work / weight
     ticket.charged += work
--- a/sniperudder/systems/dispatch/_victims.py
+++ b/sniperudder/systems/dispatch/_victims.py
@@ -10,12 +10,17 @@
 # Each urgent ticket that waits asks for one stream to give way; an
 # entry that does not answer is asked again after this time.
 _REVOKED_S = 1.0
+# A free chain is left for a busy one where it gives at most this
+# share of its speed, while the stream there may still be giving way.
+_FASTER_SHARE = 0.75
+_FASTER_WAIT_S = 0.1
 
 
 def find_victim(T, ticket, find_floor):
     """Return the granted ticket that gives way, or None.
 
-    The youngest stream of the least rank has the least to lose.
+    Of the streams of the least rank it is one on the fastest chain;
+    among those the youngest has the least to lose.
 
     Parameters
     ----------
@@ -32,19 +37,43 @@
     if ticket.rank is not tables.Rank.URGENT:
         return None
     least = tables.Rank.LEAST
-    kept = find_floor(T, least) * sum(T.running.values())
-    if T.running[least] - 1 < kept or _has_pending(T):
+    if _has_pending(T):
         return None
+    kept = find_floor(T, least) * sum(T.speeds.values())
+    spare = T.speeds[least] - kept
     victims = [
         other
         for other in T.granted.values()
         if other.rank is least
+        and other.speed <= spare
         and other.model == ticket.model
         and other.request not in T.revoked
         and other.yields < _YIELDS_ALLOWED
         and _is_reusable(T, other, ticket)
     ]
-    return max(victims, key=lambda v: v.granted_at, default=None)
+    return max(
+        victims,
+        key=lambda v: (v.speed, v.granted_at),
+        default=None,
+    )
+
+
+def is_faster(T, victim, chain):
+    """Return whether a victim's chain is worth more than a free one."""
+    free = _chains.expect_speed(T, chain)
+    return free <= _FASTER_SHARE * victim.speed
+
+
+def awaits_faster(T, ticket, chain, now):
+    """Return whether urgent work had better wait for a revoked slot."""
+    if ticket.rank is not tables.Rank.URGENT:
+        return False
+    return any(
+        now - at < _FASTER_WAIT_S
+        and request in T.granted
+        and is_faster(T, T.granted[request], chain)
+        for request, at in T.revoked.items()
+    )
 
 
 def revoke_slot(T, ticket, now):
--- a/sniperudder/systems/requests/_pipeline.py
+++ b/sniperudder/systems/requests/_pipeline.py
@@ -82,7 +82,8 @@
         # A crash may show as a broken connection or only as silence;
         # the engine's next report tells whether there was one.
         crash = suspicion.name_crash(inp.endpoint, boot)
-        suspicion.mark_crash(T, req.fingerprint, crash, now)
+        settle_s = 0.0 if inp.crashed else T.policy.step_timeout_s
+        suspicion.mark_crash(T, req.fingerprint, crash, now, settle_s)
     if _may_resend(ep, req, inp):
         req.resent = True
         return [effects.SendStep(inp.endpoint, inp.step)]
--- a/sniperudder/systems/requests/tests/_mutants.py
+++ b/sniperudder/systems/requests/tests/_mutants.py
@@ -140,6 +140,11 @@
     return testing.draw_plan(seed, (testing.FaultKind.LOSE,))
 
 
+def draw_slowness(seed):
+    """Return a plan of engines that answer after the timeout."""
+    return testing.draw_plan(seed, (testing.FaultKind.SLOW,))
+
+
 def draw_blinks(seed):
     """Return a plan of engines that restart faster than a step."""
     kinds = (testing.FaultKind.CRASH,)
@@ -173,7 +178,7 @@
 
 MUTANTS = [
     Mutant(resend_lost_steps, 'ran twice', draw_losses),
-    Mutant(accept_late_answers, 'wrong tokens'),
+    Mutant(accept_late_answers, 'wrong tokens', draw_slowness),
     Mutant(begin_without_state, 'wrong tokens', draw_blinks),
     Mutant(call_cut_answers_whole, 'looks whole'),
     Mutant(refuse_after_lost_step, 'refused as not run, but ran'),
--- a/sniperudder/systems/suspicion/_suspicion.py
+++ b/sniperudder/systems/suspicion/_suspicion.py
@@ -62,7 +62,7 @@
     return not heard and now - mark.updated_at > _SILENCE_S
 
 
-def mark_crash(T, fingerprint, crash, now):
+def mark_crash(T, fingerprint, crash, now, settle_s=0.0):
     """Record that a content was in flight at a possible crash.
 
     Parameters
@@ -73,6 +73,8 @@
         From ``name_crash``, the same at every instance.
     now : float
         Seconds.
+    settle_s : float
+        Time for which the engine may still be running the step.
     """
     mark = T.suspicions.get(fingerprint)
     if mark is None:
@@ -82,6 +84,7 @@
         return
     mark.crashes = mark.crashes | {crash}
     mark.updated_at = now
+    mark.settled_at = max(mark.settled_at, now + settle_s)
     if len(T.suspicions) > _MARKS_KEPT:
         oldest = min(T.suspicions.values(), key=lambda m: m.updated_at)
         del T.suspicions[oldest.fingerprint]
@@ -104,7 +107,7 @@
     """
     crash = name_crash(endpoint, boot)
     for mark in list(T.suspicions.values()):
-        if crash in mark.crashes and sent_at > mark.updated_at:
+        if crash in mark.crashes and sent_at > mark.settled_at:
             mark.crashes = mark.crashes - {crash}
             if not mark.crashes:
                 del T.suspicions[mark.fingerprint]
--- a/sniperudder/tables/_suspicions.py
+++ b/sniperudder/tables/_suspicions.py
@@ -14,8 +14,12 @@
         Identifiers of the crashes at which it was in flight.
     updated_at : float
         Seconds.
+    settled_at : float
+        From when on a report can disprove the crashes, since a step
+        that timed out may still be running, seconds.
     """
 
     fingerprint: str
     crashes: frozenset = frozenset()
     updated_at: float = 0.0
+    settled_at: float = 0.0
--- a/sniperudder/testing/_engines.py
+++ b/sniperudder/testing/_engines.py
@@ -93,6 +93,7 @@
         self.states = {}
         self._waiting = []
         self._busy = False
+        self._running = 0
 
     def take_step(self, step, answer):
         """Take a step; ``answer`` gets its result or failure."""
@@ -117,6 +118,14 @@
         """Drop an attempt."""
         self.positions.pop((request, attempt), None)
         self.states.pop((request, attempt), None)
+        # What the running iteration holds cannot be dropped.
+        running = self._waiting[: self._running]
+        later = [
+            item
+            for item in self._waiting[self._running :]
+            if (item.step.request, item.step.attempt) != (request, attempt)
+        ]
+        self._waiting = running + later
 
     def count_streams(self):
         """Return the number of streams held."""
@@ -136,6 +145,7 @@
     def break_calls(self):
         """Break the connections of all calls under way; live on."""
         waiting, self._waiting = self._waiting, []
+        self._running = 0
         for item in waiting:
             self._drop(item)
             self._run(item.step)
@@ -168,6 +178,7 @@
             time_s += self.speed.step_s
             if item.step.prefill and item.step.first_layer == 0:
                 time_s += self.speed.prefill_s * len(item.step.payload)
+        self._running = len(batch)
         self.clock.call_in(time_s * self.slow, self._end, boot, len(batch))
 
     def _end(self, boot, count):
@@ -184,6 +195,7 @@
             return
         batch = self._waiting[:count]
         self._waiting = self._waiting[count:]
+        self._running = 0
         for item in batch:
             item.answer(self._run(item.step))
         if self._waiting:
--- a/sniperudder/testing/_faults.py
+++ b/sniperudder/testing/_faults.py
@@ -21,6 +21,8 @@
 _END_S = 5.0
 _CRASHES_ALLOWED = 2
 _LINK_SLACK_S = 0.01
+# A step takes longer than its timeout, so that its answer comes late.
+_SLOWDOWN = 150.0
 
 
 class FaultKind(enum.Enum):
@@ -180,7 +182,7 @@
             case FaultKind.CRASH:
                 engine.crash(fault.duration_s)
             case FaultKind.SLOW:
-                engine.slow = 30.0
+                engine.slow = _SLOWDOWN
                 clock.call_in(fault.duration_s, setattr, engine, 'slow', 1.0)
             case FaultKind.LOSE:
                 self.fleet.lose.add(fault.endpoint)
