--- a/sniperudder/testing/_engines.py
+++ b/sniperudder/testing/_engines.py
@@ -55,11 +55,17 @@
     ----------
     log : list of RunRecord
     boot : str
+    poisoned : list of str
+        Requests that crashed it.
+    begun : list of (float, str)
+        Time and request of each attempt that it began.
     up : bool
     slow : float
         Factor on all times.
     poison : str
         A prompt that holds this text crashes the engine.
+    checks_positions : bool
+        Whether it refuses a position that does not follow the last.
     restart_s : float
         Time until it comes back from such a crash, seconds.
     """
@@ -73,7 +79,10 @@
         self.slow = 1.0
         self.poison = '\0poison'
         self.crashes = []
+        self.poisoned = []
+        self.begun = []
         self.restart_s = 1.0
+        self.checks_positions = True
         self._boots = itertools.count(1)
         self._restart()
 
@@ -96,6 +105,8 @@
             answer(dataclasses.replace(failed, refused=True, detail=reason))
             return
         key = (step.request, step.attempt)
+        if key not in self.positions:
+            self.begun.append((self.clock.now, step.request))
         self.positions[key] = step.position
         self._waiting.append(_Waiting(step, answer))
         if not self._busy:
@@ -144,7 +155,7 @@
             if len(self.positions) >= self.ep.max_streams:
                 return 'busy'
             return ''
-        if step.position != last + 1:
+        if self.checks_positions and step.position != last + 1:
             return 'out of order'
         return ''
 
@@ -162,9 +173,12 @@
     def _end(self, boot, count):
         if boot != self.boot or not self.up:
             return
-        poisoned = any(
-            self.poison in item.step.payload for item in self._waiting[:count]
-        )
+        poisoned = [
+            item.step.request
+            for item in self._waiting[:count]
+            if self.poison in item.step.payload
+        ]
+        self.poisoned.extend(poisoned)
         if poisoned:
             self.crash(self.restart_s)
             return
