--- a/sniperudder/commands/_remote.py
+++ b/sniperudder/commands/_remote.py
@@ -54,7 +54,7 @@
     Parameters
     ----------
     text : str
-        The query, in quotes; docs/OPERATORS.md describes the language.
+        The query, in quotes; docs/QUERIES.md describes the language.
     address : str
         Admin address of an instance, host:port; SNIPERUDDER_ADDRESS
         where absent.
@@ -82,7 +82,7 @@
     Parameters
     ----------
     text : str
-        The command, in quotes; docs/OPERATORS.md describes the language.
+        The command, in quotes; docs/QUERIES.md describes the language.
     address : str
         Admin address of an instance, host:port; SNIPERUDDER_ADDRESS
         where absent.
