--- a/sniperudder/systems/dispatch/_waits.py
+++ b/sniperudder/systems/dispatch/_waits.py
@@ -53,18 +53,12 @@
     rate = T.grant_rates[ask.rank]
     queued_s = now - rate.since
     if queued_s >= _LEARNING_S:
-        per_s = min(capacity, _find_rate(rate, now))
+        per_s = min(capacity, rate.work * _decay(rate, now) / _MEMORY_S)
     if per_s <= 0.0:
         return math.inf
     return ahead / per_s / _PROMISED_SHARE
 
 
-def _find_rate(rate, now):
-    # The memory is not full before the rank has queued for long.
-    filled = 1.0 - math.exp((rate.since - now) / _MEMORY_S)
-    return rate.work * _decay(rate, now) / (_MEMORY_S * filled)
-
-
 def expect_capacity(T, model):
     """Return the tokens a second of a model's chains when all are full."""
     totals = {}
