--- a/sniperudder/systems/dispatch/_placements.py
+++ b/sniperudder/systems/dispatch/_placements.py
@@ -13,7 +13,8 @@
 
 DEFAULT_STEP_S = 0.02
 _SPEEDS_PER_DOUBLING = 2
-_MAX_SCORES = 16384
+# 390 instances by 16 models, and room for names of replaced ones.
+_WEIGHTS_KEPT = 8192
 
 
 class Placement(abc.ABC):
@@ -183,7 +184,7 @@
     return names
 
 
-@functools.lru_cache(maxsize=_MAX_SCORES)
+@functools.lru_cache(_WEIGHTS_KEPT)
 def score_home(instance, subject):
     """Return the rendezvous weight of an instance for a subject."""
     text = f'{instance}\0{subject}'.encode()
