Tell a stop by command from a second signal; hold times to the bound for leaving

Change: signals are counted apart; a second one ends the process at once with status 8; load reports go on until the end; check_times returns the limits that settings name. The evidence of the last new work is set at the entry that sends it.

--- a/sniperudder/instance/_assembly.py
+++ b/sniperudder/instance/_assembly.py
@@ -1,6 +1,7 @@
 """Putting an instance together from its settings, and running it."""
 
 import dataclasses
+import os
 import random
 import signal
 import threading
@@ -29,6 +30,8 @@
 
 _LOAD_PERIOD_S = 1.0
 _DRAIN_LOOK_S = 0.1
+# Exit status where a second signal ends the process.
+_CUT_SHORT = 8
 _SIGNAL_LOOK_S = 0.2
 # Time for the transaction by which a stopping instance leaves.
 _LEAVE_S = 1.0
@@ -48,6 +51,8 @@
     peer_server : PeerServer
     stopping : threading.Event
         Set when a planned stop was asked for.
+    signalled : bool
+        Whether a signal has asked for it.
     """
 
     settings: settings_module.Settings
@@ -58,6 +63,7 @@
     admin_server: typing.Any
     peer_server: peers.PeerServer
     stopping: threading.Event
+    signalled: bool = False
 
 
 def create_instance(settings):
@@ -149,8 +155,8 @@
     log = logs.create_log(settings.instance.log, settings.instance.name)
     instance = create_instance(settings)
     _start_threads(instance)
-    signal.signal(signal.SIGTERM, lambda *args: _request_stop(instance))
-    signal.signal(signal.SIGINT, lambda *args: _request_stop(instance))
+    signal.signal(signal.SIGTERM, lambda *args: _take_signal(instance))
+    signal.signal(signal.SIGINT, lambda *args: _take_signal(instance))
     logs.write_note(
         effects.Note('instance:start', settings.instance.name, _pair(instance))
     )
@@ -184,13 +190,17 @@
 
 def _poll_loads(instance):
     instance.calls.read_loads()
-    while not instance.stopping.wait(_LOAD_PERIOD_S):
+    # Also during a planned stop, which is full of streams under way.
+    while not instance.runtime.wait(_LOAD_PERIOD_S):
         instance.calls.read_loads()
 
 
-def _request_stop(instance):
-    if instance.stopping.is_set():
-        raise SystemExit(1)
+def _take_signal(instance):
+    # A stop by command may come before the platform's signal; only a
+    # second signal asks for the end at once.
+    if instance.signalled:
+        os._exit(_CUT_SHORT)
+    instance.signalled = True
     instance.stopping.set()
 
 
--- a/sniperudder/instance/_runtime.py
+++ b/sniperudder/instance/_runtime.py
@@ -132,6 +132,10 @@
         while not self._stopped.wait(_TICK_S):
             self.tick()
 
+    def wait(self, time_s):
+        """Wait for a time, seconds; return whether stopped meanwhile."""
+        return self._stopped.wait(time_s)
+
     def stop(self):
         """End ``run_ticks``."""
         self._stopped.set()
--- a/sniperudder/settings/_checks.py
+++ b/sniperudder/settings/_checks.py
@@ -3,11 +3,19 @@
 import os
 
 from sniperudder.settings import _records
+from sniperudder.systems import configuration
 from sniperudder.tables import RANKS
 
 # A shared key that is shorter than this can be guessed.
 _MIN_PEER_KEY_BYTES = 16
 
+# Key of a time and how many of its units are a second.
+_TIME_KEYS = {
+    'freshness_s': ('freshness_s', 1),
+    'heartbeat_s': ('heartbeat_ms', 1000),
+    'poll_s': ('poll_ms', 1000),
+}
+
 
 def check_whole(reading):
     """Return the mistakes that no single key shows.
@@ -109,14 +117,17 @@
 
 def _check_times(settings):
     policy = settings.policy
-    if policy.heartbeat_s >= policy.suspect_s:
+    limits = configuration.check_times(policy)
+    known = any(limit.field == 'heartbeat_s' for limit in limits)
+    if policy.heartbeat_s >= policy.suspect_s and not known:
         found = f'{policy.heartbeat_s * 1000:g}'
         allowed = f'less than suspect_s, which is {policy.suspect_s:g}'
         yield _records.Mistake('policy', 'heartbeat_ms', found, allowed)
-    if policy.poll_s >= policy.freshness_s:
-        found = f'{policy.poll_s * 1000:g}'
-        allowed = f'less than freshness_s, which is {policy.freshness_s:g}'
-        yield _records.Mistake('policy', 'poll_ms', found, allowed)
+    for limit in limits:
+        key, factor = _TIME_KEYS[limit.field]
+        found = f'{limit.found * factor:g}'
+        allowed = f'at most {limit.most_s * factor:g}, see CONFIGURATION.md'
+        yield _records.Mistake('policy', key, found, allowed)
 
 
 def _check_addresses(settings):
--- a/sniperudder/settings/tests/test_loading.py
+++ b/sniperudder/settings/tests/test_loading.py
@@ -173,6 +173,12 @@
         found = self.check('floor = 0.5', 'floor = 0.81')
         self.assertEqual([('rank', 'floor')], found)
 
+    def test_freshness_beyond_the_bound_for_leaving(self):
+        found = self.check(
+            'heartbeat_ms = 250', 'heartbeat_ms = 250\nfreshness_s = 3'
+        )
+        self.assertEqual([('policy', 'freshness_s')], found)
+
     def test_times(self):
         found = self.check(
             'heartbeat_ms = 250', 'heartbeat_ms = 2000\npoll_ms = 2000'
--- a/sniperudder/systems/configuration/_freshness.py
+++ b/sniperudder/systems/configuration/_freshness.py
@@ -3,8 +3,9 @@
 docs/CONFIGURATION.md gives the argument that this rests on.
 """
 
+import dataclasses
+
 from sniperudder.effects import Transact
-from sniperudder.errors import SettingsError
 from sniperudder.inputs import Committed
 from sniperudder.systems.configuration import _purposes
 from sniperudder.systems.configuration import _rows
@@ -12,10 +13,28 @@
 _POLL_JITTER = 0.2
 _LEAVING_BOUND_S = 3.0
 _TICK_S = 0.1
+_FRESHNESS_MOST_S = _LEAVING_BOUND_S - _TICK_S
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TimeLimit:
+    """A time of the policy that breaks the bound for leaving.
+
+    Attributes
+    ----------
+    field : str
+        Name of the field of ``Policy``.
+    found, most_s : float
+        Its value and the largest that is allowed, seconds.
+    """
+
+    field: str
+    found: float
+    most_s: float
 
 
 def check_times(policy):
-    """Check that the times of a policy keep the bound for leaving.
+    """Return the times of a policy that break the bound for leaving.
 
     No instance gives new work to an endpoint later than
     ``freshness_s`` after its withdrawal was accepted; a tick is left for
@@ -27,18 +46,22 @@
     ----------
     policy : sniperudder.tables.Policy
 
-    Raises
-    ------
-    SettingsError
+    Returns
+    -------
+    list of TimeLimit
+
+    Examples
+    --------
+    >>> from sniperudder.tables import Policy
+    >>> [limit.field for limit in check_times(Policy(freshness_s=9.0))]
+    ['freshness_s']
     """
-    if policy.freshness_s + _TICK_S > _LEAVING_BOUND_S:
-        raise SettingsError(
-            f'freshness_s must be at most {_LEAVING_BOUND_S - _TICK_S:g}'
-        )
-    if policy.poll_s * 1.5 > policy.freshness_s:
-        raise SettingsError('poll_s must be at most 2/3 of freshness_s')
-    if policy.heartbeat_s * 3 > policy.freshness_s:
-        raise SettingsError('heartbeat_s must be at most 1/3 of freshness_s')
+    limits = [
+        TimeLimit('freshness_s', policy.freshness_s, _FRESHNESS_MOST_S),
+        TimeLimit('heartbeat_s', policy.heartbeat_s, policy.freshness_s / 3),
+        TimeLimit('poll_s', policy.poll_s, policy.freshness_s / 1.5),
+    ]
+    return [limit for limit in limits if limit.found > limit.most_s]
 
 
 def is_fresh(T, now):
--- a/sniperudder/systems/requests/_slots.py
+++ b/sniperudder/systems/requests/_slots.py
@@ -132,6 +132,8 @@
         stage.endpoint: boot
         for stage, boot in zip(grant.chain, grant.boots, strict=True)
     }
+    for stage in grant.chain:
+        T.endpoints[stage.endpoint].last_sent_at = now
     note = effects.Note('request:start', req.name, f'attempt {req.attempt}')
     return [note, _steps.make_step(T, req, 0, now)]
 
