--- a/Makefile
+++ b/Makefile
@@ -61,3 +61,5 @@
 # Random faults over many decision cores; prints the seed of a failure.
 soak: setup
 	$(BIN)/python -m measurements.soak $(SECONDS) $(SEED)
+	$(BIN)/python -m measurements.orders soak $(SECONDS) $(SEED)
+	$(BIN)/python -m measurements.streams $(SECONDS) $(SEED)
--- a/sniperudder/instance/_batches.py
+++ b/sniperudder/instance/_batches.py
@@ -3,6 +3,8 @@
 import queue
 import threading
 
+import eliot
+
 
 def take_all(pending, limit):
     """Wait for an item; return it with those that wait behind it.
@@ -22,6 +24,18 @@
     return items
 
 
+def run_logged(function, *args):
+    """Call a function; log what it raises and go on.
+
+    For work that nobody waits for: an unforeseen fault in one piece of
+    it must neither pass unseen nor end the thread that does the rest.
+    """
+    try:
+        function(*args)
+    except Exception:
+        eliot.write_traceback()
+
+
 def start_thread(function, name):
     """Run a function in a thread that does not keep the process."""
     thread = threading.Thread(target=function, name=name, daemon=True)
--- a/sniperudder/instance/_calls.py
+++ b/sniperudder/instance/_calls.py
@@ -5,6 +5,7 @@
 
 from sniperudder import effects
 from sniperudder import inputs
+from sniperudder.instance import _batches
 from sniperudder.systems import orders
 
 _PLATFORM_THREADS = 8
@@ -33,6 +34,7 @@
         'engines',
         'peers',
         'pools',
+        'awaited_loads',
     )
 
     def __init__(self, runtime, platform, services, engines, peers):
@@ -41,6 +43,7 @@
         self.services = services
         self.engines = engines
         self.peers = peers
+        self.awaited_loads = set()
         self.pools = {
             'platform': _create_pool(_PLATFORM_THREADS),
             'services': _create_pool(_SERVICE_THREADS),
@@ -50,32 +53,38 @@
 
     def transact(self, effect):
         """Run a transaction."""
-        self.pools['platform'].submit(self._transact, effect)
+        self._start('platform', self._transact, effect)
 
     def scan(self, effect):
         """Read rows."""
-        self.pools['platform'].submit(self._scan, effect)
+        self._start('platform', self._scan, effect)
 
     def list_instances(self, effect):
         """Read the platform's list of instances."""
-        self.pools['platform'].submit(self._list_instances)
+        self._start('platform', self._list_instances)
 
     def call_service(self, effect):
         """Call a service."""
-        self.pools['services'].submit(self._call_service, effect)
+        self._start('services', self._call_service, effect)
 
     def ask_service(self, effect):
         """Ask a service what became of a key."""
-        self.pools['services'].submit(self._ask_service, effect)
+        self._start('services', self._ask_service, effect)
 
     def send_beat(self, effect):
         """Send a heartbeat."""
-        self.pools['peers'].submit(self._send_beat, effect)
+        self._start('peers', self._send_beat, effect)
 
     def read_loads(self):
         """Ask every engine for its load."""
         for ep in list(self.runtime.T.endpoints.values()):
-            self.pools['loads'].submit(self._read_load, ep)
+            # One that does not answer must not fill the queue.
+            if ep.name not in self.awaited_loads:
+                self.awaited_loads.add(ep.name)
+                self._start('loads', self._read_load, ep)
+
+    def _start(self, pool, function, *args):
+        self.pools[pool].submit(_batches.run_logged, function, *args)
 
     def _transact(self, effect):
         sent_at = self.runtime.read_clock()
@@ -120,7 +129,10 @@
 
     def _read_load(self, ep):
         sent_at = self.runtime.read_clock()
-        report = self.engines.read_load(ep, _LOAD_TIMEOUT_S)
+        try:
+            report = self.engines.read_load(ep, _LOAD_TIMEOUT_S)
+        finally:
+            self.awaited_loads.discard(ep.name)
         if report is not None:
             self.runtime.submit(dataclasses.replace(report, sent_at=sent_at))
 
--- a/sniperudder/instance/_engines.py
+++ b/sniperudder/instance/_engines.py
@@ -46,10 +46,12 @@
     def _run_steps(self):
         while True:
             steps = _batches.take_all(self.steps, _STEPS_PER_CALL)
-            checked = [self._check_start(step) for step in steps]
-            ready = [step for step in checked if step is not None]
-            if not ready:
-                continue
+            _batches.run_logged(self._send_steps, steps)
+
+    def _send_steps(self, steps):
+        checked = [self._check_start(step) for step in steps]
+        ready = [step for step in checked if step is not None]
+        if ready:
             answers = self.client.send_steps(self.ep, ready, self.timeout_s)
             self.runtime.submit_all(answers)
 
@@ -76,7 +78,12 @@
     def _run_cancels(self):
         while True:
             cancels = _batches.take_all(self.cancels, _STEPS_PER_CALL)
-            self.client.cancel_streams(self.ep, cancels, _CANCEL_TIMEOUT_S)
+            _batches.run_logged(
+                self.client.cancel_streams,
+                self.ep,
+                cancels,
+                _CANCEL_TIMEOUT_S,
+            )
 
 
 class EngineSenders:
--- a/sniperudder/instance/_posts.py
+++ b/sniperudder/instance/_posts.py
@@ -32,7 +32,8 @@
     def run(self):
         """Send what gathers, for ever."""
         while True:
-            self._send(_batches.take_all(self.posts, _MESSAGES_PER_CALL))
+            posts = _batches.take_all(self.posts, _MESSAGES_PER_CALL)
+            _batches.run_logged(self._send, posts)
 
     def _send(self, posts):
         # The newest address: the peer may have been replaced.
--- a/sniperudder/instance/_runtime.py
+++ b/sniperudder/instance/_runtime.py
@@ -8,6 +8,7 @@
 from sniperudder import effects
 from sniperudder import errors
 from sniperudder import inputs
+from sniperudder.instance import _batches
 from sniperudder.systems import configuration
 
 # Time between ticks; arrivals and answers are handled at once.
@@ -62,7 +63,8 @@
         """Give inputs to the core while nothing else comes between."""
         with self.lock:
             for inp in inps:
-                self.submit(inp)
+                # A fault with one must not lose the others.
+                _batches.run_logged(self.submit, inp)
 
     def answer_beat(self, beat):
         """Take in a peer's heartbeat and return the answer to it."""
@@ -130,7 +132,7 @@
     def run_ticks(self):
         """Tick until stopped."""
         while not self._stopped.wait(_TICK_S):
-            self.tick()
+            _batches.run_logged(self.tick)
 
     def wait(self, time_s):
         """Wait for a time, seconds; return whether stopped meanwhile."""
--- /dev/null
+++ b/sniperudder/instance/tests/test_runtime.py
@@ -0,0 +1,57 @@
+"""The runtime around the decision core."""
+
+import threading
+
+import testtools
+
+from sniperudder import effects
+from sniperudder import inputs
+from sniperudder import instance
+from sniperudder import tables
+
+
+def _make_arrival(number):
+    return inputs.RequestArrived(
+        f'req-{number}', 'studio', tables.Rank.URGENT, 'none', 'text', 1
+    )
+
+
+class TestRuntime(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        T = tables.create_tables('entry-1', 'milan')
+        self.runtime = instance.create_runtime(T, lambda: 1.0)
+        self.runtime.routes[effects.Note] = lambda note: None
+
+    def test_refusal_reaches_its_caller(self):
+        replies = self.runtime.open_reply('req-1')
+        self.runtime.submit(_make_arrival(1))
+        self.assertIsInstance(replies.get_nowait(), effects.Finish)
+        self.assertEqual({}, self.runtime.replies)
+
+    def test_fault_with_one_input_does_not_lose_the_next(self):
+        finished = []
+
+        def finish(effect):
+            if effect.request == 'req-1':
+                raise ValueError('no such reply')
+            finished.append(effect.request)
+
+        self.runtime.routes[effects.Finish] = finish
+        self.runtime.submit_all([_make_arrival(1), _make_arrival(2)])
+        self.assertEqual(['req-2'], finished)
+
+    def test_fault_in_a_tick_does_not_end_the_ticks(self):
+        ticked = threading.Semaphore(0)
+
+        def fail():
+            ticked.release()
+            raise KeyError('no route')
+
+        self.runtime.read_clock = fail
+        thread = threading.Thread(target=self.runtime.run_ticks)
+        thread.start()
+        self.addCleanup(thread.join)
+        self.addCleanup(self.runtime.stop)
+        self.assertTrue(ticked.acquire(timeout=60))
+        self.assertTrue(ticked.acquire(timeout=60))
--- a/sniperudder/systems/requests/_admission.py
+++ b/sniperudder/systems/requests/_admission.py
@@ -45,7 +45,8 @@
     refusal = _find_refusal(T, req, now)
     if refusal is not None:
         _finish.count_outcome(T, refusal)
-        return [effects.Finish(req.name, refusal)]
+        note = _finish.note_end(req, refusal)
+        return [note, effects.Finish(req.name, refusal)]
     T.requests[req.name] = req
     heapq.heappush(T.timers, (req.deadline, req.name))
     return _slots.ask_slot(T, req, now)
--- a/sniperudder/systems/requests/_finish.py
+++ b/sniperudder/systems/requests/_finish.py
@@ -63,6 +63,12 @@
     return finish_request(T, req, outcome, now)
 
 
+def note_end(req, outcome):
+    """Return the note that a request ended, with its code."""
+    code = outcome.code
+    return effects.Note('request:end', req.name, f'{int(code)} {code.name}')
+
+
 def finish_request(T, req, outcome, now):
     """End a request with its outcome.
 
@@ -95,4 +101,8 @@
     released = release_slot(T, req, now)
     req.state = tables.RequestState.DONE
     count_outcome(T, outcome)
-    return [*released, effects.Finish(req.name, outcome)]
+    return [
+        *released,
+        note_end(req, outcome),
+        effects.Finish(req.name, outcome),
+    ]
