Give the runtime's tests a log of their own

Cause: eliot keeps messages that have no destination for the next one, so that the doctest of create_log failed after the new tests (clean clone: 1 failed, 474 passed). Change: the tests open and close a log.

--- a/sniperudder/instance/tests/test_runtime.py
+++ b/sniperudder/instance/tests/test_runtime.py
@@ -1,5 +1,6 @@
 """The runtime around the decision core."""
 
+import io
 import threading
 
 import testtools
@@ -7,6 +8,7 @@
 from sniperudder import effects
 from sniperudder import inputs
 from sniperudder import instance
+from sniperudder import logs
 from sniperudder import tables
 
 
@@ -19,6 +21,9 @@
 class TestRuntime(testtools.TestCase):
     def setUp(self):
         super().setUp()
+        # Without a destination, eliot keeps messages for the next one.
+        log = logs.create_log(io.StringIO(), 'entry-1')
+        self.addCleanup(logs.close_log, log)
         T = tables.create_tables('entry-1', 'milan')
         self.runtime = instance.create_runtime(T, lambda: 1.0)
         self.runtime.routes[effects.Note] = lambda note: None
