Count a step under way when its attempt gives way

Ruled out: the engines' busy answers, late grants. Change: a request knows whether a step is under way; ending its attempt marks that it may have run and remembers content and run of the engine until the step's answer or failure comes.

--- a/sniperudder/systems/requests/_finish.py
+++ b/sniperudder/systems/requests/_finish.py
@@ -29,6 +29,8 @@
         A ``CancelStream`` for each endpoint of the attempt, since each
         may hold state, and the release.
     """
+    if req.in_flight:
+        _abandon_step(T, req)
     result = [
         effects.CancelStream(stage.endpoint, req.name, req.attempt)
         for stage in req.chain
@@ -45,6 +47,16 @@
     return [*result, *dispatch.post_message(T, req.home, release, now)]
 
 
+def _abandon_step(T, req):
+    # It may yet run, and it may yet crash its engine.
+    endpoint = req.chain[req.stage].endpoint
+    T.abandoned[(req.name, req.attempt)] = tables.Abandoned(
+        req.fingerprint, req.boots.get(endpoint, '')
+    )
+    req.in_flight = False
+    req.maybe_ran = True
+
+
 def _collect_samples(T, req):
     samples = dict(req.samples)
     for stage in req.chain:
--- a/sniperudder/systems/requests/_pipeline.py
+++ b/sniperudder/systems/requests/_pipeline.py
@@ -36,8 +36,10 @@
     req = _find_awaited(T, inp)
     if req is None:
         T.counters['late_steps'] = T.counters.get('late_steps', 0) + 1
+        T.abandoned.pop((inp.request, inp.attempt), None)
         return []
     req.maybe_ran = True
+    req.in_flight = False
     stage = req.chain[req.stage]
     layers = (inp.first_layer, inp.end_layer)
     if layers != (stage.first_layer, stage.end_layer):
@@ -71,7 +73,8 @@
     """Take in a step without a result; handles ``StepFailed``."""
     req = _find_awaited(T, inp)
     if req is None:
-        return []
+        return _blame_abandoned(T, inp, now)
+    req.in_flight = False
     ep = T.endpoints.get(inp.endpoint)
     boot = req.boots.get(inp.endpoint, '')
     if not inp.refused:
@@ -79,17 +82,30 @@
             inp.endpoint, failed=True, crashed=inp.crashed, boot=boot
         )
     if inp.delivery is inputs.Delivery.LOST:
-        # A crash may show as a broken connection or only as silence;
-        # the engine's next report tells whether there was one.
-        crash = suspicion.name_crash(inp.endpoint, boot)
-        settle_s = 0.0 if inp.crashed else T.policy.step_timeout_s
-        suspicion.mark_crash(T, req.fingerprint, crash, now, settle_s)
+        _blame_content(T, req.fingerprint, inp, boot, now)
     if _may_resend(ep, req, inp):
         req.resent = True
+        req.in_flight = True
         return [effects.SendStep(inp.endpoint, inp.step)]
     return _end_attempt(T, req, inp, now)
 
 
+def _blame_content(T, fingerprint, inp, boot, now):
+    # A crash may show as a broken connection or only as silence; the
+    # engine's next report tells whether there was one.
+    crash = suspicion.name_crash(inp.endpoint, boot)
+    settle_s = 0.0 if inp.crashed else T.policy.step_timeout_s
+    suspicion.mark_crash(T, fingerprint, crash, now, settle_s)
+
+
+def _blame_abandoned(T, inp, now):
+    # The request gave way, or its caller left, while the step ran.
+    step = T.abandoned.pop((inp.request, inp.attempt), None)
+    if step is not None and inp.delivery is inputs.Delivery.LOST:
+        _blame_content(T, step.fingerprint, inp, step.boot, now)
+    return []
+
+
 def _may_resend(ep, req, inp):
     if ep is None or not ep.deduplicates or req.resent or inp.crashed:
         return False
--- a/sniperudder/systems/requests/_steps.py
+++ b/sniperudder/systems/requests/_steps.py
@@ -21,6 +21,7 @@
     """
     req.stage = stage_index
     req.resent = False
+    req.in_flight = True
     stage = req.chain[stage_index]
     if payload is None:
         payload = req.prompt + ''.join(req.tokens)
--- a/sniperudder/systems/requests/tests/_mutants.py
+++ b/sniperudder/systems/requests/tests/_mutants.py
@@ -75,6 +75,15 @@
     return mock.patch.object(_pipeline, '_end_attempt', end)
 
 
+def forget_abandoned_steps():
+    """Take a step under way for not run when its attempt ends."""
+
+    def abandon(T, req):
+        req.in_flight = False
+
+    return mock.patch.object(_finish, '_abandon_step', abandon)
+
+
 def ignore_crashes():
     """Try a content again however often it crashed an engine."""
     return mock.patch.object(suspicion, 'mark_crash', lambda *args: None)
@@ -135,6 +144,11 @@
     return mock.patch.object(_grants, '_may_take', may_take)
 
 
+def draw_yielding(seed):
+    """Return a plan in which a stream gives way at its first step."""
+    return testing.draw_plan(102997 + seed)
+
+
 def draw_losses(seed):
     """Return a plan of lost answers only."""
     return testing.draw_plan(seed, (testing.FaultKind.LOSE,))
@@ -182,6 +196,7 @@
     Mutant(begin_without_state, 'wrong tokens', draw_blinks),
     Mutant(call_cut_answers_whole, 'looks whole'),
     Mutant(refuse_after_lost_step, 'refused as not run, but ran'),
+    Mutant(forget_abandoned_steps, 'not run, but ran', draw_yielding),
     Mutant(ignore_crashes, 'crashed'),
     Mutant(take_timeouts_for_harmless, 'crashed'),
     Mutant(use_withdrawn_endpoints, 'withdrawn'),
--- a/sniperudder/systems/requests/tests/test_requests.py
+++ b/sniperudder/systems/requests/tests/test_requests.py
@@ -3,6 +3,7 @@
 import testtools
 
 from sniperudder import inputs
+from sniperudder import messages
 from sniperudder import outcomes
 from sniperudder.systems.requests.tests import _fleets
 from sniperudder import tables
@@ -218,6 +219,21 @@
 
 
 class TestGivingWay(testtools.TestCase):
+    def test_first_step_under_way_is_not_forgotten(self):
+        # Found by draw_plan(102997): the caller heard "not run" though
+        # the step that was under way when the stream gave way ran.
+        fleet = _fleets.create_fleet(copies=1, streams=1)
+        least = _fleets.make_arrival(1, rank=tables.Rank.LEAST)
+        fleet.send_request('entry-0', least)
+        fleet.clock.run_until(0.002)
+        revoke = messages.RevokeSlot('req-1', 1)
+        post = inputs.PostArrived('entry-0', revoke)
+        fleet.entries['entry-0'].config.withdrawn.add('ep-0-0')
+        fleet.submit('entry-0', post)
+        fleet.submit('entry-0', inputs.CallerLeft('req-1'))
+        fleet.clock.run_until(5.0)
+        self.assertEqual([], _fleets.check_promises(fleet))
+
     def test_least_rank_stream_yields_and_resumes(self):
         fleet = _fleets.create_fleet(copies=1, streams=2)
         for number in range(2):
--- a/sniperudder/tables/_requests.py
+++ b/sniperudder/tables/_requests.py
@@ -30,6 +30,22 @@
     end_layer: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Abandoned:
+    """A step under way whose attempt has ended.
+
+    Attributes
+    ----------
+    fingerprint : str
+        Digest of organisation and content.
+    boot : str
+        Run of the engine that it was sent to.
+    """
+
+    fingerprint: str
+    boot: str
+
+
 @dataclasses.dataclass(slots=True)
 class Request:
     """A request for a streamed answer of a model.
@@ -79,6 +95,8 @@
         deduplicates.
     boots : dict of str to str
         Run of each endpoint when the current attempt began.
+    in_flight : bool
+        Whether a step was sent whose answer is awaited.
     yields : int
         How often it gave way to more urgent work.
     failures : int
@@ -109,5 +127,6 @@
     first_position: int = 0
     boots: dict = dataclasses.field(default_factory=dict)
     resent: bool = False
+    in_flight: bool = False
     yields: int = 0
     failures: int = 0
--- a/sniperudder/tables/_tables.py
+++ b/sniperudder/tables/_tables.py
@@ -175,6 +175,9 @@
         Streams of each rank that hold slots.
     speeds : dict of Rank to float
         Tokens a second of the chains that each rank holds, each alone.
+    abandoned : dict of (str, int) to Abandoned
+        Steps under way whose attempt has ended, by request and
+        attempt.
     timers : list of (float, str)
         Heap of times at which a request must be looked at, seconds.
     retry_tokens : float
@@ -235,6 +238,7 @@
     virtual: dict = dataclasses.field(default_factory=dict)
     running: dict = dataclasses.field(default_factory=dict)
     speeds: dict = dataclasses.field(default_factory=dict)
+    abandoned: dict = dataclasses.field(default_factory=dict)
     timers: list = dataclasses.field(default_factory=list)
     retry_tokens: float = 10.0
     arrivals: dict = dataclasses.field(default_factory=dict)
--- a/sniperudder/testing/_engines.py
+++ b/sniperudder/testing/_engines.py
@@ -57,8 +57,8 @@
     boot : str
     poisoned : list of str
         Requests that crashed it.
-    begun : list of (float, str)
-        Time and request of each attempt that it began.
+    begun : list of (float, str, int)
+        Time, request and number of each attempt that it began.
     up : bool
     slow : float
         Factor on all times.
@@ -107,7 +107,7 @@
             return
         key = (step.request, step.attempt)
         if key not in self.positions:
-            self.begun.append((self.clock.now, step.request))
+            self.begun.append((self.clock.now, *key))
         self.positions[key] = step.position
         self._waiting.append(_Waiting(step, answer))
         if not self._busy:
--- a/sniperudder/testing/_faults.py
+++ b/sniperudder/testing/_faults.py
@@ -282,10 +282,17 @@
 
 
 def _check_withdrawals(world):
+    # Later stages belong to the work that the first stage began.
+    first = {}
+    for engine in world.fleet.engines.values():
+        for time, *attempt in engine.begun:
+            key = tuple(attempt)
+            first[key] = min(time, first.get(key, time))
     for name, begin, end in world.withdrawn:
-        for time, request in world.fleet.engines[name].begun:
-            if begin + _LINK_SLACK_S < time < end:
-                yield f'{request} was begun at the withdrawn {name}'
+        for time, *attempt in world.fleet.engines[name].begun:
+            given = first[tuple(attempt)]
+            if begin + _LINK_SLACK_S < given and time < end:
+                yield f'{attempt[0]} was begun at the withdrawn {name}'
 
 
 def _check_crashes(fleet):
