--- a/sniperudder/systems/dispatch/_grants.py
+++ b/sniperudder/systems/dispatch/_grants.py
@@ -117,6 +117,8 @@
             return None
         if not suspicion.is_suspect(T, ticket.fingerprint):
             return ticket
+        if suspicion.is_condemned(T, ticket.fingerprint, now):
+            return ticket
         if suspicion.is_undecided(T, ticket.fingerprint, now):
             continue
         if taken is None:
