--- a/sniperudder/messages/_slots.py
+++ b/sniperudder/messages/_slots.py
@@ -31,6 +31,8 @@
         How often the request gave way before.
     crashes : tuple of str
         Crashes at which its content was in flight.
+    settle_s : float
+        Time for which no report can disprove them, seconds.
     """
 
     request: str
@@ -44,6 +46,7 @@
     again: bool = False
     yields: int = 0
     crashes: tuple = ()
+    settle_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/sniperudder/peers/_posts.py
+++ b/sniperudder/peers/_posts.py
@@ -49,6 +49,7 @@
         again=ask.again,
         yields=ask.yields,
         crashes=list(ask.crashes),
+        settle_s=ask.settle_s,
     )
     return ttypes.Post(ask=wire)
 
@@ -66,6 +67,7 @@
         again=wire.again,
         yields=wire.yields,
         crashes=tuple(wire.crashes),
+        settle_s=wire.settle_s,
     )
 
 
--- a/sniperudder/peers/gen/wire/ttypes.py
+++ b/sniperudder/peers/gen/wire/ttypes.py
@@ -804,6 +804,7 @@
      - again
      - yields
      - crashes
+     - settle_s
 
     """
 
@@ -819,11 +820,12 @@
         'again',
         'yields',
         'crashes',
+        'settle_s',
     )
 
 
     def __init__(self, request=None, attempt=None, organisation=None, rank=None, model=None, work=None, fingerprint=None, max_wait_s=None, again=False, yields=0, crashes=[
-    ],):
+    ], settle_s=float(0),):
         self.request = request
         self.attempt = attempt
         self.organisation = organisation
@@ -838,6 +840,7 @@
             crashes = [
             ]
         self.crashes = crashes
+        self.settle_s = settle_s
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -908,6 +911,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.DOUBLE:
+                    self.settle_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -965,6 +973,10 @@
                 oprot.writeString(iter34.encode('utf-8') if sys.version_info[0] == 2 else iter34)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.settle_s is not None:
+            oprot.writeFieldBegin('settle_s', TType.DOUBLE, 12)
+            oprot.writeDouble(self.settle_s)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2221,6 +2233,7 @@
     (10, TType.I32, 'yields', None, 0, ),  # 10
     (11, TType.LIST, 'crashes', (TType.STRING, 'UTF8', False), [
     ], ),  # 11
+    (12, TType.DOUBLE, 'settle_s', None, float(0), ),  # 12
 )
 all_structs.append(GrantSlot)
 GrantSlot.thrift_spec = (
--- a/sniperudder/peers/sniperudder.thrift
+++ b/sniperudder/peers/sniperudder.thrift
@@ -63,6 +63,7 @@
   9: bool again = false;
   10: i32 yields = 0;
   11: list<string> crashes = [];
+  12: double settle_s = 0;
 }
 
 struct GrantSlot {
--- a/sniperudder/peers/tests/test_posts.py
+++ b/sniperudder/peers/tests/test_posts.py
@@ -13,7 +13,7 @@
 
 _MESSAGES = [
     messages.AskSlot(
-        'r', 2, 'org', _URGENT, 'm', 3.5, 'f', 1.0, True, 1, ('a:b',)
+        'r', 2, 'org', _URGENT, 'm', 3.5, 'f', 1.0, True, 1, ('a:b',), 2.5
     ),
     messages.GrantSlot('r', 2, _CHAIN, '1', ('x', 'y')),
     messages.DenySlot('r', 2, outcomes.Code.NO_ENDPOINT, 1.5),
--- a/sniperudder/systems/dispatch/_homes.py
+++ b/sniperudder/systems/dispatch/_homes.py
@@ -22,7 +22,7 @@
 def take_ask(T, sender, ask, now):
     """Queue, grant or deny; repeats get the same answer."""
     for crash in ask.crashes:
-        suspicion.mark_crash(T, ask.fingerprint, crash, now)
+        suspicion.mark_crash(T, ask.fingerprint, crash, now, ask.settle_s)
     known = T.tickets.get(ask.request)
     if known is not None and known.attempt >= ask.attempt:
         return _repeat_grant(T, known, now)
--- a/sniperudder/systems/requests/_slots.py
+++ b/sniperudder/systems/requests/_slots.py
@@ -65,6 +65,7 @@
         again=req.maybe_ran,
         yields=req.yields,
         crashes=tuple(sorted(mark.crashes)) if mark else (),
+        settle_s=max(0.0, mark.settled_at - now) if mark else 0.0,
     )
 
 
--- a/sniperudder/systems/requests/tests/test_random.py
+++ b/sniperudder/systems/requests/tests/test_random.py
@@ -6,6 +6,9 @@
 from sniperudder.systems.requests.tests import _plans
 from sniperudder import testing
 
+# Each broke a promise once.
+_FOUND_SEEDS = (132, 288, 333, 100900, 101541, 102997, 400617)
+
 
 class TestRandomFaults(testtools.TestCase):
     @hypothesis.settings(
@@ -18,7 +21,7 @@
 
     def test_drawn_plans_hold(self):
         broken = {}
-        for seed in range(100):
+        for seed in (*range(100), *_FOUND_SEEDS):
             world = testing.StreamWorld(testing.draw_plan(seed)).run()
             found = testing.check_streams(world)
             if found:
--- a/sniperudder/systems/suspicion/_suspicion.py
+++ b/sniperudder/systems/suspicion/_suspicion.py
@@ -80,11 +80,11 @@
     if mark is None:
         mark = tables.Suspicion(fingerprint)
         T.suspicions[fingerprint] = mark
+    mark.settled_at = max(mark.settled_at, now + settle_s)
     if crash in mark.crashes:
         return
     mark.crashes = mark.crashes | {crash}
     mark.updated_at = now
-    mark.settled_at = max(mark.settled_at, now + settle_s)
     if len(T.suspicions) > _MARKS_KEPT:
         oldest = min(T.suspicions.values(), key=lambda m: m.updated_at)
         del T.suspicions[oldest.fingerprint]
