Tell since when a change is in force at the asked instance

Change: the time is kept with the changes. Figures: test_the_asked_instance_tells_since_when failed before, passes after; 61 tests of configuration, operators, membership pass.

--- a/sniperudder/systems/configuration/_history.py
+++ b/sniperudder/systems/configuration/_history.py
@@ -39,16 +39,18 @@
     effects = []
     while T.config.version + 1 in T.pending:
         change = T.pending.pop(T.config.version + 1)
-        _apply(T, change)
+        _apply(T, change, now)
         effects.append(Note('configuration:apply', change.command_id))
     return effects
 
 
-def _apply(T, change):
+def _apply(T, change, now):
     before = T.config.members
     T.config = intents.apply_change(T.config, change)
     T.changes.append(change)
     del T.changes[:-_KEPT_CHANGES]
+    T.applied_at[change.version] = now
+    T.applied_at.pop(change.version - _KEPT_CHANGES, None)
     if T.config.members != before:
         members = tuple(sorted(T.config.members))
         T.rosters.append(Roster(change.version, members))
--- a/sniperudder/systems/configuration/_verification.py
+++ b/sniperudder/systems/configuration/_verification.py
@@ -125,7 +125,9 @@
     names = (T.config.members | set(T.instances)) - T.config.ended
     for name in sorted(names):
         if name == T.me:
-            yield Place(name, T.config.version, now, True)
+            # What a snapshot brought was in force from the start.
+            since = T.applied_at.get(version, T.started_at)
+            yield Place(name, T.config.version, since, True)
             continue
         peer = T.instances.get(name)
         if peer is None:
--- a/sniperudder/systems/configuration/tests/test_commands.py
+++ b/sniperudder/systems/configuration/tests/test_commands.py
@@ -3,6 +3,7 @@
 from sniperudder import intents
 from sniperudder import outcomes
 from sniperudder.outcomes import Code
+from sniperudder.systems import configuration
 from sniperudder import testing
 import testtools
 
@@ -52,6 +53,16 @@
         self.assertEqual('a', self.tell('b').command)
         self.assertIsInstance(self.tell('c'), outcomes.CommittedAt)
 
+    def test_the_asked_instance_tells_since_when(self):
+        self.give('a', intents.Withdraw('gpu-0'))
+        self.fleet.run(6.0)
+        node = self.fleet.nodes['entry-0']
+        now = self.fleet.now + node.clock_offset
+        told = configuration.verify_intent(node.T, 'a', now)
+        ages = {place.instance: now - place.since for place in told.places}
+        self.assertGreater(ages['entry-0'], 5.0)
+        self.assertLess(ages['entry-0'], 6.5)
+
     def test_force_overrides_the_winner(self):
         seen = self.fleet.nodes['entry-0'].T.config.version
         self.give('a', intents.Withdraw('gpu-0'))
--- a/sniperudder/tables/_tables.py
+++ b/sniperudder/tables/_tables.py
@@ -97,6 +97,8 @@
     config : Configuration
     changes : list of Change
         Changes applied, oldest first.
+    applied_at : dict of int to float
+        When each of them came into force here, seconds.
     instances, endpoints, models, services, organisations : dict
         Records by name. ``instances`` holds this instance too.
     requests, orders : dict
@@ -194,6 +196,7 @@
     policy: Policy
     config: _configuration.Configuration
     changes: list = dataclasses.field(default_factory=list)
+    applied_at: dict = dataclasses.field(default_factory=dict)
     instances: dict = dataclasses.field(default_factory=dict)
     endpoints: dict = dataclasses.field(default_factory=dict)
     models: dict = dataclasses.field(default_factory=dict)
