Give every running order a thread

Cause: 32 threads for all services, while the order system runs 16 orders of each: with a third service, calls would wait for a thread and be taken for lost (found by the writer of the order system, by reading). Change: 16 threads a service and 8 for questions.

--- a/sniperudder/instance/_calls.py
+++ b/sniperudder/instance/_calls.py
@@ -9,7 +9,7 @@
 from sniperudder.systems import orders
 
 _PLATFORM_THREADS = 8
-_SERVICE_THREADS = 32
+_ASK_THREADS = 8
 _BEAT_THREADS = 16
 _LOAD_THREADS = 8
 _LOAD_TIMEOUT_S = 1.0
@@ -46,7 +46,7 @@
         self.awaited_loads = set()
         self.pools = {
             'platform': _create_pool(_PLATFORM_THREADS),
-            'services': _create_pool(_SERVICE_THREADS),
+            'services': _create_pool(_count_service_threads(runtime.T)),
             'peers': _create_pool(_BEAT_THREADS),
             'loads': _create_pool(_LOAD_THREADS),
         }
@@ -153,6 +153,11 @@
     return calls
 
 
+def _count_service_threads(T):
+    # A call that waits for a thread would be taken for lost meanwhile.
+    return len(T.services) * orders.RUNNING_PER_SERVICE + _ASK_THREADS
+
+
 def _hold_back(effect):
     return inputs.ServiceReturned(
         effect.order,
