Hold all probe ports until the last address is chosen

Cause: scenarios._processes bound port 0, read the port and released it one address at a time, so the kernel could give the same port twice; an instance's address then equalled an endpoint's and the settings were refused. Ruled out: reuse by another program, the pair was seen within one process.

--- a/measurements/_entries.py
+++ b/measurements/_entries.py
@@ -37,7 +37,7 @@
     scenarios._processes.Fleet
     """
     scenario = parse_scenario(text, 'measurement')
-    with tempfile.TemporaryDirectory(dir='/dev/shm') as folder:
+    with tempfile.TemporaryDirectory() as folder:
         fleet = _processes.Fleet(scenario, pathlib.Path(folder), module)
         try:
             fleet.start_standins()
--- a/measurements/binary.py
+++ b/measurements/binary.py
@@ -123,7 +123,7 @@
 def main():
     """Print all figures; unpacks into a new directory."""
     ports = _find_ports(4)
-    with tempfile.TemporaryDirectory(dir='/dev/shm') as root:
+    with tempfile.TemporaryDirectory() as root:
         os.environ['SHIV_ROOT'] = root
         config = os.path.join(root, 'entry.ini')
         pathlib.Path(config).write_text(_SETTINGS.format(*ports))
--- a/scenarios/_processes.py
+++ b/scenarios/_processes.py
@@ -1,5 +1,6 @@
 """The processes of a scenario, all started by this one."""
 
+import contextlib
 import json
 import os
 import pathlib
@@ -49,14 +50,8 @@
         self.killed = set()
         self.crashed = set()
         self.addresses = {}
-        for name in self._list_standins():
-            self.addresses[name] = _find_address()
-        for link in self._list_links():
-            self.addresses[link] = _find_address()
-            self.addresses[_name_control(link)] = _find_address()
-        for entry in self.list_entries():
-            for role in _ROLES:
-                self.addresses[f'{entry}/{role}'] = _find_address()
+        names = list(self._list_names())
+        self.addresses.update(zip(names, find_addresses(len(names))))
 
     def list_entries(self):
         """Return the names of all entry instances."""
@@ -73,6 +68,16 @@
         kind = _records.DefineService
         return [s.name for s in self._scenario.list_statements(kind)]
 
+    def _list_names(self):
+        """Yield the name of everything that listens."""
+        yield from self._list_standins()
+        for link in self._list_links():
+            yield link
+            yield _name_control(link)
+        for entry in self.list_entries():
+            for role in _ROLES:
+                yield f'{entry}/{role}'
+
     def _list_links(self):
         """Return the names of the links that the scenario cuts."""
         cuts = self._scenario.list_statements(_records.Cut)
@@ -291,7 +296,24 @@
     raise RuntimeError(f'{name} did not start')
 
 
-def _find_address():
-    with socket.socket() as probe:
-        probe.bind((_HOST, 0))
-        return f'{_HOST}:{probe.getsockname()[1]}'
+def find_addresses(count):
+    """Return distinct free addresses of this host.
+
+    All ports stay bound until the last one is found: the kernel may give
+    a port again as soon as it is released.
+
+    Parameters
+    ----------
+    count : int
+
+    Returns
+    -------
+    list of str
+    """
+    with contextlib.ExitStack() as probes:
+        addresses = []
+        for _ in range(count):
+            probe = probes.enter_context(socket.socket())
+            probe.bind((_HOST, 0))
+            addresses.append(f'{_HOST}:{probe.getsockname()[1]}')
+        return addresses
