--- a/sniperudder/commands/_local.py
+++ b/sniperudder/commands/_local.py
@@ -1,6 +1,8 @@
 """Commands that run without asking another instance."""
 
+import os
 import platform
+import sys
 
 import sniperudder
 from sniperudder.commands._status import CommandFailed
@@ -32,6 +34,31 @@
     return Status.DONE
 
 
+def enter(settings_file=''):
+    """Run an entry instance on the users' platform.
+
+    SIGTERM asks for a planned stop: the instance leaves the balancer,
+    ends what is in flight, and exits.
+
+    Parameters
+    ----------
+    settings_file : str
+        File that the platform wrote; by default the one that the
+        environment names.
+    """
+    # Only this command needs the forwarding, which takes memory.
+    from sniperudder import entry
+    from sniperudder import platform
+
+    path = settings_file or os.environ.get(platform.SETTINGS_VARIABLE, '')
+    try:
+        entry.run_entry(path)
+    except platform.DocumentError as error:
+        print(f'{path}: {error}', file=sys.stderr)
+        return Status.MISTAKES
+    return Status.DONE
+
+
 def check_config(config):
     """Check a settings file and name every mistake in it.
 
--- a/sniperudder/commands/_main.py
+++ b/sniperudder/commands/_main.py
@@ -38,6 +38,7 @@
 
 _COMMANDS = (
     _local.serve,
+    _local.enter,
     _local.check_config,
     _remote.query,
     _remote.command,
--- /dev/null
+++ b/sniperudder/entry/__init__.py
@@ -0,0 +1,5 @@
+"""One entry instance on the users' platform."""
+
+from sniperudder.entry._entry import run_entry
+
+__all__ = ['run_entry']
--- /dev/null
+++ b/sniperudder/entry/_entry.py
@@ -0,0 +1,282 @@
+"""One entry instance: its tables wired to the outside."""
+
+import asyncio
+import gc
+import os
+import random
+import signal
+import sys
+import traceback
+
+from sniperudder.entry import _journal
+from sniperudder.entry import _placer
+from sniperudder.entry import _watchers
+from sniperudder import fleet
+from sniperudder import forwarding
+from sniperudder import logs
+from sniperudder import platform
+
+# Time from SIGTERM for which new connections are still taken, seconds:
+# the balancer asks each second, and stops after two refusals.
+_LISTEN_S = 2.6
+
+# Time before the end of the grace period at which the process ends.
+_EXIT_MARGIN_S = 0.2
+
+# Seconds between two looks while stopping, and between two housekeepings.
+_STOP_LOOK_S = 0.05
+_HOUSEKEEPING_S = 1.0
+
+_READY = 200
+_NOT_READY = 503
+
+
+class Entry:
+    """An entry instance between callers and endpoints.
+
+    Parameters
+    ----------
+    settings : sniperudder.fleet.InstanceSettings
+    load_settings : callable
+        Reads the settings again.
+    journal : Journal
+    """
+
+    def __init__(self, settings, load_settings, journal):
+        self._settings = settings
+        self._load_settings = load_settings
+        self._journal = journal
+        self._T = fleet.FleetTables()
+        self._calls = forwarding.ChannelPool()
+        self._requests = forwarding.ChannelPool()
+        self._store = platform.Store(
+            settings.platform_address, self._call_platform
+        )
+        self._forwarder = forwarding.Forwarder(
+            self._T, self._requests, settings, journal, random.Random()
+        )
+        self._callers = forwarding.CallerServer(
+            self._forwarder.handle, self._note_fault, self._note_rejection
+        )
+        self._balancer = forwarding.CallerServer(
+            self._answer_balancer, self._note_fault, self._note_rejection
+        )
+        self._placer = _placer.Placer(
+            self._T, self._store, self._calls, settings.name, journal
+        )
+        self._stopping = asyncio.Event()
+        self._tasks = []
+
+    async def run(self):
+        """Serve until SIGTERM, then end what is under way."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
+        loop.add_signal_handler(signal.SIGINT, self._stopping.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        await self._callers.start(self._settings.callers_address)
+        await self._balancer.start(self._settings.ready_address)
+        self._journal.write(
+            'instance:start',
+            self._settings.name,
+            data_centre=self._settings.data_centre,
+            callers=self._settings.callers_address,
+            process=os.getpid(),
+        )
+        configuration = _watchers.TableWatcher(
+            self._store,
+            platform.CONFIGURATION_TABLE,
+            self._apply_configuration,
+            self._journal,
+        )
+        endpoints = _watchers.TableWatcher(
+            self._store,
+            platform.ENDPOINTS_TABLE,
+            self._apply_endpoints,
+            self._journal,
+        )
+        for work in (
+            configuration.run(),
+            endpoints.run(),
+            self._placer.run_lease(),
+            self._placer.run_orders(),
+            self._keep_house(),
+        ):
+            task = loop.create_task(work)
+            task.add_done_callback(self._note_ended)
+            self._tasks.append(task)
+        await self._stopping.wait()
+        await self._stop()
+
+    async def _call_platform(self, address, method, target, body, timeout_s):
+        return await forwarding.call(
+            self._calls, address, method, target, body, timeout_s
+        )
+
+    def _apply_configuration(self, rows, whole):
+        for row in rows:
+            if row.key != platform.CONFIGURATION_KEY or row.value is None:
+                continue
+            try:
+                read = platform.read_configuration(row.value)
+            except platform.DocumentError as error:
+                self._journal.write(
+                    'configuration:unreadable',
+                    str(row.version),
+                    reason=str(error),
+                )
+                continue
+            known = self._T.configuration
+            if known is not None and read.version <= known.version:
+                continue
+            self._T.configuration = read
+            limits = read.limits
+            self._callers.limits = forwarding.CallerLimits(
+                limits.max_header_bytes,
+                limits.max_body_bytes,
+                limits.header_timeout_s,
+                limits.idle_timeout_s,
+            )
+            self._journal.write(
+                'configuration:in force',
+                str(read.version),
+                row_version=row.version,
+                before=known.version if known else None,
+            )
+
+    def _apply_endpoints(self, rows, whole):
+        if whole:
+            listed = {row.key for row in rows}
+            for name in list(self._T.endpoints):
+                if name not in listed:
+                    self._drop_endpoint(name, None)
+            self._T.endpoints_known = True
+        for row in rows:
+            if row.value is None:
+                self._drop_endpoint(row.key, row.version)
+                continue
+            try:
+                endpoint = platform.read_endpoint(row.key, row.value)
+            except platform.DocumentError as error:
+                self._journal.write(
+                    'endpoint:unreadable', row.key, reason=str(error)
+                )
+                self._drop_endpoint(row.key, row.version)
+                continue
+            known = self._T.endpoints.get(row.key)
+            if known != endpoint:
+                self._T.endpoints[row.key] = endpoint
+                self._note_endpoint(endpoint, row.version)
+        fleet.forget_states(self._T)
+
+    def _note_endpoint(self, endpoint, version):
+        layers = endpoint.layers
+        self._journal.write(
+            'endpoint:listed',
+            endpoint.id,
+            address=endpoint.address,
+            leaving=endpoint.leaving,
+            layers=[layers.start, layers.end] if layers else None,
+            row_version=version,
+        )
+
+    def _drop_endpoint(self, name, version):
+        if self._T.endpoints.pop(name, None) is not None:
+            self._journal.write('endpoint:gone', name, row_version=version)
+
+    async def _answer_balancer(self, request, caller):
+        found = request.target == platform.READY_TARGET.encode()
+        ready = (
+            found
+            and self._T.configuration is not None
+            and self._T.endpoints_known
+            and not self._stopping.is_set()
+        )
+        status = _READY if ready else _NOT_READY
+        caller.send_answer(status, [], b'')
+
+    def _reload(self):
+        try:
+            self._settings = self._load_settings()
+        except (OSError, platform.DocumentError) as error:
+            self._journal.write('settings:unreadable', reason=str(error))
+            return
+        self._forwarder.settings = self._settings
+        self._journal.write('settings:reloaded', self._settings.name)
+
+    async def _keep_house(self):
+        while True:
+            await asyncio.sleep(_HOUSEKEEPING_S)
+            self._requests.close_idle()
+            self._calls.close_idle()
+
+    async def _stop(self):
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        self._journal.write(
+            'instance:stopping',
+            self._settings.name,
+            channels=len(self._callers.channels),
+        )
+        self._callers.stopping = True
+        end = began + self._settings.bounds.grace_s - _EXIT_MARGIN_S
+        while loop.time() < began + _LISTEN_S:
+            await asyncio.sleep(_STOP_LOOK_S)
+        self._callers.stop_listening()
+        while self._callers.channels and loop.time() < end:
+            self._callers.close_idle()
+            await asyncio.sleep(_STOP_LOOK_S)
+        self._journal.write(
+            'instance:stopped',
+            self._settings.name,
+            cut=len(self._callers.channels),
+        )
+
+    def _note_fault(self, error):
+        self._journal.write(
+            'instance:fault',
+            type(error).__name__,
+            trace=''.join(traceback.format_exception(error)),
+        )
+
+    def _note_ended(self, task):
+        if not task.cancelled() and task.exception() is not None:
+            # A watcher that ended would leave old beliefs in force.
+            self._note_fault(task.exception())
+            self._stopping.set()
+
+    def _note_rejection(self, status):
+        self._journal.write('request:unread', status=status)
+
+
+def run_entry(path):
+    """Run an entry instance until it is told to stop.
+
+    Parameters
+    ----------
+    path : str
+        The settings file.
+
+    Raises
+    ------
+    OSError
+        If the file or an address cannot be used.
+    sniperudder.platform.DocumentError
+    """
+
+    def load_settings():
+        with open(path, 'rb') as file:
+            return platform.read_settings(file.read())
+
+    settings = load_settings()
+    log = logs.create_log(sys.stdout, settings.name)
+    # Most objects are short-lived records; collections of the oldest
+    # generation would pause all streams at once.
+    gc.freeze()
+    try:
+        asyncio.run(_run(settings, load_settings))
+    finally:
+        logs.close_log(log)
+
+
+async def _run(settings, load_settings):
+    await Entry(settings, load_settings, _journal.Journal()).run()
--- /dev/null
+++ b/sniperudder/entry/_placer.py
@@ -0,0 +1,240 @@
+"""Giving the orders that place layers."""
+
+import asyncio
+import json
+import time
+
+from sniperudder import fleet
+from sniperudder import forwarding
+from sniperudder import placement
+from sniperudder import platform
+
+_LEASE_KEY = 'placement'
+
+# Seconds between two looks at what is missing.
+_TICK_S = 0.25
+
+# Time after the list of endpoints was first read before the first plan:
+# endpoints that start together are planned together.
+_SETTLE_S = 1.0
+
+# Longest wait for the answer to an order, seconds.
+_ORDER_TIMEOUT_S = 1.0
+
+# Time beyond loading after which an order that shows no effect is given
+# again, seconds: three heartbeats.
+_EFFECT_SLACK_S = 4.0
+
+_OK = 200
+_ACCEPTED = 202
+_CONFLICT = 409
+
+
+class _Order:
+    __slots__ = ('begun', 'given_at', 'layers', 'orders')
+
+    def __init__(self, layers):
+        self.layers = layers
+        self.given_at = None
+        # Orders that the endpoint has begun, as far as known.
+        self.orders = 0
+        self.begun = False
+
+
+class Placer:
+    """Holds or watches the lease, and places layers while holding it.
+
+    Parameters
+    ----------
+    T : sniperudder.fleet.FleetTables
+    store : sniperudder.platform.Store
+    pool : sniperudder.forwarding.ChannelPool
+        For calls to endpoints.
+    name : str
+        Name of this instance.
+    journal : Journal
+    """
+
+    def __init__(self, T, store, pool, name, journal):
+        self._T = T
+        self._store = store
+        self._pool = pool
+        self._name = name
+        self._journal = journal
+        self._view = placement.LeaseView()
+        self._orders = {}
+        self._under_way = set()
+        self._known_at = None
+
+    async def run_lease(self):
+        """Renew the lease, or look whether it is free, until cancelled."""
+        while True:
+            now = _read_clock()
+            if self._view.held_at is not None or (
+                placement.may_take(self._view, now) and self._view.seen_at
+            ):
+                await self._write_lease(now)
+            else:
+                await self._read_lease(now)
+            if self._view.held_at is not None:
+                await asyncio.sleep(placement.RENEW_S)
+            elif not placement.may_take(self._view, _read_clock()):
+                await asyncio.sleep(placement.LOOK_S)
+            else:
+                await asyncio.sleep(_TICK_S)
+
+    async def run_orders(self):
+        """Place layers whenever this instance holds the lease."""
+        while True:
+            await asyncio.sleep(_TICK_S)
+            if placement.may_order(self._view, _read_clock()):
+                self._give_orders()
+
+    async def _read_lease(self, now):
+        outcome = await self._store.read_table(platform.DUTIES_TABLE)
+        if isinstance(outcome, platform.Unavailable):
+            return
+        versions = [
+            row.version for row in outcome.rows if row.key == _LEASE_KEY
+        ]
+        placement.observe_lease(self._view, max(versions, default=0), now)
+        # A look that found no row also counts as one.
+        self._view.seen_at = self._view.seen_at or now
+
+    async def _write_lease(self, now):
+        held = self._view.held_at is not None
+        outcome = await self._store.write_row(
+            platform.DUTIES_TABLE,
+            _LEASE_KEY,
+            json.dumps({'holder': self._name}).encode(),
+            self._view.version,
+        )
+        if isinstance(outcome, platform.Written):
+            placement.record_renewal(self._view, outcome.version, now)
+            if not held:
+                self._orders.clear()
+                self._journal.write(
+                    'lease:taken', _LEASE_KEY, version=outcome.version
+                )
+            return
+        if isinstance(outcome, platform.Conflict):
+            version = max((row.version for row in outcome.rows), default=0)
+            placement.observe_lease(self._view, version, now)
+            if held:
+                self._journal.write('lease:lost', _LEASE_KEY, version=version)
+        elif held and not placement.may_order(self._view, _read_clock()):
+            # Whether the renewal took effect is unknown; look first.
+            self._view.held_at = None
+            self._journal.write(
+                'lease:lost', _LEASE_KEY, reason=outcome.reason
+            )
+
+    def _give_orders(self):
+        configuration = self._T.configuration
+        if configuration is None or not self._T.endpoints_known:
+            return
+        now = _read_clock()
+        self._known_at = self._known_at or now
+        if now - self._known_at < _SETTLE_S:
+            return
+        for service in configuration.services.values():
+            if service.engine is not None and service.engine.layers:
+                self._place_service(service, now)
+
+    def _place_service(self, service, now):
+        endpoints = fleet.list_endpoints(self._T, service.name)
+        held = {}
+        for endpoint in endpoints:
+            key = endpoint.id, endpoint.born_ms
+            order = self._orders.get(key)
+            if endpoint.layers is not None:
+                held[endpoint.id] = endpoint.layers
+                self._orders.pop(key, None)
+            elif order is not None:
+                held[endpoint.id] = order.layers
+                wait_s = service.engine.load_s + _EFFECT_SLACK_S
+                if order.begun and now - order.given_at > wait_s:
+                    order.begun = False
+        plan = placement.plan_layers(service.engine, endpoints, held)
+        for endpoint in endpoints:
+            key = endpoint.id, endpoint.born_ms
+            if endpoint.id in plan:
+                self._orders[key] = _Order(plan[endpoint.id])
+            order = self._orders.get(key)
+            if order and not order.begun and key not in self._under_way:
+                if not placement.fits_memory(
+                    service.engine, endpoint.card, order.layers
+                ):
+                    self._journal.write(
+                        'order:dropped', endpoint.id, reason='memory'
+                    )
+                    continue
+                self._under_way.add(key)
+                task = asyncio.create_task(
+                    self._order_endpoint(endpoint, order, key)
+                )
+                task.add_done_callback(lambda _, key=key: self._end(key))
+
+    def _end(self, key):
+        self._under_way.discard(key)
+
+    async def _order_endpoint(self, endpoint, order, key):
+        order.given_at = _read_clock()
+        body = platform.make_place_order(order.layers, order.orders)
+        try:
+            status, answer = await forwarding.call(
+                self._pool,
+                endpoint.address,
+                'POST',
+                platform.ORDER_TARGET,
+                body,
+                _ORDER_TIMEOUT_S,
+            )
+        except OSError as error:
+            self._note_order(endpoint, order, f'no answer: {error}')
+            return
+        self._note_order(endpoint, order, f'status {status}')
+        if status in (_OK, _ACCEPTED):
+            order.begun = True
+        elif status == _CONFLICT:
+            await self._read_orders(endpoint, order, key)
+
+    async def _read_orders(self, endpoint, order, key):
+        """Learn how many orders the endpoint has begun, and what it holds."""
+        try:
+            status, body = await forwarding.call(
+                self._pool,
+                endpoint.address,
+                'GET',
+                platform.REPORT_TARGET,
+                None,
+                _ORDER_TIMEOUT_S,
+            )
+            if status != _OK:
+                self._note_order(endpoint, order, f'report: {status}')
+                return
+            report = platform.read_report(body)
+        except (OSError, platform.DocumentError) as error:
+            self._note_order(endpoint, order, f'no report: {error}')
+            return
+        order.orders = report.orders
+        if report.layers is not None:
+            order.layers = report.layers
+            order.begun = True
+        elif report.busy:
+            order.begun = True
+
+    def _note_order(self, endpoint, order, outcome):
+        self._journal.write(
+            'order:given',
+            endpoint.id,
+            address=endpoint.address,
+            layers=[order.layers.start, order.layers.end],
+            orders_begun=order.orders,
+            lease=self._view.version,
+            outcome=outcome,
+        )
+
+
+def _read_clock():
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- /dev/null
+++ b/sniperudder/fleet/__init__.py
@@ -0,0 +1,41 @@
+"""Records of the configuration, the endpoints and this instance."""
+
+from sniperudder.fleet._configuration import Card
+from sniperudder.fleet._configuration import Configuration
+from sniperudder.fleet._configuration import Engine
+from sniperudder.fleet._configuration import Limits
+from sniperudder.fleet._configuration import Organisation
+from sniperudder.fleet._configuration import Route
+from sniperudder.fleet._configuration import Service
+from sniperudder.fleet._configuration import Target
+from sniperudder.fleet._endpoints import Endpoint
+from sniperudder.fleet._endpoints import EndpointState
+from sniperudder.fleet._endpoints import Layers
+from sniperudder.fleet._endpoints import Part
+from sniperudder.fleet._settings import Bounds
+from sniperudder.fleet._settings import InstanceSettings
+from sniperudder.fleet._tables import FleetTables
+from sniperudder.fleet._tables import forget_states
+from sniperudder.fleet._tables import get_state
+from sniperudder.fleet._tables import list_endpoints
+
+__all__ = [
+    'Bounds',
+    'Card',
+    'Configuration',
+    'Endpoint',
+    'EndpointState',
+    'Engine',
+    'FleetTables',
+    'InstanceSettings',
+    'Layers',
+    'Limits',
+    'Organisation',
+    'Part',
+    'Route',
+    'Service',
+    'Target',
+    'forget_states',
+    'get_state',
+    'list_endpoints',
+]
--- /dev/null
+++ b/sniperudder/fleet/_configuration.py
@@ -0,0 +1,196 @@
+"""The configuration that operators write."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Target:
+    """A service that takes a share of a route's requests.
+
+    Attributes
+    ----------
+    service : str
+    weight : float
+        Relative to the other targets of the route.
+    """
+
+    service: str
+    weight: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Route:
+    """What is done with requests of a host and path prefix.
+
+    Attributes
+    ----------
+    name, host, prefix : str
+    targets : tuple of Target
+    repeatable : bool
+        Whether a request may run more than once.
+    streaming : bool
+        Whether answers are event streams.
+    resumable : bool
+        Whether a stream may go on at another endpoint.
+    public : bool
+        Whether no key is asked for.
+    timeout_s : float
+        Longest time from arrival to the final answer, seconds.
+    goal_s : float
+        Time of a timely answer, streams: of its first event, seconds.
+    rank : int
+        0 is the most urgent.
+    max_attempts : int
+        Largest number of endpoints that one request is sent to.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    targets: tuple
+    repeatable: bool
+    streaming: bool
+    resumable: bool
+    public: bool
+    timeout_s: float
+    goal_s: float
+    rank: int
+    max_attempts: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Card:
+    """A kind of accelerator.
+
+    Attributes
+    ----------
+    name : str
+    memory_mb : float
+    step_factor : float
+        Duration of a decoding step relative to the engine's figures.
+    read_factor : float
+        Duration of prompt reading relative to the engine's figures.
+    """
+
+    name: str
+    memory_mb: float
+    step_factor: float
+    read_factor: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Engine:
+    """How the endpoints of a service run a model.
+
+    Attributes
+    ----------
+    layers : int
+        Number of the model's layers; 0 where each endpoint holds all.
+    layer_mb : float
+    kv_token_bytes : float
+        KV cache of one token over all layers.
+    step_ms, per_request_ms, context_per_k_ms : float
+        Duration of a decoding step over all layers: the constant part,
+        the part of each request in the batch, and that of each 1,000
+        tokens of its context.
+    read_per_ms : float
+        Prompt tokens read in a millisecond over all layers.
+    usual_prompt, usual_answer : float
+        Mean numbers of tokens.
+    load_s : float
+        Time to load all layers, seconds.
+    activation_bytes : float
+        What one token sends from stage to stage.
+    pipe_mbps : float
+        Bandwidth between two data centres, shared by all transfers.
+    cards : dict of str to Card
+    """
+
+    layers: int
+    layer_mb: float
+    kv_token_bytes: float
+    step_ms: float
+    per_request_ms: float
+    context_per_k_ms: float
+    read_per_ms: float
+    usual_prompt: float
+    usual_answer: float
+    load_s: float
+    activation_bytes: float
+    pipe_mbps: float
+    cards: dict
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Service:
+    """A group of endpoints that answer the same requests.
+
+    Attributes
+    ----------
+    name : str
+    max_channels : int
+        Connections that an endpoint accepts from all callers together.
+    engine : Engine or None
+        None for a plain service.
+    """
+
+    name: str
+    max_channels: int
+    engine: Engine | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Organisation:
+    """A customer.
+
+    Attributes
+    ----------
+    name : str
+    rank : int or None
+        Goes before the rank of a route.
+    """
+
+    name: str
+    rank: int | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Limits:
+    """What a caller may send.
+
+    Attributes
+    ----------
+    max_header_bytes, max_body_bytes : int
+    header_timeout_s : float
+        Longest time from a request's first byte to the end of its
+        headers, seconds.
+    idle_timeout_s : float
+        Longest silence of a channel, seconds.
+    """
+
+    max_header_bytes: int
+    max_body_bytes: int
+    header_timeout_s: float
+    idle_timeout_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Configuration:
+    """One version of the operators' configuration.
+
+    Attributes
+    ----------
+    version : int
+    routes : dict of str to tuple of Route
+        By host in lower case, longest prefix first.
+    services : dict of str to Service
+    keys : dict of str to Organisation or None
+        By API key; None where no key is asked for.
+    limits : Limits
+    """
+
+    version: int
+    routes: dict
+    services: dict
+    keys: dict | None
+    limits: Limits
--- /dev/null
+++ b/sniperudder/forwarding/_callers.py
@@ -0,0 +1,393 @@
+"""HTTP server for callers and for the balancer."""
+
+import asyncio
+import dataclasses
+import enum
+
+import h11
+
+from sniperudder.forwarding import _sockets
+
+# Unread bytes of a caller while its answer is under way at which reading
+# pauses; a well-behaved caller sends nothing then.
+_PAUSE_BYTES = 65_536
+
+# Time for which the rest of a rejected request is read and dropped, so
+# that the answer is not lost to a reset, seconds.
+_LINGER_S = 1.0
+
+# Bounds until a configuration is known.
+_FIRST_HEADER_BYTES = 16_384
+_FIRST_BODY_BYTES = 4_194_304
+_FIRST_HEADER_S = 3.0
+_FIRST_IDLE_S = 15.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerLimits:
+    """What a caller may send; sizes in bytes, times in seconds."""
+
+    max_header_bytes: int = _FIRST_HEADER_BYTES
+    max_body_bytes: int = _FIRST_BODY_BYTES
+    header_timeout_s: float = _FIRST_HEADER_S
+    idle_timeout_s: float = _FIRST_IDLE_S
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerRequest:
+    """A request that was read whole.
+
+    Attributes
+    ----------
+    method, target : bytes
+    headers : list of (bytes, bytes, bytes)
+        Name in lower case, name as sent, value.
+    body : bytes
+    arrived_at : float
+        Loop time of its end, seconds.
+    """
+
+    method: bytes
+    target: bytes
+    headers: list
+    body: bytes
+    arrived_at: float
+
+
+class _Phase(enum.Enum):
+    IDLE = 'idle'
+    HEAD = 'head'
+    BODY = 'body'
+    ANSWER = 'answer'
+    CLOSING = 'closing'
+
+
+class CallerChannel(asyncio.Protocol):
+    """One connection of a caller.
+
+    Parameters
+    ----------
+    server : CallerServer
+    """
+
+    def __init__(self, server):
+        self._server = server
+        self._transport = None
+        self._http = None
+        self._limits = server.limits
+        self._phase = _Phase.IDLE
+        self._request = None
+        self._body = []
+        self._size = 0
+        self._task = None
+        self._timer = None
+        self._writable = asyncio.Event()
+        self._writable.set()
+        self._loop = asyncio.get_running_loop()
+
+    def connection_made(self, transport):
+        """See base class."""
+        self._transport = transport
+        self._limits = self._server.limits
+        self._http = h11.Connection(
+            h11.SERVER,
+            max_incomplete_event_size=self._limits.max_header_bytes,
+        )
+        _sockets.set_probing(transport.get_extra_info('socket'))
+        self._server.channels.add(self)
+        self._enter(_Phase.IDLE)
+
+    def data_received(self, data):
+        """See base class."""
+        if self._phase is _Phase.CLOSING:
+            return
+        self._http.receive_data(data)
+        if self._phase is _Phase.ANSWER:
+            waiting, _ = self._http.trailing_data
+            if len(waiting) > _PAUSE_BYTES:
+                self._transport.pause_reading()
+            return
+        if self._phase is _Phase.IDLE:
+            self._enter(_Phase.HEAD)
+        elif self._phase is _Phase.BODY:
+            self._enter(_Phase.BODY)
+        self._advance()
+
+    def eof_received(self):
+        """See base class."""
+        self._leave()
+        return False
+
+    def connection_lost(self, exc):
+        """See base class."""
+        self._server.channels.discard(self)
+        self._set_timer(None)
+        self._phase = _Phase.CLOSING
+        self._writable.set()
+        self._leave()
+
+    def pause_writing(self):
+        """See base class."""
+        self._writable.clear()
+
+    def resume_writing(self):
+        """See base class."""
+        self._writable.set()
+
+    @property
+    def idle(self):
+        """Whether no request is under way."""
+        return self._phase is _Phase.IDLE
+
+    @property
+    def answering(self):
+        """Whether the head of an answer was sent, and its end was not."""
+        return self._http.our_state is h11.SEND_BODY
+
+    def close(self):
+        """Close the connection once what was written is sent."""
+        self._phase = _Phase.CLOSING
+        self._set_timer(None)
+        if self._transport is not None:
+            self._transport.close()
+
+    def abort(self):
+        """Close without the end of an answer."""
+        self._phase = _Phase.CLOSING
+        self._set_timer(None)
+        self._transport.abort()
+
+    def send_answer(self, status, headers, body):
+        """Send a whole answer."""
+        self.start_answer(
+            status, [*headers, (b'Content-Length', b'%d' % len(body))]
+        )
+        self.send_data(body)
+        self.end_answer()
+
+    def start_answer(self, status, headers):
+        """Send the head of an answer."""
+        if self._server.stopping:
+            headers = [*headers, (b'Connection', b'close')]
+        self._write(h11.Response(status_code=status, headers=headers))
+
+    def send_data(self, data):
+        """Send a part of an answer's body."""
+        if data:
+            self._write(h11.Data(data=data))
+
+    def end_answer(self):
+        """Send the end of an answer."""
+        self._write(h11.EndOfMessage())
+
+    async def drain(self):
+        """Wait until the caller has read most of what was sent."""
+        await self._writable.wait()
+
+    def _write(self, event):
+        if self._transport.is_closing():
+            return
+        self._transport.write(self._http.send(event))
+
+    def _leave(self):
+        if self._task is not None:
+            self._task.cancel()
+
+    def _enter(self, phase):
+        self._phase = phase
+        limits = self._limits
+        if phase is _Phase.HEAD:
+            self._set_timer(limits.header_timeout_s)
+        elif phase in (_Phase.IDLE, _Phase.BODY):
+            self._set_timer(limits.idle_timeout_s)
+        else:
+            self._set_timer(None)
+
+    def _set_timer(self, delay_s):
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        if delay_s is not None:
+            self._timer = self._loop.call_later(delay_s, self._expire)
+
+    def _expire(self):
+        if self._phase in (_Phase.HEAD, _Phase.BODY):
+            self._reject(408)
+        else:
+            self.close()
+
+    def _advance(self):
+        while self._phase in (_Phase.HEAD, _Phase.BODY):
+            try:
+                event = self._http.next_event()
+            except h11.RemoteProtocolError as error:
+                self._reject(error.error_status_hint)
+                return
+            if event is h11.NEED_DATA:
+                if self._http.they_are_waiting_for_100_continue:
+                    self._write(
+                        h11.InformationalResponse(status_code=100, headers=[])
+                    )
+                return
+            self._take(event)
+
+    def _take(self, event):
+        if isinstance(event, h11.Request):
+            self._request = event
+            self._body = []
+            self._size = 0
+            if _measure_head(event) > self._limits.max_header_bytes:
+                self._reject(431)
+            elif _read_length(event) > self._limits.max_body_bytes:
+                self._reject(413)
+            else:
+                self._enter(_Phase.BODY)
+        elif isinstance(event, h11.Data):
+            self._body.append(bytes(event.data))
+            self._size += len(event.data)
+            if self._size > self._limits.max_body_bytes:
+                self._reject(413)
+        elif isinstance(event, h11.EndOfMessage):
+            self._start()
+        else:
+            self.close()
+
+    def _start(self):
+        self._enter(_Phase.ANSWER)
+        head = self._request
+        request = CallerRequest(
+            method=bytes(head.method),
+            target=bytes(head.target),
+            headers=[
+                (bytes(name), bytes(raw), bytes(value))
+                for (name, value), (raw, _) in zip(
+                    head.headers, head.headers.raw_items()
+                )
+            ],
+            body=b''.join(self._body),
+            arrived_at=self._loop.time(),
+        )
+        self._body = []
+        self._task = self._loop.create_task(self._answer(request))
+
+    async def _answer(self, request):
+        try:
+            await self._server.handle(request, self)
+        except asyncio.CancelledError:
+            self.abort()
+            return
+        except Exception as error:
+            # A fault of ours must not leave the caller without an end.
+            self._server.note_fault(error)
+            self.abort()
+            return
+        finally:
+            self._task = None
+        self._finish()
+
+    def _finish(self):
+        if self._phase is _Phase.CLOSING:
+            return
+        if self._http.our_state is not h11.DONE:
+            self.close()
+            return
+        if self._http.their_state is not h11.DONE:
+            self.close()
+            return
+        self._http.start_next_cycle()
+        self._limits = self._server.limits
+        self._transport.resume_reading()
+        waiting, _ = self._http.trailing_data
+        self._enter(_Phase.HEAD if waiting else _Phase.IDLE)
+        self._advance()
+
+    def _reject(self, status):
+        """Answer a request that is not read to its end."""
+        self._server.note_rejection(status)
+        if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            self._write(
+                h11.Response(
+                    status_code=status,
+                    headers=[
+                        (b'Content-Length', b'0'),
+                        (b'Connection', b'close'),
+                    ],
+                )
+            )
+            self._write(h11.EndOfMessage())
+        self._phase = _Phase.CLOSING
+        self._set_timer(None)
+        if self._transport.can_write_eof():
+            self._transport.write_eof()
+        self._loop.call_later(_LINGER_S, self._transport.abort)
+
+
+class CallerServer:
+    """Accepts connections and gives their requests to a handler.
+
+    Parameters
+    ----------
+    handle : callable
+        Coroutine function of a `CallerRequest` and its `CallerChannel`.
+        It is cancelled when the caller leaves.
+    note_fault, note_rejection : callable
+        Told an exception of the handler, or the status of a request that
+        was not read whole.
+
+    Attributes
+    ----------
+    limits : CallerLimits
+        For new channels, and for the next request of open ones.
+    stopping : bool
+        Whether answers ask callers to open another connection.
+    channels : set of CallerChannel
+    """
+
+    def __init__(self, handle, note_fault, note_rejection):
+        self.handle = handle
+        self.note_fault = note_fault
+        self.note_rejection = note_rejection
+        self.limits = CallerLimits()
+        self.stopping = False
+        self.channels = set()
+        self._server = None
+
+    async def start(self, address):
+        """Listen at ``host:port``.
+
+        Raises
+        ------
+        OSError
+        """
+        host, _, port = address.rpartition(':')
+        self._server = await asyncio.get_running_loop().create_server(
+            lambda: CallerChannel(self),
+            host,
+            int(port),
+            backlog=1024,
+            reuse_address=True,
+        )
+
+    def stop_listening(self):
+        """Accept no further connection."""
+        self._server.close()
+
+    def close_idle(self):
+        """Close the channels on which no request is under way."""
+        for channel in list(self.channels):
+            if channel.idle:
+                channel.close()
+
+
+def _measure_head(request):
+    size = len(request.target)
+    for name, value in request.headers:
+        size += len(name) + len(value) + 4
+    return size
+
+
+def _read_length(request):
+    for name, value in request.headers:
+        if name == b'content-length':
+            return int(value)
+    return 0
--- /dev/null
+++ b/sniperudder/forwarding/_forwarder.py
@@ -0,0 +1,370 @@
+"""The way of a request from its caller to its final answer."""
+
+import asyncio
+import dataclasses
+import json
+import random
+
+from sniperudder import fleet
+from sniperudder.forwarding import _sends
+from sniperudder.forwarding import _streams
+from sniperudder import outcomes
+from sniperudder import platform
+from sniperudder import routing
+
+# Time before a caller's own deadline at which the final answer leaves,
+# seconds: one way to the caller, and the work to send it.
+_ANSWER_MARGIN_S = 0.02
+
+# What a refused caller is told to wait where nothing is known about when
+# the cause ends, seconds.
+_RETRY_AFTER_S = 0.5
+
+_Code = outcomes.Code
+
+_STATUSES = {
+    _Code.UNKNOWN_ROUTE: 404,
+    _Code.UNKNOWN_KEY: 401,
+    _Code.NOT_FRESH: 503,
+    _Code.NO_ENDPOINT: 503,
+    _Code.TARGET_UNREACHABLE: 503,
+    _Code.DEADLINE_BEFORE_START: 503,
+    _Code.RETRIES_EXHAUSTED: 502,
+    _Code.DEADLINE_WHILE_RUNNING: 504,
+}
+
+
+@dataclasses.dataclass(slots=True)
+class Job:
+    """A request under way.
+
+    Attributes
+    ----------
+    request : CallerRequest
+    head : sniperudder.platform.RequestHead
+    route : sniperudder.fleet.Route
+    service : sniperudder.fleet.Service
+    organisation : sniperudder.fleet.Organisation or None
+    rank : int
+    hide_key : bool
+    deadline : float
+        Loop time of the final answer, seconds.
+    caller_deadline : float or None
+        Loop time until which the caller waits.
+    attempts : int
+        Endpoints that it was sent to.
+    tried : set of str
+        Ids of endpoints that failed it.
+    maybe_run : bool
+        Whether an endpoint may have run it.
+    sends : list of str
+        What became of each send, for the log.
+    """
+
+    request: object
+    head: platform.RequestHead
+    route: fleet.Route
+    service: fleet.Service
+    organisation: fleet.Organisation | None
+    rank: int
+    hide_key: bool
+    deadline: float
+    caller_deadline: float | None
+    attempts: int = 0
+    tried: set = dataclasses.field(default_factory=set)
+    maybe_run: bool = False
+    sends: list = dataclasses.field(default_factory=list)
+
+
+class Forwarder:
+    """Forwards requests to endpoints.
+
+    Parameters
+    ----------
+    T : sniperudder.fleet.FleetTables
+    pool : ChannelPool
+    settings : sniperudder.fleet.InstanceSettings
+    journal : object
+        Writes log lines: ``write(event, subject, **fields)``.
+    rng : random.Random, optional
+    """
+
+    def __init__(self, T, pool, settings, journal, rng=None):
+        self.T = T
+        self.pool = pool
+        self.settings = settings
+        self.journal = journal
+        self.rng = rng or random.Random()
+        self.instances = 1.0
+        self._budgets = {}
+
+    async def handle(self, request, caller):
+        """Answer one request; the server's handler."""
+        job = self._admit(request, caller)
+        if job is None:
+            return
+        self.get_budget(job.service.name).record_request(self.now())
+        try:
+            async with asyncio.timeout_at(job.deadline):
+                if job.route.streaming:
+                    await _streams.forward_stream(self, job, caller)
+                else:
+                    await self._forward_plain(job, caller)
+        except TimeoutError:
+            self._expire(job, caller)
+        except asyncio.CancelledError:
+            self.note_end(job, _Code.CALLER_LEFT)
+            raise
+
+    def now(self):
+        """Return the loop's time, seconds."""
+        return asyncio.get_running_loop().time()
+
+    def get_budget(self, service):
+        """Return this instance's part of a service's repeat budget."""
+        budget = self._budgets.get(service)
+        if budget is None:
+            bounds = self.settings.bounds
+            budget = self._budgets[service] = routing.RepeatBudget(
+                bounds.repeat_ratio,
+                bounds.repeat_slack / max(self.instances, 1.0),
+                bounds.repeat_window_s,
+            )
+        return budget
+
+    def get_left_s(self, job):
+        """Return how long the caller still waits, or None."""
+        limits = [job.request.arrived_at + job.route.timeout_s]
+        if job.caller_deadline is not None:
+            limits.append(job.caller_deadline)
+        return min(limits) - self.now()
+
+    def may_send_again(self, job):
+        """Tell whether a further endpoint may get the request.
+
+        Takes the send from the budget.
+        """
+        if job.attempts >= job.route.max_attempts:
+            return False
+        return self.get_budget(job.service.name).spend(self.now())
+
+    def make_outgoing(self, job, parts, last_event_id):
+        """Return the request as the first endpoint of a chain gets it."""
+        request = job.request
+        organisation = job.organisation
+        headers = [(b'Host', get_header(request.headers, b'host') or b'')]
+        headers += platform.make_forwarded(request.headers, job.hide_key)
+        headers += platform.make_send_headers(
+            parts,
+            self.get_left_s(job),
+            job.rank,
+            organisation.name if organisation else None,
+            last_event_id,
+        )
+        if request.body or request.method in (b'POST', b'PUT', b'PATCH'):
+            headers.append((b'Content-Length', b'%d' % len(request.body)))
+        return _sends.Outgoing(
+            job.head.request_id,
+            request.method,
+            request.target,
+            headers,
+            request.body,
+        )
+
+    def note_outcome(self, job, endpoint, outcome):
+        """Keep what a send tells of its endpoint, for choices and log."""
+        now = self.now()
+        if isinstance(outcome, _sends.Answered):
+            routing.record_success(fleet.get_state(self.T, endpoint), now)
+            job.sends.append(f'{endpoint.id}: {outcome.status}')
+            return
+        fault = endpoint
+        if isinstance(outcome, _sends.NotRun) and outcome.fault_address:
+            fault = self.find_address(outcome.fault_address) or endpoint
+        routing.record_failure(fleet.get_state(self.T, fault), now)
+        job.tried.add(fault.id)
+        if isinstance(outcome, _sends.Broken):
+            job.maybe_run = True
+        job.sends.append(f'{endpoint.id}: {outcome.reason} at {fault.id}')
+
+    def find_address(self, address):
+        """Return the listed endpoint at an address, or None."""
+        for endpoint in self.T.endpoints.values():
+            if endpoint.address == address:
+                return endpoint
+        return None
+
+    def refuse(self, job, caller, code, reason):
+        """Answer for the system itself, and log it."""
+        send_refusal(caller, code, reason)
+        self.note_end(job, code, reason)
+
+    def note_end(self, job, code, reason=''):
+        """Log how a request ended."""
+        self.journal.write(
+            'request:end',
+            job.head.request_id,
+            code=int(code),
+            reason=reason,
+            route=job.route.name,
+            rank=job.rank,
+            organisation=job.organisation.name if job.organisation else '',
+            version=self.T.configuration.version,
+            sends=job.sends,
+            duration_ms=round((self.now() - job.request.arrived_at) * 1000),
+        )
+
+    def _admit(self, request, caller):
+        head = platform.read_request_head(
+            (name, value) for name, _, value in request.headers
+        )
+        configuration = self.T.configuration
+        if configuration is None:
+            self._reject(head, caller, _Code.NOT_FRESH)
+            return None
+        host = get_header(request.headers, b'host') or b''
+        route = routing.match_route(
+            configuration,
+            host.decode('latin-1'),
+            request.target.decode('latin-1'),
+        )
+        if route is None:
+            self._reject(head, caller, _Code.UNKNOWN_ROUTE)
+            return None
+        organisation = None
+        if configuration.keys is not None:
+            organisation = configuration.keys.get(head.key)
+            if organisation is None and not route.public:
+                self._reject(head, caller, _Code.UNKNOWN_KEY)
+                return None
+        service = configuration.services.get(
+            routing.draw_service(route, self.rng)
+        )
+        if service is None:
+            self._reject(head, caller, _Code.NO_ENDPOINT)
+            return None
+        deadline = request.arrived_at + route.timeout_s
+        caller_deadline = None
+        if head.wait_s is not None:
+            caller_deadline = request.arrived_at + head.wait_s
+            deadline = min(deadline, caller_deadline - _ANSWER_MARGIN_S)
+        return Job(
+            request=request,
+            head=head,
+            route=route,
+            service=service,
+            organisation=organisation,
+            rank=routing.get_rank(route, organisation),
+            hide_key=configuration.keys is not None,
+            deadline=deadline,
+            caller_deadline=caller_deadline,
+        )
+
+    def _reject(self, head, caller, code):
+        send_refusal(caller, code, '')
+        version = self.T.configuration and self.T.configuration.version
+        self.journal.write(
+            'request:rejected',
+            head.request_id,
+            code=int(code),
+            version=version,
+        )
+
+    async def _forward_plain(self, job, caller):
+        last = None
+        while True:
+            endpoints = fleet.list_endpoints(self.T, job.service.name)
+            endpoint = routing.choose_endpoint(
+                self.T,
+                endpoints,
+                self.settings.data_centre,
+                self.now(),
+                self.rng,
+                job.tried,
+            )
+            if endpoint is None:
+                code = _Code.NO_ENDPOINT
+                break
+            outcome = await self._send_plain(job, endpoint)
+            self.note_outcome(job, endpoint, outcome)
+            if isinstance(outcome, _sends.Answered):
+                last = outcome
+                if outcome.status < 500 or not job.route.repeatable:
+                    break
+                job.maybe_run = True
+                job.tried.add(endpoint.id)
+            elif isinstance(outcome, _sends.NotRun):
+                code = _Code.TARGET_UNREACHABLE
+                if not outcome.arrived:
+                    # Nothing reached an endpoint: no send was made.
+                    job.attempts -= 1
+                    if len(job.tried) < len(endpoints):
+                        continue
+            elif not job.route.repeatable:
+                code = _Code.RETRIES_EXHAUSTED
+                break
+            if not self.may_send_again(job):
+                break
+        if last is not None:
+            caller.send_answer(last.status, last.headers, last.body)
+            self.note_end(job, _Code.ANSWERED, f'status {last.status}')
+        elif job.maybe_run:
+            self.refuse(job, caller, _Code.RETRIES_EXHAUSTED, job.sends[-1])
+        else:
+            self.refuse(job, caller, code, ''.join(job.sends[-1:]))
+
+    async def _send_plain(self, job, endpoint):
+        job.attempts += 1
+        state = fleet.get_state(self.T, endpoint)
+        state.requests += 1
+        sent_before = job.maybe_run
+        # Whatever cuts the exchange short, the endpoint may have run it.
+        job.maybe_run = True
+        try:
+            outcome = await _sends.exchange(
+                self.pool,
+                endpoint.address,
+                self.make_outgoing(job, [fleet.Part(endpoint, None)], None),
+            )
+        finally:
+            state.requests -= 1
+        if isinstance(outcome, _sends.NotRun):
+            job.maybe_run = sent_before
+        return outcome
+
+    def _expire(self, job, caller):
+        if caller.answering:
+            # Without the end of the body: it must not look complete.
+            caller.abort()
+            self.note_end(job, _Code.DEADLINE_WHILE_RUNNING, 'cut')
+            return
+        if job.maybe_run:
+            code = _Code.DEADLINE_WHILE_RUNNING
+        else:
+            code = _Code.DEADLINE_BEFORE_START
+        self.refuse(job, caller, code, 'no answer in time')
+
+
+def send_refusal(caller, code, reason):
+    """Send an answer of the system's own.
+
+    Parameters
+    ----------
+    caller : CallerChannel
+    code : sniperudder.outcomes.Code
+    reason : str
+    """
+    status = _STATUSES[code]
+    body = json.dumps({'code': int(code), 'reason': reason}).encode()
+    headers = [(b'Content-Type', b'application/json')]
+    if status == 503:
+        headers.append((b'Retry-After', b'%.1f' % _RETRY_AFTER_S))
+    caller.send_answer(status, headers, body)
+
+
+def get_header(headers, wanted):
+    """Return the value of a header, or None."""
+    for name, _, value in headers:
+        if name == wanted:
+            return value
+    return None
--- /dev/null
+++ b/sniperudder/placement/__init__.py
@@ -0,0 +1,27 @@
+"""Placement of a model's layers on endpoints."""
+
+from sniperudder.placement._layout import choose_unit
+from sniperudder.placement._layout import count_units
+from sniperudder.placement._layout import fits_memory
+from sniperudder.placement._layout import plan_layers
+from sniperudder.placement._lease import LeaseView
+from sniperudder.placement._lease import LOOK_S
+from sniperudder.placement._lease import may_order
+from sniperudder.placement._lease import may_take
+from sniperudder.placement._lease import observe_lease
+from sniperudder.placement._lease import record_renewal
+from sniperudder.placement._lease import RENEW_S
+
+__all__ = [
+    'LOOK_S',
+    'LeaseView',
+    'RENEW_S',
+    'choose_unit',
+    'count_units',
+    'fits_memory',
+    'may_order',
+    'may_take',
+    'observe_lease',
+    'plan_layers',
+    'record_renewal',
+]
--- /dev/null
+++ b/sniperudder/platform/_store.py
@@ -0,0 +1,220 @@
+"""The platform's metadata store."""
+
+import base64
+import dataclasses
+import json
+import urllib.parse
+
+from sniperudder.platform import _documents
+
+CONFIGURATION_TABLE = 'op'
+CONFIGURATION_KEY = 'config'
+ENDPOINTS_TABLE = 'servers'
+INSTANCES_TABLE = 'instances'
+DUTIES_TABLE = 'duties'
+
+_OK = 200
+_CONFLICT = 412
+_HISTORY_GONE = 410
+_BUSY = (429, 503)
+
+# Silence beyond what a read may take, seconds: a store that is slow by
+# the factor the users' days play (88 times 4 ms) still answers in time.
+_ANSWER_TIMEOUT_S = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoredRow:
+    """A row of a table.
+
+    Attributes
+    ----------
+    key : str
+    value : bytes or None
+        None for a row that was removed.
+    version : int
+    """
+
+    key: str
+    value: bytes | None
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rows:
+    """Rows, and the version of the store that they were read at."""
+
+    rows: tuple
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HistoryGone:
+    """The store no longer has the changes that were asked for."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Written:
+    """A change took effect."""
+
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Conflict:
+    """A change was refused because its condition does not hold."""
+
+    rows: tuple
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unavailable:
+    """No usable answer.
+
+    Attributes
+    ----------
+    reason : str
+    maybe_done : bool
+        Whether the call may have taken effect, now or later.
+    """
+
+    reason: str
+    maybe_done: bool
+
+
+class Store:
+    """Calls the store; every outcome is a record.
+
+    Parameters
+    ----------
+    address : str
+    call : callable
+        Coroutine function of address, method, target, body and timeout
+        in seconds, which returns a status and a body, or raises OSError.
+    """
+
+    __slots__ = ('_address', '_call')
+
+    def __init__(self, address, call):
+        self._address = address
+        self._call = call
+
+    async def read_table(self, table):
+        """Return all rows of a table.
+
+        Returns
+        -------
+        Rows or Unavailable
+        """
+        rows, start = [], None
+        while True:
+            query = {'table': table, 'part': ''}
+            if start is not None:
+                query['from'] = start
+            reply = await self._get('/rows-get', query, _ANSWER_TIMEOUT_S)
+            if isinstance(reply, Unavailable):
+                return reply
+            page = _read_rows(reply)
+            rows.extend(page.rows)
+            if not reply.get('more_pages') or not page.rows:
+                return Rows(tuple(rows), page.version)
+            # The range includes its start, and keys have no order below
+            # the zero character.
+            start = page.rows[-1].key + '\0'
+
+    async def read_changes(self, table, after, wait_s):
+        """Wait for changes of a table.
+
+        Parameters
+        ----------
+        table : str
+        after : int
+            Version of the last change that is known.
+        wait_s : float
+            Longest wait for a change, seconds.
+
+        Returns
+        -------
+        Rows, HistoryGone or Unavailable
+        """
+        query = {
+            'table': table,
+            'after': after,
+            'wait_ms': int(wait_s * 1000),
+        }
+        timeout_s = wait_s + _ANSWER_TIMEOUT_S
+        reply = await self._get('/rows-feed', query, timeout_s)
+        if isinstance(reply, (Unavailable, HistoryGone)):
+            return reply
+        return _read_rows(reply)
+
+    async def write_row(self, table, key, value, expected_version=None):
+        """Set a row, or remove it where the value is None.
+
+        Parameters
+        ----------
+        table, key : str
+        value : bytes or None
+        expected_version : int, optional
+            Version that the row must have; 0 where it must not exist.
+
+        Returns
+        -------
+        Written, Conflict or Unavailable
+        """
+        row = {'table': table, 'part': '', 'key': key}
+        call = {'expected_rev': [], 'set_keys': [], 'remove': []}
+        if expected_version is not None:
+            call['expected_rev'] = [{**row, 'row_version': expected_version}]
+        if value is None:
+            call['remove'] = [row]
+        else:
+            text = base64.b64encode(value).decode()
+            call['set_keys'] = [{**row, 'value': text}]
+        try:
+            status, body = await self._call(
+                self._address,
+                'POST',
+                '/rows-tx',
+                json.dumps(call).encode(),
+                _ANSWER_TIMEOUT_S,
+            )
+            if status == _OK:
+                reply = _documents.parse(body)
+                version = _documents.take(reply, 'row_version', int)
+                return Written(version)
+            if status == _CONFLICT:
+                return Conflict(_read_rows(_documents.parse(body)).rows)
+        except (OSError, _documents.DocumentError) as error:
+            return Unavailable(f'{type(error).__name__}: {error}', True)
+        return Unavailable(f'status {status}', status not in _BUSY)
+
+    async def _get(self, path, query, timeout_s):
+        target = f'{path}?{urllib.parse.urlencode(query)}'
+        try:
+            status, body = await self._call(
+                self._address, 'GET', target, None, timeout_s
+            )
+            if status == _HISTORY_GONE:
+                return HistoryGone()
+            if status == _OK:
+                return _documents.parse(body)
+        except (OSError, _documents.DocumentError) as error:
+            return Unavailable(f'{type(error).__name__}: {error}', False)
+        return Unavailable(f'status {status}', False)
+
+
+def _read_rows(reply):
+    rows = [_read_row(row) for row in _documents.take(reply, 'rows', list, [])]
+    version = _documents.take(reply, 'row_version', int, 0)
+    return Rows(tuple(rows), version)
+
+
+def _read_row(row):
+    gone = bool(row.get('tombstone'))
+    text = '' if gone else _documents.take(row, 'value', str, '')
+    return StoredRow(
+        key=_documents.take(row, 'key', str),
+        value=None if gone else base64.b64decode(text),
+        version=_documents.take(row, 'row_version', int, 0),
+    )
--- /dev/null
+++ b/sniperudder/routing/__init__.py
@@ -0,0 +1,37 @@
+"""Decisions on a request: its route, its endpoints, its repeats."""
+
+from sniperudder.routing._budgets import RepeatBudget
+from sniperudder.routing._chains import check_chain
+from sniperudder.routing._chains import choose_chain
+from sniperudder.routing._chains import Demand
+from sniperudder.routing._chains import extend_chain
+from sniperudder.routing._chains import find_chain
+from sniperudder.routing._chains import get_room
+from sniperudder.routing._chains import price_crossing
+from sniperudder.routing._chains import price_layer
+from sniperudder.routing._health import is_avoided
+from sniperudder.routing._health import record_failure
+from sniperudder.routing._health import record_success
+from sniperudder.routing._plain import choose_endpoint
+from sniperudder.routing._routes import draw_service
+from sniperudder.routing._routes import get_rank
+from sniperudder.routing._routes import match_route
+
+__all__ = [
+    'Demand',
+    'RepeatBudget',
+    'check_chain',
+    'choose_chain',
+    'choose_endpoint',
+    'draw_service',
+    'extend_chain',
+    'find_chain',
+    'get_rank',
+    'get_room',
+    'is_avoided',
+    'match_route',
+    'price_crossing',
+    'price_layer',
+    'record_failure',
+    'record_success',
+]
--- /dev/null
+++ b/sniperudder/routing/_chains.py
@@ -0,0 +1,306 @@
+"""Choosing a chain of endpoints whose ranges tile the layers.
+
+Pattern: prompts and answers of unequal size meet endpoints of unequal
+speed in several data centres. A chain's price is the time that its
+stages take at their present load, with the load weighed twice (the
+request slows the others down as well), and the transfers between data
+centres, whose pipes all requests share.
+"""
+
+import dataclasses
+import math
+
+from sniperudder import fleet
+
+# Fixed price of a stage, ms: keeps an endpoint from being split in two.
+_STAGE_MS = 2.0
+
+# Price of leaving the instance's own data centre for the first stage, ms;
+# only events pass there, not activations.
+_FIRST_CROSSING_MS = 30.0
+
+# How much of a pipe's time a request may cost beyond its own transfer.
+_PIPE_WEIGHT = 8.0
+
+# Delay of each token between data centres, ms (the sites' one-way time).
+_CROSSING_DELAY_MS = 0.5
+
+# Weight of the delay that a request causes to those beside it.
+_LOAD_WEIGHT = 2.0
+
+# Largest share of the KV cache counted in the price; above it the price
+# stays finite, so that a full fleet still has an order of preference.
+_MAX_FILL = 0.95
+
+# Random share of a price: independent instances with like knowledge do
+# not all choose the same endpoint.
+_JITTER = 0.15
+
+_BITS_PER_MEGABIT = 1e6
+_BYTES_PER_MB = 1e6
+_TOKENS_PER_K = 1000.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Demand:
+    """Size of a generation, tokens."""
+
+    prompt: float
+    answer: float
+
+
+def get_room(endpoint, engine):
+    """Return the KV cache of an endpoint, tokens x layers."""
+    card = engine.cards.get(endpoint.card)
+    if card is None or endpoint.layers is None or not engine.kv_token_bytes:
+        return math.inf
+    used_mb = len(endpoint.layers) * engine.layer_mb
+    left = max(card.memory_mb - used_mb, 0.0) * _BYTES_PER_MB
+    return left / (engine.kv_token_bytes / engine.layers)
+
+
+def price_layer(endpoint, state, engine, demand, instances):
+    """Return the price of one layer at an endpoint, ms.
+
+    Parameters
+    ----------
+    endpoint : sniperudder.fleet.Endpoint
+    state : sniperudder.fleet.EndpointState
+    engine : sniperudder.fleet.Engine
+    demand : Demand
+    instances : float
+        Number of instances that send about as much as this one.
+
+    Returns
+    -------
+    float
+    """
+    card = engine.cards.get(endpoint.card)
+    step_factor = card.step_factor if card else 1.0
+    read_factor = card.read_factor if card else 1.0
+    context = (demand.prompt + demand.answer) / _TOKENS_PER_K
+    beside_ms = engine.per_request_ms + engine.context_per_k_ms * context
+    batch = state.requests * instances
+    step_ms = engine.step_ms + beside_ms * batch * _LOAD_WEIGHT
+    read_ms = demand.prompt / max(engine.read_per_ms, 1e-9)
+    read_ms *= 1 + batch * _LOAD_WEIGHT / max(demand.answer, 1.0)
+    whole_ms = step_factor * step_ms * demand.answer + read_factor * read_ms
+    room = get_room(endpoint, engine)
+    fill = min(state.token_layers * instances / max(room, 1.0), _MAX_FILL)
+    return whole_ms / engine.layers / (1.0 - fill)
+
+
+def price_crossing(engine, demand):
+    """Return the price of passing between data centres once, ms."""
+    tokens = demand.prompt + demand.answer
+    price = demand.answer * _CROSSING_DELAY_MS
+    if engine.pipe_mbps:
+        bits = tokens * engine.activation_bytes * 8
+        ms = bits / (engine.pipe_mbps * _BITS_PER_MEGABIT) * 1000.0
+        price += ms * _PIPE_WEIGHT
+    return price
+
+
+def find_chain(priced, start, end, origin, crossing_ms, first_ms):
+    """Return the cheapest chain over a range of layers.
+
+    Dynamic programming over the ends of ranges: time is linear in the
+    number of pairs of an endpoint and two ends within its range.
+
+    Parameters
+    ----------
+    priced : sequence of (sniperudder.fleet.Endpoint, float)
+        Candidates, and the price of a layer at each, ms.
+    start, end : int
+        Layers to run; the end is exclusive.
+    origin : str
+        Data centre that the request comes from.
+    crossing_ms, first_ms : float
+        Price of passing between data centres, within the chain and on
+        the way to its first stage.
+
+    Returns
+    -------
+    tuple of sniperudder.fleet.Part
+        Empty where no chain exists.
+
+    Examples
+    --------
+    >>> left = fleet.Endpoint(
+    ...     'a', 's', 'h:1', 'north', 8, False, '', fleet.Layers(0, 4), 0)
+    >>> right = fleet.Endpoint(
+    ...     'b', 's', 'h:2', 'north', 8, False, '', fleet.Layers(2, 8), 0)
+    >>> chain = find_chain(
+    ...     [(left, 1.0), (right, 2.0)], 0, 8, 'north', 9.0, 0.0)
+    >>> [(part.endpoint.id, len(part.layers)) for part in chain]
+    [('a', 4), ('b', 4)]
+    """
+    holders = [
+        (endpoint, price)
+        for endpoint, price in priced
+        if endpoint.layers is not None
+        and endpoint.layers.start < end
+        and endpoint.layers.end > start
+    ]
+    ends = {start, end}
+    for endpoint, _ in holders:
+        ends.add(max(endpoint.layers.start, start))
+        ends.add(min(endpoint.layers.end, end))
+    ends = sorted(ends)
+    # Cheapest way to each end, by the data centre of its last stage.
+    best = {position: {} for position in ends}
+    best[start][origin] = (0.0, None, None)
+    for index, position in enumerate(ends):
+        if not best[position]:
+            continue
+        step_ms = first_ms if position == start else crossing_ms
+        for endpoint, price in holders:
+            if not endpoint.layers.start <= position < endpoint.layers.end:
+                continue
+            cost, origin_key = min(
+                (
+                    cost + (0.0 if centre == endpoint.data_centre else step_ms),
+                    centre,
+                )
+                for centre, (cost, _, _) in best[position].items()
+            )
+            for reached in ends[index + 1 :]:
+                if reached > endpoint.layers.end:
+                    break
+                total = cost + _STAGE_MS + price * (reached - position)
+                known = best[reached].get(endpoint.data_centre)
+                if known is None or total < known[0]:
+                    best[reached][endpoint.data_centre] = (
+                        total,
+                        (position, origin_key),
+                        endpoint,
+                    )
+    if not best[end]:
+        return ()
+    return _merge_repeated(_trace_back(best, start, end))
+
+
+def choose_chain(T, endpoints, engine, demand, home, now, rng, instances):
+    """Choose a chain for a new request.
+
+    Endpoints that were set aside are used only where no chain exists
+    without them.
+
+    Parameters
+    ----------
+    T : sniperudder.fleet.FleetTables
+    endpoints : list of sniperudder.fleet.Endpoint
+    engine : sniperudder.fleet.Engine
+    demand : Demand
+    home : str
+        Data centre of this instance.
+    now : float
+        Seconds.
+    rng : random.Random
+    instances : float
+        See `price_layer`.
+
+    Returns
+    -------
+    tuple of sniperudder.fleet.Part
+        Empty where the layers are not covered.
+    """
+    return extend_chain(
+        T,
+        endpoints,
+        engine,
+        demand,
+        (0, engine.layers),
+        home,
+        _FIRST_CROSSING_MS,
+        now,
+        rng,
+        instances,
+    )
+
+
+def extend_chain(
+    T,
+    endpoints,
+    engine,
+    demand,
+    span,
+    origin,
+    first_ms,
+    now,
+    rng,
+    instances,
+):
+    """Choose a chain over a span of layers; see `choose_chain`.
+
+    Parameters
+    ----------
+    span : (int, int)
+    origin : str
+        Data centre that the span is reached from.
+    first_ms : float or None
+        Price of leaving it, ms; None for that of activations.
+    """
+    priced, avoided = [], []
+    for endpoint in endpoints:
+        state = fleet.get_state(T, endpoint)
+        price = price_layer(endpoint, state, engine, demand, instances)
+        entry = endpoint, price * (1.0 + _JITTER * rng.random())
+        (avoided if now < state.avoid_until else priced).append(entry)
+    crossing_ms = price_crossing(engine, demand)
+    first_ms = crossing_ms if first_ms is None else first_ms
+    for candidates in (priced, priced + avoided):
+        chain = find_chain(
+            candidates, *span, origin, crossing_ms, first_ms
+        )
+        if chain or not avoided:
+            return chain
+    return ()
+
+
+def check_chain(parts, layers):
+    """Assert that a chain runs every layer once and in order.
+
+    Raises
+    ------
+    AssertionError
+    """
+    position = 0
+    addresses = set()
+    for part in parts:
+        assert part.layers.start == position, parts
+        assert part.endpoint.layers.start <= part.layers.start, parts
+        assert part.layers.end <= part.endpoint.layers.end, parts
+        addresses.add(part.endpoint.address)
+        position = part.layers.end
+    assert position == layers, parts
+    assert len(addresses) == len(parts), parts
+
+
+def _trace_back(best, start, end):
+    parts = []
+    position = end
+    centre = min(best[end], key=lambda key: best[end][key][0])
+    while position != start:
+        _, (before, came_from), endpoint = best[position][centre]
+        parts.append(fleet.Part(endpoint, fleet.Layers(before, position)))
+        position, centre = before, came_from
+    return parts[::-1]
+
+
+def _merge_repeated(parts):
+    """Run all between two uses of an endpoint at that endpoint.
+
+    An endpoint may stand in a chain only once, and it holds all layers
+    between two of its own.
+    """
+    merged = []
+    for part in parts:
+        for index, earlier in enumerate(merged):
+            if earlier.endpoint.id == part.endpoint.id:
+                layers = fleet.Layers(earlier.layers.start, part.layers.end)
+                merged[index:] = [fleet.Part(part.endpoint, layers)]
+                break
+        else:
+            merged.append(part)
+    return tuple(merged)
--- /dev/null
+++ b/sniperudder/routing/_routes.py
@@ -0,0 +1,55 @@
+"""Which route a request takes, and whose it is."""
+
+
+def match_route(configuration, host, target):
+    """Return the route with the longest prefix of a path, or None.
+
+    Parameters
+    ----------
+    configuration : sniperudder.fleet.Configuration
+    host : str
+        As sent; a port and the case of letters do not count.
+    target : str
+        Path and query.
+
+    Returns
+    -------
+    sniperudder.fleet.Route or None
+    """
+    path = target.partition('?')[0]
+    name = host.lower()
+    routes = configuration.routes.get(name)
+    if routes is None:
+        routes = configuration.routes.get(name.rpartition(':')[0], ())
+    for route in routes:
+        if path.startswith(route.prefix):
+            return route
+    return None
+
+
+def draw_service(route, rng):
+    """Return the service of one request, by the weights of its route.
+
+    Parameters
+    ----------
+    route : sniperudder.fleet.Route
+    rng : random.Random
+
+    Returns
+    -------
+    str
+    """
+    targets = route.targets
+    if len(targets) == 1:
+        return targets[0].service
+    weights = [max(target.weight, 0.0) for target in targets]
+    if not any(weights):
+        return targets[0].service
+    return rng.choices(targets, weights)[0].service
+
+
+def get_rank(route, organisation):
+    """Return the rank of a request; that of its organisation goes first."""
+    if organisation is not None and organisation.rank is not None:
+        return organisation.rank
+    return route.rank
