Share loads between instances; plan layers once the list has settled

Change: digests over UDP (thrift, compact) every 250 ms carry what each instance has in flight; placement waits until no endpoint became empty for 0.8 s; connection attempts keep their own bound; a store that failed is asked without a wait; waits last 5 s at most.

--- a/Makefile
+++ b/Makefile
@@ -53,6 +53,9 @@
 	thrift --gen py:slots,enum -out sniperudder/peers/gen \
 		sniperudder/peers/sniperudder.thrift
 	rm -f sniperudder/peers/gen/wire/*-remote
+	rm -rf sniperudder/digests/gen/wire
+	thrift --gen py:slots,enum -out sniperudder/digests/gen \
+		sniperudder/digests/digest.thrift
 
 # Writes reports/policy.md and its plot.
 measure: setup
--- /dev/null
+++ b/sniperudder/digests/_codec.py
@@ -0,0 +1,80 @@
+"""Digests as thrift structures."""
+
+from thrift import TSerialization
+from thrift.protocol import TCompactProtocol
+
+from sniperudder.digests import _records
+from sniperudder.digests.gen.wire import ttypes
+
+_MS_PER_S = 1000
+_FACTORY = TCompactProtocol.TCompactProtocolAcceleratedFactory()
+
+
+class DigestError(ValueError):
+    """Bytes that are no digest."""
+
+
+def encode_digest(digest):
+    """Return a digest as bytes.
+
+    Examples
+    --------
+    >>> from sniperudder import digests
+    >>> load = digests.Load(2, 1600.0)
+    >>> digest = digests.Digest('entry-1', 5, 1, {'gpu-1': load}, (), {})
+    >>> decode_digest(encode_digest(digest)) == digest
+    True
+    """
+    message = ttypes.Digest(
+        sender=digest.sender,
+        incarnation=digest.incarnation,
+        sequence=digest.sequence,
+        loads=[
+            ttypes.Load(name, load.requests, int(load.token_layers))
+            for name, load in digest.loads.items()
+        ],
+        faults=[
+            ttypes.Fault(
+                fault.endpoint, fault.born_ms, int(fault.left_s * _MS_PER_S)
+            )
+            for fault in digest.faults
+        ],
+        crashes=[
+            ttypes.Crash(fingerprint, count)
+            for fingerprint, count in digest.crashes.items()
+        ],
+    )
+    return TSerialization.serialize(message, _FACTORY)
+
+
+def decode_digest(data):
+    """Return the digest that bytes hold.
+
+    Raises
+    ------
+    DigestError
+    """
+    try:
+        message = TSerialization.deserialize(ttypes.Digest(), data, _FACTORY)
+        message.validate()
+    except Exception as error:
+        # The library raises errors of many kinds for foreign bytes.
+        raise DigestError(f'{type(error).__name__}: {error}') from error
+    return _records.Digest(
+        sender=message.sender,
+        incarnation=message.incarnation,
+        sequence=message.sequence,
+        loads={
+            load.endpoint: _records.Load(
+                load.requests, float(load.token_layers)
+            )
+            for load in message.loads
+        },
+        faults=tuple(
+            _records.Fault(
+                fault.endpoint, fault.born_ms, fault.left_ms / _MS_PER_S
+            )
+            for fault in message.faults
+        ),
+        crashes={crash.fingerprint: crash.count for crash in message.crashes},
+    )
--- /dev/null
+++ b/sniperudder/digests/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of digests."""
--- a/sniperudder/entry/_entry.py
+++ b/sniperudder/entry/_entry.py
@@ -8,6 +8,7 @@
 import sys
 import traceback
 
+from sniperudder.entry import _gossip
 from sniperudder.entry import _journal
 from sniperudder.entry import _placer
 from sniperudder.entry import _watchers
@@ -64,6 +65,7 @@
         self._placer = _placer.Placer(
             self._T, self._store, self._calls, settings.name, journal
         )
+        self._gossip = _gossip.Gossip(self._T, self._store, settings, journal)
         self._stopping = asyncio.Event()
         self._tasks = []
 
@@ -75,6 +77,7 @@
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         await self._callers.start(self._settings.callers_address)
         await self._balancer.start(self._settings.ready_address)
+        await self._gossip.start()
         self._journal.write(
             'instance:start',
             self._settings.name,
@@ -99,6 +102,8 @@
             endpoints.run(),
             self._placer.run_lease(),
             self._placer.run_orders(),
+            self._gossip.run(),
+            self._gossip.run_listing(),
             self._keep_house(),
         ):
             task = loop.create_task(work)
@@ -150,6 +155,7 @@
                 if name not in listed:
                     self._drop_endpoint(name, None)
             self._T.endpoints_known = True
+        self._T.changes += 1
         for row in rows:
             if row.value is None:
                 self._drop_endpoint(row.key, row.version)
--- a/sniperudder/entry/_placer.py
+++ b/sniperudder/entry/_placer.py
@@ -14,9 +14,11 @@
 # Seconds between two looks at what is missing.
 _TICK_S = 0.25
 
-# Time after the list of endpoints was first read before the first plan:
-# endpoints that start together are planned together.
-_SETTLE_S = 1.0
+# Time without a new endpoint, and longest time since the first one, after
+# which layers are planned: endpoints that start together are planned
+# together. Their entries come within a heartbeat (1.2 s) of each other.
+_SETTLE_S = 0.8
+_MAX_SETTLE_S = 3.0
 
 # Longest wait for the answer to an order, seconds.
 _ORDER_TIMEOUT_S = 1.0
@@ -64,7 +66,9 @@
         self._view = placement.LeaseView()
         self._orders = {}
         self._under_way = set()
-        self._known_at = None
+        self._empty = set()
+        self._changed_at = 0.0
+        self._settling_at = None
 
     async def run_lease(self):
         """Renew the lease, or look whether it is free, until cancelled."""
@@ -134,13 +138,31 @@
         if configuration is None or not self._T.endpoints_known:
             return
         now = _read_clock()
-        self._known_at = self._known_at or now
-        if now - self._known_at < _SETTLE_S:
+        if not self._has_settled(now):
             return
         for service in configuration.services.values():
             if service.engine is not None and service.engine.layers:
                 self._place_service(service, now)
 
+    def _has_settled(self, now):
+        """Tell whether no endpoint became empty for a while."""
+        empty = {
+            (endpoint.id, endpoint.born_ms)
+            for endpoint in self._T.endpoints.values()
+            if endpoint.layers is None and endpoint.card
+        }
+        if not empty - self._empty:
+            self._empty = empty
+            settled = now - self._changed_at >= _SETTLE_S
+            if settled:
+                self._settling_at = None
+            return settled
+        self._empty = empty
+        self._changed_at = now
+        if self._settling_at is None:
+            self._settling_at = now
+        return now - self._settling_at >= _MAX_SETTLE_S
+
     def _place_service(self, service, now):
         endpoints = fleet.list_endpoints(self._T, service.name)
         held = {}
--- a/sniperudder/entry/_watchers.py
+++ b/sniperudder/entry/_watchers.py
@@ -4,9 +4,9 @@
 
 from sniperudder import platform
 
-# Longest wait for a change in one call, seconds. A silent channel is
-# found by keep-alive probes, so this need not bound it.
-_WAIT_S = 20.0
+# Longest wait for a change in one call, seconds: a store that took the
+# call and fell silent is asked again after it.
+_WAIT_S = 5.0
 
 # Pauses between calls to a store that fails, seconds.
 _FIRST_PAUSE_S = 0.1
@@ -71,8 +71,11 @@
         return True
 
     async def _follow(self):
+        # A store that failed is asked for what it has now: a call that
+        # may wait would also wait out the end of the failure.
+        wait_s = _WAIT_S if self.reached else 0.0
         outcome = await self._store.read_changes(
-            self._table, self.version, _WAIT_S
+            self._table, self.version, wait_s
         )
         if isinstance(outcome, platform.HistoryGone):
             self._journal.write('table:gap', self._table, known=self.version)
--- a/sniperudder/fleet/__init__.py
+++ b/sniperudder/fleet/__init__.py
@@ -16,7 +16,9 @@
 from sniperudder.fleet._settings import InstanceSettings
 from sniperudder.fleet._tables import FleetTables
 from sniperudder.fleet._tables import forget_states
+from sniperudder.fleet._tables import get_load
 from sniperudder.fleet._tables import get_state
+from sniperudder.fleet._tables import is_serving
 from sniperudder.fleet._tables import list_endpoints
 
 __all__ = [
@@ -36,6 +38,8 @@
     'Service',
     'Target',
     'forget_states',
+    'get_load',
     'get_state',
+    'is_serving',
     'list_endpoints',
 ]
--- a/sniperudder/fleet/_tables.py
+++ b/sniperudder/fleet/_tables.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from sniperudder import digests
 from sniperudder.fleet import _endpoints
 
 
@@ -19,12 +20,20 @@
         By id and time of birth.
     endpoints_known : bool
         Whether the list of endpoints was read since the start.
+    changes : int
+        Number of changes of the list of endpoints.
+    peers : sniperudder.digests.PeerTable
+        What other instances have in flight.
     """
 
     configuration: object = None
     endpoints: dict = dataclasses.field(default_factory=dict)
     states: dict = dataclasses.field(default_factory=dict)
     endpoints_known: bool = False
+    changes: int = 0
+    peers: digests.PeerTable = dataclasses.field(
+        default_factory=digests.PeerTable
+    )
 
 
 def get_state(T, endpoint):
@@ -36,6 +45,31 @@
     return state
 
 
+def get_load(T, endpoint):
+    """Return what all instances have in flight at an endpoint.
+
+    Returns
+    -------
+    sniperudder.digests.Load
+    """
+    own = get_state(T, endpoint)
+    others = T.peers.get_load(endpoint.id)
+    return digests.Load(
+        own.requests + others.requests,
+        own.token_layers + others.token_layers,
+    )
+
+
+def is_serving(T, endpoint):
+    """Tell whether this run of an endpoint is listed and not leaving."""
+    listed = T.endpoints.get(endpoint.id)
+    return (
+        listed is not None
+        and listed.born_ms == endpoint.born_ms
+        and not listed.leaving
+    )
+
+
 def list_endpoints(T, service):
     """Return the endpoints of a service that take new work.
 
--- a/sniperudder/forwarding/_channels.py
+++ b/sniperudder/forwarding/_channels.py
@@ -333,7 +333,7 @@
     channel = None
     try:
         async with asyncio.timeout(timeout_s):
-            channel = await pool.acquire(address, timeout_s)
+            channel = await pool.acquire(address)
             headers = [('Host', address)]
             if body is not None:
                 headers += [
--- a/sniperudder/forwarding/_forwarder.py
+++ b/sniperudder/forwarding/_forwarder.py
@@ -20,6 +20,10 @@
 # the cause ends, seconds.
 _RETRY_AFTER_S = 0.5
 
+# Instances among which the slack of the repeat budget is divided: about
+# twice the number that the users run now, as many start while others stop.
+_MAX_INSTANCES = 16
+
 _Code = outcomes.Code
 
 _STATUSES = {
@@ -95,7 +99,6 @@
         self.settings = settings
         self.journal = journal
         self.rng = rng or random.Random()
-        self.instances = 1.0
         self._budgets = {}
 
     async def handle(self, request, caller):
@@ -127,7 +130,7 @@
             bounds = self.settings.bounds
             budget = self._budgets[service] = routing.RepeatBudget(
                 bounds.repeat_ratio,
-                bounds.repeat_slack / max(self.instances, 1.0),
+                bounds.repeat_slack / _MAX_INSTANCES,
                 bounds.repeat_window_s,
             )
         return budget
--- a/sniperudder/forwarding/_streams.py
+++ b/sniperudder/forwarding/_streams.py
@@ -108,7 +108,6 @@
         home,
         now,
         forwarder.rng,
-        forwarder.instances,
     )
     if parts:
         routing.check_chain(parts, engine.layers)
--- a/sniperudder/platform/_documents.py
+++ b/sniperudder/platform/_documents.py
@@ -42,9 +42,7 @@
         callers_address=take(listen, 'front', str),
         ready_address=take(listen, 'ready', str),
         peer_port=take(value, 'port_range', list)[0],
-        platform_address=take(
-            take(value, 'platform', dict), 'address', str
-        ),
+        platform_address=take(take(value, 'platform', dict), 'address', str),
         bounds=fleet.Bounds(
             drain_s=take_s(bounds, 'drain_ms'),
             grace_s=take(bounds, 'grace_s', float),
--- a/sniperudder/platform/_headers.py
+++ b/sniperudder/platform/_headers.py
@@ -159,7 +159,9 @@
     dropped = _HOP_BY_HOP | _OWN | _list_connection_options(headers)
     if hide_key:
         dropped |= {_AUTHORIZATION}
-    return [(raw, value) for name, raw, value in headers if name not in dropped]
+    return [
+        (raw, value) for name, raw, value in headers if name not in dropped
+    ]
 
 
 def make_answer_headers(headers):
@@ -170,7 +172,9 @@
     headers = list(headers)
     dropped = _HOP_BY_HOP | _list_connection_options(headers)
     dropped |= {b'content-length'}
-    return [(raw, value) for name, raw, value in headers if name not in dropped]
+    return [
+        (raw, value) for name, raw, value in headers if name not in dropped
+    ]
 
 
 def make_send_headers(parts, left_s, rank, organisation, last_event_id):
--- a/sniperudder/routing/_chains.py
+++ b/sniperudder/routing/_chains.py
@@ -59,17 +59,16 @@
     return left / (engine.kv_token_bytes / engine.layers)
 
 
-def price_layer(endpoint, state, engine, demand, instances):
+def price_layer(endpoint, load, engine, demand):
     """Return the price of one layer at an endpoint, ms.
 
     Parameters
     ----------
     endpoint : sniperudder.fleet.Endpoint
-    state : sniperudder.fleet.EndpointState
+    load : sniperudder.digests.Load
+        What all instances have in flight there.
     engine : sniperudder.fleet.Engine
     demand : Demand
-    instances : float
-        Number of instances that send about as much as this one.
 
     Returns
     -------
@@ -80,13 +79,12 @@
     read_factor = card.read_factor if card else 1.0
     context = (demand.prompt + demand.answer) / _TOKENS_PER_K
     beside_ms = engine.per_request_ms + engine.context_per_k_ms * context
-    batch = state.requests * instances
-    step_ms = engine.step_ms + beside_ms * batch * _LOAD_WEIGHT
+    step_ms = engine.step_ms + beside_ms * load.requests * _LOAD_WEIGHT
     read_ms = demand.prompt / max(engine.read_per_ms, 1e-9)
-    read_ms *= 1 + batch * _LOAD_WEIGHT / max(demand.answer, 1.0)
+    read_ms *= 1 + load.requests * _LOAD_WEIGHT / max(demand.answer, 1.0)
     whole_ms = step_factor * step_ms * demand.answer + read_factor * read_ms
     room = get_room(endpoint, engine)
-    fill = min(state.token_layers * instances / max(room, 1.0), _MAX_FILL)
+    fill = min(load.token_layers / max(room, 1.0), _MAX_FILL)
     return whole_ms / engine.layers / (1.0 - fill)
 
 
@@ -159,7 +157,8 @@
                 continue
             cost, origin_key = min(
                 (
-                    cost + (0.0 if centre == endpoint.data_centre else step_ms),
+                    cost
+                    + (0.0 if centre == endpoint.data_centre else step_ms),
                     centre,
                 )
                 for centre, (cost, _, _) in best[position].items()
@@ -180,7 +179,7 @@
     return _merge_repeated(_trace_back(best, start, end))
 
 
-def choose_chain(T, endpoints, engine, demand, home, now, rng, instances):
+def choose_chain(T, endpoints, engine, demand, home, now, rng):
     """Choose a chain for a new request.
 
     Endpoints that were set aside are used only where no chain exists
@@ -197,8 +196,6 @@
     now : float
         Seconds.
     rng : random.Random
-    instances : float
-        See `price_layer`.
 
     Returns
     -------
@@ -215,7 +212,6 @@
         _FIRST_CROSSING_MS,
         now,
         rng,
-        instances,
     )
 
 
@@ -229,7 +225,6 @@
     first_ms,
     now,
     rng,
-    instances,
 ):
     """Choose a chain over a span of layers; see `choose_chain`.
 
@@ -244,15 +239,14 @@
     priced, avoided = [], []
     for endpoint in endpoints:
         state = fleet.get_state(T, endpoint)
-        price = price_layer(endpoint, state, engine, demand, instances)
+        load = fleet.get_load(T, endpoint)
+        price = price_layer(endpoint, load, engine, demand)
         entry = endpoint, price * (1.0 + _JITTER * rng.random())
         (avoided if now < state.avoid_until else priced).append(entry)
     crossing_ms = price_crossing(engine, demand)
     first_ms = crossing_ms if first_ms is None else first_ms
     for candidates in (priced, priced + avoided):
-        chain = find_chain(
-            candidates, *span, origin, crossing_ms, first_ms
-        )
+        chain = find_chain(candidates, *span, origin, crossing_ms, first_ms)
         if chain or not avoided:
             return chain
     return ()
--- a/sniperudder/routing/_plain.py
+++ b/sniperudder/routing/_plain.py
@@ -13,7 +13,7 @@
 
 
 def choose_endpoint(T, endpoints, home, now, rng, excluded=()):
-    """Choose the endpoint with the fewest requests of this instance.
+    """Choose the endpoint with the fewest requests in flight.
 
     Parameters
     ----------
@@ -34,7 +34,7 @@
 
     def rate(endpoint):
         state = fleet.get_state(T, endpoint)
-        load = state.requests / max(endpoint.slots, 1)
+        load = fleet.get_load(T, endpoint).requests / max(endpoint.slots, 1)
         if endpoint.data_centre != home:
             load += _CROSSING_REQUESTS / max(endpoint.slots, 1)
         return (
