Move streams off dead and leaving stages; leave more room for KV cache

A refusal for want of room was taken for a failure, so its data centre lost a chain and traffic crossed the narrow pipes instead. Streams through a dead stage stalled for 2 s and were cut. Ruled out: a leak of load counts, the table shows refusals at the full endpoints only.

Change: layers take 65 % at most; a refusal sets aside for 0.15 s only; endpoints without room are a grade of their own; silent streams ask their first stage and are moved; streams leave stages that drain.

--- a/sniperudder/forwarding/_forwarder.py
+++ b/sniperudder/forwarding/_forwarder.py
@@ -6,6 +6,7 @@
 import random
 
 from sniperudder import fleet
+from sniperudder.forwarding import _moves
 from sniperudder.forwarding import _sends
 from sniperudder.forwarding import _streams
 from sniperudder import outcomes
@@ -20,6 +21,10 @@
 # the cause ends, seconds.
 _RETRY_AFTER_S = 0.5
 
+# Share of the engines' stall time after which a refusal means that a stage
+# is dead, and not merely without room.
+_STALLED_SHARE = 0.8
+
 # Instances among which the slack of the repeat budget is divided: about
 # twice the number that the users run now, as many start while others stop.
 _MAX_INSTANCES = 16
@@ -99,6 +104,7 @@
         self.settings = settings
         self.journal = journal
         self.rng = rng or random.Random()
+        self.mover = _moves.Mover(T, self.rng, journal)
         self._budgets = {}
 
     async def handle(self, request, caller):
@@ -174,9 +180,10 @@
             request.body,
         )
 
-    def note_outcome(self, job, endpoint, outcome):
+    def note_outcome(self, job, endpoint, outcome, sent_at):
         """Keep what a send tells of its endpoint, for choices and log."""
         now = self.now()
+        took_s = now - sent_at
         if isinstance(outcome, _sends.Answered):
             routing.record_success(fleet.get_state(self.T, endpoint), now)
             job.sends.append(f'{endpoint.id}: {outcome.status}')
@@ -184,7 +191,14 @@
         fault = endpoint
         if isinstance(outcome, _sends.NotRun) and outcome.fault_address:
             fault = self.find_address(outcome.fault_address) or endpoint
-        routing.record_failure(fleet.get_state(self.T, fault), now)
+        state = fleet.get_state(self.T, fault)
+        if not isinstance(outcome, _sends.NotRun) or not outcome.arrived:
+            routing.record_failure(state, now)
+        elif took_s >= self.settings.bounds.stall_s * _STALLED_SHARE:
+            # The engine gave up waiting for this stage.
+            routing.record_failure(state, now, _moves.DEAD_AVOID_S)
+        else:
+            routing.record_refusal(state, now)
         job.tried.add(fault.id)
         if isinstance(outcome, _sends.Broken):
             job.maybe_run = True
@@ -202,7 +216,7 @@
         send_refusal(caller, code, reason)
         self.note_end(job, code, reason)
 
-    def note_end(self, job, code, reason=''):
+    def note_end(self, job, code, reason='', **fields):
         """Log how a request ended."""
         self.journal.write(
             'request:end',
@@ -214,6 +228,7 @@
             organisation=job.organisation.name if job.organisation else '',
             version=self.T.configuration.version,
             sends=job.sends,
+            **fields,
             duration_ms=round((self.now() - job.request.arrived_at) * 1000),
         )
 
@@ -288,8 +303,9 @@
             if endpoint is None:
                 code = _Code.NO_ENDPOINT
                 break
+            sent_at = self.now()
             outcome = await self._send_plain(job, endpoint)
-            self.note_outcome(job, endpoint, outcome)
+            self.note_outcome(job, endpoint, outcome, sent_at)
             if isinstance(outcome, _sends.Answered):
                 last = outcome
                 if outcome.status < 500 or not job.route.repeatable:
--- /dev/null
+++ b/sniperudder/forwarding/_moves.py
@@ -0,0 +1,185 @@
+"""Moving streams away from stages that died or leave.
+
+Pattern: one dead stage stalls every stream that passes it, for longer
+than callers wait. The first stage of a stalled stream knows which stage
+it waits for; it is asked once for all streams of this instance, and each
+of them is moved to another chain.
+"""
+
+import asyncio
+
+from sniperudder import fleet
+from sniperudder.forwarding import _channels
+from sniperudder import platform
+from sniperudder import routing
+
+# Longest wait for a report or for the answer to an order, seconds: both
+# take a few ms from an endpoint that lives.
+_CALL_TIMEOUT_S = 0.4
+
+# Age up to which a report serves further streams, seconds.
+_REPORT_FRESH_S = 0.15
+
+# Time for which a stage that an engine found dead is avoided, seconds:
+# the platform drops it after three heartbeats of 1.2 s.
+DEAD_AVOID_S = 4.0
+
+# Orders to move one stream that are tried in a row.
+_MAX_ORDERS = 3
+
+_CONFLICT = 409
+_DONE = (200, 202)
+
+
+class Mover:
+    """Asks first stages for stalled streams, and moves these.
+
+    Parameters
+    ----------
+    T : sniperudder.fleet.FleetTables
+    rng : random.Random
+    journal : object
+        See `Forwarder`.
+    """
+
+    def __init__(self, T, rng, journal):
+        self._T = T
+        self._rng = rng
+        self._journal = journal
+        # Not shared with requests: their late answers carry ids, and
+        # answers to calls carry none.
+        self._pool = _channels.ChannelPool()
+        self._reports = {}
+
+    async def find_stalled(self, endpoint, request_id):
+        """Ask a first stage which stage a request waits for.
+
+        Returns
+        -------
+        reached : bool
+            Whether it answered.
+        address : str or None
+            The stage that is at fault; None where the request goes on.
+        """
+        report = await self._get_report(endpoint)
+        if report is None:
+            return False, None
+        for stalled in report.stalled:
+            self._set_aside(stalled.address)
+            if stalled.request_id == request_id:
+                return True, stalled.address
+        return True, None
+
+    async def move(self, request_id, parts, broken, engine, demand, service):
+        """Move a stream to a chain without some stages.
+
+        Parameters
+        ----------
+        request_id : str
+        parts : tuple of sniperudder.fleet.Part
+        broken : set of str
+            Addresses of the stages to replace.
+        engine : sniperudder.fleet.Engine
+        demand : sniperudder.routing.Demand
+        service : str
+
+        Returns
+        -------
+        tuple of sniperudder.fleet.Part
+            The chain that is in force now; that of before where the
+            stream could not be moved.
+        """
+        broken = set(broken)
+        for _ in range(_MAX_ORDERS):
+            made = routing.replace_parts(
+                self._T,
+                fleet.list_endpoints(self._T, service),
+                engine,
+                demand,
+                parts,
+                broken,
+                asyncio.get_running_loop().time(),
+                self._rng,
+            )
+            if not made:
+                self._note_move(request_id, parts, broken, 'no chain')
+                return parts
+            routing.check_chain(made, engine.layers)
+            body = platform.make_repath_order(request_id, made)
+            status, answer = await self._order(parts[0].endpoint, body)
+            self._note_move(request_id, made, broken, f'status {status}')
+            if status in _DONE:
+                return made
+            missing = platform.read_fault_address(answer)
+            if status != _CONFLICT or missing is None:
+                return parts
+            broken.add(missing)
+        return parts
+
+    async def _get_report(self, endpoint):
+        """Return a fresh report, shared by all who ask for it."""
+        now = asyncio.get_running_loop().time()
+        asked_at, task = self._reports.get(endpoint.address, (0.0, None))
+        if task is None or (task.done() and now - asked_at > _REPORT_FRESH_S):
+            task = asyncio.create_task(self._read_report(endpoint))
+            self._reports[endpoint.address] = now, task
+        return await asyncio.shield(task)
+
+    async def _read_report(self, endpoint):
+        try:
+            status, body = await _channels.call(
+                self._pool,
+                endpoint.address,
+                'GET',
+                platform.REPORT_TARGET,
+                None,
+                _CALL_TIMEOUT_S,
+            )
+            report = platform.read_report(body)
+        except (OSError, platform.DocumentError) as error:
+            reason = f'{type(error).__name__}: {error}'
+            self._journal.write(
+                'endpoint:silent', endpoint.id, reason=reason
+            )
+            return None
+        self._journal.write(
+            'endpoint:reported',
+            endpoint.id,
+            status=status,
+            stalled=len(report.stalled),
+            stages=sorted({s.address for s in report.stalled}),
+        )
+        return report
+
+    async def _order(self, endpoint, body):
+        try:
+            return await _channels.call(
+                self._pool,
+                endpoint.address,
+                'POST',
+                platform.ORDER_TARGET,
+                body,
+                _CALL_TIMEOUT_S,
+            )
+        except OSError as error:
+            return f'none: {type(error).__name__}', b''
+
+    def _set_aside(self, address):
+        now = asyncio.get_running_loop().time()
+        for endpoint in self._T.endpoints.values():
+            if endpoint.address == address:
+                state = fleet.get_state(self._T, endpoint)
+                if not routing.is_avoided(state, now):
+                    self._journal.write(
+                        'endpoint:dead', endpoint.id, address=address
+                    )
+                routing.record_failure(state, now, DEAD_AVOID_S)
+
+    def _note_move(self, request_id, parts, broken, outcome):
+        self._journal.write(
+            'stream:moved',
+            request_id,
+            broken=sorted(broken),
+            path=platform.write_path(parts),
+            outcome=outcome,
+        )
--- a/sniperudder/forwarding/_streams.py
+++ b/sniperudder/forwarding/_streams.py
@@ -11,6 +11,16 @@
 
 _Code = outcomes.Code
 
+# Time without the first event, and without a further one, after which a
+# dead stage is looked for, seconds: half of the time that callers allow
+# for a first event, and twice the longest pause of a timely stream.
+_FIRST_STALL_S = 0.4
+_STALL_S = 0.4
+
+# Time from a stage's leaving until a stream is moved away, seconds: most
+# streams end by themselves, and a stage serves on for 2 s at least.
+_LEAVE_S = 1.0
+
 
 class _Stream:
     """What the caller of one stream has received.
@@ -21,17 +31,39 @@
         Whether the head of the answer was sent.
     last_id : int or None
         Id of the last event that was sent.
-    first_at : float or None
-        When the first event was sent, loop time.
+    first_at, last_at : float or None
+        When the first and the newest event were sent, loop time.
+    events : int
+    longest_pause_s : float
+        Longest time between two events, seconds.
     """
 
-    __slots__ = ('events', 'first_at', 'last_id', 'started')
+    __slots__ = (
+        'events',
+        'first_at',
+        'last_at',
+        'last_id',
+        'longest_pause_s',
+        'started',
+    )
 
     def __init__(self, last_id):
         self.started = False
         self.last_id = last_id
         self.first_at = None
+        self.last_at = None
         self.events = 0
+        self.longest_pause_s = 0.0
+
+    def record_events(self, count, now):
+        """Count events that were sent."""
+        if self.first_at is None:
+            self.first_at = now
+        else:
+            pause_s = now - self.last_at
+            self.longest_pause_s = max(self.longest_pause_s, pause_s)
+        self.last_at = now
+        self.events += count
 
 
 async def forward_stream(forwarder, job, caller):
@@ -47,11 +79,13 @@
         parts = _choose_parts(forwarder, job)
         if not parts:
             break
-        outcome = await _run_attempt(forwarder, job, caller, stream, parts)
+        attempt = _Attempt(forwarder, job, caller, stream, parts)
+        sent_at = forwarder.now()
+        outcome = await attempt.run()
         if outcome is None:
             _note_answered(forwarder, job, stream)
             return
-        forwarder.note_outcome(job, parts[0].endpoint, outcome)
+        forwarder.note_outcome(job, parts[0].endpoint, outcome, sent_at)
         if isinstance(outcome, _sends.Answered):
             caller.send_answer(outcome.status, outcome.headers, outcome.body)
             reason = f'status {outcome.status}'
@@ -85,8 +119,13 @@
 def _note_answered(forwarder, job, stream):
     first_at = stream.first_at or forwarder.now()
     first_ms = round((first_at - job.request.arrived_at) * 1000)
-    reason = f'{stream.events} events, first after {first_ms} ms'
-    forwarder.note_end(job, _Code.ANSWERED, reason)
+    forwarder.note_end(
+        job,
+        _Code.ANSWERED,
+        f'{stream.events} events',
+        first_ms=first_ms,
+        pause_ms=round(stream.longest_pause_s * 1000),
+    )
 
 
 def _choose_parts(forwarder, job):
@@ -122,77 +161,211 @@
     )
 
 
-async def _run_attempt(forwarder, job, caller, stream, parts):
-    """Send to one chain and pass its events on.
+class _Attempt:
+    """A stream on one chain.
 
-    Returns
-    -------
-    Answered, NotRun, Broken or None
-        None once the stream has been passed on to its end.
+    Attributes
+    ----------
+    parts : tuple of sniperudder.fleet.Part
+        The chain, which may change under way.
     """
-    last_event_id = job.head.last_event_id
-    if stream.started and stream.last_id is not None:
-        last_event_id = str(stream.last_id)
-    sent_before = job.maybe_run
-    job.attempts += 1
-    job.maybe_run = True
-    holdings = _hold(forwarder, job, parts)
-    send = _sends.Send(
-        forwarder.pool,
-        parts[0].endpoint.address,
-        forwarder.make_outgoing(job, parts, last_event_id),
-    )
-    try:
-        refused = await send.open()
-        if refused is not None:
+
+    def __init__(self, forwarder, job, caller, stream, parts):
+        self._forwarder = forwarder
+        self._job = job
+        self._caller = caller
+        self._stream = stream
+        self._send = None
+        self._holdings = []
+        self._changes = forwarder.T.changes
+        self._leave_at = None
+        self.parts = parts
+
+    def _note_sent(self):
+        state = fleet.get_state(self._forwarder.T, self.parts[0].endpoint)
+        self._forwarder.journal.write(
+            'request:sent',
+            self._job.head.request_id,
+            attempt=self._job.attempts,
+            path=platform.write_path(self.parts),
+            after=self._stream.last_id,
+            in_flight=state.requests,
+            instances=self._forwarder.T.peers.count_alive(),
+        )
+
+    async def run(self):
+        """Send the request and pass its events on.
+
+        Returns
+        -------
+        Answered, NotRun, Broken or None
+            None once the stream has been passed on to its end.
+        """
+        job, forwarder = self._job, self._forwarder
+        last_event_id = job.head.last_event_id
+        if self._stream.started and self._stream.last_id is not None:
+            last_event_id = str(self._stream.last_id)
+        sent_before = job.maybe_run
+        job.attempts += 1
+        job.maybe_run = True
+        self._hold()
+        self._note_sent()
+        self._send = _sends.Send(
+            forwarder.pool,
+            self.parts[0].endpoint.address,
+            forwarder.make_outgoing(job, self.parts, last_event_id),
+        )
+        try:
+            outcome = await self._send.open()
+            if outcome is None:
+                outcome = await self._receive_answer()
+        finally:
+            self._send.close()
+            self._let_go()
+        if isinstance(outcome, _sends.NotRun):
             job.maybe_run = sent_before
-            return refused
-        head = await send.receive_head()
+        return outcome
+
+    async def _receive_answer(self):
+        head = await self._watch(self._send.receive_head, _FIRST_STALL_S)
         if not isinstance(head, h11.Response):
             return head
         if head.status_code != 200:
-            outcome = await send.receive_rest(head)
-            if isinstance(outcome, _sends.NotRun):
-                job.maybe_run = sent_before
-            return outcome
-        return await _relay(forwarder, job, caller, stream, send, head, parts)
-    finally:
-        send.close()
-        _let_go(forwarder, parts, holdings)
-
-
-async def _relay(forwarder, job, caller, stream, send, head, parts):
-    known = platform.read_answer_head(head.status_code, head.headers)
-    if not known.sealed:
-        return _sends.Broken('stream without a digest')
-    headers = platform.make_answer_headers(_sends.list_headers(head))
-    splitter = _events.EventSplitter()
-    while True:
-        try:
-            event = await send.receive()
-            if isinstance(event, h11.EndOfMessage):
-                break
-            if not isinstance(event, h11.Data):
-                return _sends.Broken('closed within a stream')
-            whole = splitter.feed(event.data)
-        except _events.EventTooLong as error:
-            return _sends.Broken(str(error))
-        except OSError as error:
-            return _sends.Broken(_sends.describe_error(error))
-        if whole:
-            broken = _pass_on(forwarder, caller, stream, headers, whole)
-            if broken is not None:
-                return broken
-            _note_progress(forwarder, parts)
-            await caller.drain()
-    if splitter.rest:
-        return _sends.Broken('ended within an event')
-    if not stream.started:
-        caller.start_answer(200, headers)
-        stream.started = True
-    send.release()
-    caller.end_answer()
-    return None
+            return await self._send.receive_rest(head)
+        known = platform.read_answer_head(head.status_code, head.headers)
+        if not known.sealed:
+            return _sends.Broken('stream without a digest')
+        return await self._relay(
+            platform.make_answer_headers(_sends.list_headers(head))
+        )
+
+    async def _relay(self, headers):
+        stream, caller = self._stream, self._caller
+        splitter = _events.EventSplitter()
+        while True:
+            stall_s = _STALL_S if stream.started else _FIRST_STALL_S
+            try:
+                event = await self._watch(self._send.receive, stall_s)
+                if isinstance(event, h11.EndOfMessage):
+                    break
+                if not isinstance(event, h11.Data):
+                    return event
+                whole = splitter.feed(event.data)
+            except (_events.EventTooLong, OSError) as error:
+                return _sends.Broken(_sends.describe_error(error))
+            if whole:
+                broken = _pass_on(
+                    self._forwarder, caller, stream, headers, whole
+                )
+                if broken is not None:
+                    return broken
+                self._note_progress()
+                await caller.drain()
+                await self._leave_stages()
+        if splitter.rest:
+            return _sends.Broken('ended within an event')
+        if not stream.started:
+            caller.start_answer(200, headers)
+            stream.started = True
+        self._send.release()
+        caller.end_answer()
+        return None
+
+    async def _watch(self, receive, stall_s):
+        """Receive, and look for a dead stage where nothing comes.
+
+        Returns
+        -------
+        object
+            What was received, or Broken where the first stage is dead.
+        """
+        while True:
+            try:
+                return await receive(stall_s)
+            except TimeoutError:
+                if not await self._examine():
+                    return _sends.Broken('first stage silent')
+            # A stream that only is slow is looked at less and less often.
+            stall_s *= 2
+
+    async def _examine(self):
+        """Tell whether the stream may go on; move it where it stalls."""
+        mover, job = self._forwarder.mover, self._job
+        first = self.parts[0]
+        if first.layers is None:
+            return True
+        reached, address = await mover.find_stalled(
+            first.endpoint, job.head.request_id
+        )
+        if not reached:
+            return not job.route.resumable
+        if address is not None:
+            await self._move({address})
+        return True
+
+    async def _leave_stages(self):
+        """Move the stream away from stages that leave, after a while."""
+        T = self._forwarder.T
+        now = self._forwarder.now()
+        if self._changes != T.changes:
+            self._changes = T.changes
+            if self._leave_at is None and self._list_leaving():
+                self._leave_at = now + _LEAVE_S
+        if self._leave_at is not None and now >= self._leave_at:
+            self._leave_at = None
+            leaving = self._list_leaving()
+            if leaving:
+                await self._move(leaving)
+
+    def _list_leaving(self):
+        T = self._forwarder.T
+        return {
+            part.endpoint.address
+            for part in self.parts[1:]
+            if not fleet.is_serving(T, part.endpoint)
+        }
+
+    async def _move(self, broken):
+        engine = self._job.service.engine
+        moved = await self._forwarder.mover.move(
+            self._job.head.request_id,
+            self.parts,
+            broken,
+            engine,
+            get_demand(self._job, engine),
+            self._job.service.name,
+        )
+        if moved is not self.parts:
+            self._let_go()
+            self.parts = moved
+            self._hold()
+
+    def _note_progress(self):
+        now = self._forwarder.now()
+        for part in self.parts:
+            state = fleet.get_state(self._forwarder.T, part.endpoint)
+            state.progress_at = now
+
+    def _hold(self):
+        """Count the request, and the KV cache it may take, at each stage."""
+        engine = self._job.service.engine
+        tokens = 0.0
+        if engine is not None:
+            demand = get_demand(self._job, engine)
+            tokens = demand.prompt + demand.answer
+        self._holdings = []
+        for part in self.parts:
+            state = fleet.get_state(self._forwarder.T, part.endpoint)
+            held = tokens * (len(part.layers) if part.layers else 0)
+            state.requests += 1
+            state.token_layers += held
+            self._holdings.append((state, held))
+
+    def _let_go(self):
+        for state, held in self._holdings:
+            state.requests -= 1
+            state.token_layers -= held
+        self._holdings = []
 
 
 def _pass_on(forwarder, caller, stream, headers, events):
@@ -210,37 +383,6 @@
     if not stream.started:
         caller.start_answer(200, headers)
         stream.started = True
-        stream.first_at = forwarder.now()
-    stream.events += len(fitting)
+    stream.record_events(len(fitting), forwarder.now())
     caller.send_data(b''.join(fitting))
     return None
-
-
-def _note_progress(forwarder, parts):
-    now = forwarder.now()
-    for part in parts:
-        fleet.get_state(forwarder.T, part.endpoint).progress_at = now
-
-
-def _hold(forwarder, job, parts):
-    """Count a request at each stage; return its KV cache there."""
-    engine = job.service.engine
-    tokens = 0.0
-    if engine is not None:
-        demand = get_demand(job, engine)
-        tokens = demand.prompt + demand.answer
-    holdings = []
-    for part in parts:
-        state = fleet.get_state(forwarder.T, part.endpoint)
-        held = tokens * (len(part.layers) if part.layers else 0)
-        state.requests += 1
-        state.token_layers += held
-        holdings.append(held)
-    return holdings
-
-
-def _let_go(forwarder, parts, holdings):
-    for part, held in zip(parts, holdings):
-        state = fleet.get_state(forwarder.T, part.endpoint)
-        state.requests -= 1
-        state.token_layers -= held
--- a/sniperudder/placement/_layout.py
+++ b/sniperudder/placement/_layout.py
@@ -13,7 +13,7 @@
 from sniperudder import fleet
 
 # Share of a card's memory that layers may take; the rest is KV cache.
-_LAYER_SHARE = 0.8
+_LAYER_SHARE = 0.65
 
 # Bounds of the number of units in a model: with few, small cards hold
 # none; with many, ranges seldom line up.
--- a/sniperudder/platform/__init__.py
+++ b/sniperudder/platform/__init__.py
@@ -12,6 +12,7 @@
 from sniperudder.platform._headers import read_answer_head
 from sniperudder.platform._headers import read_request_head
 from sniperudder.platform._headers import RequestHead
+from sniperudder.platform._headers import write_path
 from sniperudder.platform._http import create_platform_client
 from sniperudder.platform._http import HttpPlatformClient
 from sniperudder.platform._orders import EngineReport
@@ -75,4 +76,5 @@
     'read_report',
     'read_request_head',
     'read_settings',
+    'write_path',
 ]
--- a/sniperudder/platform/_headers.py
+++ b/sniperudder/platform/_headers.py
@@ -214,6 +214,8 @@
     """Return a chain as the engines read it."""
     return ','.join(
         f'{part.endpoint.address}={part.layers.start}-{part.layers.end}'
+        if part.layers
+        else part.endpoint.address
         for part in parts
     )
 
--- a/sniperudder/routing/__init__.py
+++ b/sniperudder/routing/__init__.py
@@ -9,8 +9,10 @@
 from sniperudder.routing._chains import get_room
 from sniperudder.routing._chains import price_crossing
 from sniperudder.routing._chains import price_layer
+from sniperudder.routing._chains import replace_parts
 from sniperudder.routing._health import is_avoided
 from sniperudder.routing._health import record_failure
+from sniperudder.routing._health import record_refusal
 from sniperudder.routing._health import record_success
 from sniperudder.routing._plain import choose_endpoint
 from sniperudder.routing._routes import draw_service
@@ -33,5 +35,7 @@
     'price_crossing',
     'price_layer',
     'record_failure',
+    'record_refusal',
     'record_success',
+    'replace_parts',
 ]
--- a/sniperudder/routing/_chains.py
+++ b/sniperudder/routing/_chains.py
@@ -236,22 +236,113 @@
     first_ms : float or None
         Price of leaving it, ms; None for that of activations.
     """
-    priced, avoided = [], []
+    # Candidates in three grades, each used where the better ones leave a
+    # gap: with room, without room, set aside after a failure.
+    grades = [], [], []
+    tokens = demand.prompt + demand.answer
     for endpoint in endpoints:
         state = fleet.get_state(T, endpoint)
         load = fleet.get_load(T, endpoint)
         price = price_layer(endpoint, load, engine, demand)
         entry = endpoint, price * (1.0 + _JITTER * rng.random())
-        (avoided if now < state.avoid_until else priced).append(entry)
+        if now < state.avoid_until:
+            grades[2].append(entry)
+        elif not has_room(endpoint, load, engine, tokens, span):
+            grades[1].append(entry)
+        else:
+            grades[0].append(entry)
     crossing_ms = price_crossing(engine, demand)
     first_ms = crossing_ms if first_ms is None else first_ms
-    for candidates in (priced, priced + avoided):
+    candidates = []
+    for grade in grades:
+        if not grade:
+            continue
+        candidates += grade
         chain = find_chain(candidates, *span, origin, crossing_ms, first_ms)
-        if chain or not avoided:
+        if chain:
             return chain
     return ()
 
 
+def has_room(endpoint, load, engine, tokens, span):
+    """Tell whether a further request fits an endpoint's KV cache."""
+    if endpoint.layers is None:
+        return False
+    start = max(endpoint.layers.start, span[0])
+    end = min(endpoint.layers.end, span[1])
+    asked = tokens * max(end - start, 0)
+    room = get_room(endpoint, engine)
+    return load.token_layers + asked <= room * _MAX_FILL
+
+
+def replace_parts(T, endpoints, engine, demand, parts, broken, now, rng):
+    """Replace stages of a chain that is under way.
+
+    Pattern: a stage dies or leaves under a stream. The stages that stay
+    keep their KV cache; the new ones read all tokens again, so as few as
+    possible are replaced. The first stage cannot be.
+
+    Parameters
+    ----------
+    T, endpoints, engine, demand, now, rng
+        See `choose_chain`.
+    parts : tuple of sniperudder.fleet.Part
+    broken : set of str
+        Addresses of the stages to replace.
+
+    Returns
+    -------
+    tuple of sniperudder.fleet.Part
+        Empty where that is impossible.
+    """
+    if parts[0].endpoint.address in broken:
+        return ()
+    kept = [p for p in parts if p.endpoint.address not in broken]
+    used = {part.endpoint.address for part in kept} | broken
+    made = []
+    for part in parts:
+        if part.endpoint.address not in broken:
+            made.append(part)
+            continue
+        fresh = extend_chain(
+            T,
+            [e for e in endpoints if e.address not in used],
+            engine,
+            demand,
+            (part.layers.start, part.layers.end),
+            made[-1].endpoint.data_centre,
+            None,
+            now,
+            rng,
+        )
+        if not fresh:
+            break
+        made.extend(fresh)
+        used.update(stage.endpoint.address for stage in fresh)
+    else:
+        return tuple(made)
+    # No endpoint is left for just these layers: replace all behind the
+    # first stage.
+    first = parts[0]
+    rest = extend_chain(
+        T,
+        [
+            e
+            for e in endpoints
+            if e.address not in broken
+            and e.address != first.endpoint.address
+        ],
+        engine,
+        demand,
+        (first.layers.end, engine.layers),
+        first.endpoint.data_centre,
+        None,
+        now,
+        rng,
+    )
+    return (first, *rest) if rest else ()
+
+
 def check_chain(parts, layers):
     """Assert that a chain runs every layer once and in order.
 
--- a/sniperudder/routing/_health.py
+++ b/sniperudder/routing/_health.py
@@ -4,8 +4,12 @@
 # each further failure.
 _FIRST_AVOID_S = 0.5
 
-# Longest such time: an endpoint that died is off the platform's list
-# after three heartbeats of 1.2 s.
+# Time for which an endpoint without room is passed over, seconds; half of
+# what passes between two digests of a peer.
+_REFUSED_S = 0.15
+
+# Longest time after failures: an endpoint that died is off the platform's
+# list after three heartbeats of 1.2 s.
 _MAX_AVOID_S = 4.0
 
 
@@ -26,6 +30,15 @@
     state.avoid_until = max(state.avoid_until, until)
 
 
+def record_refusal(state, now):
+    """Prefer other endpoints for a moment after one had no room.
+
+    Unlike a failure this says nothing of the endpoint's health: room
+    comes back as requests end, some of them each moment.
+    """
+    state.avoid_until = max(state.avoid_until, now + _REFUSED_S)
+
+
 def record_success(state, now):
     """Note that an endpoint worked."""
     state.failures = 0
