Price crossings between data centres by what pipes can carry

Cause: late streams without a dead stage passed two pipes; with 1,000 tokens of 92 KB a request, a crossing takes 41 ms of a shared pipe, so the fleet can afford about one in two requests.

--- a/sniperudder/routing/_chains.py
+++ b/sniperudder/routing/_chains.py
@@ -20,7 +20,7 @@
 _FIRST_CROSSING_MS = 30.0
 
 # How much of a pipe's time a request may cost beyond its own transfer.
-_PIPE_WEIGHT = 8.0
+_PIPE_WEIGHT = 30.0
 
 # Delay of each token between data centres, ms (the sites' one-way time).
 _CROSSING_DELAY_MS = 0.5
