--- a/sniperudder/digests/_exchange.py
+++ b/sniperudder/digests/_exchange.py
@@ -32,6 +32,11 @@
             lambda: self, local_addr=(host, port)
         )
 
+    def close(self):
+        """Stop listening."""
+        if self._transport is not None:
+            self._transport.close()
+
     def connection_made(self, transport):
         """See base class."""
         self._transport = transport
--- a/sniperudder/entry/__init__.py
+++ b/sniperudder/entry/__init__.py
@@ -1,5 +1,6 @@
 """One entry instance on the users' platform."""
 
+from sniperudder.entry._entry import Entry
 from sniperudder.entry._entry import run_entry
 
-__all__ = ['run_entry']
+__all__ = ['Entry', 'run_entry']
--- a/sniperudder/entry/_entry.py
+++ b/sniperudder/entry/_entry.py
@@ -75,6 +75,18 @@
         loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
         loop.add_signal_handler(signal.SIGINT, self._stopping.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
+        await self.start()
+        await self._stopping.wait()
+        await self.stop()
+
+    async def start(self):
+        """Listen, and begin to follow the platform.
+
+        Raises
+        ------
+        OSError
+            If an address cannot be used.
+        """
         await self._callers.start(self._settings.callers_address)
         await self._balancer.start(self._settings.ready_address)
         await self._gossip.start()
@@ -85,32 +97,25 @@
             callers=self._settings.callers_address,
             process=os.getpid(),
         )
-        configuration = _watchers.TableWatcher(
-            self._store,
-            platform.CONFIGURATION_TABLE,
-            self._apply_configuration,
-            self._journal,
-        )
-        endpoints = _watchers.TableWatcher(
-            self._store,
-            platform.ENDPOINTS_TABLE,
-            self._apply_endpoints,
-            self._journal,
-        )
         for work in (
-            configuration.run(),
-            endpoints.run(),
+            self._follow(
+                platform.CONFIGURATION_TABLE, self._apply_configuration
+            ),
+            self._follow(platform.ENDPOINTS_TABLE, self._apply_endpoints),
             self._placer.run_lease(),
             self._placer.run_orders(),
             self._gossip.run(),
             self._gossip.run_listing(),
             self._keep_house(),
         ):
-            task = loop.create_task(work)
+            task = asyncio.create_task(work)
             task.add_done_callback(self._note_ended)
             self._tasks.append(task)
-        await self._stopping.wait()
-        await self._stop()
+
+    def _follow(self, table, apply):
+        return _watchers.TableWatcher(
+            self._store, table, apply, self._journal
+        ).run()
 
     async def _call_platform(self, address, method, target, body, timeout_s):
         return await forwarding.call(
@@ -215,7 +220,9 @@
             self._requests.close_idle()
             self._calls.close_idle()
 
-    async def _stop(self):
+    async def stop(self):
+        """End what is under way, within the grace period."""
+        self._stopping.set()
         loop = asyncio.get_running_loop()
         began = loop.time()
         self._journal.write(
@@ -236,6 +243,15 @@
             self._settings.name,
             cut=len(self._callers.channels),
         )
+        await self.close()
+
+    async def close(self):
+        """End at once, without regard to what is under way."""
+        for task in self._tasks:
+            task.cancel()
+        self._callers.close()
+        self._balancer.close()
+        self._gossip.close()
 
     def _note_fault(self, error):
         self._journal.write(
--- a/sniperudder/entry/_gossip.py
+++ b/sniperudder/entry/_gossip.py
@@ -45,6 +45,10 @@
             self._settings.host, self._settings.peer_port
         )
 
+    def close(self):
+        """Stop listening."""
+        self._exchange.close()
+
     async def run(self):
         """Send digests until cancelled."""
         while True:
--- /dev/null
+++ b/sniperudder/entry/tests/_fleets.py
@@ -0,0 +1,140 @@
+"""A small fleet of stand-ins with one real entry instance."""
+
+import asyncio
+import contextlib
+import json
+
+from scenarios import _processes
+from sniperudder import entry
+from sniperudder import fleet
+from standins import fleet as standins
+
+_READY_S = 5.0
+_LOOK_S = 0.01
+
+
+class Recorder:
+    """A journal that keeps its lines."""
+
+    def __init__(self):
+        self.lines = []
+
+    def write(self, event, subject='', **fields):
+        """See `Journal`."""
+        self.lines.append((event, subject, fields))
+
+    def list_events(self, event):
+        """Return the fields of all lines of one kind."""
+        return [line[2] for line in self.lines if line[0] == event]
+
+
+class Fleet:
+    """Stand-ins and the entry instance before them.
+
+    Attributes
+    ----------
+    store : StoreStandin
+    endpoints : dict of str to EndpointStandin
+    instance : sniperudder.entry.Entry
+    journal : Recorder
+    callers, ready : str
+        Addresses of the instance.
+    """
+
+    def __init__(self, endpoints):
+        self.store = standins.StoreStandin()
+        self.endpoints = {e.id: e for e in endpoints}
+        self.journal = Recorder()
+        self.callers = self.ready = ''
+        self.instance = None
+
+    async def start(self, configuration):
+        """Start everything; the instance may not be ready yet."""
+        await self.store.start()
+        for endpoint in self.endpoints.values():
+            await endpoint.start()
+            endpoint.on_order = self._relist(endpoint)
+            endpoint.list_in(self.store)
+        if configuration is not None:
+            self.store.put_json('op', 'config', configuration)
+        await self.start_instance()
+
+    async def start_instance(self):
+        """Start the entry instance."""
+        self.callers, self.ready, peers = _processes.find_addresses(3)
+        settings = fleet.InstanceSettings(
+            name='entry-1',
+            data_centre='north',
+            host='127.0.0.1',
+            callers_address=self.callers,
+            ready_address=self.ready,
+            peer_port=int(peers.rpartition(':')[2]),
+            platform_address=self.store.address,
+            bounds=fleet.Bounds(2.0, 4.0, 2.0, 0.2, 10.0, 200.0),
+        )
+        self.instance = entry.Entry(settings, lambda: settings, self.journal)
+        await self.instance.start()
+
+    async def await_ready(self):
+        """Wait until the instance says that it is ready."""
+        async with asyncio.timeout(_READY_S):
+            while await self.get_readiness() != 200:
+                await asyncio.sleep(_LOOK_S)
+
+    async def await_event(self, event):
+        """Wait until the instance has logged an event."""
+        async with asyncio.timeout(_READY_S):
+            while not self.journal.list_events(event):
+                await asyncio.sleep(_LOOK_S)
+
+    async def await_placed(self):
+        """Wait until all engines hold layers and the instance knows it."""
+        engines = [e for e in self.endpoints.values() if e.card]
+        async with asyncio.timeout(_READY_S):
+            while not all(e.layers for e in engines):
+                await asyncio.sleep(_LOOK_S)
+        await asyncio.sleep(10 * _LOOK_S)
+
+    async def get_readiness(self):
+        """Return the status that the balancer sees."""
+        status, _, _ = await standins.send_request(
+            self.ready, '/readiness', 'GET', b''
+        )
+        return status
+
+    async def send(self, target, **options):
+        """Send a request to the instance; see `send_request`."""
+        return await standins.send_request(self.callers, target, **options)
+
+    async def stop(self):
+        """Stop everything."""
+        if self.instance is not None:
+            await self.instance.close()
+        for endpoint in self.endpoints.values():
+            await endpoint.stop()
+        await self.store.stop()
+
+    def _relist(self, endpoint):
+        def relist(order):
+            if order['operation'] == 'place':
+                endpoint.list_in(self.store)
+
+        return relist
+
+
+@contextlib.asynccontextmanager
+async def run_fleet(*endpoints, engine=None, configuration=None):
+    """Run a fleet until the block ends; its instance is ready before."""
+    made = Fleet(endpoints)
+    wanted = configuration or standins.make_configuration(engine=engine)
+    await made.start(wanted)
+    try:
+        await made.await_ready()
+        yield made
+    finally:
+        await made.stop()
+
+
+def read_body(answer):
+    """Return the JSON body of an answer of the system's own."""
+    return json.loads(answer[2])
--- /dev/null
+++ b/sniperudder/entry/tests/test_plain.py
@@ -0,0 +1,304 @@
+"""Tests of requests to plain services, over loopback."""
+
+import asyncio
+
+import h11
+import testtools
+
+from sniperudder.entry.tests import _fleets
+from standins import fleet as standins
+
+
+def create_desk(name='desk-1'):
+    """Return an endpoint of the plain service."""
+    return standins.EndpointStandin(name, 'desk')
+
+
+class PlainRequestTest(testtools.TestCase):
+    def run_fleet(self, case, *endpoints, **options):
+        async def run():
+            async with _fleets.run_fleet(*endpoints, **options) as fleet:
+                await case(fleet)
+
+        asyncio.run(run())
+
+    def test_request_passes_unchanged(self):
+        desk = create_desk()
+
+        async def case(fleet):
+            status, headers, body = await fleet.send(
+                '/unsafe/a?b=c', body=b'order', headers=[('X-More', 'kept')]
+            )
+            self.assertEqual(200, status)
+            self.assertEqual(b'desk-1 /unsafe/a?b=c', body)
+            self.assertEqual('seal', headers['x-sniperudder-response-seal'])
+
+        self.run_fleet(case, desk)
+        request, body = desk.requests[0]
+        self.assertEqual(b'order', body)
+        read = standins.read_header
+        self.assertEqual('kept', read(request, 'x-more'))
+        self.assertEqual('studio', read(request, 'x-sniperudder-tenant'))
+        self.assertIsNone(read(request, 'authorization'))
+        expected = read(request, 'x-sniperudder-expect-instance')
+        self.assertEqual('desk-1', expected)
+        left = read(request, 'x-sniperudder-request-deadline')
+        self.assertTrue(1_000 < int(left) <= 1_500, left)
+
+    def test_caller_cannot_name_its_organisation(self):
+        desk = create_desk()
+
+        async def case(fleet):
+            forged = [('X-Sniperudder-Tenant', 'another')]
+            await fleet.send('/unsafe/a', headers=forged)
+
+        self.run_fleet(case, desk)
+        request, _ = desk.requests[0]
+        named = [v for n, v in request.headers if n.endswith(b'-tenant')]
+        self.assertEqual([b'studio'], named)
+
+    def test_unknown_route_and_key_are_refused(self):
+        async def case(fleet):
+            status, _, _ = await fleet.send('/nowhere/a')
+            self.assertEqual(404, status)
+            wrong = [('Authorization', 'Token key-2')]
+            status, _, _ = await fleet.send('/safe/a', headers=wrong)
+            self.assertEqual(401, status)
+
+        self.run_fleet(case, create_desk())
+
+    def test_safe_request_is_sent_again_after_an_error(self):
+        first, second = create_desk('desk-1'), create_desk('desk-2')
+        for desk in (first, second):
+            desk.script.append(desk.fail())
+
+        async def case(fleet):
+            # Both fail once: the second failure is the final answer.
+            status, _, body = await fleet.send('/safe/a')
+            self.assertEqual((500, b'bad'), (status, body))
+            status, _, _ = await fleet.send('/safe/a')
+            self.assertEqual(200, status)
+
+        self.run_fleet(case, first, second)
+        self.assertEqual(3, len(first.requests) + len(second.requests))
+
+    def test_unsafe_request_never_runs_twice(self):
+        first, second = create_desk('desk-1'), create_desk('desk-2')
+        for desk in (first, second):
+            desk.script.append(desk.reset())
+
+        async def case(fleet):
+            status, _, _ = await fleet.send('/unsafe/a')
+            self.assertEqual(502, status)
+
+        self.run_fleet(case, first, second)
+        self.assertEqual(1, len(first.requests) + len(second.requests))
+
+    def test_refused_unsafe_request_is_said_not_to_have_run(self):
+        desk = create_desk()
+        desk.script.append(desk.refuse())
+
+        async def case(fleet):
+            status, headers, _ = await fleet.send('/unsafe/a')
+            self.assertEqual(503, status)
+            self.assertIn('retry-after', headers)
+
+        self.run_fleet(case, desk)
+        self.assertEqual([], desk.requests)
+
+    def test_answer_to_another_request_is_passed_over(self):
+        desk = create_desk()
+
+        async def send_late(request, http, writer):
+            late = (
+                b'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n'
+                b'X-Sniperudder-Request-Id: r-0\r\n'
+                b'X-Sniperudder-Response-Seal: s\r\n\r\nwrong'
+            )
+            writer.write(late)
+            await desk.answer_usually(request, http, writer)
+
+        desk.script.append(send_late)
+
+        async def case(fleet):
+            answer = await fleet.send('/unsafe/a')
+            self.assertEqual((200, b'desk-1 /unsafe/a'), answer[::2])
+
+        self.run_fleet(case, desk)
+
+    def test_cut_answer_is_no_success(self):
+        desk = create_desk()
+
+        async def cut(request, http, writer):
+            headers = [('Content-Length', '100'), *standins.make_seal(request)]
+            writer.write(
+                http.send(h11.Response(status_code=200, headers=headers))
+                + http.send(h11.Data(data=b'half'))
+            )
+
+        desk.script.append(cut)
+
+        async def case(fleet):
+            status, _, _ = await fleet.send('/unsafe/a')
+            self.assertEqual(502, status)
+
+        self.run_fleet(case, desk)
+
+    def test_answer_without_digest_is_no_success(self):
+        desk = create_desk()
+
+        async def send_bare(request, http, writer):
+            headers = [
+                ('Content-Length', '2'),
+                standins.make_seal(request)[0],
+            ]
+            writer.write(
+                http.send(h11.Response(status_code=200, headers=headers))
+                + http.send(h11.Data(data=b'ok'))
+                + http.send(h11.EndOfMessage())
+            )
+
+        desk.script.append(send_bare)
+
+        async def case(fleet):
+            status, _, _ = await fleet.send('/unsafe/a')
+            self.assertEqual(502, status)
+
+        self.run_fleet(case, desk)
+
+    def test_timeout_of_the_route_ends_the_wait(self):
+        desk = create_desk()
+
+        async def hang(request, http, writer):
+            await asyncio.sleep(5)
+
+        desk.script.append(hang)
+
+        async def case(fleet):
+            began = asyncio.get_running_loop().time()
+            status, _, _ = await fleet.send('/unsafe/a', wait_ms=30_000)
+            took_s = asyncio.get_running_loop().time() - began
+            self.assertEqual(504, status)
+            self.assertTrue(1.9 < took_s < 2.5, took_s)
+
+        self.run_fleet(case, desk)
+
+    def test_nothing_to_send_to_is_said_at_once(self):
+        async def case(fleet):
+            began = asyncio.get_running_loop().time()
+            status, headers, _ = await fleet.send('/unsafe/a')
+            took_s = asyncio.get_running_loop().time() - began
+            self.assertEqual(503, status)
+            self.assertIn('retry-after', headers)
+            self.assertTrue(took_s < 0.1, took_s)
+
+        self.run_fleet(case)
+
+    def test_leaving_caller_ends_the_work(self):
+        desk = create_desk()
+        ended = []
+
+        async def hang(request, http, writer):
+            while not desk.has_left(writer):
+                await asyncio.sleep(0.01)
+            ended.append(asyncio.get_running_loop().time())
+
+        desk.script.append(hang)
+
+        async def case(fleet):
+            loop = asyncio.get_running_loop()
+            sending = asyncio.create_task(fleet.send('/safe/a'))
+            while not desk.requests:
+                await asyncio.sleep(0.01)
+            left_at = loop.time()
+            sending.cancel()
+            while not ended and loop.time() < left_at + 2:
+                await asyncio.sleep(0.01)
+            # The users' bound for passing a caller's leaving on.
+            self.assertTrue(ended[0] - left_at < 0.5)
+
+        self.run_fleet(case, desk)
+
+
+class ConfigurationTest(testtools.TestCase):
+    def run_fleet(self, case, *endpoints, **options):
+        async def run():
+            async with _fleets.run_fleet(*endpoints, **options) as fleet:
+                await case(fleet)
+
+        asyncio.run(run())
+
+    def test_not_ready_before_a_configuration(self):
+        async def run():
+            fleet = _fleets.Fleet([create_desk()])
+            await fleet.start(None)
+            try:
+                await fleet.await_event('endpoint:listed')
+                self.assertEqual(503, await fleet.get_readiness())
+                status, _, _ = await fleet.send('/safe/a')
+                self.assertEqual(503, status)
+            finally:
+                await fleet.stop()
+
+        asyncio.run(run())
+
+    def test_new_version_is_in_force_and_never_reverts(self):
+        async def case(fleet):
+            new = standins.make_configuration(version=5)
+            new['routes'] = [r for r in new['routes'] if r['name'] != 'safe']
+            fleet.store.put_json('op', 'config', new)
+            await asyncio.sleep(0.2)
+            status, _, _ = await fleet.send('/safe/a')
+            self.assertEqual(404, status)
+            fleet.store.put_json(
+                'op', 'config', standins.make_configuration(version=4)
+            )
+            await asyncio.sleep(0.2)
+            status, _, _ = await fleet.send('/safe/a')
+            self.assertEqual(404, status)
+
+        self.run_fleet(case, create_desk())
+
+    def test_change_in_a_dropped_history_is_found(self):
+        async def case(fleet):
+            fleet.store.put_json(
+                'op', 'config', standins.make_configuration(version=2)
+            )
+            fleet.store.forget_history()
+            await asyncio.sleep(0.3)
+            versions = [
+                subject
+                for event, subject, _ in fleet.journal.lines
+                if event == 'configuration:in force'
+            ]
+            self.assertEqual(['1', '2'], versions)
+
+        self.run_fleet(case, create_desk())
+
+    def test_store_that_fails_is_asked_again(self):
+        async def case(fleet):
+            fleet.store.failing = 503
+            fleet.store.forget_history()
+            await fleet.await_event('platform:lost')
+            fleet.store.failing = None
+            fleet.store.put_json(
+                'op', 'config', standins.make_configuration(version=2)
+            )
+            await fleet.await_event('platform:regained')
+            await asyncio.sleep(0.2)
+            status, _, _ = await fleet.send('/safe/a')
+            self.assertEqual(200, status)
+
+        self.run_fleet(case, create_desk())
+
+    def test_leaving_endpoint_gets_no_new_work(self):
+        first, second = create_desk('desk-1'), create_desk('desk-2')
+
+        async def case(fleet):
+            first.list_in(fleet.store, state='draining')
+            await asyncio.sleep(0.2)
+            for _ in range(6):
+                await fleet.send('/safe/a')
+
+        self.run_fleet(case, first, second)
+        self.assertEqual((0, 6), (len(first.requests), len(second.requests)))
--- /dev/null
+++ b/sniperudder/entry/tests/test_streams.py
@@ -0,0 +1,193 @@
+"""Tests of event streams and of placement, over loopback."""
+
+import asyncio
+import re
+
+import h11
+import testtools
+
+from sniperudder.entry.tests import _fleets
+from standins import fleet as standins
+
+_CARDS = {'big': 12_000.0, 'half': 7_000.0}
+
+
+def create_engine(name, card='big', layers=None):
+    """Return an engine, which may hold layers from the beginning."""
+    engine = standins.EndpointStandin(name, 'llm', card=card)
+    engine.layers = layers
+    return engine
+
+
+def list_ids(body):
+    """Return the ids of a stream's events."""
+    return [int(found) for found in re.findall(rb'id: (\d+)', body)]
+
+
+class StreamTest(testtools.TestCase):
+    def run_fleet(self, case, *endpoints):
+        async def run():
+            engine = standins.make_engine(cards=_CARDS)
+            async with _fleets.run_fleet(*endpoints, engine=engine) as fleet:
+                await fleet.await_placed()
+                await case(fleet)
+
+        asyncio.run(run())
+
+    def test_stream_passes_whole(self):
+        engine = create_engine('gpu-1', layers=(0, 8))
+
+        async def case(fleet):
+            status, headers, body = await fleet.send('/stream/a')
+            self.assertEqual(200, status)
+            self.assertEqual([1, 2, 3], list_ids(body))
+            self.assertEqual('seal', headers['x-sniperudder-response-seal'])
+
+        self.run_fleet(case, engine)
+
+    def test_chain_tiles_the_layers(self):
+        left = create_engine('gpu-1', 'half', (0, 4))
+        right = create_engine('gpu-2', 'half', (4, 8))
+
+        async def case(fleet):
+            status, _, _ = await fleet.send('/stream/a')
+            self.assertEqual(200, status)
+
+        self.run_fleet(case, left, right)
+        self.assertEqual([], right.requests)
+        request, _ = left.requests[0]
+        self.assertEqual(
+            f'{left.address}=0-4,{right.address}=4-8',
+            standins.read_header(request, 'x-sniperudder-hop-count'),
+        )
+
+    def test_broken_stream_goes_on_elsewhere(self):
+        engines = [
+            create_engine('gpu-1', layers=(0, 8)),
+            create_engine('gpu-2', layers=(0, 8)),
+        ]
+
+        def break_off(engine):
+            async def serve(request, http, writer):
+                await engine.send_stream(request, http, writer, upto=2)
+                # A part of an event, then nothing more.
+                writer.write(http.send(h11.Data(data=b'id: 3\ndat')))
+                await writer.drain()
+                await asyncio.sleep(0.05)
+                writer.transport.abort()
+                raise OSError('reset by the script')
+
+            return serve
+
+        first = []
+
+        async def case(fleet):
+            for engine in engines:
+                engine.script.append(break_off(engine))
+            # The second engine must serve as usual, whichever it is.
+            sending = asyncio.create_task(fleet.send('/stream/a'))
+            while not (engines[0].requests or engines[1].requests):
+                await asyncio.sleep(0.001)
+            first.extend(e for e in engines if e.requests)
+            for engine in engines:
+                engine.script.clear()
+            status, _, body = await sending
+            self.assertEqual((200, [1, 2, 3]), (status, list_ids(body)))
+
+        self.run_fleet(case, *engines)
+        (other,) = [e for e in engines if e is not first[0]]
+        request, _ = other.requests[0]
+        resumed = standins.read_header(request, 'last-event-id')
+        self.assertEqual('2', resumed)
+
+    def test_broken_stream_that_cannot_go_on_never_looks_whole(self):
+        engine = create_engine('gpu-1', layers=(0, 8))
+
+        async def break_off(request, http, writer):
+            await engine.send_stream(request, http, writer, upto=2)
+            await asyncio.sleep(0.05)
+            writer.transport.abort()
+            raise OSError('reset by the script')
+
+        engine.script.append(break_off)
+
+        async def case(fleet):
+            cut = h11.RemoteProtocolError
+            with testtools.ExpectedException(cut):
+                await fleet.send('/once/a')
+
+        self.run_fleet(case, engine)
+        self.assertEqual(1, len(engine.requests))
+
+    def test_stalled_stream_is_moved_off_the_dead_stage(self):
+        first = create_engine('gpu-1', 'half', (0, 4))
+        dead = create_engine('gpu-2', 'half', (4, 8))
+        spare = create_engine('gpu-3', 'half', (4, 8))
+        # The dearer data centre is not chosen at first.
+        spare.data_centre = 'south'
+
+        async def stall(request, http, writer):
+            await first.send_stream(request, http, writer, upto=1)
+            first.stalled = [{'id': 'r-1', 'address': dead.address}]
+            while not any(o['operation'] == 'repath' for o in first.orders):
+                await asyncio.sleep(0.01)
+            data = b'id: 2\ndata: 2\n\n'
+            writer.write(http.send(h11.Data(data=data)))
+            writer.write(http.send(h11.EndOfMessage()))
+
+        first.script.append(stall)
+
+        async def case(fleet):
+            status, _, body = await fleet.send('/stream/a')
+            self.assertEqual((200, [1, 2]), (status, list_ids(body)))
+
+        self.run_fleet(case, first, dead, spare)
+        (order,) = [o for o in first.orders if o['operation'] == 'repath']
+        self.assertEqual('r-1', order['id'])
+        self.assertEqual(
+            f'{first.address}=0-4,{spare.address}=4-8', order['path']
+        )
+
+
+class PlacementTest(testtools.TestCase):
+    def test_empty_engines_are_given_all_layers(self):
+        engines = [create_engine(f'gpu-{n}', 'half') for n in range(4)]
+
+        async def run():
+            engine = standins.make_engine(cards=_CARDS)
+            async with _fleets.run_fleet(*engines, engine=engine) as fleet:
+                await fleet.await_placed()
+                status, _, body = await fleet.send('/stream/a')
+                self.assertEqual((200, [1, 2, 3]), (status, list_ids(body)))
+
+        asyncio.run(run())
+        held = set()
+        for engine in engines:
+            (order,) = engine.orders
+            self.assertEqual(0, order['expected_rev'])
+            self.assertLessEqual(order['to'] - order['from'], 7)
+            held.update(range(order['from'], order['to']))
+        self.assertEqual(set(range(8)), held)
+
+    def test_one_instance_of_two_gives_orders(self):
+        engine = create_engine('gpu-1')
+
+        async def run():
+            wanted = standins.make_engine(cards=_CARDS)
+            async with _fleets.run_fleet(engine, engine=wanted) as fleet:
+                taken = fleet.journal
+                first = fleet.instance
+                fleet.journal = _fleets.Recorder()
+                await fleet.start_instance()
+                await fleet.await_placed()
+                await asyncio.sleep(1.0)
+                second = fleet.journal
+                await first.close()
+                leases = [
+                    len(journal.list_events('lease:taken'))
+                    for journal in (taken, second)
+                ]
+                self.assertEqual(1, sum(leases))
+
+        asyncio.run(run())
+        self.assertEqual(1, len(engine.orders))
--- a/sniperudder/forwarding/_callers.py
+++ b/sniperudder/forwarding/_callers.py
@@ -372,6 +372,12 @@
         """Accept no further connection."""
         self._server.close()
 
+    def close(self):
+        """Stop listening and cut all channels."""
+        self._server.close()
+        for channel in list(self.channels):
+            channel.abort()
+
     def close_idle(self):
         """Close the channels on which no request is under way."""
         for channel in list(self.channels):
--- a/sniperudder/forwarding/_moves.py
+++ b/sniperudder/forwarding/_moves.py
@@ -138,9 +138,7 @@
             report = platform.read_report(body)
         except (OSError, platform.DocumentError) as error:
             reason = f'{type(error).__name__}: {error}'
-            self._journal.write(
-                'endpoint:silent', endpoint.id, reason=reason
-            )
+            self._journal.write('endpoint:silent', endpoint.id, reason=reason)
             return None
         self._journal.write(
             'endpoint:reported',
--- a/sniperudder/routing/_chains.py
+++ b/sniperudder/routing/_chains.py
@@ -329,8 +329,7 @@
         [
             e
             for e in endpoints
-            if e.address not in broken
-            and e.address != first.endpoint.address
+            if e.address not in broken and e.address != first.endpoint.address
         ],
         engine,
         demand,
