--- /dev/null
+++ b/sniperudder/platform/tests/test_documents.py
@@ -0,0 +1,157 @@
+"""Tests of reading what the platform and its callers write."""
+
+import json
+
+import testtools
+
+from sniperudder import fleet
+from sniperudder import platform
+from standins import fleet as standins
+
+_ENTRY = {
+    'service': 'llm',
+    'address': '10.1.0.1:80',
+    'zone': 'north',
+    'version': 'v1',
+    'slots': 8,
+    'state': 'ready',
+    'sequence': 7,
+    'born': 5,
+    'kind': 'big',
+    'layers': {'from': 0, 'to': 4, 'version': 1},
+}
+
+
+def read_entry(**changes):
+    """Read an entry with some fields changed."""
+    data = json.dumps({**_ENTRY, **changes}).encode()
+    return platform.read_endpoint('gpu-1', data)
+
+
+class EndpointTest(testtools.TestCase):
+    def test_entry_is_read(self):
+        endpoint = read_entry()
+        self.assertEqual(fleet.Layers(0, 4), endpoint.layers)
+        self.assertFalse(endpoint.leaving)
+        self.assertTrue(read_entry(state='draining').leaving)
+
+    def test_heartbeats_make_no_difference(self):
+        self.assertEqual(read_entry(), read_entry(sequence=8))
+
+    def test_foreign_entries_are_refused(self):
+        for changes in (
+            {'state': 'sleeping'},
+            {'address': 'nowhere'},
+            {'address': 7},
+            {'slots': '8'},
+            {'slots': True},
+            {'service': None},
+        ):
+            with testtools.ExpectedException(platform.DocumentError):
+                read_entry(**changes)
+        for data in (b'', b'\xff\xfe', b'[1]', b'[' * 100_000):
+            with testtools.ExpectedException(platform.DocumentError):
+                platform.read_endpoint('gpu-1', data)
+
+
+class ConfigurationTest(testtools.TestCase):
+    def read(self, value):
+        """Read a configuration."""
+        return platform.read_configuration(json.dumps(value).encode())
+
+    def test_configuration_is_read(self):
+        engine = standins.make_engine()
+        read = self.read(standins.make_configuration(3, engine=engine))
+        self.assertEqual(3, read.version)
+        self.assertEqual('studio', read.keys['key-1'].name)
+        self.assertEqual(8, read.services['llm'].engine.layers)
+        self.assertIsNone(read.services['desk'].engine)
+        kinds = {
+            route.name: (route.repeatable, route.streaming)
+            for route in read.routes['shop.example']
+        }
+        self.assertEqual((True, False), kinds['safe'])
+        self.assertEqual((False, False), kinds['unsafe'])
+        self.assertEqual((False, True), kinds['stream'])
+
+    def test_weighted_targets_replace_the_service(self):
+        value = standins.make_configuration()
+        value['routes'][0]['split'] = [
+            {'service': 'llm', 'weight': 90},
+            {'service': 'desk', 'weight': 10},
+        ]
+        routes = self.read(value).routes['shop.example']
+        route = next(r for r in routes if r.name == 'stream')
+        self.assertEqual([90.0, 10.0], [t.weight for t in route.targets])
+
+    def test_without_organisations_no_key_is_asked_for(self):
+        value = standins.make_configuration()
+        del value['tenants']
+        self.assertIsNone(self.read(value).keys)
+
+    def test_unreadable_configuration_is_refused(self):
+        value = standins.make_configuration()
+        value['routes'][0]['timeout_ms'] = 'long'
+        with testtools.ExpectedException(platform.DocumentError):
+            self.read(value)
+
+
+class HeaderTest(testtools.TestCase):
+    def test_request_is_read(self):
+        head = platform.read_request_head(
+            [
+                (b'x-sniperudder-request-id', b'r-1'),
+                (b'x-sniperudder-request-deadline', b'1500'),
+                (b'x-sniperudder-token-count', b'700,80'),
+                (b'x-sniperudder-length-hint', b'30'),
+                (b'authorization', b'token abc'),
+                (b'last-event-id', b'4'),
+            ]
+        )
+        self.assertEqual('r-1', head.request_id)
+        self.assertEqual(1.5, head.wait_s)
+        self.assertEqual((700, 30), (head.prompt_tokens, head.answer_tokens))
+        self.assertEqual(('abc', '4'), (head.key, head.last_event_id))
+
+    def test_odd_values_are_no_values(self):
+        head = platform.read_request_head(
+            [
+                (b'x-sniperudder-request-deadline', b'soon'),
+                (b'x-sniperudder-token-count', b'many'),
+                (b'authorization', b'Basic abc'),
+            ]
+        )
+        self.assertIsNone(head.wait_s)
+        self.assertIsNone(head.key)
+        self.assertEqual(0, head.prompt_tokens)
+
+    def test_headers_of_one_connection_stay(self):
+        headers = [
+            (b'connection', b'Connection', b'close, X-Own'),
+            (b'x-own', b'X-Own', b'1'),
+            (b'transfer-encoding', b'Transfer-Encoding', b'chunked'),
+            (b'authorization', b'Authorization', b'Token abc'),
+            (b'x-kept', b'X-Kept', b'2'),
+        ]
+        kept = platform.make_forwarded(headers, hide_key=True)
+        self.assertEqual([(b'X-Kept', b'2')], kept)
+
+    def test_refusals_and_misdirections_did_not_run(self):
+        refused = [(b'x-sniperudder-not-executed', b'1')]
+        self.assertTrue(platform.read_answer_head(503, refused).not_run)
+        self.assertTrue(platform.read_answer_head(421, []).not_run)
+        self.assertFalse(platform.read_answer_head(503, []).not_run)
+
+
+class ReportTest(testtools.TestCase):
+    def test_report_counts_orders(self):
+        report = platform.read_report(
+            b'{"sequence": 2, "busy": true,'
+            b' "stalled": [{"id": "r-1", "address": "h:1"}]}'
+        )
+        self.assertEqual((2, True), (report.orders, report.busy))
+        self.assertEqual('h:1', report.stalled[0].address)
+
+    def test_order_without_condition(self):
+        order = json.loads(platform.make_place_order(fleet.Layers(2, 4), None))
+        self.assertNotIn('expected_rev', order)
