Gather changes, hear the lease from peers, count crashes by request

A mute endpoint kept its streams until callers gave up, and nothing stopped a request that crashes each endpoint which runs it.

Change: after a change of the list of endpoints further ones are gathered for 0.2 s; the lease holder's digests tell of renewals; requests that three endpoints crashed under are refused; a first stage on which no stream goes on gives up its streams after 1 s; the slack of the repeat budget is divided by the instances known.

--- a/sniperudder/digests/_codec.py
+++ b/sniperudder/digests/_codec.py
@@ -43,6 +43,7 @@
             ttypes.Crash(fingerprint, count)
             for fingerprint, count in digest.crashes.items()
         ],
+        lease_version=digest.lease_version,
     )
     return TSerialization.serialize(message, _FACTORY)
 
@@ -77,4 +78,5 @@
             for fault in message.faults
         ),
         crashes={crash.fingerprint: crash.count for crash in message.crashes},
+        lease_version=message.lease_version,
     )
--- a/sniperudder/digests/_records.py
+++ b/sniperudder/digests/_records.py
@@ -52,6 +52,9 @@
     faults : tuple of Fault
     crashes : dict of str to int
         Crashes of endpoints by fingerprint of a request.
+    lease_version : int
+        Version of the lease of placement that the sender holds; 0 where
+        it holds none.
     """
 
     sender: str
@@ -60,3 +63,4 @@
     loads: dict
     faults: tuple
     crashes: dict
+    lease_version: int = 0
--- a/sniperudder/digests/digest.thrift
+++ b/sniperudder/digests/digest.thrift
@@ -26,4 +26,5 @@
   4: required list<Load> loads;
   5: required list<Fault> faults;
   6: required list<Crash> crashes;
+  7: required i64 lease_version;
 }
--- a/sniperudder/digests/gen/wire/ttypes.py
+++ b/sniperudder/digests/gen/wire/ttypes.py
@@ -306,6 +306,7 @@
      - loads
      - faults
      - crashes
+     - lease_version
 
     """
 
@@ -316,16 +317,18 @@
         'loads',
         'faults',
         'crashes',
+        'lease_version',
     )
 
 
-    def __init__(self, sender=None, incarnation=None, sequence=None, loads=None, faults=None, crashes=None,):
+    def __init__(self, sender=None, incarnation=None, sequence=None, loads=None, faults=None, crashes=None, lease_version=None,):
         self.sender = sender
         self.incarnation = incarnation
         self.sequence = sequence
         self.loads = loads
         self.faults = faults
         self.crashes = crashes
+        self.lease_version = lease_version
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -384,6 +387,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.lease_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -427,6 +435,10 @@
                 iter20.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.lease_version is not None:
+            oprot.writeFieldBegin('lease_version', TType.I64, 7)
+            oprot.writeI64(self.lease_version)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -443,6 +455,8 @@
             raise TProtocolException(message='Required field faults is unset!')
         if self.crashes is None:
             raise TProtocolException(message='Required field crashes is unset!')
+        if self.lease_version is None:
+            raise TProtocolException(message='Required field lease_version is unset!')
         return
 
     def __repr__(self):
@@ -491,6 +505,7 @@
     (4, TType.LIST, 'loads', (TType.STRUCT, [Load, None], False), None, ),  # 4
     (5, TType.LIST, 'faults', (TType.STRUCT, [Fault, None], False), None, ),  # 5
     (6, TType.LIST, 'crashes', (TType.STRUCT, [Crash, None], False), None, ),  # 6
+    (7, TType.I64, 'lease_version', None, None, ),  # 7
 )
 fix_spec(all_structs)
 del all_structs
--- a/sniperudder/entry/_entry.py
+++ b/sniperudder/entry/_entry.py
@@ -24,6 +24,10 @@
 # Time before the end of the grace period at which the process ends.
 _EXIT_MARGIN_S = 0.2
 
+# Time for which changes of the list of endpoints are gathered, seconds: a
+# tenth of the users' bound for leaving endpoints. Each call is priced.
+_GATHER_S = 0.2
+
 # Seconds between two looks while stopping, and between two housekeepings.
 _STOP_LOOK_S = 0.05
 _HOUSEKEEPING_S = 1.0
@@ -65,7 +69,14 @@
         self._placer = _placer.Placer(
             self._T, self._store, self._calls, settings.name, journal
         )
-        self._gossip = _gossip.Gossip(self._T, self._store, settings, journal)
+        self._gossip = _gossip.Gossip(
+            self._T,
+            self._store,
+            settings,
+            journal,
+            self._forwarder.crashes,
+            self._placer,
+        )
         self._stopping = asyncio.Event()
         self._tasks = []
 
@@ -101,7 +112,9 @@
             self._follow(
                 platform.CONFIGURATION_TABLE, self._apply_configuration
             ),
-            self._follow(platform.ENDPOINTS_TABLE, self._apply_endpoints),
+            self._follow(
+                platform.ENDPOINTS_TABLE, self._apply_endpoints, _GATHER_S
+            ),
             self._placer.run_lease(),
             self._placer.run_orders(),
             self._gossip.run(),
@@ -112,9 +125,9 @@
             task.add_done_callback(self._note_ended)
             self._tasks.append(task)
 
-    def _follow(self, table, apply):
+    def _follow(self, table, apply, gather_s=0.0):
         return _watchers.TableWatcher(
-            self._store, table, apply, self._journal
+            self._store, table, apply, self._journal, gather_s
         ).run()
 
     async def _call_platform(self, address, method, target, body, timeout_s):
@@ -175,6 +188,8 @@
                 continue
             known = self._T.endpoints.get(row.key)
             if known != endpoint:
+                if known is not None and known.born_ms != endpoint.born_ms:
+                    self._note_run_ended(known)
                 self._T.endpoints[row.key] = endpoint
                 self._note_endpoint(endpoint, row.version)
         fleet.forget_states(self._T)
@@ -191,9 +206,19 @@
         )
 
     def _drop_endpoint(self, name, version):
-        if self._T.endpoints.pop(name, None) is not None:
+        known = self._T.endpoints.pop(name, None)
+        if known is not None:
+            self._note_run_ended(known)
             self._journal.write('endpoint:gone', name, row_version=version)
 
+    def _note_run_ended(self, endpoint):
+        run = endpoint.id, endpoint.born_ms
+        now = asyncio.get_running_loop().time()
+        for fingerprint in self._forwarder.crashes.record_end(run, now):
+            self._journal.write(
+                'request:crashed endpoint', fingerprint, endpoint=endpoint.id
+            )
+
     async def _answer_balancer(self, request, caller):
         found = request.target == platform.READY_TARGET.encode()
         ready = (
@@ -219,6 +244,7 @@
             await asyncio.sleep(_HOUSEKEEPING_S)
             self._requests.close_idle()
             self._calls.close_idle()
+            self._forwarder.crashes.forget(asyncio.get_running_loop().time())
 
     async def stop(self):
         """End what is under way, within the grace period."""
--- a/sniperudder/entry/_gossip.py
+++ b/sniperudder/entry/_gossip.py
@@ -28,13 +28,17 @@
     store : sniperudder.platform.Store
     settings : sniperudder.fleet.InstanceSettings
     journal : Journal
+    crashes : sniperudder.routing.CrashTable
+    placer : Placer
     """
 
-    def __init__(self, T, store, settings, journal):
+    def __init__(self, T, store, settings, journal, crashes, placer):
         self._T = T
         self._store = store
         self._settings = settings
         self._journal = journal
+        self._crashes = crashes
+        self._placer = placer
         self._incarnation = time.time_ns() // 1_000_000
         self._sequence = 0
         self._exchange = digests.DigestExchange(self._take, self._note_foreign)
@@ -115,11 +119,16 @@
             sequence=self._sequence,
             loads=loads,
             faults=(),
-            crashes={},
+            crashes=self._crashes.list_counts(),
+            lease_version=self._placer.lease_version,
         )
 
     def _take(self, digest, address):
-        self._T.peers.record_digest(digest, address, _read_clock())
+        now = _read_clock()
+        if self._T.peers.record_digest(digest, address, now):
+            self._crashes.record_heard(digest.sender, digest.crashes)
+            if digest.lease_version:
+                self._placer.hear_lease(digest.lease_version)
 
     def _note_foreign(self, reason):
         self._journal.write('digest:foreign', reason=reason)
--- a/sniperudder/entry/_placer.py
+++ b/sniperudder/entry/_placer.py
@@ -70,6 +70,18 @@
         self._changed_at = 0.0
         self._settling_at = None
 
+    @property
+    def lease_version(self):
+        """Version of the lease, or 0 where this instance may not order."""
+        if placement.may_order(self._view, _read_clock()):
+            return self._view.version
+        return 0
+
+    def hear_lease(self, version):
+        """Take in that another instance holds a version of the lease."""
+        if version > self._view.version:
+            placement.observe_lease(self._view, version, _read_clock())
+
     async def run_lease(self):
         """Renew the lease, or look whether it is free, until cancelled."""
         while True:
@@ -78,7 +90,8 @@
                 placement.may_take(self._view, now) and self._view.seen_at
             ):
                 await self._write_lease(now)
-            else:
+            elif now - self._view.seen_at > placement.LOOK_S:
+                # Nobody told of a renewal lately.
                 await self._read_lease(now)
             if self._view.held_at is not None:
                 await asyncio.sleep(placement.RENEW_S)
--- a/sniperudder/forwarding/_forwarder.py
+++ b/sniperudder/forwarding/_forwarder.py
@@ -25,9 +25,11 @@
 # is dead, and not merely without room.
 _STALLED_SHARE = 0.8
 
-# Instances among which the slack of the repeat budget is divided: about
-# twice the number that the users run now, as many start while others stop.
-_MAX_INSTANCES = 16
+# Instances among which the slack of the repeat budget is divided: those
+# that are known, half as many again for those that are not yet, and at
+# least twice the number that the users run now.
+_MIN_INSTANCES = 16.0
+_INSTANCES_MARGIN = 1.5
 
 _Code = outcomes.Code
 
@@ -38,6 +40,7 @@
     _Code.NO_ENDPOINT: 503,
     _Code.TARGET_UNREACHABLE: 503,
     _Code.DEADLINE_BEFORE_START: 503,
+    _Code.CONTENT_CONDEMNED: 503,
     _Code.RETRIES_EXHAUSTED: 502,
     _Code.DEADLINE_WHILE_RUNNING: 504,
 }
@@ -68,6 +71,8 @@
         Whether an endpoint may have run it.
     sends : list of str
         What became of each send, for the log.
+    endpoint : sniperudder.fleet.Endpoint or None
+        First endpoint of the send that is under way.
     """
 
     request: object
@@ -83,6 +88,7 @@
     tried: set = dataclasses.field(default_factory=set)
     maybe_run: bool = False
     sends: list = dataclasses.field(default_factory=list)
+    endpoint: fleet.Endpoint | None = None
 
 
 class Forwarder:
@@ -104,6 +110,7 @@
         self.settings = settings
         self.journal = journal
         self.rng = rng or random.Random()
+        self.crashes = routing.CrashTable()
         self.mover = _moves.Mover(T, self.rng, journal)
         self._budgets = {}
 
@@ -113,6 +120,10 @@
         if job is None:
             return
         self.get_budget(job.service.name).record_request(self.now())
+        if self.crashes.is_condemned(self.make_fingerprint(job)):
+            reason = 'crashed endpoints before'
+            self.refuse(job, caller, _Code.CONTENT_CONDEMNED, reason)
+            return
         try:
             async with asyncio.timeout_at(job.deadline):
                 if job.route.streaming:
@@ -135,9 +146,7 @@
         if budget is None:
             bounds = self.settings.bounds
             budget = self._budgets[service] = routing.RepeatBudget(
-                bounds.repeat_ratio,
-                bounds.repeat_slack / _MAX_INSTANCES,
-                bounds.repeat_window_s,
+                bounds.repeat_ratio, bounds.repeat_window_s
             )
         return budget
 
@@ -155,7 +164,11 @@
         """
         if job.attempts >= job.route.max_attempts:
             return False
-        return self.get_budget(job.service.name).spend(self.now())
+        instances = max(
+            _MIN_INSTANCES, _INSTANCES_MARGIN * (1 + len(self.T.peers.peers))
+        )
+        slack = self.settings.bounds.repeat_slack / instances
+        return self.get_budget(job.service.name).spend(self.now(), slack)
 
     def make_outgoing(self, job, parts, last_event_id):
         """Return the request as the first endpoint of a chain gets it."""
@@ -204,6 +217,21 @@
             job.maybe_run = True
         job.sends.append(f'{endpoint.id}: {outcome.reason} at {fault.id}')
 
+    def note_broken(self, job, parts):
+        """Keep that a request broke off, in case an endpoint crashed."""
+        fingerprint = self.make_fingerprint(job)
+        for part in parts:
+            run = part.endpoint.id, part.endpoint.born_ms
+            self.crashes.record_broken(fingerprint, run, self.now())
+
+    def make_fingerprint(self, job):
+        """Return what a request is known by when it is sent again."""
+        organisation = job.organisation.name if job.organisation else ''
+        request = job.request
+        return routing.make_fingerprint(
+            organisation, request.target, request.body
+        )
+
     def find_address(self, address):
         """Return the listed endpoint at an address, or None."""
         for endpoint in self.T.endpoints.values():
@@ -334,6 +362,7 @@
 
     async def _send_plain(self, job, endpoint):
         job.attempts += 1
+        job.endpoint = endpoint
         state = fleet.get_state(self.T, endpoint)
         state.requests += 1
         sent_before = job.maybe_run
@@ -349,9 +378,16 @@
             state.requests -= 1
         if isinstance(outcome, _sends.NotRun):
             job.maybe_run = sent_before
+        elif isinstance(outcome, _sends.Broken):
+            self.note_broken(job, [fleet.Part(endpoint, None)])
         return outcome
 
     def _expire(self, job, caller):
+        if job.endpoint is not None:
+            state = fleet.get_state(self.T, job.endpoint)
+            if state.progress_at < job.request.arrived_at:
+                # It showed no sign of life all the while.
+                routing.record_failure(state, self.now())
         if caller.answering:
             # Without the end of the body: it must not look complete.
             caller.abort()
--- a/sniperudder/forwarding/_streams.py
+++ b/sniperudder/forwarding/_streams.py
@@ -17,6 +17,10 @@
 _FIRST_STALL_S = 0.4
 _STALL_S = 0.4
 
+# Time without any event after which a first stage counts as mute, seconds:
+# both looks at it are past, and the caller still waits as long again.
+_MUTE_S = 1.0
+
 # Time from a stage's leaving until a stream is moved away, seconds: most
 # streams end by themselves, and a stage serves on for 2 s at least.
 _LEAVE_S = 1.0
@@ -179,6 +183,7 @@
         self._holdings = []
         self._changes = forwarder.T.changes
         self._leave_at = None
+        self._sent_at = 0.0
         self.parts = parts
 
     def _note_sent(self):
@@ -207,7 +212,9 @@
             last_event_id = str(self._stream.last_id)
         sent_before = job.maybe_run
         job.attempts += 1
+        job.endpoint = self.parts[0].endpoint
         job.maybe_run = True
+        self._sent_at = forwarder.now()
         self._hold()
         self._note_sent()
         self._send = _sends.Send(
@@ -224,6 +231,8 @@
             self._let_go()
         if isinstance(outcome, _sends.NotRun):
             job.maybe_run = sent_before
+        elif isinstance(outcome, _sends.Broken):
+            forwarder.note_broken(job, self.parts)
         return outcome
 
     async def _receive_answer(self):
@@ -299,10 +308,24 @@
         )
         if not reached:
             return not job.route.resumable
+        if address is None and self._is_mute():
+            return False
         if address is not None:
             await self._move({address})
         return True
 
+    def _is_mute(self):
+        """Tell whether the first stage begins nothing that it is sent.
+
+        Its reports may say that all is well; but of this instance's
+        streams none has gone on there since this one was sent.
+        """
+        if self._stream.started or not self._job.route.resumable:
+            return False
+        state = fleet.get_state(self._forwarder.T, self.parts[0].endpoint)
+        waited_s = self._forwarder.now() - self._sent_at
+        return waited_s >= _MUTE_S and state.progress_at < self._sent_at
+
     async def _leave_stages(self):
         """Move the stream away from stages that leave, after a while."""
         T = self._forwarder.T
--- a/sniperudder/routing/__init__.py
+++ b/sniperudder/routing/__init__.py
@@ -10,6 +10,8 @@
 from sniperudder.routing._chains import price_crossing
 from sniperudder.routing._chains import price_layer
 from sniperudder.routing._chains import replace_parts
+from sniperudder.routing._crashes import CrashTable
+from sniperudder.routing._crashes import make_fingerprint
 from sniperudder.routing._health import is_avoided
 from sniperudder.routing._health import record_failure
 from sniperudder.routing._health import record_refusal
@@ -20,6 +22,7 @@
 from sniperudder.routing._routes import match_route
 
 __all__ = [
+    'CrashTable',
     'Demand',
     'RepeatBudget',
     'check_chain',
@@ -31,6 +34,7 @@
     'get_rank',
     'get_room',
     'is_avoided',
+    'make_fingerprint',
     'match_route',
     'price_crossing',
     'price_layer',
--- a/sniperudder/routing/_budgets.py
+++ b/sniperudder/routing/_budgets.py
@@ -21,23 +21,20 @@
     ----------
     ratio : float
         Repeated sends per request.
-    slack : float
-        Repeated sends of this instance beyond the ratio.
     window_s : float
         Seconds.
 
     Examples
     --------
-    >>> budget = RepeatBudget(ratio=0.2, slack=1.5, window_s=10.0)
-    >>> budget.spend(0.0), budget.spend(1.0), budget.spend(11.0)
-    (True, False, True)
+    >>> budget = RepeatBudget(ratio=0.2, window_s=10.0)
+    >>> [budget.spend(now, 1.5) for now in (0.0, 1.0, 11.0)]
+    [True, False, True]
     """
 
-    __slots__ = ('_first', '_ratio', '_repeated', '_slack', '_window_s')
+    __slots__ = ('_first', '_ratio', '_repeated', '_window_s')
 
-    def __init__(self, ratio, slack, window_s):
+    def __init__(self, ratio, window_s):
         self._ratio = ratio
-        self._slack = slack
         self._window_s = window_s
         self._first = collections.deque()
         self._repeated = collections.deque()
@@ -47,15 +44,22 @@
         self._first.append(now)
         self._trim(now)
 
-    def spend(self, now):
+    def spend(self, now, slack):
         """Take one repeated send from the budget, if it holds one.
 
+        Parameters
+        ----------
+        now : float
+            Seconds.
+        slack : float
+            This instance's part of what is allowed beyond the ratio.
+
         Returns
         -------
         bool
         """
         self._trim(now)
-        allowed = self._ratio * len(self._first) + self._slack
+        allowed = self._ratio * len(self._first) + slack
         if len(self._repeated) + 1 > allowed * _SPENT_SHARE:
             return False
         self._repeated.append(now)
--- a/sniperudder/routing/tests/test_requests.py
+++ b/sniperudder/routing/tests/test_requests.py
@@ -81,8 +81,7 @@
     def test_instances_apart_keep_the_sum(self):
         instances, ratio, slack, window_s = 16, 0.2, 200.0, 10.0
         budgets = [
-            routing.RepeatBudget(ratio, slack / instances, window_s)
-            for _ in range(instances)
+            routing.RepeatBudget(ratio, window_s) for _ in range(instances)
         ]
         rng = random.Random(5)
         requests, repeats = [], []
@@ -93,7 +92,7 @@
             budget.record_request(now)
             requests.append(now)
             for _ in range(2):
-                if budget.spend(now):
+                if budget.spend(now, slack / instances):
                     repeats.append(now)
         for end in range(10, 61):
             within = [t for t in repeats if end - window_s < t <= end]
@@ -102,8 +101,8 @@
             self.assertTrue(len(within) <= allowed, end)
 
     def test_quiet_instance_may_repeat(self):
-        budget = routing.RepeatBudget(0.2, 200.0 / 16, 10.0)
-        self.assertTrue(budget.spend(0.0))
+        budget = routing.RepeatBudget(0.2, 10.0)
+        self.assertTrue(budget.spend(0.0, 200.0 / 16))
 
 
 class HealthTest(testtools.TestCase):
@@ -156,3 +155,48 @@
 
     def test_no_endpoint(self):
         self.assertIsNone(self.choose(_fleets.create_tables(), []))
+
+
+class CrashTest(testtools.TestCase):
+    """Pattern: one request crashes each endpoint that runs it."""
+
+    def setUp(self):
+        super().setUp()
+        self.table = routing.CrashTable()
+
+    def crash(self, fingerprint, count):
+        """Have a request crash some endpoints."""
+        for number in range(count):
+            run = f'gpu-{number}', 1
+            self.table.record_broken(fingerprint, run, 0.0)
+            self.table.record_end(run, 1.0)
+
+    def test_third_crash_condemns(self):
+        self.crash('bad', 2)
+        self.assertFalse(self.table.is_condemned('bad'))
+        self.crash('bad', 1)
+        self.assertTrue(self.table.is_condemned('bad'))
+
+    def test_request_beside_one_crash_goes_on(self):
+        self.table.record_broken('good', ('gpu-1', 1), 0.0)
+        self.table.record_broken('bad', ('gpu-1', 1), 0.0)
+        self.table.record_end(('gpu-1', 1), 1.0)
+        self.assertFalse(self.table.is_condemned('good'))
+
+    def test_broken_request_without_a_crash_does_not_count(self):
+        for number in range(5):
+            self.table.record_broken('good', (f'gpu-{number}', 1), 0.0)
+            self.table.record_end((f'gpu-{number}', 1), 60.0)
+        self.assertFalse(self.table.is_condemned('good'))
+
+    def test_counts_of_peers_condemn(self):
+        self.table.record_heard('entry-2', {'bad': 3})
+        self.assertTrue(self.table.is_condemned('bad'))
+        self.table.record_heard('entry-2', {})
+        self.assertFalse(self.table.is_condemned('bad'))
+
+    def test_fingerprint_tells_requests_apart(self):
+        make = routing.make_fingerprint
+        self.assertEqual(make('a', b'/x', b'1'), make('a', b'/x', b'1'))
+        self.assertNotEqual(make('a', b'/x', b'1'), make('b', b'/x', b'1'))
+        self.assertNotEqual(make('a', b'/x1', b''), make('a', b'/x', b'1'))
