Keep streams of leaving first stages; fill missing layers by moves

A send that was refused also used up the route's attempts.

Change: a stage that leaves, or a request that can't be sent again, is waited for; a send that was not run is no attempt (up to four, with pauses, from the shared budget); a redundant endpoint of the same data centre is moved to layers that are missing; empty endpoints are given layers at once while the fleet runs.

--- a/sniperudder/entry/_placer.py
+++ b/sniperudder/entry/_placer.py
@@ -27,6 +27,10 @@
 # again, seconds: three heartbeats.
 _EFFECT_SLACK_S = 4.0
 
+# Shortest time between two moves in a data centre, seconds: the first one
+# has loaded by then, and shows.
+_MOVE_S = 4.0
+
 _OK = 200
 _ACCEPTED = 202
 _CONFLICT = 409
@@ -35,11 +39,11 @@
 class _Order:
     __slots__ = ('begun', 'given_at', 'layers', 'orders')
 
-    def __init__(self, layers):
+    def __init__(self, layers, orders=0):
         self.layers = layers
         self.given_at = None
-        # Orders that the endpoint has begun, as far as known.
-        self.orders = 0
+        # Orders that the endpoint has begun; None where that is unknown.
+        self.orders = orders
         self.begun = False
 
 
@@ -66,6 +70,7 @@
         self._view = placement.LeaseView()
         self._orders = {}
         self._under_way = set()
+        self._moved_at = {}
         self._empty = set()
         self._changed_at = 0.0
         self._settling_at = None
@@ -158,7 +163,12 @@
                 self._place_service(service, now)
 
     def _has_settled(self, now):
-        """Tell whether no endpoint became empty for a while."""
+        """Tell whether no endpoint became empty for a while.
+
+        Once layers lie somewhere, an empty endpoint is given some at once.
+        """
+        if any(e.layers is not None for e in self._T.endpoints.values()):
+            return True
         empty = {
             (endpoint.id, endpoint.born_ms)
             for endpoint in self._T.endpoints.values()
@@ -177,44 +187,73 @@
         return now - self._settling_at >= _MAX_SETTLE_S
 
     def _place_service(self, service, now):
+        engine = service.engine
         endpoints = fleet.list_endpoints(self._T, service.name)
+        held = self._list_held(engine, endpoints, now)
+        plan = placement.plan_layers(engine, endpoints, held)
+        for endpoint in endpoints:
+            if endpoint.id in plan:
+                self._orders[_make_key(endpoint)] = _Order(plan[endpoint.id])
+        self._plan_moves(engine, endpoints, {**held, **plan}, now)
+        for endpoint in endpoints:
+            self._give_order(engine, endpoint)
+
+    def _list_held(self, engine, endpoints, now):
+        """Return what endpoints hold, or were ordered to hold."""
         held = {}
         for endpoint in endpoints:
-            key = endpoint.id, endpoint.born_ms
+            key = _make_key(endpoint)
             order = self._orders.get(key)
-            if endpoint.layers is not None:
-                held[endpoint.id] = endpoint.layers
-                self._orders.pop(key, None)
-            elif order is not None:
+            if order is not None and endpoint.layers == order.layers:
+                del self._orders[key]
+                order = None
+            if order is not None:
                 held[endpoint.id] = order.layers
-                wait_s = service.engine.load_s + _EFFECT_SLACK_S
+                wait_s = engine.load_s + _EFFECT_SLACK_S
                 if order.begun and now - order.given_at > wait_s:
                     order.begun = False
-        plan = placement.plan_layers(service.engine, endpoints, held)
-        for endpoint in endpoints:
-            key = endpoint.id, endpoint.born_ms
-            if endpoint.id in plan:
-                self._orders[key] = _Order(plan[endpoint.id])
-            order = self._orders.get(key)
-            if order and not order.begun and key not in self._under_way:
-                if not placement.fits_memory(
-                    service.engine, endpoint.card, order.layers
-                ):
-                    self._journal.write(
-                        'order:dropped', endpoint.id, reason='memory'
-                    )
-                    continue
-                self._under_way.add(key)
-                task = asyncio.create_task(
-                    self._order_endpoint(endpoint, order, key)
-                )
-                task.add_done_callback(lambda _, key=key: self._end(key))
+            elif endpoint.layers is not None:
+                held[endpoint.id] = endpoint.layers
+        return held
 
-    def _end(self, key):
-        self._under_way.discard(key)
+    def _plan_moves(self, engine, endpoints, held, now):
+        """Order one move in each data centre that lacks layers."""
+        for centre in sorted({e.data_centre for e in endpoints}):
+            if now - self._moved_at.get(centre, -_MOVE_S) < _MOVE_S:
+                continue
+            endpoint, layers = placement.plan_move(
+                engine, endpoints, held, centre
+            )
+            if endpoint is None or _make_key(endpoint) in self._orders:
+                continue
+            self._moved_at[centre] = now
+            self._orders[_make_key(endpoint)] = _Order(layers, orders=None)
+            self._journal.write(
+                'order:planned',
+                endpoint.id,
+                data_centre=centre,
+                before=[endpoint.layers.start, endpoint.layers.end],
+                layers=[layers.start, layers.end],
+            )
+
+    def _give_order(self, engine, endpoint):
+        key = _make_key(endpoint)
+        order = self._orders.get(key)
+        if order is None or order.begun or key in self._under_way:
+            return
+        if not placement.fits_memory(engine, endpoint.card, order.layers):
+            self._journal.write('order:dropped', endpoint.id, reason='memory')
+            return
+        self._under_way.add(key)
+        task = asyncio.create_task(self._order_endpoint(endpoint, order))
+        task.add_done_callback(lambda _: self._under_way.discard(key))
 
-    async def _order_endpoint(self, endpoint, order, key):
+    async def _order_endpoint(self, endpoint, order):
         order.given_at = _read_clock()
+        if order.orders is None:
+            await self._read_orders(endpoint, order)
+            if order.orders is None or order.begun:
+                return
         body = platform.make_place_order(order.layers, order.orders)
         try:
             status, answer = await forwarding.call(
@@ -232,9 +271,9 @@
         if status in (_OK, _ACCEPTED):
             order.begun = True
         elif status == _CONFLICT:
-            await self._read_orders(endpoint, order, key)
+            await self._read_orders(endpoint, order)
 
-    async def _read_orders(self, endpoint, order, key):
+    async def _read_orders(self, endpoint, order):
         """Learn how many orders the endpoint has begun, and what it holds."""
         try:
             status, body = await forwarding.call(
@@ -253,11 +292,8 @@
             self._note_order(endpoint, order, f'no report: {error}')
             return
         order.orders = report.orders
-        if report.layers is not None:
-            order.layers = report.layers
-            order.begun = True
-        elif report.busy:
-            order.begun = True
+        # An order that went without an answer may have begun after all.
+        order.begun = report.busy or report.layers == order.layers
 
     def _note_order(self, endpoint, order, outcome):
         self._journal.write(
@@ -271,5 +307,9 @@
         )
 
 
+def _make_key(endpoint):
+    return endpoint.id, endpoint.born_ms
+
+
 def _read_clock():
     return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/sniperudder/entry/tests/test_plain.py
+++ b/sniperudder/entry/tests/test_plain.py
@@ -96,7 +96,7 @@
 
     def test_refused_unsafe_request_is_said_not_to_have_run(self):
         desk = create_desk()
-        desk.script.append(desk.refuse())
+        desk.script.extend(desk.refuse() for _ in range(20))
 
         async def case(fleet):
             status, headers, _ = await fleet.send('/unsafe/a')
@@ -106,6 +106,18 @@
         self.run_fleet(case, desk)
         self.assertEqual([], desk.requests)
 
+    def test_refused_unsafe_request_is_sent_to_another_endpoint(self):
+        first, second = create_desk('desk-1'), create_desk('desk-2')
+        for desk in (first, second):
+            desk.script.append(desk.refuse())
+
+        async def case(fleet):
+            status, _, _ = await fleet.send('/unsafe/a')
+            self.assertEqual(200, status)
+
+        self.run_fleet(case, first, second)
+        self.assertEqual(1, len(first.requests) + len(second.requests))
+
     def test_answer_to_another_request_is_passed_over(self):
         desk = create_desk()
 
--- a/sniperudder/forwarding/_forwarder.py
+++ b/sniperudder/forwarding/_forwarder.py
@@ -21,6 +21,12 @@
 # the cause ends, seconds.
 _RETRY_AFTER_S = 0.5
 
+# Sends that were not run and are followed by another one, and the pause
+# after the first of them, doubled each time, seconds: four pauses stay
+# under the time for which callers wait for a first event.
+_MAX_REFUSALS = 4
+_REFUSED_PAUSE_S = 0.02
+
 # Share of the engines' stall time after which a refusal means that a stage
 # is dead, and not merely without room.
 _STALLED_SHARE = 0.8
@@ -64,7 +70,9 @@
     caller_deadline : float or None
         Loop time until which the caller waits.
     attempts : int
-        Endpoints that it was sent to.
+        Endpoints that may have run it.
+    refusals : int
+        Sends that no endpoint ran.
     tried : set of str
         Ids of endpoints that failed it.
     maybe_run : bool
@@ -85,6 +93,7 @@
     deadline: float
     caller_deadline: float | None
     attempts: int = 0
+    refusals: int = 0
     tried: set = dataclasses.field(default_factory=set)
     maybe_run: bool = False
     sends: list = dataclasses.field(default_factory=list)
@@ -157,13 +166,33 @@
             limits.append(job.caller_deadline)
         return min(limits) - self.now()
 
+    def can_send_again(self, job):
+        """Tell whether the route allows that a further endpoint runs it."""
+        return job.attempts < job.route.max_attempts
+
+    async def may_go_on(self, job, outcome):
+        """Tell whether to send again what was not run; waits a little.
+
+        Such a send is no attempt: the endpoint did not run the request.
+        It counts in the budget only where it reached an endpoint.
+        """
+        job.attempts -= 1
+        job.refusals += 1
+        if job.refusals > _MAX_REFUSALS:
+            return False
+        if not outcome.arrived:
+            return True
+        await asyncio.sleep(_REFUSED_PAUSE_S * 2 ** (job.refusals - 1))
+        return self._spend_repeat(job)
+
     def may_send_again(self, job):
-        """Tell whether a further endpoint may get the request.
+        """Tell whether a further endpoint may run the request.
 
         Takes the send from the budget.
         """
-        if job.attempts >= job.route.max_attempts:
-            return False
+        return self.can_send_again(job) and self._spend_repeat(job)
+
+    def _spend_repeat(self, job):
         instances = max(
             _MIN_INSTANCES, _INSTANCES_MARGIN * (1 + len(self.T.peers.peers))
         )
@@ -342,11 +371,9 @@
                 job.tried.add(endpoint.id)
             elif isinstance(outcome, _sends.NotRun):
                 code = _Code.TARGET_UNREACHABLE
-                if not outcome.arrived:
-                    # Nothing reached an endpoint: no send was made.
-                    job.attempts -= 1
-                    if len(job.tried) < len(endpoints):
-                        continue
+                if not await self.may_go_on(job, outcome):
+                    break
+                continue
             elif not job.route.repeatable:
                 code = _Code.RETRIES_EXHAUSTED
                 break
--- a/sniperudder/forwarding/_streams.py
+++ b/sniperudder/forwarding/_streams.py
@@ -97,9 +97,9 @@
             return
         if isinstance(outcome, _sends.NotRun):
             code = _Code.TARGET_UNREACHABLE
-            if not outcome.arrived:
-                # Nothing reached an endpoint: no send was made.
-                job.attempts -= 1
+            if not await forwarder.may_go_on(job, outcome):
+                break
+            continue
         elif not job.route.resumable:
             break
         if not forwarder.may_send_again(job):
@@ -307,13 +307,26 @@
             first.endpoint, job.head.request_id
         )
         if not reached:
-            return not job.route.resumable
+            return self._must_wait()
         if address is None and self._is_mute():
-            return False
+            return self._must_wait()
         if address is not None:
             await self._move({address})
         return True
 
+    def _must_wait(self):
+        """Tell whether a silent first stage is still the best hope.
+
+        A stage that leaves refuses new connections, and yet ends what it
+        has begun.
+        """
+        first = self.parts[0].endpoint
+        return (
+            not self._job.route.resumable
+            or not fleet.is_serving(self._forwarder.T, first)
+            or not self._forwarder.can_send_again(self._job)
+        )
+
     def _is_mute(self):
         """Tell whether the first stage begins nothing that it is sent.
 
--- a/sniperudder/placement/__init__.py
+++ b/sniperudder/placement/__init__.py
@@ -4,6 +4,7 @@
 from sniperudder.placement._layout import count_units
 from sniperudder.placement._layout import fits_memory
 from sniperudder.placement._layout import plan_layers
+from sniperudder.placement._layout import plan_move
 from sniperudder.placement._lease import LeaseView
 from sniperudder.placement._lease import LOOK_S
 from sniperudder.placement._lease import may_order
@@ -23,5 +24,6 @@
     'may_take',
     'observe_lease',
     'plan_layers',
+    'plan_move',
     'record_renewal',
 ]
--- a/sniperudder/placement/_layout.py
+++ b/sniperudder/placement/_layout.py
@@ -101,6 +101,57 @@
     return plan
 
 
+def plan_move(engine, endpoints, held, centre):
+    """Return one endpoint to move within a data centre, if any should.
+
+    Pattern: endpoints leave, and a data centre no longer holds some of
+    the layers, so that all its requests cross the pipes; other layers
+    are held there more often than once.
+
+    Parameters
+    ----------
+    engine, endpoints, held
+        See `plan_layers`; ``held`` names endpoints that load as well.
+    centre : str
+
+    Returns
+    -------
+    endpoint : sniperudder.fleet.Endpoint or None
+    layers : sniperudder.fleet.Layers or None
+        What it should hold instead.
+    """
+    unit = choose_unit(engine, endpoints)
+    units = math.ceil(engine.layers / unit)
+    here = [e for e in endpoints if e.data_centre == centre and e.id in held]
+    coverage = [0.0] * units
+    for endpoint in here:
+        _add_coverage(coverage, held[endpoint.id], unit)
+    missing = [index for index in range(units) if coverage[index] < 0.5]
+    if not missing:
+        return None, None
+    best, best_rate = (None, None), 0.0
+    for endpoint in here:
+        count = min(count_units(engine, endpoint.card, unit), units)
+        rest = list(coverage)
+        _add_coverage(rest, held[endpoint.id], unit, -1.0)
+        for start in range(units - count + 1):
+            filled = sum(start <= index < start + count for index in missing)
+            opened = sum(
+                rest[index] < 0.5
+                and coverage[index] >= 0.5
+                and not start <= index < start + count
+                for index in range(units)
+            )
+            # Among equals the smallest: it loads fastest, and the fewest
+            # requests pass it.
+            rate = filled - opened - count / (2.0 * units)
+            if rate > best_rate:
+                end = min((start + count) * unit, engine.layers)
+                best = endpoint, fleet.Layers(start * unit, end)
+                best_rate = rate
+    return best
+
+
 def fits_memory(engine, card_name, layers):
     """Tell whether a card's memory holds a range of layers."""
     card = engine.cards.get(card_name)
@@ -111,12 +162,12 @@
     )
 
 
-def _add_coverage(coverage, layers, unit):
+def _add_coverage(coverage, layers, unit, sign=1.0):
     for index in range(len(coverage)):
         first = max(layers.start, index * unit)
         last = min(layers.end, (index + 1) * unit)
         if last > first:
-            coverage[index] += (last - first) / unit
+            coverage[index] += sign * (last - first) / unit
 
 
 def _find_start(coverage, centre, units, count):
--- a/sniperudder/placement/tests/test_layout.py
+++ b/sniperudder/placement/tests/test_layout.py
@@ -96,6 +96,45 @@
         self.assertEqual({}, placement.plan_layers(_ENGINE, endpoints, {}))
 
 
+class MoveTest(testtools.TestCase):
+    def plan(self, lost):
+        """Lose the endpoints of one data centre that hold a layer."""
+        endpoints = create_fleet(_LOMBARDY)
+        plan = placement.plan_layers(_ENGINE, endpoints, {})
+        rest = [
+            e
+            for e in endpoints
+            if e.data_centre != 'milano'
+            or not plan[e.id].start <= lost < plan[e.id].end
+        ]
+        held = {e.id: plan[e.id] for e in rest}
+        moved = placement.plan_move(_ENGINE, rest, held, 'milano')
+        return rest, held, moved
+
+    def test_missing_layers_are_covered_again(self):
+        # Pattern: endpoints are taken away, and no empty one joins.
+        rest, held, (endpoint, layers) = self.plan(lost=70)
+        self.assertEqual('milano', endpoint.data_centre)
+        self.assertTrue(layers.start <= 70 < layers.end)
+        before = count_copies(rest, held, 'milano')
+        held[endpoint.id] = layers
+        self.assertEqual(0, before)
+        self.assertEqual(1, count_copies(rest, held, 'milano'))
+
+    def test_whole_copy_stays_as_it_is(self):
+        endpoints = create_fleet(_LOMBARDY)
+        plan = placement.plan_layers(_ENGINE, endpoints, {})
+        for centre in _CENTRES:
+            moved = placement.plan_move(_ENGINE, endpoints, plan, centre)
+            self.assertEqual((None, None), moved)
+
+    def test_no_move_opens_as_much_as_it_fills(self):
+        endpoints = create_fleet({'l4': (9, 0, 0)})
+        plan = placement.plan_layers(_ENGINE, endpoints, {})
+        moved = placement.plan_move(_ENGINE, endpoints, plan, 'milano')
+        self.assertEqual((None, None), moved)
+
+
 class LeaseTest(testtools.TestCase):
     def test_silent_holder_is_replaced(self):
         view = placement.LeaseView()
