Admit by room in KV caches and pipes; price pipes by their use

The price of a crossing was fixed, that of loaded local stages grew.

Change: instances tell each other the tokens that pass between data centres; a crossing's price grows with the pipe's use; a new request is admitted only where KV caches and pipes have room, with a part of it kept for more urgent ranks, and is otherwise refused at once with a time to return; streams under way are never refused room. Shedding by pauses stays for what the room does not show.

--- a/sniperudder/digests/_codec.py
+++ b/sniperudder/digests/_codec.py
@@ -44,6 +44,12 @@
             for fingerprint, count in digest.crashes.items()
         ],
         lease_version=digest.lease_version,
+        events=digest.events,
+        slow_events=digest.slow_events,
+        crossings=[
+            ttypes.Crossing(left, right, int(rate))
+            for (left, right), rate in digest.crossings.items()
+        ],
     )
     return TSerialization.serialize(message, _FACTORY)
 
@@ -79,4 +85,10 @@
         ),
         crashes={crash.fingerprint: crash.count for crash in message.crashes},
         lease_version=message.lease_version,
+        events=message.events,
+        slow_events=message.slow_events,
+        crossings={
+            (crossing.left, crossing.right): float(crossing.tokens_per_s)
+            for crossing in message.crossings
+        },
     )
--- a/sniperudder/digests/_peers.py
+++ b/sniperudder/digests/_peers.py
@@ -116,6 +116,22 @@
         heard = (peer.digest is not None for peer in self.peers.values())
         return 1 + sum(heard)
 
+    def count_events(self):
+        """Return the peers' events of the last second, and slow ones."""
+        heard = [p.digest for p in self.peers.values() if p.digest]
+        return (
+            sum(digest.events for digest in heard),
+            sum(digest.slow_events for digest in heard),
+        )
+
+    def get_crossing_rate(self, pair):
+        """Return the peers' tokens a second between two data centres."""
+        return sum(
+            peer.digest.crossings.get(pair, 0.0)
+            for peer in self.peers.values()
+            if peer.digest is not None
+        )
+
     def list_due(self, now):
         """Return the addresses that the next digest goes to."""
         due = []
--- a/sniperudder/digests/_records.py
+++ b/sniperudder/digests/_records.py
@@ -55,6 +55,11 @@
     lease_version : int
         Version of the lease of placement that the sender holds; 0 where
         it holds none.
+    events, slow_events : int
+        Events that the sender forwarded in the last second, and how many
+        of them came after a long pause.
+    crossings : dict of (str, str) to float
+        Tokens a second between data centres.
     """
 
     sender: str
@@ -64,3 +69,6 @@
     faults: tuple
     crashes: dict
     lease_version: int = 0
+    events: int = 0
+    slow_events: int = 0
+    crossings: dict = dataclasses.field(default_factory=dict)
--- a/sniperudder/digests/digest.thrift
+++ b/sniperudder/digests/digest.thrift
@@ -19,6 +19,12 @@
   2: required i32 count;
 }
 
+struct Crossing {
+  1: required string left;
+  2: required string right;
+  3: required i32 tokens_per_s;
+}
+
 struct Digest {
   1: required string sender;
   2: required i64 incarnation;
@@ -27,4 +33,7 @@
   5: required list<Fault> faults;
   6: required list<Crash> crashes;
   7: required i64 lease_version;
+  8: required i32 events;
+  9: required i32 slow_events;
+  10: required list<Crossing> crossings;
 }
--- a/sniperudder/digests/gen/wire/ttypes.py
+++ b/sniperudder/digests/gen/wire/ttypes.py
@@ -297,6 +297,104 @@
         return not (self == other)
 
 
+class Crossing(object):
+    """
+    Attributes:
+     - left
+     - right
+     - tokens_per_s
+
+    """
+
+    __slots__ = (
+        'left',
+        'right',
+        'tokens_per_s',
+    )
+
+
+    def __init__(self, left=None, right=None, tokens_per_s=None,):
+        self.left = left
+        self.right = right
+        self.tokens_per_s = tokens_per_s
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.left = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.right = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.tokens_per_s = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Crossing')
+        if self.left is not None:
+            oprot.writeFieldBegin('left', TType.STRING, 1)
+            oprot.writeString(self.left.encode('utf-8') if sys.version_info[0] == 2 else self.left)
+            oprot.writeFieldEnd()
+        if self.right is not None:
+            oprot.writeFieldBegin('right', TType.STRING, 2)
+            oprot.writeString(self.right.encode('utf-8') if sys.version_info[0] == 2 else self.right)
+            oprot.writeFieldEnd()
+        if self.tokens_per_s is not None:
+            oprot.writeFieldBegin('tokens_per_s', TType.I32, 3)
+            oprot.writeI32(self.tokens_per_s)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.left is None:
+            raise TProtocolException(message='Required field left is unset!')
+        if self.right is None:
+            raise TProtocolException(message='Required field right is unset!')
+        if self.tokens_per_s is None:
+            raise TProtocolException(message='Required field tokens_per_s is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Digest(object):
     """
     Attributes:
@@ -307,6 +405,9 @@
      - faults
      - crashes
      - lease_version
+     - events
+     - slow_events
+     - crossings
 
     """
 
@@ -318,10 +419,13 @@
         'faults',
         'crashes',
         'lease_version',
+        'events',
+        'slow_events',
+        'crossings',
     )
 
 
-    def __init__(self, sender=None, incarnation=None, sequence=None, loads=None, faults=None, crashes=None, lease_version=None,):
+    def __init__(self, sender=None, incarnation=None, sequence=None, loads=None, faults=None, crashes=None, lease_version=None, events=None, slow_events=None, crossings=None,):
         self.sender = sender
         self.incarnation = incarnation
         self.sequence = sequence
@@ -329,6 +433,9 @@
         self.faults = faults
         self.crashes = crashes
         self.lease_version = lease_version
+        self.events = events
+        self.slow_events = slow_events
+        self.crossings = crossings
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -392,6 +499,27 @@
                     self.lease_version = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I32:
+                    self.events = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I32:
+                    self.slow_events = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.LIST:
+                    self.crossings = []
+                    (_etype21, _size18) = iprot.readListBegin()
+                    for _i22 in range(_size18):
+                        _elem23 = Crossing()
+                        _elem23.read(iprot)
+                        self.crossings.append(_elem23)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -417,28 +545,43 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter18 in self.loads:
-                iter18.write(oprot)
+            for iter24 in self.loads:
+                iter24.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.faults is not None:
             oprot.writeFieldBegin('faults', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.faults))
-            for iter19 in self.faults:
-                iter19.write(oprot)
+            for iter25 in self.faults:
+                iter25.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.crashes))
-            for iter20 in self.crashes:
-                iter20.write(oprot)
+            for iter26 in self.crashes:
+                iter26.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.lease_version is not None:
             oprot.writeFieldBegin('lease_version', TType.I64, 7)
             oprot.writeI64(self.lease_version)
             oprot.writeFieldEnd()
+        if self.events is not None:
+            oprot.writeFieldBegin('events', TType.I32, 8)
+            oprot.writeI32(self.events)
+            oprot.writeFieldEnd()
+        if self.slow_events is not None:
+            oprot.writeFieldBegin('slow_events', TType.I32, 9)
+            oprot.writeI32(self.slow_events)
+            oprot.writeFieldEnd()
+        if self.crossings is not None:
+            oprot.writeFieldBegin('crossings', TType.LIST, 10)
+            oprot.writeListBegin(TType.STRUCT, len(self.crossings))
+            for iter27 in self.crossings:
+                iter27.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -457,6 +600,12 @@
             raise TProtocolException(message='Required field crashes is unset!')
         if self.lease_version is None:
             raise TProtocolException(message='Required field lease_version is unset!')
+        if self.events is None:
+            raise TProtocolException(message='Required field events is unset!')
+        if self.slow_events is None:
+            raise TProtocolException(message='Required field slow_events is unset!')
+        if self.crossings is None:
+            raise TProtocolException(message='Required field crossings is unset!')
         return
 
     def __repr__(self):
@@ -496,6 +645,13 @@
     (1, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 1
     (2, TType.I32, 'count', None, None, ),  # 2
 )
+all_structs.append(Crossing)
+Crossing.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'left', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'right', 'UTF8', None, ),  # 2
+    (3, TType.I32, 'tokens_per_s', None, None, ),  # 3
+)
 all_structs.append(Digest)
 Digest.thrift_spec = (
     None,  # 0
@@ -506,6 +662,9 @@
     (5, TType.LIST, 'faults', (TType.STRUCT, [Fault, None], False), None, ),  # 5
     (6, TType.LIST, 'crashes', (TType.STRUCT, [Crash, None], False), None, ),  # 6
     (7, TType.I64, 'lease_version', None, None, ),  # 7
+    (8, TType.I32, 'events', None, None, ),  # 8
+    (9, TType.I32, 'slow_events', None, None, ),  # 9
+    (10, TType.LIST, 'crossings', (TType.STRUCT, [Crossing, None], False), None, ),  # 10
 )
 fix_spec(all_structs)
 del all_structs
--- a/sniperudder/entry/_entry.py
+++ b/sniperudder/entry/_entry.py
@@ -74,7 +74,7 @@
             self._store,
             settings,
             journal,
-            self._forwarder.crashes,
+            self._forwarder,
             self._placer,
         )
         self._stopping = asyncio.Event()
--- a/sniperudder/entry/_gossip.py
+++ b/sniperudder/entry/_gossip.py
@@ -28,16 +28,16 @@
     store : sniperudder.platform.Store
     settings : sniperudder.fleet.InstanceSettings
     journal : Journal
-    crashes : sniperudder.routing.CrashTable
+    forwarder : sniperudder.forwarding.Forwarder
     placer : Placer
     """
 
-    def __init__(self, T, store, settings, journal, crashes, placer):
+    def __init__(self, T, store, settings, journal, forwarder, placer):
         self._T = T
         self._store = store
         self._settings = settings
         self._journal = journal
-        self._crashes = crashes
+        self._forwarder = forwarder
         self._placer = placer
         self._incarnation = time.time_ns() // 1_000_000
         self._sequence = 0
@@ -57,8 +57,10 @@
         """Send digests until cancelled."""
         while True:
             peers = len(self._T.peers.peers)
-            await asyncio.sleep(max(_PERIOD_S, peers * _PERIOD_PER_PEER_S))
+            period_s = max(_PERIOD_S, peers * _PERIOD_PER_PEER_S)
+            await asyncio.sleep(period_s)
             now = _read_clock()
+            self._forwarder.update_pressure(period_s)
             for name in self._T.peers.drop_silent(now):
                 self._journal.write('instance:silent', name)
             due = self._T.peers.list_due(now)
@@ -109,6 +111,7 @@
 
     def _make_digest(self):
         self._sequence += 1
+        events, slow_events = self._forwarder.count_events()
         loads = {}
         for (name, _), state in self._T.states.items():
             if state.requests > 0:
@@ -119,14 +122,19 @@
             sequence=self._sequence,
             loads=loads,
             faults=(),
-            crashes=self._crashes.list_counts(),
+            crashes=self._forwarder.crashes.list_counts(),
             lease_version=self._placer.lease_version,
+            events=events,
+            slow_events=slow_events,
+            crossings=self._T.crossings.list_rates(
+                asyncio.get_running_loop().time()
+            ),
         )
 
     def _take(self, digest, address):
         now = _read_clock()
         if self._T.peers.record_digest(digest, address, now):
-            self._crashes.record_heard(digest.sender, digest.crashes)
+            self._forwarder.crashes.record_heard(digest.sender, digest.crashes)
             if digest.lease_version:
                 self._placer.hear_lease(digest.lease_version)
 
--- a/sniperudder/fleet/__init__.py
+++ b/sniperudder/fleet/__init__.py
@@ -8,6 +8,8 @@
 from sniperudder.fleet._configuration import Route
 from sniperudder.fleet._configuration import Service
 from sniperudder.fleet._configuration import Target
+from sniperudder.fleet._crossings import CrossingCounter
+from sniperudder.fleet._crossings import list_crossings
 from sniperudder.fleet._endpoints import Endpoint
 from sniperudder.fleet._endpoints import EndpointState
 from sniperudder.fleet._endpoints import Layers
@@ -25,6 +27,7 @@
     'Bounds',
     'Card',
     'Configuration',
+    'CrossingCounter',
     'Endpoint',
     'EndpointState',
     'Engine',
@@ -41,5 +44,6 @@
     'get_load',
     'get_state',
     'is_serving',
+    'list_crossings',
     'list_endpoints',
 ]
--- a/sniperudder/fleet/_configuration.py
+++ b/sniperudder/fleet/_configuration.py
@@ -38,6 +38,9 @@
         Longest time from arrival to the final answer, seconds.
     goal_s : float
         Time of a timely answer, streams: of its first event, seconds.
+    pause_goal_s : float
+        Longest pause between events of a timely stream, seconds; 0 where
+        none is set.
     rank : int
         0 is the most urgent.
     max_attempts : int
@@ -54,6 +57,7 @@
     public: bool
     timeout_s: float
     goal_s: float
+    pause_goal_s: float
     rank: int
     max_attempts: int
 
--- a/sniperudder/fleet/_tables.py
+++ b/sniperudder/fleet/_tables.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from sniperudder import digests
+from sniperudder.fleet import _crossings
 from sniperudder.fleet import _endpoints
 
 
@@ -22,6 +23,7 @@
         Whether the list of endpoints was read since the start.
     changes : int
         Number of changes of the list of endpoints.
+    crossings : CrossingCounter
     peers : sniperudder.digests.PeerTable
         What other instances have in flight.
     """
@@ -31,6 +33,9 @@
     states: dict = dataclasses.field(default_factory=dict)
     endpoints_known: bool = False
     changes: int = 0
+    crossings: _crossings.CrossingCounter = dataclasses.field(
+        default_factory=_crossings.CrossingCounter
+    )
     peers: digests.PeerTable = dataclasses.field(
         default_factory=digests.PeerTable
     )
@@ -60,13 +65,30 @@
     )
 
 
-def is_serving(T, endpoint):
-    """Tell whether this run of an endpoint is listed and not leaving."""
-    listed = T.endpoints.get(endpoint.id)
+def is_serving(T, part):
+    """Tell whether a stage's endpoint still runs, and keeps its layers.
+
+    Parameters
+    ----------
+    T : FleetTables
+    part : Part
+
+    Returns
+    -------
+    bool
+    """
+    listed = T.endpoints.get(part.endpoint.id)
+    if listed is None or listed.leaving:
+        return False
+    if listed.born_ms != part.endpoint.born_ms:
+        return False
+    if part.layers is None:
+        return True
+    held = listed.layers
     return (
-        listed is not None
-        and listed.born_ms == endpoint.born_ms
-        and not listed.leaving
+        held is not None
+        and held.start <= part.layers.start
+        and part.layers.end <= held.end
     )
 
 
--- a/sniperudder/forwarding/_forwarder.py
+++ b/sniperudder/forwarding/_forwarder.py
@@ -17,9 +17,11 @@
 # seconds: one way to the caller, and the work to send it.
 _ANSWER_MARGIN_S = 0.02
 
-# What a refused caller is told to wait where nothing is known about when
-# the cause ends, seconds.
+# What a refused caller is told to wait, seconds: a moment where the cause
+# may be over soon; under pressure between one and two lives of a stream,
+# drawn at random so that those who return do not come as a wave.
 _RETRY_AFTER_S = 0.5
+_SHED_RETRY_S = (2.0, 4.0)
 
 # Sends that were not run and are followed by another one, and the pause
 # after the first of them, doubled each time, seconds: four pauses stay
@@ -46,6 +48,7 @@
     _Code.NO_ENDPOINT: 503,
     _Code.TARGET_UNREACHABLE: 503,
     _Code.DEADLINE_BEFORE_START: 503,
+    _Code.SHED: 503,
     _Code.CONTENT_CONDEMNED: 503,
     _Code.RETRIES_EXHAUSTED: 502,
     _Code.DEADLINE_WHILE_RUNNING: 504,
@@ -120,6 +123,8 @@
         self.journal = journal
         self.rng = rng or random.Random()
         self.crashes = routing.CrashTable()
+        self.pauses = routing.PauseCounter()
+        self.level = 0.0
         self.mover = _moves.Mover(T, self.rng, journal)
         self._budgets = {}
 
@@ -133,6 +138,10 @@
             reason = 'crashed endpoints before'
             self.refuse(job, caller, _Code.CONTENT_CONDEMNED, reason)
             return
+        if job.route.streaming and self._sheds(job):
+            reason = f'pressure level {self.level:.2f}'
+            self.refuse(job, caller, _Code.SHED, reason)
+            return
         try:
             async with asyncio.timeout_at(job.deadline):
                 if job.route.streaming:
@@ -145,6 +154,55 @@
             self.note_end(job, _Code.CALLER_LEFT)
             raise
 
+    def count_events(self):
+        """Return this instance's events of the last second, and slow ones."""
+        return self.pauses.count(self.now())
+
+    def update_pressure(self, elapsed_s):
+        """Adapt what is shed to the pauses of all instances' streams."""
+        if self.T.configuration is None:
+            return
+        own, own_slow = self.count_events()
+        others, others_slow = self.T.peers.count_events()
+        events, slow = own + others, own_slow + others_slow
+        before = self.level
+        self.level = routing.update_level(
+            before, events, slow, elapsed_s, len(self._list_ranks())
+        )
+        if (before > 0) != (self.level > 0):
+            self.journal.write(
+                'pressure:changed',
+                level=self.level,
+                events=events,
+                slow_events=slow,
+                instances=self.T.peers.count_alive(),
+            )
+
+    def _list_ranks(self):
+        configuration = self.T.configuration
+        return {
+            route.rank
+            for routes in configuration.routes.values()
+            for route in routes
+            if route.streaming
+        }
+
+    def get_urgency(self, job):
+        """Return 1 for the most urgent rank in use, 0 for the least."""
+        ranks = sorted(self._list_ranks() | {job.rank})
+        if job.attempts or len(ranks) < 2:
+            # What has begun elsewhere is not given up for want of rank.
+            return 1.0
+        return 1.0 - ranks.index(job.rank) / (len(ranks) - 1)
+
+    def _sheds(self, job):
+        if self.level <= 0:
+            return False
+        share = routing.get_shed_share(
+            self.level, job.rank, self._list_ranks()
+        )
+        return self.rng.random() < share
+
     def now(self):
         """Return the loop's time, seconds."""
         return asyncio.get_running_loop().time()
@@ -440,7 +498,10 @@
     body = json.dumps({'code': int(code), 'reason': reason}).encode()
     headers = [(b'Content-Type', b'application/json')]
     if status == 503:
-        headers.append((b'Retry-After', b'%.1f' % _RETRY_AFTER_S))
+        wait_s = _RETRY_AFTER_S
+        if code is _Code.SHED:
+            wait_s = random.uniform(*_SHED_RETRY_S)
+        headers.append((b'Retry-After', b'%.1f' % wait_s))
     caller.send_answer(status, headers, body)
 
 
--- a/sniperudder/forwarding/_streams.py
+++ b/sniperudder/forwarding/_streams.py
@@ -60,7 +60,8 @@
         self.longest_pause_s = 0.0
 
     def record_events(self, count, now):
-        """Count events that were sent."""
+        """Count events that were sent; return the pause before them."""
+        pause_s = 0.0
         if self.first_at is None:
             self.first_at = now
         else:
@@ -68,6 +69,7 @@
             self.longest_pause_s = max(self.longest_pause_s, pause_s)
         self.last_at = now
         self.events += count
+        return pause_s
 
 
 async def forward_stream(forwarder, job, caller):
@@ -82,6 +84,8 @@
     while True:
         parts = _choose_parts(forwarder, job)
         if not parts:
+            if not job.sends:
+                code = _name_shortage(forwarder, job)
             break
         attempt = _Attempt(forwarder, job, caller, stream, parts)
         sent_at = forwarder.now()
@@ -151,12 +155,27 @@
         home,
         now,
         forwarder.rng,
+        forwarder.get_urgency(job),
     )
     if parts:
         routing.check_chain(parts, engine.layers)
     return parts
 
 
+def _name_shortage(forwarder, job):
+    """Return why there is no chain: no room, or layers without a holder."""
+    engine = job.service.engine
+    if engine is None or not engine.layers:
+        return _Code.NO_ENDPOINT
+    covered = set()
+    for endpoint in fleet.list_endpoints(forwarder.T, job.service.name):
+        if endpoint.layers is not None:
+            layers = endpoint.layers
+            covered.update(range(layers.start, layers.end))
+    whole = len(covered) >= engine.layers
+    return _Code.SHED if whole else _Code.NO_ENDPOINT
+
+
 def get_demand(job, engine):
     """Return the size of a generation, as far as it is known."""
     return routing.Demand(
@@ -264,7 +283,12 @@
                 return _sends.Broken(_sends.describe_error(error))
             if whole:
                 broken = _pass_on(
-                    self._forwarder, caller, stream, headers, whole
+                    self._forwarder,
+                    caller,
+                    stream,
+                    headers,
+                    whole,
+                    self._job.route.pause_goal_s,
                 )
                 if broken is not None:
                     return broken
@@ -320,10 +344,9 @@
         A stage that leaves refuses new connections, and yet ends what it
         has begun.
         """
-        first = self.parts[0].endpoint
         return (
             not self._job.route.resumable
-            or not fleet.is_serving(self._forwarder.T, first)
+            or not fleet.is_serving(self._forwarder.T, self.parts[0])
             or not self._forwarder.can_send_again(self._job)
         )
 
@@ -358,7 +381,7 @@
         return {
             part.endpoint.address
             for part in self.parts[1:]
-            if not fleet.is_serving(T, part.endpoint)
+            if not fleet.is_serving(T, part)
         }
 
     async def _move(self, broken):
@@ -390,6 +413,9 @@
             demand = get_demand(self._job, engine)
             tokens = demand.prompt + demand.answer
         self._holdings = []
+        now = self._forwarder.now()
+        for pair in fleet.list_crossings(self.parts):
+            self._forwarder.T.crossings.record(pair, tokens, now)
         for part in self.parts:
             state = fleet.get_state(self._forwarder.T, part.endpoint)
             held = tokens * (len(part.layers) if part.layers else 0)
@@ -404,7 +430,7 @@
         self._holdings = []
 
 
-def _pass_on(forwarder, caller, stream, headers, events):
+def _pass_on(forwarder, caller, stream, headers, events, pause_goal_s):
     """Send events to the caller; return Broken where they do not fit."""
     fitting = []
     for event in events:
@@ -419,6 +445,8 @@
     if not stream.started:
         caller.start_answer(200, headers)
         stream.started = True
-    stream.record_events(len(fitting), forwarder.now())
+    now = forwarder.now()
+    pause_s = stream.record_events(len(fitting), now)
+    forwarder.pauses.record_event(pause_s, pause_goal_s, now)
     caller.send_data(b''.join(fitting))
     return None
--- a/sniperudder/platform/_documents.py
+++ b/sniperudder/platform/_documents.py
@@ -169,6 +169,7 @@
         public=take(value, 'public', bool, False),
         timeout_s=take_s(value, 'timeout_ms'),
         goal_s=take_s(value, 'goal_ms', 0.0),
+        pause_goal_s=take_s(value, 'gap_target_ms', 0.0),
         rank=take(value, 'priority', int, 0),
         max_attempts=max(1, take(value, 'max_attempts', int, 1)),
     )
--- a/sniperudder/routing/__init__.py
+++ b/sniperudder/routing/__init__.py
@@ -4,7 +4,7 @@
 from sniperudder.routing._chains import check_chain
 from sniperudder.routing._chains import choose_chain
 from sniperudder.routing._chains import Demand
-from sniperudder.routing._chains import extend_chain
+
 from sniperudder.routing._chains import find_chain
 from sniperudder.routing._chains import get_room
 from sniperudder.routing._chains import price_crossing
@@ -17,6 +17,9 @@
 from sniperudder.routing._health import record_refusal
 from sniperudder.routing._health import record_success
 from sniperudder.routing._plain import choose_endpoint
+from sniperudder.routing._pressure import get_shed_share
+from sniperudder.routing._pressure import PauseCounter
+from sniperudder.routing._pressure import update_level
 from sniperudder.routing._routes import draw_service
 from sniperudder.routing._routes import get_rank
 from sniperudder.routing._routes import match_route
@@ -24,15 +27,16 @@
 __all__ = [
     'CrashTable',
     'Demand',
+    'PauseCounter',
     'RepeatBudget',
     'check_chain',
     'choose_chain',
     'choose_endpoint',
     'draw_service',
-    'extend_chain',
     'find_chain',
     'get_rank',
     'get_room',
+    'get_shed_share',
     'is_avoided',
     'make_fingerprint',
     'match_route',
@@ -42,4 +46,5 @@
     'record_refusal',
     'record_success',
     'replace_parts',
+    'update_level',
 ]
--- a/sniperudder/routing/_chains.py
+++ b/sniperudder/routing/_chains.py
@@ -9,6 +9,7 @@
 
 import dataclasses
 import math
+import random
 
 from sniperudder import fleet
 
@@ -32,11 +33,18 @@
 # stays finite, so that a full fleet still has an order of preference.
 _MAX_FILL = 0.95
 
+# Largest share of an endpoint's KV cache and of a pipe that requests of
+# the most and of the least urgent rank may fill. Reservations count a whole
+# answer from the beginning, which takes half of that on average.
+_MOST_FILL = 1.1
+_LEAST_FILL = 0.85
+
 # Random share of a price: independent instances with like knowledge do
 # not all choose the same endpoint.
 _JITTER = 0.15
 
 _BITS_PER_MEGABIT = 1e6
+_MS_PER_S = 1000.0
 _BYTES_PER_MB = 1e6
 _TOKENS_PER_K = 1000.0
 
@@ -88,18 +96,37 @@
     return whole_ms / engine.layers / (1.0 - fill)
 
 
-def price_crossing(engine, demand):
-    """Return the price of passing between data centres once, ms."""
+def price_crossing(engine, demand, fill):
+    """Return the price of passing between two data centres once, ms.
+
+    Parameters
+    ----------
+    engine : sniperudder.fleet.Engine
+    demand : Demand
+    fill : float
+        Share of the pipe between them that is in use.
+
+    Returns
+    -------
+    float
+    """
     tokens = demand.prompt + demand.answer
     price = demand.answer * _CROSSING_DELAY_MS
     if engine.pipe_mbps:
-        bits = tokens * engine.activation_bytes * 8
-        ms = bits / (engine.pipe_mbps * _BITS_PER_MEGABIT) * 1000.0
-        price += ms * _PIPE_WEIGHT
+        ms = tokens * get_token_ms(engine)
+        price += ms * _PIPE_WEIGHT / (1.0 - min(fill, _MAX_FILL))
     return price
 
 
-def find_chain(priced, start, end, origin, crossing_ms, first_ms):
+def get_token_ms(engine):
+    """Return the time that one token takes of a pipe, ms."""
+    if not engine.pipe_mbps:
+        return 0.0
+    bits = engine.activation_bytes * 8
+    return bits / (engine.pipe_mbps * _BITS_PER_MEGABIT) * _MS_PER_S
+
+
+def find_chain(priced, start, end, origin, crossings, first_ms=None):
     """Return the cheapest chain over a range of layers.
 
     Dynamic programming over the ends of ranges: time is linear in the
@@ -113,9 +140,11 @@
         Layers to run; the end is exclusive.
     origin : str
         Data centre that the request comes from.
-    crossing_ms, first_ms : float
-        Price of passing between data centres, within the chain and on
-        the way to its first stage.
+    crossings : callable
+        Price of passing between two data centres, ms.
+    first_ms : float, optional
+        Price of another data centre than the origin for the first stage,
+        where no activations pass on the way to it, ms.
 
     Returns
     -------
@@ -129,7 +158,7 @@
     >>> right = fleet.Endpoint(
     ...     'b', 's', 'h:2', 'north', 8, False, '', fleet.Layers(2, 8), 0)
     >>> chain = find_chain(
-    ...     [(left, 1.0), (right, 2.0)], 0, 8, 'north', 9.0, 0.0)
+    ...     [(left, 1.0), (right, 2.0)], 0, 8, 'north', lambda *_: 9.0)
     >>> [(part.endpoint.id, len(part.layers)) for part in chain]
     [('a', 4), ('b', 4)]
     """
@@ -151,18 +180,16 @@
     for index, position in enumerate(ends):
         if not best[position]:
             continue
-        step_ms = first_ms if position == start else crossing_ms
+        free = first_ms if position == start else None
         for endpoint, price in holders:
             if not endpoint.layers.start <= position < endpoint.layers.end:
                 continue
             cost, origin_key = min(
-                (
-                    cost
-                    + (0.0 if centre == endpoint.data_centre else step_ms),
-                    centre,
-                )
+                (cost + _step(centre, endpoint, crossings, free), centre)
                 for centre, (cost, _, _) in best[position].items()
             )
+            if cost == math.inf:
+                continue
             for reached in ends[index + 1 :]:
                 if reached > endpoint.layers.end:
                     break
@@ -179,11 +206,11 @@
     return _merge_repeated(_trace_back(best, start, end))
 
 
-def choose_chain(T, endpoints, engine, demand, home, now, rng):
+def choose_chain(T, endpoints, engine, demand, home, now, rng, urgency=1.0):
     """Choose a chain for a new request.
 
     Endpoints that were set aside are used only where no chain exists
-    without them.
+    without them. Endpoints and pipes without room are not used at all.
 
     Parameters
     ----------
@@ -196,83 +223,87 @@
     now : float
         Seconds.
     rng : random.Random
+    urgency : float
+        1 for the most urgent rank, 0 for the least; a part of all room
+        is kept for those more urgent.
 
     Returns
     -------
     tuple of sniperudder.fleet.Part
         Empty where the layers are not covered.
     """
-    return extend_chain(
-        T,
-        endpoints,
-        engine,
-        demand,
+    limit = _LEAST_FILL + (_MOST_FILL - _LEAST_FILL) * urgency
+    return _extend_chain(
+        _Search(T, endpoints, engine, demand, now, rng, limit),
         (0, engine.layers),
         home,
         _FIRST_CROSSING_MS,
-        now,
-        rng,
     )
 
 
-def extend_chain(
-    T,
-    endpoints,
-    engine,
-    demand,
-    span,
-    origin,
-    first_ms,
-    now,
-    rng,
-):
-    """Choose a chain over a span of layers; see `choose_chain`.
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Search:
+    """What a chain is looked for with; see `choose_chain`.
 
-    Parameters
+    Attributes
     ----------
-    span : (int, int)
-    origin : str
-        Data centre that the span is reached from.
-    first_ms : float or None
-        Price of leaving it, ms; None for that of activations.
+    limit : float
+        Largest share of KV cache and of pipes in use.
     """
-    # Candidates in three grades, each used where the better ones leave a
-    # gap: with room, without room, set aside after a failure.
-    grades = [], [], []
+
+    T: fleet.FleetTables
+    endpoints: list
+    engine: fleet.Engine
+    demand: Demand
+    now: float
+    rng: random.Random
+    limit: float
+
+
+def _extend_chain(search, span, origin, first_ms=None):
+    """Choose a chain over a span of layers."""
+    T, engine, demand = search.T, search.engine, search.demand
+    usable, avoided = [], []
     tokens = demand.prompt + demand.answer
-    for endpoint in endpoints:
+    for endpoint in search.endpoints:
         state = fleet.get_state(T, endpoint)
         load = fleet.get_load(T, endpoint)
-        price = price_layer(endpoint, load, engine, demand)
-        entry = endpoint, price * (1.0 + _JITTER * rng.random())
-        if now < state.avoid_until:
-            grades[2].append(entry)
-        elif not has_room(endpoint, load, engine, tokens, span):
-            grades[1].append(entry)
-        else:
-            grades[0].append(entry)
-    crossing_ms = price_crossing(engine, demand)
-    first_ms = crossing_ms if first_ms is None else first_ms
-    candidates = []
-    for grade in grades:
-        if not grade:
+        if not has_room(endpoint, load, engine, tokens, span, search.limit):
             continue
-        candidates += grade
-        chain = find_chain(candidates, *span, origin, crossing_ms, first_ms)
-        if chain:
+        price = price_layer(endpoint, load, engine, demand)
+        entry = endpoint, price * (1.0 + _JITTER * search.rng.random())
+        (avoided if search.now < state.avoid_until else usable).append(entry)
+    fills = {}
+
+    def price_way(centre, other):
+        pair = tuple(sorted((centre, other)))
+        fill = fills.get(pair)
+        if fill is None:
+            rate = T.crossings.get_rate(pair, search.now)
+            rate += T.peers.get_crossing_rate(pair)
+            fill = fills[pair] = rate * get_token_ms(engine) / _MS_PER_S
+        if fill > search.limit:
+            return math.inf
+        return price_crossing(engine, demand, fill)
+
+    for candidates in (usable, usable + avoided):
+        chain = find_chain(candidates, *span, origin, price_way, first_ms)
+        if chain or not avoided:
             return chain
     return ()
 
 
-def has_room(endpoint, load, engine, tokens, span):
+def has_room(endpoint, load, engine, tokens, span, limit):
     """Tell whether a further request fits an endpoint's KV cache."""
     if endpoint.layers is None:
         return False
+    if limit == math.inf:
+        return True
     start = max(endpoint.layers.start, span[0])
     end = min(endpoint.layers.end, span[1])
     asked = tokens * max(end - start, 0)
     room = get_room(endpoint, engine)
-    return load.token_layers + asked <= room * _MAX_FILL
+    return load.token_layers + asked <= room * limit
 
 
 def replace_parts(T, endpoints, engine, demand, parts, broken, now, rng):
@@ -304,16 +335,11 @@
         if part.endpoint.address not in broken:
             made.append(part)
             continue
-        fresh = extend_chain(
-            T,
-            [e for e in endpoints if e.address not in used],
-            engine,
-            demand,
+        unused = [e for e in endpoints if e.address not in used]
+        fresh = _extend_chain(
+            _Search(T, unused, engine, demand, now, rng, math.inf),
             (part.layers.start, part.layers.end),
             made[-1].endpoint.data_centre,
-            None,
-            now,
-            rng,
         )
         if not fresh:
             break
@@ -324,20 +350,16 @@
     # No endpoint is left for just these layers: replace all behind the
     # first stage.
     first = parts[0]
-    rest = extend_chain(
-        T,
-        [
-            e
-            for e in endpoints
-            if e.address not in broken and e.address != first.endpoint.address
-        ],
-        engine,
-        demand,
+    others = [
+        endpoint
+        for endpoint in endpoints
+        if endpoint.address not in broken
+        and endpoint.address != first.endpoint.address
+    ]
+    rest = _extend_chain(
+        _Search(T, others, engine, demand, now, rng, math.inf),
         (first.layers.end, engine.layers),
         first.endpoint.data_centre,
-        None,
-        now,
-        rng,
     )
     return (first, *rest) if rest else ()
 
@@ -361,6 +383,15 @@
     assert len(addresses) == len(parts), parts
 
 
+def _step(centre, endpoint, crossings, free_ms):
+    """Return the price of the way to an endpoint from a data centre."""
+    if centre == endpoint.data_centre:
+        return 0.0
+    if free_ms is not None:
+        return free_ms
+    return crossings(centre, endpoint.data_centre)
+
+
 def _trace_back(best, start, end):
     parts = []
     position = end
--- a/sniperudder/routing/tests/test_requests.py
+++ b/sniperudder/routing/tests/test_requests.py
@@ -20,6 +20,7 @@
         'public': False,
         'timeout_s': 1.0,
         'goal_s': 0.1,
+        'pause_goal_s': 0.0,
         'rank': 1,
         'max_attempts': 2,
         **fields,
