Set silent stages aside for longer, and tell other instances of them

Ruled out: missing copies of the layers, every range was held elsewhere.

Change: refusals without any progress between them set a stage aside for doubled times; stages found dead are told in the digests and believed unless something went on there within 0.5 s; a store that fails is asked every 0.8 s at most.

--- a/sniperudder/entry/_gossip.py
+++ b/sniperudder/entry/_gossip.py
@@ -121,7 +121,7 @@
             incarnation=self._incarnation,
             sequence=self._sequence,
             loads=loads,
-            faults=(),
+            faults=self._forwarder.list_faults(),
             crashes=self._forwarder.crashes.list_counts(),
             lease_version=self._placer.lease_version,
             events=events,
@@ -135,6 +135,7 @@
         now = _read_clock()
         if self._T.peers.record_digest(digest, address, now):
             self._forwarder.crashes.record_heard(digest.sender, digest.crashes)
+            self._forwarder.take_faults(digest.sender, digest.faults)
             if digest.lease_version:
                 self._placer.hear_lease(digest.lease_version)
 
--- a/sniperudder/entry/_watchers.py
+++ b/sniperudder/entry/_watchers.py
@@ -10,7 +10,7 @@
 
 # Pauses between calls to a store that fails, seconds.
 _FIRST_PAUSE_S = 0.1
-_MAX_PAUSE_S = 0.4
+_MAX_PAUSE_S = 0.8
 
 
 class TableWatcher:
--- a/sniperudder/fleet/_endpoints.py
+++ b/sniperudder/fleet/_endpoints.py
@@ -66,8 +66,14 @@
         KV cache that these may take, tokens x layers.
     failures : int
         Failures since the last success.
+    refusals : int
+        Refusals since something went on there.
+    refused_at : float
+        When it last refused a request, seconds.
     avoid_until : float
         Time until which other endpoints are preferred, seconds.
+    dead_until : float
+        Time until which other instances are told to avoid it, seconds.
     progress_at : float
         When it last answered or passed a token, seconds.
     """
@@ -75,7 +81,10 @@
     requests: int = 0
     token_layers: float = 0.0
     failures: int = 0
+    refusals: int = 0
+    refused_at: float = 0.0
     avoid_until: float = 0.0
+    dead_until: float = 0.0
     progress_at: float = 0.0
 
 
--- a/sniperudder/forwarding/_forwarder.py
+++ b/sniperudder/forwarding/_forwarder.py
@@ -5,6 +5,7 @@
 import json
 import random
 
+from sniperudder import digests
 from sniperudder import fleet
 from sniperudder.forwarding import _moves
 from sniperudder.forwarding import _sends
@@ -178,6 +179,27 @@
                 instances=self.T.peers.count_alive(),
             )
 
+    def list_faults(self):
+        """Return the stages that other instances should avoid."""
+        now = self.now()
+        return tuple(
+            digests.Fault(name, born_ms, state.dead_until - now)
+            for (name, born_ms), state in self.T.states.items()
+            if state.dead_until > now
+        )
+
+    def take_faults(self, sender, faults):
+        """Avoid the stages that another instance found dead."""
+        now = self.now()
+        for fault in faults:
+            state = self.T.states.get((fault.endpoint, fault.born_ms))
+            if state is None or routing.is_avoided(state, now):
+                continue
+            if routing.record_told(state, now, fault.left_s):
+                self.journal.write(
+                    'endpoint:told dead', fault.endpoint, by=sender
+                )
+
     def _list_ranks(self):
         configuration = self.T.configuration
         return {
@@ -296,7 +318,7 @@
             routing.record_failure(state, now)
         elif took_s >= self.settings.bounds.stall_s * _STALLED_SHARE:
             # The engine gave up waiting for this stage.
-            routing.record_failure(state, now, _moves.DEAD_AVOID_S)
+            routing.record_dead(state, now, _moves.DEAD_AVOID_S)
         else:
             routing.record_refusal(state, now)
         job.tried.add(fault.id)
--- a/sniperudder/forwarding/_moves.py
+++ b/sniperudder/forwarding/_moves.py
@@ -171,7 +171,7 @@
                     self._journal.write(
                         'endpoint:dead', endpoint.id, address=address
                     )
-                routing.record_failure(state, now, DEAD_AVOID_S)
+                routing.record_dead(state, now, DEAD_AVOID_S)
 
     def _note_move(self, request_id, parts, broken, outcome):
         self._journal.write(
--- a/sniperudder/routing/__init__.py
+++ b/sniperudder/routing/__init__.py
@@ -13,9 +13,11 @@
 from sniperudder.routing._crashes import CrashTable
 from sniperudder.routing._crashes import make_fingerprint
 from sniperudder.routing._health import is_avoided
+from sniperudder.routing._health import record_dead
 from sniperudder.routing._health import record_failure
 from sniperudder.routing._health import record_refusal
 from sniperudder.routing._health import record_success
+from sniperudder.routing._health import record_told
 from sniperudder.routing._plain import choose_endpoint
 from sniperudder.routing._pressure import get_shed_share
 from sniperudder.routing._pressure import PauseCounter
@@ -42,9 +44,11 @@
     'match_route',
     'price_crossing',
     'price_layer',
+    'record_dead',
     'record_failure',
     'record_refusal',
     'record_success',
+    'record_told',
     'replace_parts',
     'update_level',
 ]
--- a/sniperudder/routing/_health.py
+++ b/sniperudder/routing/_health.py
@@ -5,9 +5,17 @@
 _FIRST_AVOID_S = 0.5
 
 # Time for which an endpoint without room is passed over, seconds; half of
-# what passes between two digests of a peer.
+# what passes between two digests of a peer. Doubled with each refusal
+# while nothing goes on there: a stage that is gone refuses just as fast.
 _REFUSED_S = 0.15
 
+# Refusals without progress after which other instances are told.
+_TOLD_REFUSALS = 3
+
+# Age up to which progress at an endpoint disproves what others tell of
+# it, seconds: twice the time between two digests.
+_DISPROOF_S = 0.5
+
 # Longest time after failures: an endpoint that died is off the platform's
 # list after three heartbeats of 1.2 s.
 _MAX_AVOID_S = 4.0
@@ -31,18 +39,47 @@
 
 
 def record_refusal(state, now):
-    """Prefer other endpoints for a moment after one had no room.
+    """Prefer other endpoints for a while after one refused a request.
+
+    An endpoint without room goes on with what it has; where nothing goes
+    on between refusals, it is taken for dead.
+    """
+    if state.progress_at > state.refused_at:
+        state.refusals = 0
+    state.refusals += 1
+    state.refused_at = now
+    avoid_s = min(_REFUSED_S * 2 ** (state.refusals - 1), _MAX_AVOID_S)
+    state.avoid_until = max(state.avoid_until, now + avoid_s)
+    if state.refusals >= _TOLD_REFUSALS:
+        state.dead_until = max(state.dead_until, now + avoid_s)
+
+
+def record_dead(state, now, avoid_s):
+    """Set aside an endpoint that an engine found dead."""
+    record_failure(state, now, avoid_s)
+    state.dead_until = max(state.dead_until, now + avoid_s)
+
+
+def record_told(state, now, left_s):
+    """Take in that another instance found an endpoint dead.
 
-    Unlike a failure this says nothing of the endpoint's health: room
-    comes back as requests end, some of them each moment.
+    Returns
+    -------
+    bool
+        Whether it is believed: nothing has gone on there lately.
     """
-    state.avoid_until = max(state.avoid_until, now + _REFUSED_S)
+    if now - state.progress_at < _DISPROOF_S:
+        return False
+    state.avoid_until = max(state.avoid_until, now + left_s)
+    return True
 
 
 def record_success(state, now):
     """Note that an endpoint worked."""
     state.failures = 0
+    state.refusals = 0
     state.avoid_until = 0.0
+    state.dead_until = 0.0
     state.progress_at = now
 
 
