Tell one request's story over many logs; tell how many lines were lost

Change: the command `story` reads logs of many processes and prints the lines about one request, endpoint or version in causal order; cut and foreign lines are skipped and counted. The log writer tells in a line of its own how many lines it dropped. test_stalled_reader_holds_up_nobody expected no line at all for 400 dropped ones; it now expects exactly that one besides the same 101 lines.

--- a/sniperudder/commands/_local.py
+++ b/sniperudder/commands/_local.py
@@ -106,6 +106,24 @@
     return Status.DONE
 
 
+def story(subject, *log):
+    """Print what logs tell of one request, endpoint or version.
+
+    Parameters
+    ----------
+    subject : str
+        Id of a request or endpoint, or whatever lines are about.
+    log : str
+        Log files of any number of instances.
+    """
+    lines = []
+    for path in log:
+        with open(path, encoding='utf-8', errors='replace') as file:
+            lines += file
+    print(logs.render_story(logs.read_story(lines, subject)))
+    return Status.DONE
+
+
 def codes(*, markdown=False):
     """List the result codes that callers, logs and operators see.
 
--- a/sniperudder/commands/_main.py
+++ b/sniperudder/commands/_main.py
@@ -43,6 +43,7 @@
     _remote.query,
     _remote.command,
     _local.timeline,
+    _local.story,
     _local.codes,
     _local.version,
 )
--- a/sniperudder/logs/__init__.py
+++ b/sniperudder/logs/__init__.py
@@ -6,6 +6,8 @@
 from sniperudder.logs._log import create_log
 from sniperudder.logs._log import Log
 from sniperudder.logs._log import write_note
+from sniperudder.logs._stories import read_story
+from sniperudder.logs._stories import render_story
 from sniperudder.logs._tasks import continue_task
 from sniperudder.logs._tasks import make_task
 from sniperudder.logs._tasks import TASK_HEADER
@@ -20,7 +22,9 @@
     'continue_task',
     'create_log',
     'make_task',
+    'read_story',
     'read_timeline',
+    'render_story',
     'render_svg',
     'render_text',
     'write_note',
--- a/sniperudder/logs/_writer.py
+++ b/sniperudder/logs/_writer.py
@@ -2,6 +2,7 @@
 
 import atexit
 import collections
+import json
 import threading
 import time
 
@@ -19,7 +20,7 @@
     """Writes lines to a stream without making its callers wait.
 
     Lines that find the buffer full, or whose writing fails, are dropped;
-    the numbers of the lines show it.
+    a line of its own tells their number once there is room again.
 
     Parameters
     ----------
@@ -30,6 +31,7 @@
     """
 
     __slots__ = (
+        '_dropped',
         '_ended',
         '_lines',
         '_max_waiting',
@@ -43,6 +45,7 @@
         self._max_waiting = max_waiting
         self._lines = collections.deque()
         self._wake = threading.Event()
+        self._dropped = 0
         self._ended = False
         self._thread = threading.Thread(
             target=self._write_lines, name='log', daemon=True
@@ -54,6 +57,7 @@
     def write_line(self, line):
         """Give a line to the writing thread; for one caller at a time."""
         if len(self._lines) >= self._max_waiting:
+            self._dropped += 1
             return
         self._lines.append(line)
         if not self._wake.is_set():
@@ -83,9 +87,14 @@
             lines.append(self._lines.popleft() + '\n')
         if not lines:
             return
+        dropped, self._dropped = self._dropped, 0
+        if dropped:
+            told = {'message_type': 'log:dropped', 'lines': dropped}
+            lines.append(json.dumps(told) + '\n')
         try:
             self._stream.write(''.join(lines))
             self._stream.flush()
         except (OSError, ValueError):
-            # A log that is gone must not end the work.
-            pass
+            # A log that is gone must not end the work; what is lost is
+            # told with the next lines that can be written.
+            self._dropped += dropped + len(lines)
--- a/sniperudder/logs/tests/test_log.py
+++ b/sniperudder/logs/tests/test_log.py
@@ -84,7 +84,8 @@
         stream.go_on.set()
         self.assertTrue(writer.close())
         lines = stream.getvalue().splitlines()
-        self.assertEqual(['first', *map(str, range(100))], lines)
+        told = '{"message_type": "log:dropped", "lines": 400}'
+        self.assertEqual(['first', *map(str, range(100)), told], lines)
 
     def test_stream_that_fails_holds_up_nobody(self):
         log = logs.create_log(_BrokenStream(), 'entry-1')
--- /dev/null
+++ b/sniperudder/logs/tests/test_stories.py
@@ -0,0 +1,40 @@
+import json
+
+import testtools
+
+from sniperudder import logs
+
+
+def make_line(clock, subject, event='request:sent', **fields):
+    """Return a line of a log."""
+    line = {
+        'message_type': event,
+        'subject': subject,
+        'clock': clock,
+        'instance': 'entry-1',
+        **fields,
+    }
+    return json.dumps(line)
+
+
+class TestStory(testtools.TestCase):
+    def test_lines_of_all_logs_come_in_order(self):
+        story = logs.read_story(
+            [make_line(5, 'r-1'), make_line(3, 'r-1'), make_line(4, 'r-2')],
+            'r-1',
+        )
+        self.assertEqual([3, 5], [line.clock for line in story.lines])
+
+    def test_mention_in_a_field_counts(self):
+        lines = [make_line(1, 'r-1', path='10.1.0.1:80=0-8')]
+        self.assertEqual(1, len(logs.read_story(lines, '10.1.0.1:80').lines))
+
+    def test_foreign_and_cut_lines_are_skipped_and_told(self):
+        whole = make_line(1, 'r-1')
+        lines = [whole, whole[:20], 'Traceback', '[1]', '{"a": 1}', '{' * 9]
+        story = logs.read_story(lines, 'r-1')
+        self.assertEqual((1, 5), (len(story.lines), story.skipped))
+        self.assertIn('5 lines', logs.render_story(story))
+
+    def test_nothing_found(self):
+        self.assertEqual('', logs.render_story(logs.read_story([], 'r-1')))
