--- a/sniperudder/entry/tests/test_streams.py
+++ b/sniperudder/entry/tests/test_streams.py
@@ -149,6 +149,48 @@
         )
 
 
+class LeavingStageTest(testtools.TestCase):
+    def test_silent_stream_is_moved_off_a_stage_that_left(self):
+        # Pattern: a stage leaves and ends before its streams do; reports
+        # of the first stage do not tell of it in time.
+        first = create_engine('gpu-1', 'half', (0, 4))
+        left = create_engine('gpu-2', 'half', (4, 8))
+        spare = create_engine('gpu-3', 'half', (4, 8))
+        spare.data_centre = 'south'
+        moved_at = []
+
+        async def run():
+            engine = standins.make_engine(cards=_CARDS)
+            fleet_options = {'engine': engine}
+            async with _fleets.run_fleet(
+                first, left, spare, **fleet_options
+            ) as fleet:
+                await fleet.await_placed()
+                loop = asyncio.get_running_loop()
+
+                async def stall(request, http, writer):
+                    await first.send_stream(request, http, writer, upto=1)
+                    fleet.store.put('servers', left.id, None)
+                    began = loop.time()
+                    while not any(
+                        order['operation'] == 'repath'
+                        for order in first.orders
+                    ):
+                        await asyncio.sleep(0.01)
+                    moved_at.append(loop.time() - began)
+                    data = b'id: 2\ndata: 2\n\n'
+                    writer.write(http.send(h11.Data(data=data)))
+                    writer.write(http.send(h11.EndOfMessage()))
+
+                first.script.append(stall)
+                status, _, body = await fleet.send('/stream/a')
+                self.assertEqual((200, [1, 2]), (status, list_ids(body)))
+
+        asyncio.run(run())
+        # Callers leave a stream after a pause of 2 s.
+        self.assertLess(moved_at[0], 1.0)
+
+
 class PlacementTest(testtools.TestCase):
     def test_empty_engines_are_given_all_layers(self):
         engines = [create_engine(f'gpu-{n}', 'half') for n in range(4)]
--- a/sniperudder/forwarding/_streams.py
+++ b/sniperudder/forwarding/_streams.py
@@ -342,8 +342,12 @@
             return self._must_wait()
         if address is None and self._is_mute():
             return self._must_wait()
+        # Reports lag; a stage that left needs no report.
+        broken = self._list_leaving()
         if address is not None:
-            await self._move({address})
+            broken.add(address)
+        if broken:
+            await self._move(broken)
         return True
 
     def _must_wait(self):
