Split the forwarder; share the common fields of log lines

Cause: _forwarder.py had grown to 547 lines with three jobs (admission, pressure of the fleet, the way of a request); two modules of the logs held the same set of fields.

--- a/sniperudder/entry/_entry.py
+++ b/sniperudder/entry/_entry.py
@@ -262,7 +262,7 @@
             'endpoint_channels_opened': self._requests.opened,
             'endpoints': len(self._T.endpoints),
             'instances': self._T.peers.count_alive(),
-            'pressure': self._forwarder.level,
+            'pressure': self._forwarder.pressure.level,
         }
         for name, value in gauges.items():
             metrics.set_gauge(self._measures, name, value)
--- a/sniperudder/entry/_gossip.py
+++ b/sniperudder/entry/_gossip.py
@@ -60,7 +60,7 @@
             period_s = max(_PERIOD_S, peers * _PERIOD_PER_PEER_S)
             await asyncio.sleep(period_s)
             now = _read_clock()
-            self._forwarder.update_pressure(period_s)
+            self._forwarder.pressure.update(period_s)
             for name in self._T.peers.drop_silent(now):
                 self._journal.write('instance:silent', name)
             due = self._T.peers.list_due(now)
@@ -111,7 +111,7 @@
 
     def _make_digest(self):
         self._sequence += 1
-        events, slow_events = self._forwarder.count_events()
+        events, slow_events = self._forwarder.pressure.count_events()
         loads = {}
         for (name, _), state in self._T.states.items():
             if state.requests > 0:
--- a/sniperudder/forwarding/_forwarder.py
+++ b/sniperudder/forwarding/_forwarder.py
@@ -1,13 +1,13 @@
 """The way of a request from its caller to its final answer."""
 
 import asyncio
-import dataclasses
-import json
 import random
 
 from sniperudder import digests
 from sniperudder import fleet
+from sniperudder.forwarding import _jobs
 from sniperudder.forwarding import _moves
+from sniperudder.forwarding import _pressure
 from sniperudder.forwarding import _sends
 from sniperudder.forwarding import _streams
 from sniperudder import metrics
@@ -15,16 +15,6 @@
 from sniperudder import platform
 from sniperudder import routing
 
-# Time before a caller's own deadline at which the final answer leaves,
-# seconds: one way to the caller, and the work to send it.
-_ANSWER_MARGIN_S = 0.02
-
-# What a refused caller is told to wait, seconds: a moment where the cause
-# may be over soon; under pressure between one and two lives of a stream,
-# drawn at random so that those who return do not come as a wave.
-_RETRY_AFTER_S = 0.5
-_SHED_RETRY_S = (2.0, 4.0)
-
 # Sends that were not run and are followed by another one, and the pause
 # after the first of them, doubled each time, seconds: four pauses stay
 # under the time for which callers wait for a first event.
@@ -43,67 +33,6 @@
 
 _Code = outcomes.Code
 
-_STATUSES = {
-    _Code.UNKNOWN_ROUTE: 404,
-    _Code.UNKNOWN_KEY: 401,
-    _Code.NOT_FRESH: 503,
-    _Code.NO_ENDPOINT: 503,
-    _Code.TARGET_UNREACHABLE: 503,
-    _Code.DEADLINE_BEFORE_START: 503,
-    _Code.SHED: 503,
-    _Code.CONTENT_CONDEMNED: 503,
-    _Code.RETRIES_EXHAUSTED: 502,
-    _Code.DEADLINE_WHILE_RUNNING: 504,
-}
-
-
-@dataclasses.dataclass(slots=True)
-class Job:
-    """A request under way.
-
-    Attributes
-    ----------
-    request : CallerRequest
-    head : sniperudder.platform.RequestHead
-    route : sniperudder.fleet.Route
-    service : sniperudder.fleet.Service
-    organisation : sniperudder.fleet.Organisation or None
-    rank : int
-    hide_key : bool
-    deadline : float
-        Loop time of the final answer, seconds.
-    caller_deadline : float or None
-        Loop time until which the caller waits.
-    attempts : int
-        Endpoints that may have run it.
-    refusals : int
-        Sends that no endpoint ran.
-    tried : set of str
-        Ids of endpoints that failed it.
-    maybe_run : bool
-        Whether an endpoint may have run it.
-    sends : list of str
-        What became of each send, for the log.
-    endpoint : sniperudder.fleet.Endpoint or None
-        First endpoint of the send that is under way.
-    """
-
-    request: object
-    head: platform.RequestHead
-    route: fleet.Route
-    service: fleet.Service
-    organisation: fleet.Organisation | None
-    rank: int
-    hide_key: bool
-    deadline: float
-    caller_deadline: float | None
-    attempts: int = 0
-    refusals: int = 0
-    tried: set = dataclasses.field(default_factory=set)
-    maybe_run: bool = False
-    sends: list = dataclasses.field(default_factory=list)
-    endpoint: fleet.Endpoint | None = None
-
 
 class Forwarder:
     """Forwards requests to endpoints.
@@ -127,23 +56,23 @@
         self.measures = measures
         self.rng = rng or random.Random()
         self.crashes = routing.CrashTable()
-        self.pauses = routing.PauseCounter()
-        self.level = 0.0
+        self.pressure = _pressure.FleetPressure(T, self.rng, journal)
         self.mover = _moves.Mover(T, self.rng, journal)
         self._budgets = {}
 
     async def handle(self, request, caller):
         """Answer one request; the server's handler."""
-        job = self._admit(request, caller)
-        if job is None:
+        job = _jobs.create_job(self.T, request, self.rng)
+        if isinstance(job, _jobs.Rejection):
+            self._reject(job, caller)
             return
         self.get_budget(job.service.name).record_request(self.now())
         if self.crashes.is_condemned(self.make_fingerprint(job)):
             reason = 'crashed endpoints before'
             self.refuse(job, caller, _Code.CONTENT_CONDEMNED, reason)
             return
-        if job.route.streaming and self._sheds(job):
-            reason = f'pressure level {self.level:.2f}'
+        if job.route.streaming and self.pressure.sheds(job.rank):
+            reason = f'pressure level {self.pressure.level:.2f}'
             self.refuse(job, caller, _Code.SHED, reason)
             return
         try:
@@ -158,30 +87,6 @@
             self.note_end(job, _Code.CALLER_LEFT)
             raise
 
-    def count_events(self):
-        """Return this instance's events of the last second, and slow ones."""
-        return self.pauses.count(self.now())
-
-    def update_pressure(self, elapsed_s):
-        """Adapt what is shed to the pauses of all instances' streams."""
-        if self.T.configuration is None:
-            return
-        own, own_slow = self.count_events()
-        others, others_slow = self.T.peers.count_events()
-        events, slow = own + others, own_slow + others_slow
-        before = self.level
-        self.level = routing.update_level(
-            before, events, slow, elapsed_s, len(self._list_ranks())
-        )
-        if (before > 0) != (self.level > 0):
-            self.journal.write(
-                'pressure:changed',
-                level=self.level,
-                events=events,
-                slow_events=slow,
-                instances=self.T.peers.count_alive(),
-            )
-
     def list_faults(self):
         """Return the stages that other instances should avoid."""
         now = self.now()
@@ -203,31 +108,6 @@
                     'endpoint:told dead', fault.endpoint, by=sender
                 )
 
-    def _list_ranks(self):
-        configuration = self.T.configuration
-        return {
-            route.rank
-            for routes in configuration.routes.values()
-            for route in routes
-            if route.streaming
-        }
-
-    def get_urgency(self, job):
-        """Return 1 for the most urgent rank in use, 0 for the least."""
-        ranks = sorted(self._list_ranks() | {job.rank})
-        if job.attempts or len(ranks) < 2:
-            # What has begun elsewhere is not given up for want of rank.
-            return 1.0
-        return 1.0 - ranks.index(job.rank) / (len(ranks) - 1)
-
-    def _sheds(self, job):
-        if self.level <= 0:
-            return False
-        share = routing.get_shed_share(
-            self.level, job.rank, self._list_ranks()
-        )
-        return self.rng.random() < share
-
     def now(self):
         """Return the loop's time, seconds."""
         return asyncio.get_running_loop().time()
@@ -286,7 +166,9 @@
         """Return the request as the first endpoint of a chain gets it."""
         request = job.request
         organisation = job.organisation
-        headers = [(b'Host', get_header(request.headers, b'host') or b'')]
+        headers = [
+            (b'Host', _jobs.get_header(request.headers, b'host') or b'')
+        ]
         headers += platform.make_forwarded(request.headers, job.hide_key)
         headers += platform.make_send_headers(
             parts,
@@ -353,7 +235,7 @@
 
     def refuse(self, job, caller, code, reason):
         """Answer for the system itself, and log it."""
-        send_refusal(caller, code, reason)
+        _jobs.send_refusal(caller, code, reason)
         self.note_end(job, code, reason)
 
     def note_end(self, job, code, reason='', **fields):
@@ -380,59 +262,14 @@
             duration_ms=round(took_s * 1000),
         )
 
-    def _admit(self, request, caller):
-        head = platform.read_request_head(
-            (name, value) for name, _, value in request.headers
-        )
-        configuration = self.T.configuration
-        if configuration is None:
-            self._reject(head, caller, _Code.NOT_FRESH)
-            return None
-        host = get_header(request.headers, b'host') or b''
-        route = routing.match_route(
-            configuration,
-            host.decode('latin-1'),
-            request.target.decode('latin-1'),
-        )
-        if route is None:
-            self._reject(head, caller, _Code.UNKNOWN_ROUTE)
-            return None
-        organisation = None
-        if configuration.keys is not None:
-            organisation = configuration.keys.get(head.key)
-            if organisation is None and not route.public:
-                self._reject(head, caller, _Code.UNKNOWN_KEY)
-                return None
-        service = configuration.services.get(
-            routing.draw_service(route, self.rng)
-        )
-        if service is None:
-            self._reject(head, caller, _Code.NO_ENDPOINT)
-            return None
-        deadline = request.arrived_at + route.timeout_s
-        caller_deadline = None
-        if head.wait_s is not None:
-            caller_deadline = request.arrived_at + head.wait_s
-            deadline = min(deadline, caller_deadline - _ANSWER_MARGIN_S)
-        return Job(
-            request=request,
-            head=head,
-            route=route,
-            service=service,
-            organisation=organisation,
-            rank=routing.get_rank(route, organisation),
-            hide_key=configuration.keys is not None,
-            deadline=deadline,
-            caller_deadline=caller_deadline,
-        )
-
-    def _reject(self, head, caller, code):
-        send_refusal(caller, code, '')
+    def _reject(self, rejection, caller):
+        code = rejection.code
+        _jobs.send_refusal(caller, code, '')
         metrics.count_event(self.measures, f'rejected:{code.name.lower()}')
         version = self.T.configuration and self.T.configuration.version
         self.journal.write(
             'request:rejected',
-            head.request_id,
+            rejection.request_id,
             code=int(code),
             version=version,
         )
@@ -517,31 +354,3 @@
         else:
             code = _Code.DEADLINE_BEFORE_START
         self.refuse(job, caller, code, 'no answer in time')
-
-
-def send_refusal(caller, code, reason):
-    """Send an answer of the system's own.
-
-    Parameters
-    ----------
-    caller : CallerChannel
-    code : sniperudder.outcomes.Code
-    reason : str
-    """
-    status = _STATUSES[code]
-    body = json.dumps({'code': int(code), 'reason': reason}).encode()
-    headers = [(b'Content-Type', b'application/json')]
-    if status == 503:
-        wait_s = _RETRY_AFTER_S
-        if code is _Code.SHED:
-            wait_s = random.uniform(*_SHED_RETRY_S)
-        headers.append((b'Retry-After', b'%.1f' % wait_s))
-    caller.send_answer(status, headers, body)
-
-
-def get_header(headers, wanted):
-    """Return the value of a header, or None."""
-    for name, _, value in headers:
-        if name == wanted:
-            return value
-    return None
--- a/sniperudder/forwarding/_streams.py
+++ b/sniperudder/forwarding/_streams.py
@@ -163,7 +163,8 @@
         home,
         now,
         forwarder.rng,
-        forwarder.get_urgency(job),
+        # What has begun elsewhere is not given up for want of rank.
+        1.0 if job.attempts else forwarder.pressure.get_urgency(job.rank),
     )
     if parts:
         routing.check_chain(parts, engine.layers)
@@ -457,8 +458,7 @@
     if not stream.started:
         caller.start_answer(200, headers)
         stream.started = True
-    now = forwarder.now()
-    pause_s = stream.record_events(len(fitting), now)
-    forwarder.pauses.record_event(pause_s, pause_goal_s, now)
+    pause_s = stream.record_events(len(fitting), forwarder.now())
+    forwarder.pressure.record_event(pause_s, pause_goal_s)
     caller.send_data(b''.join(fitting))
     return None
--- a/sniperudder/logs/_events.py
+++ b/sniperudder/logs/_events.py
@@ -4,7 +4,7 @@
 import json
 
 # Fields that every line has; the others are shown as detail.
-_COMMON = frozenset(
+COMMON_FIELDS = frozenset(
     (
         'action_status',
         'action_type',
@@ -160,7 +160,7 @@
 def _describe_detail(fields):
     parts = [str(fields.get('detail', ''))]
     for name, value in fields.items():
-        if name not in _COMMON:
+        if name not in COMMON_FIELDS:
             parts.append(f'{name}={value}')
     return ' '.join(part for part in parts if part)
 
--- a/sniperudder/logs/_stories.py
+++ b/sniperudder/logs/_stories.py
@@ -3,19 +3,7 @@
 import dataclasses
 import json
 
-# Fields that say where a line stands, and nothing of what happened.
-_PLACE_FIELDS = frozenset(
-    {
-        'clock',
-        'instance',
-        'message_type',
-        'sequence',
-        'subject',
-        'task_level',
-        'task_uuid',
-        'timestamp',
-    }
-)
+from sniperudder.logs import _events
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -127,7 +115,7 @@
             fields={
                 name: found
                 for name, found in value.items()
-                if name not in _PLACE_FIELDS
+                if name not in _events.COMMON_FIELDS
             },
         )
     except (AttributeError, KeyError, RecursionError, TypeError, ValueError):
