Move streams beside their forwarding; guess a silent stage

Config probes that outlast their route marked plain endpoints as failing, and all instances were told.

Change: moves run beside the forwarding; they begin 1.5 s after a stage leaves (1.0); a silent stream is looked at every 0.3 s; where exactly one stage shows no progress of any stream, it is left without a report; a request that outlasts its route counts as a refusal, not as a failure.

Tests first: SlowOrderTest, SilentStageTest.

--- a/sniperudder/entry/tests/test_streams.py
+++ b/sniperudder/entry/tests/test_streams.py
@@ -191,6 +191,91 @@
         self.assertLess(moved_at[0], 1.0)
 
 
+class SilentStageTest(testtools.TestCase):
+    def test_stage_without_any_progress_is_left(self):
+        # Pattern: a stage crashes, and reports do not name it yet. Streams
+        # beside the stalled one show that the other stages go on.
+        first = create_engine('gpu-1', 'half', (0, 4))
+        dead = create_engine('gpu-2', 'half', (4, 8))
+        spare = create_engine('gpu-3', 'half', (4, 8))
+        first.events, first.event_s = 60, 0.05
+        paths = []
+
+        async def stall(request, http, writer):
+            hops = standins.read_header(request, 'x-sniperudder-hop-count')
+            paths.append(hops)
+            if dead.address not in hops:
+                await first.send_stream(request, http, writer)
+                return
+            await first.send_stream(request, http, writer, upto=1)
+            own_id = standins.read_header(request, 'x-sniperudder-request-id')
+            while not any(o.get('id') == own_id for o in first.orders):
+                await asyncio.sleep(0.01)
+            data = b'id: 2\ndata: 2\n\n'
+            writer.write(http.send(h11.Data(data=data)))
+            writer.write(http.send(h11.EndOfMessage()))
+
+        first.script.extend([stall] * 8)
+
+        async def run():
+            engine = standins.make_engine(cards=_CARDS)
+            async with _fleets.run_fleet(
+                first, dead, spare, engine=engine
+            ) as fleet:
+                await fleet.await_placed()
+                sends = [
+                    fleet.send(
+                        '/stream/a',
+                        headers=[('X-Sniperudder-Request-Id', f'r-{n}')],
+                        wait_ms=9_000,
+                    )
+                    for n in range(8)
+                ]
+                answers = await asyncio.gather(*sends)
+                self.assertEqual([200] * 8, [a[0] for a in answers])
+                moves = fleet.journal.list_events('stream:moved')
+                stalled = sum(dead.address in path for path in paths)
+                self.assertEqual(stalled, len(moves))
+                self.assertTrue(0 < stalled < 8, paths)
+
+        asyncio.run(run())
+
+
+class SlowOrderTest(testtools.TestCase):
+    def test_events_pass_while_a_move_is_ordered(self):
+        # Pattern: an engine answers the order to move a stream late, and
+        # goes on with the stream meanwhile.
+        first = create_engine('gpu-1', 'half', (0, 4))
+        left = create_engine('gpu-2', 'half', (4, 8))
+        spare = create_engine('gpu-3', 'half', (4, 8))
+        spare.data_centre = 'south'
+        first.events, first.event_s = 50, 0.05
+        first.order_s = 0.35
+        pauses = []
+
+        async def run():
+            engine = standins.make_engine(cards=_CARDS)
+            async with _fleets.run_fleet(
+                first, left, spare, engine=engine
+            ) as fleet:
+                await fleet.await_placed()
+                sending = asyncio.create_task(
+                    fleet.send('/stream/a', wait_ms=9_000)
+                )
+                await asyncio.sleep(0.2)
+                left.list_in(fleet.store, state='draining')
+                status, _, _ = await sending
+                self.assertEqual(200, status)
+                ends = fleet.journal.list_events('request:end')
+                pauses.append(ends[-1]['pause_ms'])
+                moves = fleet.journal.list_events('stream:moved')
+                self.assertEqual(1, len(moves))
+
+        asyncio.run(run())
+        # The longest pause of a timely stream is 200 ms.
+        self.assertLess(pauses[0], 200)
+
+
 class PlacementTest(testtools.TestCase):
     def test_empty_engines_are_given_all_layers(self):
         engines = [create_engine(f'gpu-{n}', 'half') for n in range(4)]
--- a/sniperudder/forwarding/_forwarder.py
+++ b/sniperudder/forwarding/_forwarder.py
@@ -342,8 +342,9 @@
         if job.endpoint is not None:
             state = fleet.get_state(self.T, job.endpoint)
             if state.progress_at < job.request.arrived_at:
-                # It showed no sign of life all the while.
-                routing.record_failure(state, self.now())
+                # It showed no sign of life all the while; but a request may
+                # also take longer than its route allows.
+                routing.record_refusal(state, self.now())
         if caller.answering:
             # Without the end of the body: it must not look complete.
             caller.abort()
--- a/sniperudder/forwarding/_streams.py
+++ b/sniperudder/forwarding/_streams.py
@@ -1,5 +1,7 @@
 """Forwarding of event streams, and their continuation elsewhere."""
 
+import asyncio
+
 import h11
 
 from sniperudder import fleet
@@ -18,13 +20,24 @@
 _FIRST_STALL_S = 0.4
 _STALL_S = 0.4
 
+# Time between looks at a silent stream, seconds, and their number until
+# looks become rare: engines' reports are 0.2 s old, and an engine gives a
+# stalled stream up after 2 s.
+_LOOK_S = 0.3
+_FREQUENT_LOOKS = 5
+
+# Time without progress of any stream after which a stage counts as silent,
+# seconds: several times the usual time between events.
+_SILENT_S = 0.35
+
 # Time without any event after which a first stage counts as mute, seconds:
 # both looks at it are past, and the caller still waits as long again.
 _MUTE_S = 1.0
 
-# Time from a stage's leaving until a stream is moved away, seconds: most
-# streams end by themselves, and a stage serves on for 2 s at least.
-_LEAVE_S = 1.0
+# Time from a stage's leaving until a stream is moved away, seconds: a move
+# costs a pause, most streams end by themselves, and a stage serves on for
+# 2 s at least, of which telling and the order take under half a second.
+_LEAVE_S = 1.5
 
 
 class _Stream:
@@ -212,10 +225,11 @@
         self._changes = forwarder.T.changes
         self._leave_at = None
         self._sent_at = 0.0
+        self._moving = None
         self.parts = parts
 
     def _note_sent(self):
-        state = fleet.get_state(self._forwarder.T, self.parts[0].endpoint)
+        state = self._get_state(self.parts[0])
         self._forwarder.journal.write(
             'request:sent',
             self._job.head.request_id,
@@ -255,6 +269,8 @@
             if outcome is None:
                 outcome = await self._receive_answer()
         finally:
+            if self._moving is not None:
+                self._moving.cancel()
             self._send.close()
             self._let_go()
         if isinstance(outcome, _sends.NotRun):
@@ -303,7 +319,7 @@
                     return broken
                 self._note_progress()
                 await caller.drain()
-                await self._leave_stages()
+                self._leave_stages()
         if splitter.rest:
             return _sends.Broken('ended within an event')
         if not stream.started:
@@ -321,6 +337,7 @@
         object
             What was received, or Broken where the first stage is dead.
         """
+        looks = 0
         while True:
             try:
                 return await receive(stall_s)
@@ -328,7 +345,8 @@
                 if not await self._examine():
                     return _sends.Broken('first stage silent')
             # A stream that only is slow is looked at less and less often.
-            stall_s *= 2
+            looks += 1
+            stall_s = _LOOK_S if looks < _FREQUENT_LOOKS else stall_s * 2
 
     async def _examine(self):
         """Tell whether the stream may go on; move it where it stalls."""
@@ -347,10 +365,29 @@
         broken = self._list_leaving()
         if address is not None:
             broken.add(address)
+        if not broken:
+            broken = self._guess_stalled()
         if broken:
-            await self._move(broken)
+            self._start_move(broken)
         return True
 
+    def _guess_stalled(self):
+        """Return the one stage on which no stream of this instance goes on.
+
+        Where several stages are silent, none is guessed.
+        """
+        now = self._forwarder.now()
+        silent = {
+            part.endpoint.address
+            for part in self.parts
+            if now - self._get_state(part).progress_at > _SILENT_S
+        }
+        first = self.parts[0].endpoint.address
+        return silent if len(silent) == 1 and first not in silent else set()
+
+    def _get_state(self, part):
+        return fleet.get_state(self._forwarder.T, part.endpoint)
+
     def _must_wait(self):
         """Tell whether a silent first stage is still the best hope.
 
@@ -371,11 +408,11 @@
         """
         if self._stream.started or not self._job.route.resumable:
             return False
-        state = fleet.get_state(self._forwarder.T, self.parts[0].endpoint)
+        state = self._get_state(self.parts[0])
         waited_s = self._forwarder.now() - self._sent_at
         return waited_s >= _MUTE_S and state.progress_at < self._sent_at
 
-    async def _leave_stages(self):
+    def _leave_stages(self):
         """Move the stream away from stages that leave, after a while."""
         T = self._forwarder.T
         now = self._forwarder.now()
@@ -387,7 +424,7 @@
             self._leave_at = None
             leaving = self._list_leaving()
             if leaving:
-                await self._move(leaving)
+                self._start_move(leaving)
 
     def _list_leaving(self):
         T = self._forwarder.T
@@ -397,6 +434,25 @@
             if not fleet.is_serving(T, part)
         }
 
+    def _start_move(self, broken):
+        """Move the stream beside its forwarding.
+
+        Events may come before the order to move is answered.
+        """
+        if self._moving is not None and not self._moving.done():
+            return
+        self._moving = asyncio.create_task(self._move(broken))
+        self._moving.add_done_callback(self._note_moved)
+
+    def _note_moved(self, task):
+        if not task.cancelled() and task.exception() is not None:
+            self._forwarder.journal.write(
+                'instance:fault',
+                type(task.exception()).__name__,
+                reason=str(task.exception()),
+                request=self._job.head.request_id,
+            )
+
     async def _move(self, broken):
         engine = self._job.service.engine
         moved = await self._forwarder.mover.move(
@@ -415,7 +471,7 @@
     def _note_progress(self):
         now = self._forwarder.now()
         for part in self.parts:
-            state = fleet.get_state(self._forwarder.T, part.endpoint)
+            state = self._get_state(part)
             state.progress_at = now
 
     def _hold(self):
@@ -430,7 +486,7 @@
         for pair in fleet.list_crossings(self.parts):
             self._forwarder.T.crossings.record(pair, tokens, now)
         for part in self.parts:
-            state = fleet.get_state(self._forwarder.T, part.endpoint)
+            state = self._get_state(part)
             held = tokens * (len(part.layers) if part.layers else 0)
             state.requests += 1
             state.token_layers += held
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -199,6 +199,10 @@
         Seconds between two events.
     stalled : list of dict
         What reports tell of stalled requests.
+    on_order : callable or None
+        Told each order.
+    order_s : float
+        Time until an order is answered, seconds.
     """
 
     def __init__(self, name, service, data_centre='north', card=''):
@@ -215,6 +219,7 @@
         self.event_s = 0.0
         self.stalled = []
         self.on_order = None
+        self.order_s = 0.0
 
     def list_in(self, store, state='ready'):
         """Write this endpoint's entry to the store."""
@@ -240,6 +245,7 @@
         """See base class."""
         path = request.target.decode()
         if path == '/order':
+            await asyncio.sleep(self.order_s)
             self._take_order(json.loads(body), http, writer)
         elif path == '/report':
             report = {
@@ -384,7 +390,9 @@
     return {
         'version': version,
         'routes': [
-            make_route('stream', 'streaming', 'llm', resumable=True),
+            make_route(
+                'stream', 'streaming', 'llm', resumable=True, timeout_ms=5_000
+            ),
             make_route('once', 'streaming', 'llm', resumable=False),
             make_route('safe', 'safe', 'desk'),
             make_route('unsafe', 'unsafe', 'desk', max_attempts=1),
