--- /dev/null
+++ b/sniperudder/entry/tests/test_watchers.py
@@ -0,0 +1,85 @@
+"""Tests of following a table of the store."""
+
+import asyncio
+
+import testtools
+
+from sniperudder.entry import _watchers
+from sniperudder.entry.tests import _fleets
+from sniperudder import platform
+
+_READ_S = 2.0
+
+
+class ScriptedStore:
+    """Gives outcomes in turn, then waits."""
+
+    def __init__(self, *outcomes):
+        self._outcomes = list(outcomes)
+        self.waits = []
+
+    async def read_table(self, table):
+        """Return the next outcome."""
+        return await self._next()
+
+    async def read_changes(self, table, after, wait_s):
+        """Return the next outcome."""
+        self.waits.append(wait_s)
+        return await self._next()
+
+    async def _next(self):
+        if not self._outcomes:
+            await asyncio.sleep(60)
+        return self._outcomes.pop(0)
+
+
+def make_rows(version, *keys):
+    """Return rows of a table."""
+    rows = tuple(platform.StoredRow(key, b'1', version) for key in keys)
+    return platform.Rows(rows, version)
+
+
+class WatcherTest(testtools.TestCase):
+    def follow(self, *outcomes):
+        """Follow a store for a moment; return what was applied."""
+        applied = []
+        journal = _fleets.Recorder()
+        store = ScriptedStore(*outcomes)
+
+        def apply(rows, whole):
+            applied.append(([row.key for row in rows], whole))
+
+        async def run():
+            watcher = _watchers.TableWatcher(store, 't', apply, journal)
+            try:
+                async with asyncio.timeout(_READ_S):
+                    await watcher.run()
+            except TimeoutError:
+                pass
+
+        asyncio.run(run())
+        return applied, journal, store
+
+    def test_old_reading_is_not_applied(self):
+        # Pattern: the store drops its history, and a reading after that
+        # is seconds old; what was known must not come back.
+        applied, journal, _ = self.follow(
+            make_rows(10, 'a'),
+            platform.HistoryGone(),
+            make_rows(7, 'b'),
+            make_rows(11, 'c'),
+        )
+        self.assertEqual([(['a'], True), (['c'], True)], applied)
+        self.assertEqual(7, journal.list_events('table:old')[0]['version'])
+
+    def test_failing_store_is_asked_without_a_wait(self):
+        failed = platform.Unavailable('down', False)
+        applied, journal, store = self.follow(
+            make_rows(1), failed, failed, make_rows(2, 'a')
+        )
+        self.assertEqual(0.0, store.waits[1])
+        self.assertEqual(0.0, store.waits[2])
+        self.assertGreater(store.waits[3], 0.0)
+        self.assertEqual(1, len(journal.list_events('platform:lost')))
+        self.assertEqual(1, len(journal.list_events('platform:regained')))
+        self.assertEqual((['a'], False), applied[-1])
--- /dev/null
+++ b/sniperudder/forwarding/tests/test_callers.py
@@ -0,0 +1,209 @@
+"""Tests of the server for callers: slow, hostile and odd senders."""
+
+import asyncio
+import random
+
+import testtools
+
+from scenarios import _processes
+from sniperudder import forwarding
+
+_LIMITS = forwarding.CallerLimits(
+    max_header_bytes=2_000,
+    max_body_bytes=1_000,
+    header_timeout_s=0.2,
+    idle_timeout_s=0.4,
+)
+_READ_S = 2.0
+
+
+class Server:
+    """A server that answers each request with its length."""
+
+    def __init__(self):
+        self.requests = []
+        self.rejections = []
+        self.faults = []
+        self.address = _processes.find_addresses(1)[0]
+        self.server = forwarding.CallerServer(
+            self.handle, self.faults.append, self.rejections.append
+        )
+        self.server.limits = _LIMITS
+
+    async def handle(self, request, caller):
+        """Answer a request."""
+        self.requests.append(request)
+        if request.target == b'/fault':
+            raise RuntimeError('a fault of the handler')
+        caller.send_answer(200, [], b'%d' % len(request.body))
+
+    async def exchange(self, *pieces, pause_s=0.0):
+        """Send bytes, and return all that comes until the end or a pause."""
+        host, _, port = self.address.rpartition(':')
+        reader, writer = await asyncio.open_connection(host, int(port))
+        received = b''
+        try:
+            for piece in pieces:
+                writer.write(piece)
+                await asyncio.sleep(pause_s)
+            async with asyncio.timeout(_READ_S):
+                while True:
+                    data = await reader.read(65_536)
+                    if not data:
+                        break
+                    received += data
+        except (ConnectionResetError, BrokenPipeError, TimeoutError):
+            pass
+        finally:
+            writer.close()
+        return received
+
+
+class CallerServerTest(testtools.TestCase):
+    def run_server(self, case):
+        """Run a case against a server; returns the server."""
+
+        async def run():
+            server = Server()
+            await server.server.start(server.address)
+            try:
+                await case(server)
+            finally:
+                server.server.close()
+            return server
+
+        return asyncio.run(run())
+
+    def exchange(self, *pieces, **options):
+        """Send bytes to a new server; return the server and the answer."""
+        answers = []
+
+        async def case(server):
+            answers.append(await server.exchange(*pieces, **options))
+
+        return self.run_server(case), answers[0]
+
+    def test_chunked_body_is_read_whole(self):
+        server, answer = self.exchange(
+            b'POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n'
+            b'\r\n3\r\nabc\r\n',
+            b'2\r\nde\r\n0\r\n\r\n',
+        )
+        self.assertIn(b'200', answer)
+        self.assertEqual(b'abcde', server.requests[0].body)
+
+    def test_waiting_sender_is_told_to_continue(self):
+        _, answer = self.exchange(
+            b'POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n'
+            b'Expect: 100-continue\r\n\r\n',
+            b'ok',
+            pause_s=0.05,
+        )
+        self.assertTrue(answer.startswith(b'HTTP/1.1 100'), answer)
+        self.assertIn(b'HTTP/1.1 200', answer)
+
+    def test_requests_in_one_piece_are_answered_in_turn(self):
+        request = b'POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n'
+        server, answer = self.exchange(
+            request % 1 + b'x' + request % 2 + b'yy'
+        )
+        self.assertEqual(2, answer.count(b'HTTP/1.1 200'))
+        self.assertEqual([b'x', b'yy'], [r.body for r in server.requests])
+
+    def test_length_and_chunks_together_smuggle_nothing(self):
+        server, _ = self.exchange(
+            b'POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n'
+            b'Transfer-Encoding: chunked\r\n\r\n'
+            b'0\r\n\r\nGET /secret HTTP/1.1\r\nHost: h\r\n\r\n'
+        )
+        # Either framing is refused, or chunks decide; the length never
+        # turns a part of a body into a request of its own.
+        self.assertIn(
+            [r.target for r in server.requests], ([], [b'/a', b'/secret'])
+        )
+        for request in server.requests:
+            self.assertEqual(b'', request.body)
+
+    def test_two_lengths_are_refused(self):
+        server, answer = self.exchange(
+            b'POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n'
+            b'Content-Length: 2\r\n\r\nxy'
+        )
+        self.assertEqual([], server.requests)
+        self.assertIn(b'400', answer)
+
+    def test_slow_headers_end_in_time(self):
+        server, answer = self.exchange(
+            b'POST /a HTTP/1.1\r\n',
+            *[b'X-A: 1\r\n'] * 6,
+            pause_s=0.06,
+        )
+        self.assertIn(b'408', answer)
+        self.assertEqual([408], server.rejections)
+
+    def test_body_that_stops_ends_in_time(self):
+        server, answer = self.exchange(
+            b'POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nab'
+        )
+        self.assertIn(b'408', answer)
+        self.assertEqual([], server.requests)
+
+    def test_large_headers_are_refused(self):
+        for size in (2_500, 50_000):
+            server, answer = self.exchange(
+                b'GET /a HTTP/1.1\r\nHost: h\r\nX-A: '
+                + b'a' * size
+                + b'\r\n\r\n'
+            )
+            self.assertIn(b'431', answer)
+            self.assertEqual([], server.requests)
+
+    def test_large_bodies_are_refused(self):
+        head = b'POST /a HTTP/1.1\r\nHost: h\r\n'
+        told = head + b'Content-Length: 2000\r\n\r\n'
+        chunked = head + b'Transfer-Encoding: chunked\r\n\r\n'
+        for pieces in (
+            (told,),
+            (told, b'a' * 2_000),
+            (chunked, b'7d0\r\n' + b'a' * 2_000 + b'\r\n0\r\n\r\n'),
+        ):
+            server, answer = self.exchange(*pieces)
+            self.assertIn(b'413', answer)
+            self.assertEqual([], server.requests)
+
+    def test_no_http_is_refused(self):
+        server, answer = self.exchange(b'\x16\x03\x01\x00\xff hello\r\n\r\n')
+        self.assertIn(b'400', answer)
+        self.assertEqual([], server.requests)
+
+    def test_idle_channel_is_closed(self):
+        async def case(server):
+            began = asyncio.get_running_loop().time()
+            self.assertEqual(b'', await server.exchange())
+            took_s = asyncio.get_running_loop().time() - began
+            self.assertLess(took_s, 1.0)
+
+        self.run_server(case)
+
+    def test_fault_of_the_handler_is_told_and_ends_the_channel(self):
+        server, answer = self.exchange(
+            b'GET /fault HTTP/1.1\r\nHost: h\r\n\r\n'
+        )
+        self.assertEqual(b'', answer)
+        self.assertEqual(1, len(server.faults))
+
+    def test_random_bytes_leave_the_server_alive(self):
+        rng = random.Random(8)
+
+        async def case(server):
+            sends = []
+            for _ in range(60):
+                sends.append(server.exchange(rng.randbytes(200)))
+            await asyncio.gather(*sends)
+            answer = await server.exchange(
+                b'GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n'
+            )
+            self.assertIn(b'200', answer)
+
+        server = self.run_server(case)
+        self.assertEqual([], server.faults)
--- /dev/null
+++ b/sniperudder/forwarding/tests/test_channels.py
@@ -0,0 +1,177 @@
+"""Tests of channels to endpoints and their pool."""
+
+import asyncio
+
+import testtools
+
+from sniperudder import forwarding
+from sniperudder.forwarding import _channels
+from sniperudder.forwarding import _sends
+from standins import fleet as standins
+
+
+def make_outgoing(request_id='r-1', body=b'x'):
+    """Return a request for an endpoint."""
+    return _sends.Outgoing(
+        request_id,
+        b'POST',
+        b'/a',
+        [
+            (b'Host', b'h'),
+            (b'X-Sniperudder-Request-Id', request_id.encode()),
+            (b'Content-Length', b'%d' % len(body)),
+        ],
+        body,
+    )
+
+
+class PoolTest(testtools.TestCase):
+    def run_endpoint(self, case):
+        """Run a case against an endpoint of a plain service."""
+
+        async def run():
+            endpoint = standins.EndpointStandin('desk-1', 'desk')
+            await endpoint.start()
+            try:
+                await case(endpoint, forwarding.ChannelPool())
+            finally:
+                await endpoint.stop()
+
+        asyncio.run(run())
+
+    def test_channel_is_used_again(self):
+        async def case(endpoint, pool):
+            for number in range(3):
+                outgoing = make_outgoing(f'r-{number}')
+                outcome = await _sends.exchange(
+                    pool, endpoint.address, outgoing
+                )
+                self.assertIsInstance(outcome, _sends.Answered)
+            self.assertEqual(1, pool.opened)
+
+        self.run_endpoint(case)
+
+    def test_bytes_behind_an_answer_spoil_the_channel(self):
+        async def case(endpoint, pool):
+            async def answer_twice(request, http, writer):
+                await endpoint.answer_usually(request, http, writer)
+                writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno')
+
+            endpoint.script.append(answer_twice)
+            for number in range(2):
+                outgoing = make_outgoing(f'r-{number}')
+                outcome = await _sends.exchange(
+                    pool, endpoint.address, outgoing
+                )
+                self.assertEqual(b'desk-1 /a', outcome.body)
+                await asyncio.sleep(0.05)
+            self.assertEqual(2, pool.opened)
+
+        self.run_endpoint(case)
+
+    def test_late_answer_is_passed_over_also_behind_a_body(self):
+        async def case(endpoint, pool):
+            async def answer_late(request, http, writer):
+                writer.write(
+                    b'HTTP/1.1 200 OK\r\nX-Sniperudder-Request-Id: r-0\r\n'
+                    b'Content-Length: 5\r\n\r\nwrong'
+                )
+                await writer.drain()
+                await asyncio.sleep(0.02)
+                await endpoint.answer_usually(request, http, writer)
+
+            endpoint.script.append(answer_late)
+            outcome = await _sends.exchange(
+                pool, endpoint.address, make_outgoing(body=b'b' * 5_000)
+            )
+            self.assertEqual(b'desk-1 /a', outcome.body)
+
+        self.run_endpoint(case)
+
+    def test_answer_that_ends_with_its_channel(self):
+        async def case(endpoint, pool):
+            async def send(request, http, writer, whole):
+                writer.write(
+                    b'HTTP/1.1 200 OK\r\nX-Sniperudder-Request-Id: r-1\r\n'
+                    b'X-Sniperudder-Response-Seal: s\r\n'
+                    b'Connection: close\r\n\r\nbody'
+                )
+                await writer.drain()
+                await asyncio.sleep(0.02)
+                if not whole:
+                    # Unread bytes of the peer turn the close into a reset.
+                    writer.transport.abort()
+                raise OSError('end of the script')
+
+            async def send_whole(request, http, writer):
+                await send(request, http, writer, True)
+
+            endpoint.script.append(send_whole)
+            outcome = await _sends.exchange(
+                pool, endpoint.address, make_outgoing()
+            )
+            self.assertEqual(b'body', outcome.body)
+
+        self.run_endpoint(case)
+
+    def test_refused_connection_was_not_run(self):
+        async def case(endpoint, pool):
+            await endpoint.stop()
+            outcome = await _sends.exchange(
+                pool, endpoint.address, make_outgoing()
+            )
+            self.assertIsInstance(outcome, _sends.NotRun)
+            self.assertFalse(outcome.arrived)
+
+        self.run_endpoint(case)
+
+    def test_reset_request_may_have_run(self):
+        async def case(endpoint, pool):
+            endpoint.script.append(endpoint.reset())
+            outcome = await _sends.exchange(
+                pool, endpoint.address, make_outgoing()
+            )
+            self.assertIsInstance(outcome, _sends.Broken)
+
+        self.run_endpoint(case)
+
+    def test_bytes_that_are_no_http(self):
+        async def case(endpoint, pool):
+            async def garble(request, http, writer):
+                writer.write(b'\x00\x01garbage\r\n\r\n')
+                raise OSError('end of the script')
+
+            endpoint.script.append(garble)
+            outcome = await _sends.exchange(
+                pool, endpoint.address, make_outgoing()
+            )
+            self.assertIsInstance(outcome, _sends.Broken)
+
+        self.run_endpoint(case)
+
+    def test_channel_is_not_kept_beyond_its_peers_patience(self):
+        async def case(endpoint, pool):
+            channel = await pool.acquire(endpoint.address)
+            outgoing = make_outgoing()
+            channel.send_request(b'POST', b'/a', outgoing.headers, b'x')
+            await _channels.receive_head(channel)
+            await _channels.receive_body(channel)
+            pool.release(channel, 0.05)
+            await asyncio.sleep(0.06)
+            other = await pool.acquire(endpoint.address)
+            self.assertIsNot(channel, other)
+            other.close()
+
+        self.run_endpoint(case)
+
+
+class KeepAliveTest(testtools.TestCase):
+    def test_timeouts_are_read(self):
+        for headers, expected in (
+            ([(b'keep-alive', b'timeout=5, max=9')], 5.0),
+            ([(b'keep-alive', b'max=9')], None),
+            ([(b'keep-alive', b'timeout=soon')], None),
+            ([(b'connection', b'Close')], 0),
+            ([], None),
+        ):
+            self.assertEqual(expected, _channels.read_keep_s(headers))
