--- a/sniperudder/entry/tests/test_plain.py
+++ b/sniperudder/entry/tests/test_plain.py
@@ -232,6 +232,43 @@
         self.run_fleet(case, desk)
 
 
+class CrashingRequestTest(testtools.TestCase):
+    def test_request_that_crashes_endpoints_is_stopped(self):
+        # Pattern: a caller sends again what crashed each endpoint so far.
+        desks = [create_desk(f'desk-{number}') for number in range(6)]
+
+        async def run():
+            async with _fleets.run_fleet(*desks) as fleet:
+
+                def crash(desk):
+                    async def serve(request, http, writer):
+                        fleet.store.put('servers', desk.id, None)
+                        writer.transport.abort()
+                        raise OSError('crash of the script')
+
+                    return serve
+
+                for desk in desks:
+                    desk.script.append(crash(desk))
+                statuses = []
+                for _ in range(4):
+                    status, _, _ = await fleet.send('/safe/a', body=b'bad')
+                    statuses.append(status)
+                    # The platform tells of the ended runs meanwhile.
+                    await asyncio.sleep(0.5)
+                for desk in desks:
+                    desk.script.clear()
+                good, _, _ = await fleet.send('/safe/a', body=b'good')
+                return statuses, good
+
+        statuses, good = asyncio.run(run())
+        self.assertEqual([502, 502, 503, 503], statuses)
+        self.assertEqual(200, good)
+        # Two sends a request: the second request ended at the fourth.
+        reached = [body for desk in desks for _, body in desk.requests]
+        self.assertEqual(4, reached.count(b'bad'))
+
+
 class ConfigurationTest(testtools.TestCase):
     def run_fleet(self, case, *endpoints, **options):
         async def run():
