Send failed streams again; never answer twice on one channel

Cause, found on reading: the second engine of a resumed stream may answer with an error after events were sent; that answer was written behind the first head, a fault of ours that only ended the channel. A stream whose events bear no id was begun anew behind its first events. An error of the first engine was passed on although resumable streams may run twice.

Change: an error before the first event sends a resumable stream again within its attempts and the budget; behind events, or without ids, the channel ends visibly. A fault of the handler is answered with 502 while that is possible; its test expected a closed channel and now expects the answer.

--- a/sniperudder/entry/tests/test_streams.py
+++ b/sniperudder/entry/tests/test_streams.py
@@ -149,6 +149,103 @@
         )
 
 
+class FailingEngineTest(testtools.TestCase):
+    """Pattern: engines fail part of their requests while they look well."""
+
+    def run_engines(self, case):
+        """Run a case with two engines that hold all layers."""
+        engines = [
+            create_engine('gpu-1', layers=(0, 8)),
+            create_engine('gpu-2', layers=(0, 8)),
+        ]
+
+        async def run():
+            engine = standins.make_engine(cards=_CARDS)
+            async with _fleets.run_fleet(*engines, engine=engine) as fleet:
+                await fleet.await_placed()
+                await case(fleet, engines)
+
+        asyncio.run(run())
+
+    def test_stream_is_sent_again_after_an_error(self):
+        async def case(fleet, engines):
+            first = []
+
+            def fail_first(engine):
+                async def serve(request, http, writer):
+                    if first:
+                        await engine.send_stream(request, http, writer)
+                    else:
+                        first.append(engine)
+                        await engine.fail()(request, http, writer)
+
+                return serve
+
+            for engine in engines:
+                engine.script.append(fail_first(engine))
+            status, _, body = await fleet.send('/stream/a')
+            self.assertEqual((200, [1, 2, 3]), (status, list_ids(body)))
+
+        self.run_engines(case)
+
+    def test_error_of_a_stream_that_may_not_run_twice_is_passed_on(self):
+        async def case(fleet, engines):
+            for engine in engines:
+                engine.script.append(engine.fail())
+            status, _, body = await fleet.send('/once/a')
+            self.assertEqual((500, b'bad'), (status, body))
+
+        self.run_engines(case)
+
+    def test_error_behind_the_first_events_never_looks_whole(self):
+        async def case(fleet, engines):
+            sends = []
+
+            def break_then_fail(engine):
+                async def serve(request, http, writer):
+                    sends.append(engine)
+                    if len(sends) == 1:
+                        await engine.send_stream(request, http, writer, upto=2)
+                        await asyncio.sleep(0.05)
+                        writer.transport.abort()
+                        raise OSError('reset by the script')
+                    await engine.fail()(request, http, writer)
+
+                return serve
+
+            for engine in engines:
+                engine.script.extend([break_then_fail(engine)] * 2)
+            with testtools.ExpectedException(h11.RemoteProtocolError):
+                await fleet.send('/stream/a')
+            self.assertEqual([], fleet.journal.list_events('instance:fault'))
+
+        self.run_engines(case)
+
+    def test_stream_without_ids_is_not_joined(self):
+        async def case(fleet, engines):
+            async def break_off(request, http, writer):
+                headers = [
+                    ('Transfer-Encoding', 'chunked'),
+                    *standins.make_seal(request),
+                ]
+                writer.write(
+                    http.send(h11.Response(status_code=200, headers=headers))
+                    + http.send(h11.Data(data=b'data: 1\n\n'))
+                )
+                await writer.drain()
+                await asyncio.sleep(0.05)
+                writer.transport.abort()
+                raise OSError('reset by the script')
+
+            for engine in engines:
+                engine.script.append(break_off)
+            with testtools.ExpectedException(h11.RemoteProtocolError):
+                await fleet.send('/stream/a')
+            self.assertEqual(1, sum(len(e.requests) for e in engines))
+
+        self.run_engines(case)
+
+
 class LeavingStageTest(testtools.TestCase):
     def test_silent_stream_is_moved_off_a_stage_that_left(self):
         # Pattern: a stage leaves and ends before its streams do; reports
--- a/sniperudder/forwarding/_callers.py
+++ b/sniperudder/forwarding/_callers.py
@@ -16,6 +16,10 @@
 # that the answer is not lost to a reset, seconds.
 _LINGER_S = 1.0
 
+# Status of a request that ends by a fault of this program; it promises
+# nothing of whether the request ran.
+_FAULT = 502
+
 # Bounds until a configuration is known.
 _FIRST_HEADER_BYTES = 16_384
 _FIRST_BODY_BYTES = 4_194_304
@@ -279,8 +283,10 @@
         except Exception as error:
             # A fault of ours must not leave the caller without an end.
             self._server.note_fault(error)
-            self.abort()
-            return
+            if self._http.our_state is not h11.SEND_RESPONSE:
+                self.abort()
+                return
+            self.send_answer(_FAULT, [], b'')
         finally:
             self._task = None
         self._finish()
--- a/sniperudder/forwarding/_forwarder.py
+++ b/sniperudder/forwarding/_forwarder.py
@@ -294,7 +294,10 @@
             self.note_outcome(job, endpoint, outcome, sent_at)
             if isinstance(outcome, _sends.Answered):
                 last = outcome
-                if outcome.status < 500 or not job.route.repeatable:
+                if (
+                    outcome.status < _jobs.SERVER_ERROR
+                    or not job.route.repeatable
+                ):
                     break
                 job.maybe_run = True
                 job.tried.add(endpoint.id)
--- a/sniperudder/forwarding/_jobs.py
+++ b/sniperudder/forwarding/_jobs.py
@@ -19,6 +19,9 @@
 _RETRY_AFTER_S = 0.5
 _SHED_RETRY_S = (2.0, 4.0)
 
+# Lowest status that tells of an endpoint's own failure (RFC 9110).
+SERVER_ERROR = 500
+
 _Code = outcomes.Code
 
 _STATUSES = {
--- a/sniperudder/forwarding/_streams.py
+++ b/sniperudder/forwarding/_streams.py
@@ -6,6 +6,7 @@
 
 from sniperudder import fleet
 from sniperudder.forwarding import _events
+from sniperudder.forwarding import _jobs
 from sniperudder.forwarding import _sends
 from sniperudder import metrics
 from sniperudder import outcomes
@@ -73,6 +74,14 @@
         self.events = 0
         self.longest_pause_s = 0.0
 
+    def may_resume(self, job):
+        """Tell whether the stream may go on at another chain.
+
+        Events without an id name no place to go on from.
+        """
+        placed = self.last_id is not None or not self.started
+        return job.route.resumable and placed
+
     def record_events(self, count, now):
         """Count events that were sent; return the pause before them."""
         pause_s = 0.0
@@ -108,20 +117,22 @@
             _note_answered(forwarder, job, stream)
             return
         forwarder.note_outcome(job, parts[0].endpoint, outcome, sent_at)
-        if isinstance(outcome, _sends.Answered):
-            caller.send_answer(outcome.status, outcome.headers, outcome.body)
-            reason = f'status {outcome.status}'
-            forwarder.note_end(job, _Code.ANSWERED, reason)
-            return
         if isinstance(outcome, _sends.NotRun):
             code = _Code.TARGET_UNREACHABLE
             if not await forwarder.may_go_on(job, outcome):
                 break
             continue
-        elif not job.route.resumable:
-            break
-        if not forwarder.may_send_again(job):
+        failed = not isinstance(outcome, _sends.Answered)
+        if failed or outcome.status >= _jobs.SERVER_ERROR:
+            job.tried.add(parts[0].endpoint.id)
+            if stream.may_resume(job) and forwarder.may_send_again(job):
+                continue
+        if failed or stream.started:
             break
+        caller.send_answer(outcome.status, outcome.headers, outcome.body)
+        reason = f'status {outcome.status}'
+        forwarder.note_end(job, _Code.ANSWERED, reason)
+        return
     _give_up(forwarder, job, caller, stream, code)
 
 
