End channels with their last answer once a stop drains

Channels were only closed when a look, every 50 ms, found them idle.

Change: once no connections are taken, a channel ends with the answer that is under way. Test first: a second request behind a slow answer was taken (1 != 2), and is not now.

--- a/sniperudder/forwarding/_callers.py
+++ b/sniperudder/forwarding/_callers.py
@@ -297,7 +297,7 @@
         if self._http.our_state is not h11.DONE:
             self.close()
             return
-        if self._http.their_state is not h11.DONE:
+        if self._http.their_state is not h11.DONE or self._server.draining:
             self.close()
             return
         self._http.start_next_cycle()
@@ -346,6 +346,8 @@
         For new channels, and for the next request of open ones.
     stopping : bool
         Whether answers ask callers to open another connection.
+    draining : bool
+        Whether a channel ends with the answer that is under way.
     channels : set of CallerChannel
     """
 
@@ -355,6 +357,7 @@
         self.note_rejection = note_rejection
         self.limits = CallerLimits()
         self.stopping = False
+        self.draining = False
         self.channels = set()
         self._server = None
 
@@ -375,7 +378,8 @@
         )
 
     def stop_listening(self):
-        """Accept no further connection."""
+        """Accept no further connection, and no request behind an answer."""
+        self.draining = True
         self._server.close()
 
     def close(self):
--- a/sniperudder/forwarding/tests/test_callers.py
+++ b/sniperudder/forwarding/tests/test_callers.py
@@ -35,6 +35,11 @@
         self.requests.append(request)
         if request.target == b'/fault':
             raise RuntimeError('a fault of the handler')
+        if request.target == b'/slow':
+            caller.start_answer(200, [(b'Transfer-Encoding', b'chunked')])
+            await asyncio.sleep(0.1)
+            caller.end_answer()
+            return
         caller.send_answer(200, [], b'%d' % len(request.body))
 
     async def exchange(self, *pieces, pause_s=0.0):
@@ -176,6 +181,29 @@
         self.assertIn(b'400', answer)
         self.assertEqual([], server.requests)
 
+    def test_request_behind_an_answer_is_not_taken_at_a_stop(self):
+        # Pattern: a planned stop; an answer that began before it ends, and
+        # its caller sends the next request on the same channel. It could
+        # not be served to its end any more.
+        async def case(server):
+            host, _, port = server.address.rpartition(':')
+            reader, writer = await asyncio.open_connection(host, int(port))
+            request = b'GET /slow HTTP/1.1\r\nHost: h\r\n\r\n'
+            writer.write(request)
+            while not server.requests:
+                await asyncio.sleep(0.01)
+            await asyncio.sleep(0.02)
+            server.server.stopping = True
+            server.server.stop_listening()
+            writer.write(request)
+            async with asyncio.timeout(_READ_S):
+                answer = await reader.read()
+            self.assertTrue(answer.endswith(b'0\r\n\r\n'), answer)
+            self.assertEqual(1, len(server.requests))
+            writer.close()
+
+        self.run_server(case)
+
     def test_idle_channel_is_closed(self):
         async def case(server):
             began = asyncio.get_running_loop().time()
