--- a/sniperudder/entry/tests/test_streams.py
+++ b/sniperudder/entry/tests/test_streams.py
@@ -288,6 +288,43 @@
         self.assertLess(moved_at[0], 1.0)
 
 
+class LeavingFirstStageTest(testtools.TestCase):
+    def test_stream_is_not_cut_where_the_first_stage_refuses_reports(self):
+        # Pattern: a first stage leaves; it refuses new connections, and
+        # ends what it has begun. A report that is refused is no death.
+        first = create_engine('gpu-1', layers=(0, 8))
+        other = create_engine('gpu-2', layers=(0, 8))
+        engines = [first, other]
+
+        async def run():
+            engine = standins.make_engine(cards=_CARDS)
+            async with _fleets.run_fleet(*engines, engine=engine) as fleet:
+                await fleet.await_placed()
+
+                def leave(engine):
+                    async def serve(request, http, writer):
+                        await engine.send_stream(request, http, writer, upto=1)
+                        engine.list_in(fleet.store, state='draining')
+                        engine.refuse_connections()
+                        # Longer than a look at a silent stream takes.
+                        await asyncio.sleep(1.2)
+                        data = b'id: 2\ndata: 2\n\n'
+                        writer.write(http.send(h11.Data(data=data)))
+                        writer.write(http.send(h11.EndOfMessage()))
+
+                    return serve
+
+                for each in engines:
+                    each.script.append(leave(each))
+                status, _, body = await fleet.send('/stream/a', wait_ms=9_000)
+                self.assertEqual((200, [1, 2]), (status, list_ids(body)))
+                silent = fleet.journal.list_events('endpoint:silent')
+                self.assertNotEqual([], silent)
+
+        asyncio.run(run())
+        self.assertEqual(1, len(first.requests) + len(other.requests))
+
+
 class SilentStageTest(testtools.TestCase):
     def test_stage_without_any_progress_is_left(self):
         # Pattern: a stage crashes, and reports do not name it yet. Streams
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -41,6 +41,10 @@
         port = self._server.sockets[0].getsockname()[1]
         self.address = f'{_HOST}:{port}'
 
+    def refuse_connections(self):
+        """Accept no further connection; open ones go on."""
+        self._server.close()
+
     async def stop(self):
         """Close all connections."""
         self._server.close()
