Refuse foreign documents of every shape

Cause: a store answer whose rows are no objects raised AttributeError outside the client's guards; it ended the watcher and with it the process. Rows and versions that were missing counted as an empty table at version 0, a range of layers that ends before it starts raised ValueError, a service or key of another type raised AttributeError. Ruled out: the watcher as the place to guard; it would hide faults of ours.

Change: fields are taken from objects only, rows are read within the client's guards, missing rows and versions are an unusable answer, 410 to a reading of a table is one too. An entry whose layers are of another type names no endpoint. Route.goal_s was decoded and never read: dropped.

--- a/sniperudder/fleet/_configuration.py
+++ b/sniperudder/fleet/_configuration.py
@@ -36,8 +36,6 @@
         Whether no key is asked for.
     timeout_s : float
         Longest time from arrival to the final answer, seconds.
-    goal_s : float
-        Time of a timely answer, streams: of its first event, seconds.
     pause_goal_s : float
         Longest pause between events of a timely stream, seconds; 0 where
         none is set.
@@ -56,7 +54,6 @@
     resumable: bool
     public: bool
     timeout_s: float
-    goal_s: float
     pause_goal_s: float
     rank: int
     max_attempts: int
--- a/sniperudder/platform/_documents.py
+++ b/sniperudder/platform/_documents.py
@@ -5,6 +5,10 @@
 from sniperudder import fleet
 
 _MS_PER_S = 1000.0
+
+# Where a deployment has no engines, no stage can stall.
+_NO_STALL_MS = 0.0
+
 _REPEATABLE = 'safe'
 _STREAMING = 'streaming'
 _READY = 'ready'
@@ -46,7 +50,7 @@
         bounds=fleet.Bounds(
             drain_s=take_s(bounds, 'drain_ms'),
             grace_s=take(bounds, 'grace_s', float),
-            stall_s=take_s(bounds, 'stall_ms'),
+            stall_s=take_s(bounds, 'stall_ms', _NO_STALL_MS),
             repeat_ratio=take(bounds, 'budget_ratio', float),
             repeat_window_s=take(bounds, 'budget_window_s', float),
             repeat_slack=take(bounds, 'budget_slack', float),
@@ -116,13 +120,21 @@
 def read_layers(value):
     """Return the layers that an endpoint tells of, or None."""
     layers = value.get('layers')
-    if not isinstance(layers, dict):
+    if layers is None:
         return None
-    held = fleet.Layers(take(layers, 'from', int), take(layers, 'to', int))
-    return held if len(held) > 0 else None
+    start, end = take(layers, 'from', int), take(layers, 'to', int)
+    if start < 0:
+        raise DocumentError(f'from: {start}')
+    return fleet.Layers(start, end) if start < end else None
 
 
 def parse(data):
+    """Return the object that a document holds.
+
+    Raises
+    ------
+    DocumentError
+    """
     try:
         value = json.loads(data)
     except (ValueError, RecursionError) as error:
@@ -133,6 +145,15 @@
 
 
 def take(value, field, kind, default=None):
+    """Return a field of an object, which must be of a kind.
+
+    Raises
+    ------
+    DocumentError
+        With the name of the field.
+    """
+    if not isinstance(value, dict):
+        raise DocumentError(f'{field}: not within an object')
     found = value.get(field, default)
     if kind is float and type(found) is int:
         found = float(found)
@@ -145,6 +166,7 @@
 
 
 def take_s(value, field, default=None):
+    """Return a field in milliseconds as seconds; see `take`."""
     return take(value, field, float, default) / _MS_PER_S
 
 
@@ -168,7 +190,6 @@
         resumable=take(value, 'resumable', bool, False),
         public=take(value, 'public', bool, False),
         timeout_s=take_s(value, 'timeout_ms'),
-        goal_s=take_s(value, 'goal_ms', 0.0),
         pause_goal_s=take_s(value, 'gap_target_ms', 0.0),
         rank=take(value, 'priority', int, 0),
         max_attempts=max(1, take(value, 'max_attempts', int, 1)),
@@ -176,9 +197,10 @@
 
 
 def _read_service(value):
+    name = take(value, 'name', str)
     engine = value.get('engine')
     return fleet.Service(
-        name=take(value, 'name', str),
+        name=name,
         max_channels=take(value, 'max_conns', int, 0),
         engine=_read_engine(engine) if isinstance(engine, dict) else None,
     )
@@ -221,12 +243,14 @@
         return None
     keys = {}
     for tenant in take(value, 'tenants', list):
+        name = take(tenant, 'name', str)
         rank = tenant.get('priority')
         organisation = fleet.Organisation(
-            take(tenant, 'name', str),
-            rank if type(rank) is int else None,
+            name, rank if type(rank) is int else None
         )
         for key in take(tenant, 'api_keys', list):
+            if not isinstance(key, str):
+                raise DocumentError(f'api_keys: {key!r}')
             keys[key] = organisation
     return keys
 
--- a/sniperudder/platform/_store.py
+++ b/sniperudder/platform/_store.py
@@ -42,10 +42,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Rows:
-    """Rows, and the version of the store that they were read at."""
+    """Rows, and the version of the store that they were read at.
+
+    Attributes
+    ----------
+    rows : tuple of StoredRow
+    version : int
+    more : bool
+        Whether the answer was cut, and further rows follow.
+    """
 
     rows: tuple
     version: int
+    more: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -111,12 +120,13 @@
             query = {'table': table, 'part': ''}
             if start is not None:
                 query['from'] = start
-            reply = await self._get('/rows-get', query, _ANSWER_TIMEOUT_S)
-            if isinstance(reply, Unavailable):
-                return reply
-            page = _read_rows(reply)
+            page = await self._read('/rows-get', query, _ANSWER_TIMEOUT_S)
+            if isinstance(page, HistoryGone):
+                return Unavailable('history gone', False)
+            if isinstance(page, Unavailable):
+                return page
             rows.extend(page.rows)
-            if not reply.get('more_pages') or not page.rows:
+            if not page.more or not page.rows:
                 return Rows(tuple(rows), page.version)
             # The range includes its start, and keys have no order below
             # the zero character.
@@ -143,10 +153,7 @@
             'wait_ms': int(wait_s * 1000),
         }
         timeout_s = wait_s + _ANSWER_TIMEOUT_S
-        reply = await self._get('/rows-feed', query, timeout_s)
-        if isinstance(reply, (Unavailable, HistoryGone)):
-            return reply
-        return _read_rows(reply)
+        return await self._read('/rows-feed', query, timeout_s)
 
     async def write_row(self, table, key, value, expected_version=None):
         """Set a row, or remove it where the value is None.
@@ -189,7 +196,7 @@
             return Unavailable(f'{type(error).__name__}: {error}', True)
         return Unavailable(f'status {status}', status not in _BUSY)
 
-    async def _get(self, path, query, timeout_s):
+    async def _read(self, path, query, timeout_s):
         target = f'{path}?{urllib.parse.urlencode(query)}'
         try:
             status, body = await self._call(
@@ -198,23 +205,27 @@
             if status == _HISTORY_GONE:
                 return HistoryGone()
             if status == _OK:
-                return _documents.parse(body)
+                return _read_rows(_documents.parse(body))
         except (OSError, _documents.DocumentError) as error:
             return Unavailable(f'{type(error).__name__}: {error}', False)
         return Unavailable(f'status {status}', False)
 
 
 def _read_rows(reply):
-    rows = [_read_row(row) for row in _documents.take(reply, 'rows', list, [])]
-    version = _documents.take(reply, 'row_version', int, 0)
-    return Rows(tuple(rows), version)
+    rows = [_read_row(row) for row in _documents.take(reply, 'rows', list)]
+    version = _documents.take(reply, 'row_version', int)
+    more = _documents.take(reply, 'more_pages', bool, False)
+    return Rows(tuple(rows), version, more)
 
 
 def _read_row(row):
-    gone = bool(row.get('tombstone'))
-    text = '' if gone else _documents.take(row, 'value', str, '')
-    return StoredRow(
-        key=_documents.take(row, 'key', str),
-        value=None if gone else base64.b64decode(text),
-        version=_documents.take(row, 'row_version', int, 0),
-    )
+    key = _documents.take(row, 'key', str)
+    version = _documents.take(row, 'row_version', int)
+    if row.get('tombstone') or 'value' not in row:
+        return StoredRow(key, None, version)
+    text = _documents.take(row, 'value', str)
+    try:
+        value = base64.b64decode(text, validate=True)
+    except ValueError as error:
+        raise _documents.DocumentError(f'value: {error}') from error
+    return StoredRow(key, value, version)
--- a/sniperudder/routing/tests/test_requests.py
+++ b/sniperudder/routing/tests/test_requests.py
@@ -19,7 +19,6 @@
         'resumable': False,
         'public': False,
         'timeout_s': 1.0,
-        'goal_s': 0.1,
         'pause_goal_s': 0.0,
         'rank': 1,
         'max_attempts': 2,
