Apply the limits of endpoints; name the endpoint of every send

Cause: Service.max_channels was decoded and never read, so an endpoint's channels could be passed by all instances together, and what a reset channel carried was lost (unsafe calls: 502). Sends to plain endpoints had no line, so a 504 there named no endpoint. Orders and reports went to an address without the id of the endpoint they were meant for; an order could reach an engine with less memory. A store that failed the lease's calls was passed over without a line. _streams.py held two jobs, _placer and _moves made their calls in like shape.

Ruled out: a count over all instances from digests; it is 0.25 s old, and a channel too many cannot be taken back. Instances divide the limit evenly.

Change: routing/_limits.py; a full endpoint is no plain target and no first stage, and what finds none is refused at once. request:sent for every send, with what was known of the place. Expect-Instance with every call to an engine. lease:unread. Streams split into _progress, _attempts, _watches and _holdings; one EngineCaller.

--- a/sniperudder/entry/_placer.py
+++ b/sniperudder/entry/_placer.py
@@ -34,6 +34,7 @@
 _OK = 200
 _ACCEPTED = 202
 _CONFLICT = 409
+_MISDIRECTED = 421
 
 
 class _Order:
@@ -64,7 +65,7 @@
     def __init__(self, T, store, pool, name, journal):
         self._T = T
         self._store = store
-        self._pool = pool
+        self._engines = forwarding.EngineCaller(pool, _ORDER_TIMEOUT_S)
         self._name = name
         self._journal = journal
         self._view = placement.LeaseView()
@@ -115,6 +116,7 @@
     async def _read_lease(self, now):
         outcome = await self._store.read_table(platform.DUTIES_TABLE)
         if isinstance(outcome, platform.Unavailable):
+            self._note_unread(outcome)
             return
         versions = [
             row.version for row in outcome.rows if row.key == _LEASE_KEY
@@ -144,13 +146,23 @@
             placement.observe_lease(self._view, version, now)
             if held:
                 self._journal.write('lease:lost', _LEASE_KEY, version=version)
-        elif held and not placement.may_order(self._view, _read_clock()):
+            return
+        self._note_unread(outcome)
+        if held and not placement.may_order(self._view, _read_clock()):
             # Whether the renewal took effect is unknown; look first.
             self._view.held_at = None
             self._journal.write(
                 'lease:lost', _LEASE_KEY, reason=outcome.reason
             )
 
+    def _note_unread(self, outcome):
+        self._journal.write(
+            'lease:unread',
+            _LEASE_KEY,
+            reason=outcome.reason,
+            version=self._view.version,
+        )
+
     def _give_orders(self):
         configuration = self._T.configuration
         if configuration is None or not self._T.endpoints_known:
@@ -255,41 +267,22 @@
             if order.orders is None or order.begun:
                 return
         body = platform.make_place_order(order.layers, order.orders)
-        try:
-            status, answer = await forwarding.call(
-                self._pool,
-                endpoint.address,
-                'POST',
-                platform.ORDER_TARGET,
-                body,
-                _ORDER_TIMEOUT_S,
-            )
-        except OSError as error:
-            self._note_order(endpoint, order, f'no answer: {error}')
+        reply = await self._engines.give_order(endpoint, body)
+        if isinstance(reply, forwarding.Unanswered):
+            self._note_order(endpoint, order, f'no answer: {reply.reason}')
             return
-        self._note_order(endpoint, order, f'status {status}')
-        if status in (_OK, _ACCEPTED):
+        self._note_order(endpoint, order, f'status {reply.status}')
+        if reply.status in (_OK, _ACCEPTED, _MISDIRECTED):
+            # Another endpoint has the address: the list is about to tell.
             order.begun = True
-        elif status == _CONFLICT:
+        elif reply.status == _CONFLICT:
             await self._read_orders(endpoint, order)
 
     async def _read_orders(self, endpoint, order):
         """Learn how many orders the endpoint has begun, and what it holds."""
-        try:
-            status, body = await forwarding.call(
-                self._pool,
-                endpoint.address,
-                'GET',
-                platform.REPORT_TARGET,
-                None,
-                _ORDER_TIMEOUT_S,
-            )
-            if status != _OK:
-                self._note_order(endpoint, order, f'report: {status}')
-                return
-            report = platform.read_report(body)
-        except (OSError, platform.DocumentError) as error:
-            self._note_order(endpoint, order, f'no report: {error}')
+        report = await self._engines.read_report(endpoint)
+        if isinstance(report, forwarding.Unanswered):
+            self._note_order(endpoint, order, f'no report: {report.reason}')
             return
         order.orders = report.orders
         # An order that went without an answer may have begun after all.
--- /dev/null
+++ b/sniperudder/entry/tests/test_endpoints.py
@@ -0,0 +1,183 @@
+"""Tests of what endpoints limit, and of addresses that change hands."""
+
+import asyncio
+
+import testtools
+
+from sniperudder.entry.tests import _fleets
+from standins import fleet as standins
+
+# Longest time for an answer that needs no wait, seconds.
+_AT_ONCE_S = 0.1
+
+
+def create_desk(name='desk-1'):
+    """Return an endpoint of the plain service."""
+    return standins.EndpointStandin(name, 'desk')
+
+
+def make_hold(event, desk):
+    """Return a script entry: answer only once an event is set."""
+
+    async def serve(request, http, writer):
+        await event.wait()
+        await desk.answer_usually(request, http, writer)
+
+    return serve
+
+
+async def await_count(items, count):
+    """Wait until a list has a length."""
+    async with asyncio.timeout(2):
+        while len(items) < count:
+            await asyncio.sleep(0.01)
+
+
+class ChannelLimitTest(testtools.TestCase):
+    """Pattern: more requests at once than endpoints accept channels."""
+
+    def test_request_beyond_the_limit_is_refused_at_once(self):
+        desk = create_desk()
+        configuration = standins.make_configuration()
+        configuration['services'][0]['max_conns'] = 1
+
+        async def run():
+            held = asyncio.Event()
+            desk.script.append(make_hold(held, desk))
+            async with _fleets.run_fleet(
+                desk, configuration=configuration
+            ) as fleet:
+                first = asyncio.create_task(fleet.send('/unsafe/a'))
+                await await_count(desk.requests, 1)
+                loop = asyncio.get_running_loop()
+                began = loop.time()
+                status, headers, _ = await fleet.send('/unsafe/b')
+                took_s = loop.time() - began
+                held.set()
+                return (await first)[0], status, headers, took_s
+
+        first, second, headers, took_s = asyncio.run(run())
+        self.assertEqual((200, 503), (first, second))
+        self.assertIn('retry-after', headers)
+        self.assertLess(took_s, _AT_ONCE_S)
+        self.assertEqual((1, 1), (desk.accepted, len(desk.requests)))
+
+
+class SentLineTest(testtools.TestCase):
+    def test_late_request_names_its_endpoint(self):
+        # An on-call engineer has the id of a 504 and looks for its cause.
+        desk = create_desk()
+
+        async def run():
+            desk.script.append(make_hold(asyncio.Event(), desk))
+            async with _fleets.run_fleet(desk) as fleet:
+                status, _, _ = await fleet.send('/unsafe/a', wait_ms=200)
+                return status, fleet.journal.lines
+
+        status, lines = asyncio.run(run())
+        self.assertEqual(504, status)
+        sent = [line for line in lines if line[0] == 'request:sent']
+        self.assertEqual(['r-1'], [subject for _, subject, _ in sent])
+        self.assertEqual('desk-1', sent[0][2]['endpoint'])
+        self.assertEqual(1, sent[0][2]['in_flight'])
+
+
+class ReusedAddressTest(testtools.TestCase):
+    """Pattern: an endpoint is gone, and its address serves another one."""
+
+    def test_request_runs_at_the_endpoint_it_was_meant_for(self):
+        gone, sound = create_desk('desk-1'), create_desk('desk-2')
+
+        async def run():
+            async with _fleets.run_fleet(gone, sound) as fleet:
+                gone.id = 'of-another-service'
+                return [(await fleet.send('/unsafe/a'))[0] for _ in range(6)]
+
+        self.assertEqual([200] * 6, asyncio.run(run()))
+        self.assertEqual((0, 6), (len(gone.requests), len(sound.requests)))
+        self.assertNotEqual([], gone.misdirected)
+
+    def test_request_without_another_endpoint_did_not_run(self):
+        gone = create_desk()
+
+        async def run():
+            async with _fleets.run_fleet(gone) as fleet:
+                gone.id = 'of-another-service'
+                return await fleet.send('/unsafe/a')
+
+        self.assertEqual(503, asyncio.run(run())[0])
+        self.assertEqual([], gone.requests)
+
+    def test_order_is_for_the_endpoint_it_was_meant_for(self):
+        # Its card may hold less, and an engine that is ordered to hold
+        # more than it can crashes.
+        gone = standins.EndpointStandin('gpu-1', 'llm', card='big')
+        gone.id = 'gpu-2'
+
+        async def run():
+            engine = standins.make_engine()
+            fleet = _fleets.Fleet([gone])
+            gone.id = 'gpu-1'
+            await fleet.start(standins.make_configuration(engine=engine))
+            gone.id = 'gpu-2'
+            try:
+                await fleet.await_event('order:given')
+            finally:
+                await fleet.stop()
+
+        asyncio.run(run())
+        self.assertEqual([], gone.orders)
+        self.assertIn('/order', gone.misdirected)
+
+
+class EarlyAnswerTest(testtools.TestCase):
+    def test_rest_of_a_long_body_is_not_taken_for_a_request(self):
+        # Pattern: an endpoint answers before it has read the body, keeps
+        # the channel and reads on.
+        desk = create_desk()
+        body = b'x' * 90_000
+
+        async def run():
+            async with _fleets.run_fleet(desk) as fleet:
+                first = await fleet.send('/unsafe/a', body=body)
+                second = await fleet.send('/unsafe/b', body=b'next')
+                await await_count(early.bodies, 2)
+                return first[0], second[2]
+
+        early = _EarlyDesk(desk)
+        desk._serve = early.serve
+        self.assertEqual((200, b'desk-1 /unsafe/b'), asyncio.run(run()))
+        self.assertEqual([body, b'next'], early.bodies)
+
+
+class _EarlyDesk:
+    """Answers each request once it has read its head."""
+
+    def __init__(self, desk):
+        self._desk = desk
+        self.bodies = []
+
+    async def serve(self, reader, writer):
+        """Serve one connection until it ends."""
+        while True:
+            try:
+                head = await reader.readuntil(b'\r\n\r\n')
+            except (OSError, asyncio.IncompleteReadError):
+                break
+            fields = dict(
+                line.lower().split(b': ', 1)
+                for line in head.splitlines()[1:]
+                if line
+            )
+            target = head.split(b' ')[1]
+            text = f'{self._desk.id} '.encode() + target
+            writer.write(
+                b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n'
+                b'X-Sniperudder-Request-Id: r-1\r\n'
+                b'X-Sniperudder-Response-Seal: s\r\n\r\n' % len(text) + text
+            )
+            await writer.drain()
+            await asyncio.sleep(0.05)
+            size = int(fields[b'content-length'])
+            self.bodies.append(await reader.readexactly(size))
+        writer.close()
--- a/sniperudder/fleet/_endpoints.py
+++ b/sniperudder/fleet/_endpoints.py
@@ -62,6 +62,8 @@
     ----------
     requests : int
         Requests of this instance that it works on.
+    channels : int
+        Channels to it that carry a request of this instance.
     token_layers : float
         KV cache that these may take, tokens x layers.
     failures : int
@@ -79,6 +81,7 @@
     """
 
     requests: int = 0
+    channels: int = 0
     token_layers: float = 0.0
     failures: int = 0
     refusals: int = 0
--- /dev/null
+++ b/sniperudder/forwarding/_attempts.py
@@ -0,0 +1,143 @@
+"""One send of a stream to a chain, from its request to its last event."""
+
+import h11
+
+from sniperudder.forwarding import _events
+from sniperudder.forwarding import _holdings
+from sniperudder.forwarding import _jobs
+from sniperudder.forwarding import _progress
+from sniperudder.forwarding import _sends
+from sniperudder.forwarding import _watches
+from sniperudder import platform
+
+__all__ = ['Attempt']
+
+# Time without the first event, and without a further one, after which a
+# dead stage is looked for, seconds: half of the time that callers allow
+# for a first event, and twice the longest pause of a timely stream.
+_FIRST_STALL_S = 0.4
+_STALL_S = 0.4
+
+# Nothing came from the first stage, nor does it answer when asked.
+_SILENT = _sends.Broken('first stage silent')
+
+
+class Attempt:
+    """A stream on one chain.
+
+    Parameters
+    ----------
+    forwarder : Forwarder
+    job : Job
+    caller : CallerChannel
+    stream : StreamProgress
+    parts : tuple of sniperudder.fleet.Part
+    """
+
+    def __init__(self, forwarder, job, caller, stream, parts):
+        self._forwarder = forwarder
+        self._job = job
+        self._caller = caller
+        self._stream = stream
+        self._parts = parts
+        self._holding = _holdings.Holding(
+            forwarder.T, _jobs.get_demand(job).total
+        )
+        self._watch = _watches.StageWatch(
+            forwarder, job, stream, parts, self._holding
+        )
+        self._send = _sends.Send(
+            forwarder.pool,
+            parts[0].endpoint.address,
+            forwarder.make_outgoing(job, parts, self._get_last_event_id()),
+        )
+
+    async def run(self):
+        """Send the request and pass its events on.
+
+        Returns
+        -------
+        Answered, NotRun, Broken or None
+            None once the stream has been passed on to its end.
+        """
+        job, forwarder = self._job, self._forwarder
+        sent_before = job.maybe_run
+        job.attempts += 1
+        job.endpoint = self._parts[0].endpoint
+        job.maybe_run = True
+        self._holding.take(self._parts, forwarder.now())
+        forwarder.note_sent(job, self._parts, after=self._stream.last_id)
+        try:
+            outcome = await self._send.open()
+            if outcome is None:
+                outcome = await self._receive_answer()
+        finally:
+            self._watch.close()
+            self._send.close()
+            self._holding.drop()
+        if isinstance(outcome, _sends.NotRun):
+            job.maybe_run = sent_before
+        elif isinstance(outcome, _sends.Broken):
+            forwarder.note_broken(job, self._watch.parts)
+        return outcome
+
+    def _get_last_event_id(self):
+        if self._stream.started and self._stream.last_id is not None:
+            return str(self._stream.last_id)
+        return self._job.head.last_event_id
+
+    async def _receive_answer(self):
+        head = await self._watch.receive(
+            self._send.receive_head, _FIRST_STALL_S
+        )
+        if head is None:
+            return _SILENT
+        if not isinstance(head, h11.Response):
+            return head
+        if head.status_code != 200:
+            return await self._send.receive_rest(head)
+        known = platform.read_answer_head(head.status_code, head.headers)
+        if not known.sealed:
+            return _sends.Broken('stream without a digest')
+        return await self._relay(
+            platform.make_answer_headers(_sends.list_headers(head))
+        )
+
+    async def _relay(self, headers):
+        stream, caller = self._stream, self._caller
+        splitter = _events.EventSplitter()
+        while True:
+            stall_s = _STALL_S if stream.started else _FIRST_STALL_S
+            try:
+                event = await self._watch.receive(self._send.receive, stall_s)
+                if event is None:
+                    return _SILENT
+                if isinstance(event, h11.EndOfMessage):
+                    break
+                if not isinstance(event, h11.Data):
+                    return _sends.Broken('closed within a stream')
+                whole = splitter.feed(event.data)
+            except (_events.EventTooLong, OSError) as error:
+                return _sends.Broken(_sends.describe_error(error))
+            if whole:
+                broken = _progress.pass_on(
+                    self._forwarder,
+                    caller,
+                    stream,
+                    headers,
+                    whole,
+                    self._job.route.pause_goal_s,
+                )
+                if broken is not None:
+                    return broken
+                self._watch.record_progress()
+                await caller.drain()
+                self._watch.leave_stages()
+        if splitter.rest:
+            return _sends.Broken('ended within an event')
+        if not stream.started:
+            caller.start_answer(200, headers)
+            stream.started = True
+        self._send.release()
+        caller.end_answer()
+        return None
--- a/sniperudder/forwarding/_channels.py
+++ b/sniperudder/forwarding/_channels.py
@@ -317,9 +317,20 @@
     return keep_s
 
 
-async def call(pool, address, method, target, body, timeout_s):
+async def call(
+    pool, address, method, target, body, timeout_s, more_headers=()
+):
     """Make one call with a JSON body and read the whole answer.
 
+    Parameters
+    ----------
+    pool : ChannelPool
+    address, method, target : str
+    body : bytes or None
+    timeout_s : float
+        Longest wait for the whole answer, seconds.
+    more_headers : iterable of (bytes, bytes)
+
     Returns
     -------
     status : int
@@ -334,7 +345,7 @@
     try:
         async with asyncio.timeout(timeout_s):
             channel = await pool.acquire(address)
-            headers = [('Host', address)]
+            headers = [('Host', address), *more_headers]
             if body is not None:
                 headers += [
                     ('Content-Type', 'application/json'),
--- a/sniperudder/forwarding/_forwarder.py
+++ b/sniperudder/forwarding/_forwarder.py
@@ -5,6 +5,7 @@
 
 from sniperudder import digests
 from sniperudder import fleet
+from sniperudder.forwarding import _holdings
 from sniperudder.forwarding import _jobs
 from sniperudder.forwarding import _moves
 from sniperudder.forwarding import _pressure
@@ -187,6 +188,23 @@
             request.body,
         )
 
+    def note_sent(self, job, parts, **fields):
+        """Log where a request is sent, and what was known of the place."""
+        first = parts[0].endpoint
+        state = fleet.get_state(self.T, first)
+        self.journal.write(
+            'request:sent',
+            job.head.request_id,
+            attempt=job.attempts,
+            endpoint=first.id,
+            path=platform.write_path(parts),
+            in_flight=state.requests,
+            in_flight_others=self.T.peers.get_load(first.id).requests,
+            instances=self.T.peers.count_alive(),
+            avoided=routing.is_avoided(state, self.now()),
+            **fields,
+        )
+
     def note_outcome(self, job, endpoint, outcome, sent_at):
         """Keep what a send tells of its endpoint, for choices and log."""
         now = self.now()
@@ -287,7 +305,7 @@
                 job.tried,
             )
             if endpoint is None:
-                code = _Code.NO_ENDPOINT
+                code = _Code.SHED if endpoints else _Code.NO_ENDPOINT
                 break
             sent_at = self.now()
             outcome = await self._send_plain(job, endpoint)
@@ -322,8 +340,10 @@
     async def _send_plain(self, job, endpoint):
         job.attempts += 1
         job.endpoint = endpoint
-        state = fleet.get_state(self.T, endpoint)
-        state.requests += 1
+        parts = (fleet.Part(endpoint, None),)
+        holding = _holdings.Holding(self.T, 0.0)
+        holding.take(parts, self.now())
+        self.note_sent(job, parts)
         sent_before = job.maybe_run
         # Whatever cuts the exchange short, the endpoint may have run it.
         job.maybe_run = True
@@ -331,14 +351,14 @@
             outcome = await _sends.exchange(
                 self.pool,
                 endpoint.address,
-                self.make_outgoing(job, [fleet.Part(endpoint, None)], None),
+                self.make_outgoing(job, parts, None),
             )
         finally:
-            state.requests -= 1
+            holding.drop()
         if isinstance(outcome, _sends.NotRun):
             job.maybe_run = sent_before
         elif isinstance(outcome, _sends.Broken):
-            self.note_broken(job, [fleet.Part(endpoint, None)])
+            self.note_broken(job, parts)
         return outcome
 
     def _expire(self, job, caller):
--- a/sniperudder/forwarding/_jobs.py
+++ b/sniperudder/forwarding/_jobs.py
@@ -153,6 +153,23 @@
     )
 
 
+def get_demand(job):
+    """Return the size of a generation, as far as it is known.
+
+    Returns
+    -------
+    sniperudder.routing.Demand
+        Nothing where the service generates nothing.
+    """
+    engine = job.service.engine
+    if engine is None:
+        return routing.Demand(0.0, 0.0)
+    return routing.Demand(
+        job.head.prompt_tokens or engine.usual_prompt,
+        job.head.answer_tokens or engine.usual_answer,
+    )
+
+
 def send_refusal(caller, code, reason):
     """Send an answer of the system's own.
 
--- a/sniperudder/forwarding/_moves.py
+++ b/sniperudder/forwarding/_moves.py
@@ -10,6 +10,7 @@
 
 from sniperudder import fleet
 from sniperudder.forwarding import _channels
+from sniperudder.forwarding import _engines
 from sniperudder import platform
 from sniperudder import routing
 
@@ -46,9 +47,9 @@
         self._T = T
         self._rng = rng
         self._journal = journal
-        # Not shared with requests: their late answers carry ids, and
-        # answers to calls carry none.
-        self._pool = _channels.ChannelPool()
+        self._engines = _engines.EngineCaller(
+            _channels.ChannelPool(), _CALL_TIMEOUT_S
+        )
         self._reports = {}
 
     async def find_stalled(self, endpoint, request_id):
@@ -106,12 +107,15 @@
                 return parts
             routing.check_chain(made, engine.layers)
             body = platform.make_repath_order(request_id, made)
-            status, answer = await self._order(parts[0].endpoint, body)
-            self._note_move(request_id, made, broken, f'status {status}')
-            if status in _DONE:
+            reply = await self._engines.give_order(parts[0].endpoint, body)
+            if isinstance(reply, _engines.Unanswered):
+                self._note_move(request_id, made, broken, reply.reason)
+                return parts
+            self._note_move(request_id, made, broken, f'status {reply.status}')
+            if reply.status in _DONE:
                 return made
-            missing = platform.read_fault_address(answer)
-            if status != _CONFLICT or missing is None:
+            missing = platform.read_fault_address(reply.body)
+            if reply.status != _CONFLICT or missing is None:
                 return parts
             broken.add(missing)
         return parts
@@ -126,42 +130,20 @@
         return await asyncio.shield(task)
 
     async def _read_report(self, endpoint):
-        try:
-            status, body = await _channels.call(
-                self._pool,
-                endpoint.address,
-                'GET',
-                platform.REPORT_TARGET,
-                None,
-                _CALL_TIMEOUT_S,
+        report = await self._engines.read_report(endpoint)
+        if isinstance(report, _engines.Unanswered):
+            self._journal.write(
+                'endpoint:silent', endpoint.id, reason=report.reason
             )
-            report = platform.read_report(body)
-        except (OSError, platform.DocumentError) as error:
-            reason = f'{type(error).__name__}: {error}'
-            self._journal.write('endpoint:silent', endpoint.id, reason=reason)
             return None
         self._journal.write(
             'endpoint:reported',
             endpoint.id,
-            status=status,
             stalled=len(report.stalled),
             stages=sorted({s.address for s in report.stalled}),
         )
         return report
 
-    async def _order(self, endpoint, body):
-        try:
-            return await _channels.call(
-                self._pool,
-                endpoint.address,
-                'POST',
-                platform.ORDER_TARGET,
-                body,
-                _CALL_TIMEOUT_S,
-            )
-        except OSError as error:
-            return f'none: {type(error).__name__}', b''
-
     def _set_aside(self, address):
         now = asyncio.get_running_loop().time()
         for endpoint in self._T.endpoints.values():
--- a/sniperudder/platform/__init__.py
+++ b/sniperudder/platform/__init__.py
@@ -6,6 +6,7 @@
 from sniperudder.platform._documents import read_settings
 from sniperudder.platform._headers import AnswerHead
 from sniperudder.platform._headers import make_answer_headers
+from sniperudder.platform._headers import make_call_headers
 from sniperudder.platform._headers import make_forwarded
 from sniperudder.platform._headers import make_send_headers
 from sniperudder.platform._headers import read_answer_head
@@ -59,6 +60,7 @@
     'Unavailable',
     'Written',
     'make_answer_headers',
+    'make_call_headers',
     'make_forwarded',
     'make_place_order',
     'make_repath_order',
--- a/sniperudder/platform/_headers.py
+++ b/sniperudder/platform/_headers.py
@@ -210,6 +210,16 @@
     return headers
 
 
+def make_call_headers(endpoint):
+    """Return the headers of a report or order that is for one endpoint.
+
+    Returns
+    -------
+    list of (bytes, bytes)
+    """
+    return [(_EXPECT_INSTANCE, endpoint.id.encode())]
+
+
 def write_path(parts):
     """Return a chain as the engines read it."""
     return ','.join(
--- a/sniperudder/routing/__init__.py
+++ b/sniperudder/routing/__init__.py
@@ -12,6 +12,7 @@
 from sniperudder.routing._health import record_refusal
 from sniperudder.routing._health import record_success
 from sniperudder.routing._health import record_told
+from sniperudder.routing._limits import has_channel
 from sniperudder.routing._paths import find_chain
 from sniperudder.routing._plain import choose_endpoint
 from sniperudder.routing._pressure import get_shed_share
@@ -38,6 +39,7 @@
     'get_rank',
     'get_room',
     'get_shed_share',
+    'has_channel',
     'is_avoided',
     'make_fingerprint',
     'match_route',
--- a/sniperudder/routing/_chains.py
+++ b/sniperudder/routing/_chains.py
@@ -10,6 +10,7 @@
 import random
 
 from sniperudder import fleet
+from sniperudder.routing import _limits
 from sniperudder.routing import _paths
 from sniperudder.routing import _prices
 
@@ -66,6 +67,7 @@
         (0, engine.layers),
         home,
         _FIRST_CROSSING_MS,
+        {e.id for e in endpoints if not _limits.has_channel(T, e)},
     )
 
 
@@ -88,7 +90,7 @@
     limit: float
 
 
-def _extend_chain(search, span, origin, first_ms=None):
+def _extend_chain(search, span, origin, first_ms=None, no_first=()):
     """Choose a chain over a span of layers."""
     T, engine, demand = search.T, search.engine, search.demand
     usable, avoided = [], []
@@ -120,7 +122,7 @@
 
     for candidates in (usable, usable + avoided):
         chain = _paths.find_chain(
-            candidates, *span, origin, price_way, first_ms
+            candidates, *span, origin, price_way, first_ms, no_first
         )
         if chain or not avoided:
             return chain
--- a/sniperudder/routing/_paths.py
+++ b/sniperudder/routing/_paths.py
@@ -8,7 +8,9 @@
 _STAGE_MS = 2.0
 
 
-def find_chain(priced, start, end, origin, crossings, first_ms=None):
+def find_chain(
+    priced, start, end, origin, crossings, first_ms=None, no_first=()
+):
     """Return the cheapest chain over a range of layers.
 
     Dynamic programming over the ends of ranges: time is linear in the
@@ -27,6 +29,8 @@
     first_ms : float, optional
         Price of another data centre than the origin for the first stage,
         where no activations pass on the way to it, ms.
+    no_first : collection of str, optional
+        Ids of endpoints that cannot be the first stage.
 
     Returns
     -------
@@ -66,6 +70,8 @@
         for endpoint, price in holders:
             if not endpoint.layers.start <= position < endpoint.layers.end:
                 continue
+            if position == start and endpoint.id in no_first:
+                continue
             cost, origin_key = min(
                 (cost + _step(centre, endpoint, crossings, free), centre)
                 for centre, (cost, _, _) in best[position].items()
--- a/sniperudder/routing/_plain.py
+++ b/sniperudder/routing/_plain.py
@@ -6,6 +6,7 @@
 """
 
 from sniperudder import fleet
+from sniperudder.routing import _limits
 
 # Requests in flight that leaving the data centre is worth; the way takes
 # half a millisecond, a call some twenty.
@@ -15,6 +16,8 @@
 def choose_endpoint(T, endpoints, home, now, rng, excluded=()):
     """Choose the endpoint with the fewest requests in flight.
 
+    Endpoints at which this instance has used up its channels are left out.
+
     Parameters
     ----------
     T : sniperudder.fleet.FleetTables
@@ -44,4 +47,5 @@
             rng.random(),
         )
 
-    return min(endpoints, key=rate, default=None)
+    free = [e for e in endpoints if _limits.has_channel(T, e)]
+    return min(free, key=rate, default=None)
--- a/sniperudder/routing/_prices.py
+++ b/sniperudder/routing/_prices.py
@@ -36,6 +36,11 @@
     prompt: float
     answer: float
 
+    @property
+    def total(self):
+        """All tokens, those to read and those to make."""
+        return self.prompt + self.answer
+
 
 def get_room(endpoint, engine):
     """Return the KV cache of an endpoint, tokens x layers."""
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -28,10 +28,18 @@
 
 
 class _Server:
-    """Reads requests with h11 and gives each to `answer`."""
+    """Reads requests with h11 and gives each to `answer`.
+
+    Attributes
+    ----------
+    address : str
+    accepted : int
+        Connections so far.
+    """
 
     def __init__(self):
         self.address = ''
+        self.accepted = 0
         self._server = None
         self._readers = {}
 
@@ -56,6 +64,7 @@
         return self._readers[writer].at_eof()
 
     async def _serve(self, reader, writer):
+        self.accepted += 1
         self._readers[writer] = reader
         http = h11.Connection(h11.SERVER)
         try:
@@ -207,6 +216,8 @@
         Told each order.
     order_s : float
         Time until an order is answered, seconds.
+    misdirected : list of str
+        Targets of what was meant for another endpoint.
     """
 
     def __init__(self, name, service, data_centre='north', card=''):
@@ -224,6 +235,7 @@
         self.stalled = []
         self.on_order = None
         self.order_s = 0.0
+        self.misdirected = []
 
     def list_in(self, store, state='ready'):
         """Write this endpoint's entry to the store."""
@@ -248,7 +260,13 @@
     async def answer(self, request, body, http, writer):
         """See base class."""
         path = request.target.decode()
-        if path == '/order':
+        meant = read_header(request, 'x-sniperudder-expect-instance')
+        if meant not in (None, self.id):
+            self.misdirected.append(path)
+            headers = make_seal(request)[:1]
+            headers.append(('At-Server', self.address))
+            _write_answer(http, writer, 421, b'', headers)
+        elif path == '/order':
             await asyncio.sleep(self.order_s)
             self._take_order(json.loads(body), http, writer)
         elif path == '/report':
