Read the settings again without a signal; prove planned stops on processes

Cause: a settings file may change without a signal; only SIGHUP was heard, and of the new settings only those of the forwarder came in force.

Change: entry/_settings.py looks at the file each second and at SIGHUP; the store's address and the bounds come in force, the line names what needs a start. Tests with real processes: a stop cuts nothing begun, signals in series, a killed instance is back within the bound.

--- a/sniperudder/entry/_entry.py
+++ b/sniperudder/entry/_entry.py
@@ -11,6 +11,7 @@
 from sniperudder.entry import _gossip
 from sniperudder.entry import _journal
 from sniperudder.entry import _placer
+from sniperudder.entry import _settings
 from sniperudder.entry import _watchers
 from sniperudder import fleet
 from sniperudder import forwarding
@@ -55,7 +56,7 @@
 
     def __init__(self, settings, load_settings, journal, metrics_port=0):
         self._settings = settings
-        self._load_settings = load_settings
+        self._file = _settings.SettingsFile(load_settings, settings, journal)
         self._journal = journal
         self._T = fleet.FleetTables()
         self._calls = forwarding.ChannelPool()
@@ -271,17 +272,15 @@
         caller.send_answer(_READY, [kind], body)
 
     def _reload(self):
-        try:
-            self._settings = self._load_settings()
-        except (OSError, platform.DocumentError) as error:
-            self._journal.write('settings:unreadable', reason=str(error))
-            return
-        self._forwarder.settings = self._settings
-        self._journal.write('settings:reloaded', self._settings.name)
+        if self._file.look():
+            self._settings = self._file.settings
+            self._forwarder.apply_settings(self._settings)
+            self._store.address = self._settings.platform_address
 
     async def _keep_house(self):
         while True:
             await asyncio.sleep(_HOUSEKEEPING_S)
+            self._reload()
             self._requests.close_idle()
             self._calls.close_idle()
             self._forwarder.crashes.forget(asyncio.get_running_loop().time())
--- a/sniperudder/entry/tests/_fleets.py
+++ b/sniperudder/entry/tests/_fleets.py
@@ -39,6 +39,8 @@
     journal : Recorder
     callers, ready, metrics : str
         Addresses of the instance.
+    settings : sniperudder.fleet.InstanceSettings
+        What its settings file holds.
     """
 
     def __init__(self, endpoints):
@@ -47,6 +49,7 @@
         self.journal = Recorder()
         self.callers = self.ready = self.metrics = ''
         self.instance = None
+        self.settings = None
 
     async def start(self, configuration):
         """Start everything; the instance may not be ready yet."""
@@ -63,7 +66,7 @@
         """Start the entry instance."""
         addresses = _processes.find_addresses(4)
         self.callers, self.ready, self.metrics, peers = addresses
-        settings = fleet.InstanceSettings(
+        self.settings = fleet.InstanceSettings(
             name='entry-1',
             data_centre='north',
             host='127.0.0.1',
@@ -74,8 +77,8 @@
             bounds=fleet.Bounds(2.0, 4.0, 2.0, 0.2, 10.0, 200.0),
         )
         self.instance = entry.Entry(
-            settings,
-            lambda: settings,
+            self.settings,
+            lambda: self.settings,
             self.journal,
             int(self.metrics.rpartition(':')[2]),
         )
--- /dev/null
+++ b/sniperudder/entry/tests/test_processes.py
@@ -0,0 +1,250 @@
+"""Tests of an instance as a process of its own: its stops and starts."""
+
+import asyncio
+import contextlib
+import json
+import os
+import pathlib
+import signal
+import sys
+import tempfile
+
+import testtools
+
+from scenarios import _processes
+from sniperudder import platform
+from standins import fleet as standins
+
+_GRACE_S = 6.0
+_START_S = 10.0
+_LOOK_S = 0.02
+_EVENTS = 80
+
+# All layers and much KV cache fit one engine.
+_ENGINE = standins.make_engine(cards={'big': 40_000.0})
+
+# The users' bound for being back after all instances were lost, seconds.
+_RECOVER_S = 12.0
+
+
+class Process:
+    """An instance that runs as a process, and what it is told.
+
+    Parameters
+    ----------
+    store : StoreStandin
+    folder : str
+        For its settings file.
+    """
+
+    def __init__(self, store, folder):
+        self._path = pathlib.Path(folder, 'settings.json')
+        self._store = store
+        self._child = None
+        self._lines = []
+        self._reading = None
+        self.callers = self.ready = ''
+
+    async def start(self):
+        """Start the process and wait until it is ready."""
+        self.callers, self.ready, peers = _processes.find_addresses(3)
+        bounds = {
+            'drain_ms': 2_000,
+            'grace_s': _GRACE_S,
+            'stall_ms': 2_000,
+            'budget_ratio': 0.2,
+            'budget_window_s': 10,
+            'budget_slack': 200,
+        }
+        port = int(peers.rpartition(':')[2])
+        settings = {
+            'node': 'entry-1',
+            'zone': 'north',
+            'ip': '127.0.0.1',
+            'listen': {'front': self.callers, 'ready': self.ready},
+            'port_range': [port, port],
+            'platform': {'address': self._store.address},
+            'bounds': bounds,
+        }
+        self._path.write_text(json.dumps(settings))
+        self._child = await asyncio.create_subprocess_exec(
+            sys.executable,
+            '-m',
+            'sniperudder.entry',
+            stdout=asyncio.subprocess.PIPE,
+            env={**os.environ, platform.SETTINGS_VARIABLE: str(self._path)},
+        )
+        self._reading = asyncio.create_task(self._read_lines())
+        async with asyncio.timeout(_START_S):
+            while await self.get_readiness() != 200:
+                await asyncio.sleep(_LOOK_S)
+
+    async def get_readiness(self):
+        """Return the status that the balancer sees, or None."""
+        try:
+            status, _, _ = await standins.send_request(
+                self.ready, '/readiness', 'GET', b''
+            )
+        except OSError:
+            return None
+        return status
+
+    async def send(self, target, **options):
+        """Send a request to the instance; see `send_request`."""
+        return await standins.send_request(self.callers, target, **options)
+
+    def signal(self, number):
+        """Send the process a signal."""
+        self._child.send_signal(number)
+
+    async def wait(self):
+        """Wait for the end of the process; return its status."""
+        async with asyncio.timeout(_GRACE_S + 1.0):
+            status = await self._child.wait()
+            await self._reading
+        return status
+
+    async def close(self):
+        """End the process if it still runs."""
+        if self._child is not None and self._child.returncode is None:
+            self._child.kill()
+            await self._child.wait()
+
+    def list_events(self, event):
+        """Return the log lines of one kind."""
+        return [
+            line for line in self._lines if line.get('message_type') == event
+        ]
+
+    async def _read_lines(self):
+        async for line in self._child.stdout:
+            self._lines.append(json.loads(line))
+
+
+@contextlib.asynccontextmanager
+async def run_process(*endpoints, engine=None):
+    """Run an instance as a process before stand-ins."""
+    store = standins.StoreStandin()
+    await store.start()
+    for endpoint in endpoints:
+        await endpoint.start()
+        endpoint.list_in(store)
+    configuration = standins.make_configuration(engine=engine)
+    store.put_json('op', 'config', configuration)
+    with tempfile.TemporaryDirectory() as folder:
+        process = Process(store, folder)
+        try:
+            await process.start()
+            yield process
+        finally:
+            await process.close()
+            for endpoint in endpoints:
+                await endpoint.stop()
+            await store.stop()
+
+
+def create_stream_engine():
+    """Return an engine whose streams outlast the time to take callers."""
+    engine = standins.EndpointStandin('gpu-1', 'llm', card='big')
+    engine.layers = 0, 8
+    engine.events = _EVENTS
+    engine.event_s = 0.05
+    return engine
+
+
+async def await_requests(*endpoints):
+    """Wait until each endpoint runs a request."""
+    async with asyncio.timeout(_START_S):
+        while not all(endpoint.requests for endpoint in endpoints):
+            await asyncio.sleep(_LOOK_S)
+
+
+def make_slow(desk, seconds):
+    """Return a script entry: answer after a while."""
+
+    async def serve(request, http, writer):
+        await asyncio.sleep(seconds)
+        await desk.answer_usually(request, http, writer)
+
+    return serve
+
+
+class PlannedStopTest(testtools.TestCase):
+    """Pattern: instances are stopped in turn while callers go on."""
+
+    def test_stop_cuts_nothing_that_was_begun(self):
+        desk = standins.EndpointStandin('desk-1', 'desk')
+        engine = create_stream_engine()
+
+        async def run():
+            desk.script.append(make_slow(desk, 1.3))
+            async with run_process(desk, engine, engine=_ENGINE) as process:
+                stream = asyncio.create_task(
+                    process.send('/stream/a', wait_ms=20_000)
+                )
+                plain = asyncio.create_task(process.send('/unsafe/a'))
+                await await_requests(desk, engine)
+                process.signal(signal.SIGTERM)
+                await asyncio.sleep(0.1)
+                readiness = await process.get_readiness()
+                # The balancer still sends callers here for a while.
+                late = await process.send('/safe/late')
+                answers = await asyncio.gather(stream, plain)
+                return process, readiness, late, answers, await process.wait()
+
+        process, readiness, late, answers, status = asyncio.run(run())
+        self.assertEqual(0, status)
+        self.assertEqual(503, readiness)
+        self.assertEqual(200, late[0])
+        self.assertEqual('close', late[1]['connection'])
+        (stream, _, body), (plain, _, _) = answers
+        self.assertEqual((200, 200), (stream, plain))
+        self.assertEqual(_EVENTS, body.count(b'data: '))
+        self.assertEqual(
+            [0],
+            [line['cut'] for line in process.list_events('instance:stopped')],
+        )
+
+    def test_second_signal_changes_nothing(self):
+        # Pattern: signals come in series.
+        engine = create_stream_engine()
+
+        async def run():
+            async with run_process(engine, engine=_ENGINE) as process:
+                stream = asyncio.create_task(
+                    process.send('/stream/a', wait_ms=20_000)
+                )
+                await await_requests(engine)
+                for number in (
+                    signal.SIGHUP,
+                    signal.SIGTERM,
+                    signal.SIGHUP,
+                    signal.SIGTERM,
+                ):
+                    process.signal(number)
+                    await asyncio.sleep(0.1)
+                return await stream, await process.wait()
+
+        (status, _, body), ended = asyncio.run(run())
+        self.assertEqual((200, 0), (status, ended))
+        self.assertEqual(_EVENTS, body.count(b'data: '))
+
+
+class StartTest(testtools.TestCase):
+    def test_killed_instance_is_back_in_time(self):
+        desk = standins.EndpointStandin('desk-1', 'desk')
+
+        async def run():
+            async with run_process(desk) as process:
+                await process.send('/unsafe/a')
+                loop = asyncio.get_running_loop()
+                process.signal(signal.SIGKILL)
+                await process.wait()
+                began = loop.time()
+                await process.start()
+                status, _, _ = await process.send('/unsafe/b')
+                return status, loop.time() - began
+
+        status, took_s = asyncio.run(run())
+        self.assertEqual(200, status)
+        self.assertLess(took_s, _RECOVER_S)
--- /dev/null
+++ b/sniperudder/entry/tests/test_settings.py
@@ -0,0 +1,109 @@
+"""Tests of settings that change while an instance serves."""
+
+import asyncio
+import dataclasses
+
+import testtools
+
+from sniperudder.entry import _settings
+from sniperudder.entry.tests import _fleets
+from sniperudder import fleet
+from sniperudder import platform
+from standins import fleet as standins
+
+_BOUNDS = fleet.Bounds(2.0, 4.0, 2.0, 0.2, 10.0, 200.0)
+_SETTINGS = fleet.InstanceSettings(
+    name='entry-1',
+    data_centre='north',
+    host='127.0.0.1',
+    callers_address='127.0.0.1:1',
+    ready_address='127.0.0.1:2',
+    peer_port=3,
+    platform_address='127.0.0.1:4',
+    bounds=_BOUNDS,
+)
+
+
+def list_versions(running):
+    """Return the versions of the configuration that came in force."""
+    return [
+        subject
+        for event, subject, _ in running.journal.lines
+        if event == 'configuration:in force'
+    ]
+
+
+class SettingsFileTest(testtools.TestCase):
+    def look(self, *contents):
+        """Look at a file with each content in turn."""
+        left = list(contents)
+
+        def load():
+            found = left.pop(0)
+            if isinstance(found, Exception):
+                raise found
+            return found
+
+        self.journal = _fleets.Recorder()
+        file = _settings.SettingsFile(load, _SETTINGS, self.journal)
+        return file, [file.look() for _ in contents]
+
+    def test_same_settings_change_nothing(self):
+        _, changed = self.look(dataclasses.replace(_SETTINGS))
+        self.assertEqual([False], changed)
+        self.assertEqual([], self.journal.lines)
+
+    def test_change_names_its_fields(self):
+        new = dataclasses.replace(
+            _SETTINGS, host='h', platform_address='127.0.0.1:9'
+        )
+        file, changed = self.look(new)
+        self.assertEqual([True], changed)
+        self.assertEqual(new, file.settings)
+        line = self.journal.list_events('settings:reloaded')[0]
+        self.assertEqual(['host', 'platform_address'], line['changed'])
+        self.assertEqual(['host'], line['in_force_after_start'])
+
+    def test_unreadable_file_changes_nothing_and_is_told_once(self):
+        bad = platform.DocumentError('node: None')
+        file, changed = self.look(bad, bad, OSError('gone'), _SETTINGS, bad)
+        self.assertEqual([False] * 5, changed)
+        self.assertEqual(_SETTINGS, file.settings)
+        reasons = [
+            line['reason']
+            for line in self.journal.list_events('settings:unreadable')
+        ]
+        self.assertEqual(['node: None', 'gone', 'node: None'], reasons)
+
+
+class ReloadTest(testtools.TestCase):
+    def test_change_without_a_signal_is_in_force(self):
+        # Pattern: the store moves, and the file is all that tells of it.
+        desk = standins.EndpointStandin('desk-1', 'desk')
+        new_store = standins.StoreStandin()
+
+        async def run():
+            async with _fleets.run_fleet(desk) as fleet_:
+                await new_store.start()
+                new_store.version = 50
+                new_store.put_json(
+                    'op', 'config', standins.make_configuration(version=2)
+                )
+                desk.list_in(new_store)
+                fleet_.settings = dataclasses.replace(
+                    fleet_.settings, platform_address=new_store.address
+                )
+                await fleet_.await_event('settings:reloaded')
+                # Ends the call that waits at the old address.
+                fleet_.store.forget_history()
+                async with asyncio.timeout(2):
+                    while len(list_versions(fleet_)) < 2:
+                        await asyncio.sleep(0.01)
+                status, _, _ = await fleet_.send('/safe/a')
+                return status, list_versions(fleet_)
+
+        try:
+            status, versions = asyncio.run(run())
+        finally:
+            asyncio.run(new_store.stop())
+        self.assertEqual((200, ['1', '2']), (status, versions))
--- a/sniperudder/forwarding/_forwarder.py
+++ b/sniperudder/forwarding/_forwarder.py
@@ -88,6 +88,13 @@
             self.note_end(job, _Code.CALLER_LEFT)
             raise
 
+    def apply_settings(self, settings):
+        """Go on with changed settings; what was spent stays spent."""
+        self.settings = settings
+        bounds = settings.bounds
+        for budget in self._budgets.values():
+            budget.set_bounds(bounds.repeat_ratio, bounds.repeat_window_s)
+
     def list_faults(self):
         """Return the stages that other instances should avoid."""
         now = self.now()
--- a/sniperudder/platform/_store.py
+++ b/sniperudder/platform/_store.py
@@ -97,15 +97,16 @@
     Parameters
     ----------
     address : str
+        May be set anew at any time.
     call : callable
         Coroutine function of address, method, target, body and timeout
         in seconds, which returns a status and a body, or raises OSError.
     """
 
-    __slots__ = ('_address', '_call')
+    __slots__ = ('_call', 'address')
 
     def __init__(self, address, call):
-        self._address = address
+        self.address = address
         self._call = call
 
     async def read_table(self, table):
@@ -180,7 +181,7 @@
             call['set_keys'] = [{**row, 'value': text}]
         try:
             status, body = await self._call(
-                self._address,
+                self.address,
                 'POST',
                 '/rows-tx',
                 json.dumps(call).encode(),
@@ -200,7 +201,7 @@
         target = f'{path}?{urllib.parse.urlencode(query)}'
         try:
             status, body = await self._call(
-                self._address, 'GET', target, None, timeout_s
+                self.address, 'GET', target, None, timeout_s
             )
             if status == _HISTORY_GONE:
                 return HistoryGone()
--- a/sniperudder/routing/_budgets.py
+++ b/sniperudder/routing/_budgets.py
@@ -39,6 +39,11 @@
         self._first = collections.deque()
         self._repeated = collections.deque()
 
+    def set_bounds(self, ratio, window_s):
+        """Go on with another ratio and window."""
+        self._ratio = ratio
+        self._window_s = window_s
+
     def record_request(self, now):
         """Count a request."""
         self._first.append(now)
