Refuse deep nesting in queries; accept a byte-order mark in settings

Cause: 3,000 nested parentheses ended in RecursionError, as did as many "not"; editors put a byte-order mark before an INI file, which was refused as its first line. Change: nesting above 200 levels is a SyntaxProblem with its column, settings are read as UTF-8 with or without the mark.

--- a/sniperudder/queries/_parser.py
+++ b/sniperudder/queries/_parser.py
@@ -1,6 +1,7 @@
 """Parsing of queries and commands into typed records."""
 
 import functools
+import re
 
 import lark
 
@@ -13,6 +14,13 @@
 from sniperudder.queries import _resolution
 from sniperudder.tables import Rank
 
+# Levels of parentheses and of "not"; a hundredth of what people write
+# would do, and the interpreter follows a thousand calls.
+_MAX_DEPTH = 200
+
+# Quoted text, and what opens or closes a level.
+_NESTING = re.compile(r'"[^"\n]*"|[()]|\bnot\b(?![\w.-])', re.IGNORECASE)
+
 
 def parse_query(text):
     """Return the query that a text stands for.
@@ -64,6 +72,7 @@
 
 
 def _parse(text, start):
+    _check_depth(text)
     try:
         tree = _create_parser().parse(text, start=start)
     except lark.UnexpectedInput as error:
@@ -74,6 +83,25 @@
         raise error.orig_exc from None
 
 
+def _check_depth(text):
+    """Refuse nesting that the resolution could not follow."""
+    depth = 0
+    for found in _NESTING.finditer(text):
+        word = found.group()
+        if word == ')':
+            depth = max(0, depth - 1)
+        elif not word.startswith('"'):
+            depth += 1
+        if depth > _MAX_DEPTH:
+            line = text.count('\n', 0, found.start()) + 1
+            column = found.start() - text.rfind('\n', 0, found.start())
+            raise errors.SyntaxProblem(
+                f'found more than {_MAX_DEPTH} levels, expected fewer',
+                line,
+                column,
+            )
+
+
 @functools.cache
 def _create_parser():
     return lark.Lark(
--- a/sniperudder/queries/tests/test_language.py
+++ b/sniperudder/queries/tests/test_language.py
@@ -72,6 +72,24 @@
             self.assertEqual((1, column), (problem.line, problem.column))
             self.assertIn(expected, problem.problem)
 
+    def test_deep_nesting_is_refused_with_its_column(self):
+        for opening, closing in (('(', ')'), ('not ', ''), ('NOT(', ')')):
+            condition = 'rank = urgent'
+            sound = f'{opening * 90}{condition}{closing * 90}'
+            queries.parse_query(f'show requests where {sound}')
+            deep = f'{opening * 3000}{condition}{closing * 3000}'
+            error = self.assertRaises(
+                errors.SyntaxProblem,
+                queries.parse_query,
+                f'show requests where {deep}',
+            )
+            self.assertIn('levels', error.problem)
+            self.assertTrue(20 < error.column < 900, error.column)
+
+    def test_quoted_parentheses_are_no_nesting(self):
+        text = '(' * 3000
+        queries.parse_query(f'show requests where name = "{text}"')
+
     def test_shares_have_bounds(self):
         for text in ('shed rank least 120%', 'weight organisation a 0'):
             self.assertRaises(
--- a/sniperudder/settings/_parsing.py
+++ b/sniperudder/settings/_parsing.py
@@ -23,7 +23,7 @@
     list of Mistake
     """
     try:
-        with open(path, encoding='utf-8') as file:
+        with open(path, encoding='utf-8-sig') as file:
             text = file.read()
     except (OSError, UnicodeDecodeError) as error:
         reason = getattr(error, 'strerror', None) or 'text that is not UTF-8'
--- a/sniperudder/settings/tests/test_loading.py
+++ b/sniperudder/settings/tests/test_loading.py
@@ -80,6 +80,10 @@
     def test_good_file(self):
         self.assertEqual([], self.check('', ''))
 
+    def test_byte_order_mark_is_accepted(self):
+        path = self.write_file('\ufeff' + base.GOOD)
+        self.assertEqual([], settings.check_settings(path))
+
     def test_missing_file(self):
         (mistake,) = settings.check_settings('/nowhere/x.ini')
         self.assertIn('/nowhere/x.ini', mistake.found)
