Serve histograms of waits, pauses between events and store calls

Cause: the metrics had the first event and the whole answer only. Change: three timings more, the pauses recorded once a stream; series without a rank or organisation leave the label out.

--- a/sniperudder/entry/_entry.py
+++ b/sniperudder/entry/_entry.py
@@ -61,10 +61,12 @@
         self._T = fleet.FleetTables()
         self._calls = forwarding.ChannelPool()
         self._requests = forwarding.ChannelPool()
+        self._measures = metrics.create_metrics()
         self._store = platform.Store(
-            settings.platform_address, self._call_platform
+            settings.platform_address,
+            self._call_platform,
+            self._record_store_call,
         )
-        self._measures = metrics.create_metrics()
         self._metrics_port = metrics_port
         self._forwarder = forwarding.Forwarder(
             self._T,
@@ -162,6 +164,11 @@
             self._calls, address, method, target, body, timeout_s
         )
 
+    def _record_store_call(self, seconds):
+        metrics.record_time(
+            self._measures, metrics.Timing.STORE_CALL, '', '', seconds
+        )
+
     def _apply_configuration(self, rows, whole):
         for row in rows:
             if row.key != platform.CONFIGURATION_KEY or row.value is None:
--- a/sniperudder/entry/tests/test_metrics.py
+++ b/sniperudder/entry/tests/test_metrics.py
@@ -1,6 +1,7 @@
 """Tests of the metrics server."""
 
 import asyncio
+import re
 
 import testtools
 
@@ -28,5 +29,29 @@
             'sniperudder_total_seconds_count'
             '{rank="1",organisation="studio"} 1',
             'sniperudder_level{subject="endpoints"} 1',
+            'sniperudder_wait_seconds_count{rank="1"} 1',
         ):
             self.assertIn(line, text)
+        # The lease, the list of instances and both tables, at least once.
+        calls = re.search(r'sniperudder_store_call_seconds_count (\d+)', text)
+        self.assertGreaterEqual(int(calls[1]), 4)
+
+    def test_pauses_of_streams_are_kept_by_rank(self):
+        engine = standins.EndpointStandin('gpu-1', 'llm', card='big')
+        engine.layers = 0, 8
+        engine.events, engine.event_s = 5, 0.02
+
+        async def run():
+            made = standins.make_engine(cards={'big': 40_000.0})
+            async with _fleets.run_fleet(engine, engine=made) as fleet:
+                await fleet.send('/stream/a')
+                _, _, body = await standins.send_request(
+                    fleet.metrics, '/metrics', 'GET', b''
+                )
+                return body.decode()
+
+        text = asyncio.run(run())
+        name = 'sniperudder_between_tokens_seconds'
+        self.assertIn(f'{name}_count{{rank="1"}} 4', text)
+        total = re.search(rf'{name}_sum{{rank="1"}} ([\d.]+)', text)
+        self.assertTrue(0.06 < float(total[1]) < 1.0, total[1])
--- a/sniperudder/forwarding/_forwarder.py
+++ b/sniperudder/forwarding/_forwarder.py
@@ -199,6 +199,11 @@
         """Log where a request is sent, and what was known of the place."""
         first = parts[0].endpoint
         state = fleet.get_state(self.T, first)
+        if not job.sends:
+            waited_s = self.now() - job.request.arrived_at
+            metrics.record_time(
+                self.measures, metrics.Timing.WAIT, job.rank, '', waited_s
+            )
         self.journal.write(
             'request:sent',
             job.head.request_id,
--- a/sniperudder/forwarding/_progress.py
+++ b/sniperudder/forwarding/_progress.py
@@ -17,8 +17,8 @@
     first_at, last_at : float or None
         When the first and the newest event were sent, loop time.
     events : int
-    longest_pause_s : float
-        Longest time between two events, seconds.
+    pauses_s : list of float
+        Times between the arrivals of events, seconds.
     """
 
     __slots__ = (
@@ -26,7 +26,7 @@
         'first_at',
         'last_at',
         'last_id',
-        'longest_pause_s',
+        'pauses_s',
         'started',
     )
 
@@ -36,7 +36,7 @@
         self.first_at = None
         self.last_at = None
         self.events = 0
-        self.longest_pause_s = 0.0
+        self.pauses_s = []
 
     def may_resume(self, job):
         """Tell whether the stream may go on at another chain.
@@ -53,7 +53,7 @@
             self.first_at = now
         else:
             pause_s = now - self.last_at
-            self.longest_pause_s = max(self.longest_pause_s, pause_s)
+            self.pauses_s.append(pause_s)
         self.last_at = now
         self.events += count
         return pause_s
--- a/sniperudder/forwarding/_streams.py
+++ b/sniperudder/forwarding/_streams.py
@@ -76,12 +76,19 @@
         job.organisation.name if job.organisation else '',
         first_s,
     )
+    metrics.record_times(
+        forwarder.measures,
+        metrics.Timing.BETWEEN_TOKENS,
+        job.rank,
+        '',
+        stream.pauses_s,
+    )
     forwarder.note_end(
         job,
         _Code.ANSWERED,
         f'{stream.events} events',
         first_ms=round(first_s * 1000),
-        pause_ms=round(stream.longest_pause_s * 1000),
+        pause_ms=round(max(stream.pauses_s, default=0.0) * 1000),
     )
 
 
--- a/sniperudder/metrics/_metrics.py
+++ b/sniperudder/metrics/_metrics.py
@@ -23,11 +23,13 @@
 
 
 class Timing(enum.Enum):
-    """A span of time in the life of a request."""
+    """A span of time in the life of a request, or of a call for it."""
 
+    WAIT = 'wait'
     FIRST_TOKEN = 'first_token'
     BETWEEN_TOKENS = 'between_tokens'
     TOTAL = 'total'
+    STORE_CALL = 'store_call'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/sniperudder/metrics/_prometheus.py
+++ b/sniperudder/metrics/_prometheus.py
@@ -11,9 +11,11 @@
 _US_PER_S = 1_000_000
 
 _HELP = {
+    _metrics.Timing.WAIT: 'Time from arrival to the first send.',
     _metrics.Timing.FIRST_TOKEN: 'Time from arrival to the first token.',
     _metrics.Timing.BETWEEN_TOKENS: 'Time between two tokens.',
     _metrics.Timing.TOTAL: 'Time from arrival to the end of the answer.',
+    _metrics.Timing.STORE_CALL: 'Time of a call that does not wait.',
 }
 
 
@@ -66,19 +68,32 @@
         quantiles = times.histogram.get_percentile_to_value_dict(_PERCENTILES)
         count = times.histogram.get_total_count()
         total_s = times.total_s
-    rank = _name_rank(series.rank)
-    organisation = _escape(series.organisation)
-    labels = f'rank="{rank}",organisation="{organisation}"'
-    lines = [
-        f'{name}{{{labels},quantile="{percentile / 100:g}"}} '
-        f'{value_us / _US_PER_S:g}'
-        for percentile, value_us in quantiles.items()
-    ]
-    lines.append(f'{name}_sum{{{labels}}} {total_s:.6f}')
-    lines.append(f'{name}_count{{{labels}}} {count}')
+    labels = _list_labels(series)
+    lines = []
+    for percentile, value_us in quantiles.items():
+        quantile = f'quantile="{percentile / 100:g}"'
+        lines.append(
+            f'{name}{_join_labels([*labels, quantile])} '
+            f'{value_us / _US_PER_S:g}'
+        )
+    lines.append(f'{name}_sum{_join_labels(labels)} {total_s:.6f}')
+    lines.append(f'{name}_count{_join_labels(labels)} {count}')
     return lines
 
 
+def _list_labels(series):
+    """Return the labels of a series; those without a value are left out."""
+    values = {
+        'rank': _name_rank(series.rank),
+        'organisation': _escape(series.organisation),
+    }
+    return [f'{name}="{value}"' for name, value in values.items() if value]
+
+
+def _join_labels(labels):
+    return f'{{{",".join(labels)}}}' if labels else ''
+
+
 def _name_rank(rank):
     """Return a rank's label; the platform's ranks are plain numbers."""
     return rank.name.lower() if isinstance(rank, enum.Enum) else str(rank)
--- a/sniperudder/platform/_store.py
+++ b/sniperudder/platform/_store.py
@@ -1,5 +1,6 @@
 """The platform's metadata store."""
 
+import asyncio
 import base64
 import dataclasses
 import json
@@ -101,13 +102,16 @@
     call : callable
         Coroutine function of address, method, target, body and timeout
         in seconds, which returns a status and a body, or raises OSError.
+    record_time : callable, optional
+        Told how long each call took that waits for no change, seconds.
     """
 
-    __slots__ = ('_call', 'address')
+    __slots__ = ('_call', '_record_time', 'address')
 
-    def __init__(self, address, call):
+    def __init__(self, address, call, record_time=None):
         self.address = address
         self._call = call
+        self._record_time = record_time
 
     async def read_table(self, table):
         """Return all rows of a table.
@@ -121,7 +125,7 @@
             query = {'table': table, 'part': ''}
             if start is not None:
                 query['from'] = start
-            page = await self._read('/rows-get', query, _ANSWER_TIMEOUT_S)
+            page = await self._read('/rows-get', query)
             if isinstance(page, HistoryGone):
                 return Unavailable('history gone', False)
             if isinstance(page, Unavailable):
@@ -153,8 +157,7 @@
             'after': after,
             'wait_ms': int(wait_s * 1000),
         }
-        timeout_s = wait_s + _ANSWER_TIMEOUT_S
-        return await self._read('/rows-feed', query, timeout_s)
+        return await self._read('/rows-feed', query, wait_s)
 
     async def write_row(self, table, key, value, expected_version=None):
         """Set a row, or remove it where the value is None.
@@ -180,12 +183,8 @@
             text = base64.b64encode(value).decode()
             call['set_keys'] = [{**row, 'value': text}]
         try:
-            status, body = await self._call(
-                self.address,
-                'POST',
-                '/rows-tx',
-                json.dumps(call).encode(),
-                _ANSWER_TIMEOUT_S,
+            status, body = await self._time_call(
+                'POST', '/rows-tx', json.dumps(call).encode()
             )
             if status == _OK:
                 reply = _documents.parse(body)
@@ -197,12 +196,10 @@
             return Unavailable(f'{type(error).__name__}: {error}', True)
         return Unavailable(f'status {status}', status not in _BUSY)
 
-    async def _read(self, path, query, timeout_s):
+    async def _read(self, path, query, wait_s=0.0):
         target = f'{path}?{urllib.parse.urlencode(query)}'
         try:
-            status, body = await self._call(
-                self.address, 'GET', target, None, timeout_s
-            )
+            status, body = await self._time_call('GET', target, None, wait_s)
             if status == _HISTORY_GONE:
                 return HistoryGone()
             if status == _OK:
@@ -211,6 +208,17 @@
             return Unavailable(f'{type(error).__name__}: {error}', False)
         return Unavailable(f'status {status}', False)
 
+    async def _time_call(self, method, target, body, wait_s=0.0):
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        try:
+            return await self._call(
+                self.address, method, target, body, wait_s + _ANSWER_TIMEOUT_S
+            )
+        finally:
+            if not wait_s and self._record_time is not None:
+                self._record_time(loop.time() - began)
+
 
 def _read_rows(reply):
     rows = [_read_row(row) for row in _documents.take(reply, 'rows', list)]
