Know a later run at an address, and an engine that lost its layers

Ruled out: late lists of ours; the rows were in force in all instances, the engines could not reach the store.

Change: of entries at one address the latest run counts (logged as endpoint:superseded); the stage at fault is looked up in the chain that was sent; 421 sets a stage aside for as long as a lapsing entry lives, or until its row tells other layers.

Conclusion: an engine that starts again costs one refused send.

--- a/sniperudder/entry/_entry.py
+++ b/sniperudder/entry/_entry.py
@@ -18,6 +18,7 @@
 from sniperudder import logs
 from sniperudder import metrics
 from sniperudder import platform
+from sniperudder import routing
 
 # Time from SIGTERM for which new connections are still taken, seconds:
 # the balancer asks each second, and stops after two refusals.
@@ -224,10 +225,24 @@
             if known != endpoint:
                 if known is not None and known.born_ms != endpoint.born_ms:
                     self._note_run_ended(known)
+                elif known is not None and known.layers != endpoint.layers:
+                    # What it refused as misplaced it may have now.
+                    routing.record_placed(fleet.get_state(self._T, endpoint))
                 self._T.endpoints[row.key] = endpoint
                 self._note_endpoint(endpoint, row.version)
+        self._update_superseded()
         fleet.forget_states(self._T)
 
+    def _update_superseded(self):
+        before = self._T.superseded
+        fleet.update_superseded(self._T)
+        for name in sorted(self._T.superseded - before):
+            self._journal.write(
+                'endpoint:superseded',
+                name,
+                address=self._T.endpoints[name].address,
+            )
+
     def _note_endpoint(self, endpoint, version):
         layers = endpoint.layers
         self._journal.write(
--- a/sniperudder/entry/tests/test_endpoints.py
+++ b/sniperudder/entry/tests/test_endpoints.py
@@ -181,3 +181,87 @@
             size = int(fields[b'content-length'])
             self.bodies.append(await reader.readexactly(size))
         writer.close()
+
+
+class SupersededTest(testtools.TestCase):
+    """Pattern: an engine starts again while its old entry stays listed."""
+
+    CARDS = {'big': 40_000.0}
+
+    def run_twins(self, case):
+        """Run a case where two entries have one address."""
+        old = standins.EndpointStandin('gpu-1', 'llm', card='big')
+        other = standins.EndpointStandin('gpu-3', 'llm', card='big')
+        old.layers, other.layers = (0, 4), (4, 8)
+
+        async def run():
+            engine = standins.make_engine(cards=self.CARDS)
+            async with _fleets.run_fleet(old, other, engine=engine) as fleet:
+                # The same process as far as the address tells.
+                old.id, old.born = 'gpu-2', 2
+                old.layers = 2, 8
+                old.list_in(fleet.store)
+                await fleet.await_event('endpoint:superseded')
+                return await case(fleet, old, other)
+
+        return asyncio.run(run())
+
+    def test_chain_uses_the_later_run_only(self):
+        async def case(fleet, new, other):
+            first = standins.EndpointStandin('gpu-4', 'llm', card='big')
+            first.layers = 0, 2
+            await first.start()
+            first.list_in(fleet.store)
+            await asyncio.sleep(0.3)
+            try:
+                return [
+                    (await fleet.send('/stream/a'))[0] for _ in range(4)
+                ], fleet.journal
+            finally:
+                await first.stop()
+
+        statuses, journal = self.run_twins(case)
+        self.assertEqual([200] * 4, statuses)
+        self.assertEqual([], journal.list_events('instance:fault'))
+        line = journal.list_events('endpoint:superseded')[0]
+        self.assertIn('127.0.0.1', line['address'])
+
+
+class MisplacedTest(testtools.TestCase):
+    """Pattern: an engine lost its layers, and its entry still lists them."""
+
+    def test_engine_is_set_aside_until_it_is_listed_anew(self):
+        lost = standins.EndpointStandin('gpu-1', 'llm', card='big')
+        sound = standins.EndpointStandin('gpu-2', 'llm', 'south', card='big')
+        lost.layers = sound.layers = 0, 8
+
+        async def refuse(request, http, writer):
+            lost.requests.pop()
+            refused.append(request)
+            headers = [*standins.make_seal(request)[:1]]
+            headers.append(('At-Server', lost.address))
+            standins.write_answer(http, writer, 421, b'', headers)
+
+        refused = []
+
+        async def run():
+            engine = standins.make_engine(cards={'big': 40_000.0})
+            async with _fleets.run_fleet(lost, sound, engine=engine) as fleet:
+                lost.script.extend([refuse] * 20)
+                statuses = []
+                for _ in range(6):
+                    statuses.append((await fleet.send('/stream/a'))[0])
+                    await asyncio.sleep(0.25)
+                lost.script.clear()
+                lost.layers = 0, 7
+                lost.list_in(fleet.store)
+                await asyncio.sleep(0.3)
+                lost.layers = 0, 8
+                lost.list_in(fleet.store)
+                await asyncio.sleep(0.3)
+                await fleet.send('/stream/a')
+                return statuses
+
+        self.assertEqual([200] * 6, asyncio.run(run()))
+        self.assertEqual(1, len(refused))
+        self.assertEqual(1, len(lost.requests))
--- a/sniperudder/fleet/__init__.py
+++ b/sniperudder/fleet/__init__.py
@@ -22,6 +22,7 @@
 from sniperudder.fleet._tables import get_state
 from sniperudder.fleet._tables import is_serving
 from sniperudder.fleet._tables import list_endpoints
+from sniperudder.fleet._tables import update_superseded
 
 __all__ = [
     'Bounds',
@@ -46,4 +47,5 @@
     'is_serving',
     'list_crossings',
     'list_endpoints',
+    'update_superseded',
 ]
--- a/sniperudder/fleet/_tables.py
+++ b/sniperudder/fleet/_tables.py
@@ -23,6 +23,8 @@
         Whether the list of endpoints was read since the start.
     changes : int
         Number of changes of the list of endpoints.
+    superseded : frozenset of str
+        Ids of endpoints whose address a later run has.
     crossings : CrossingCounter
     peers : sniperudder.digests.PeerTable
         What other instances have in flight.
@@ -33,6 +35,7 @@
     states: dict = dataclasses.field(default_factory=dict)
     endpoints_known: bool = False
     changes: int = 0
+    superseded: frozenset = frozenset()
     crossings: _crossings.CrossingCounter = dataclasses.field(
         default_factory=_crossings.CrossingCounter
     )
@@ -78,7 +81,7 @@
     bool
     """
     listed = T.endpoints.get(part.endpoint.id)
-    if listed is None or listed.leaving:
+    if listed is None or listed.leaving or listed.id in T.superseded:
         return False
     if listed.born_ms != part.endpoint.born_ms:
         return False
@@ -100,10 +103,34 @@
     return [
         endpoint
         for endpoint in T.endpoints.values()
-        if endpoint.service == service and not endpoint.leaving
+        if endpoint.service == service
+        and not endpoint.leaving
+        and endpoint.id not in T.superseded
     ]
 
 
+def update_superseded(T):
+    """Find the endpoints whose address a later run has.
+
+    An endpoint that crashed stays listed for some heartbeats, longer while
+    the store is down, and may start again meanwhile under another id.
+    """
+    newest = {}
+    for endpoint in T.endpoints.values():
+        known = newest.get(endpoint.address)
+        if known is None or _get_age(known) < _get_age(endpoint):
+            newest[endpoint.address] = endpoint
+    T.superseded = frozenset(
+        endpoint.id
+        for endpoint in T.endpoints.values()
+        if newest[endpoint.address] is not endpoint
+    )
+
+
+def _get_age(endpoint):
+    return endpoint.born_ms, endpoint.id
+
+
 def forget_states(T):
     """Drop the states of runs that ended and hold no request."""
     listed = {(e.id, e.born_ms) for e in T.endpoints.values()}
--- a/sniperudder/forwarding/_forwarder.py
+++ b/sniperudder/forwarding/_forwarder.py
@@ -217,20 +217,25 @@
             **fields,
         )
 
-    def note_outcome(self, job, endpoint, outcome, sent_at):
-        """Keep what a send tells of its endpoint, for choices and log."""
+    def note_outcome(self, job, parts, outcome, sent_at):
+        """Keep what a send tells of its stages, for choices and log."""
         now = self.now()
         took_s = now - sent_at
+        endpoint = parts[0].endpoint
         if isinstance(outcome, _sends.Answered):
             routing.record_success(fleet.get_state(self.T, endpoint), now)
             job.sends.append(f'{endpoint.id}: {outcome.status}')
             return
         fault = endpoint
         if isinstance(outcome, _sends.NotRun) and outcome.fault_address:
-            fault = self.find_address(outcome.fault_address) or endpoint
+            for part in parts:
+                if part.endpoint.address == outcome.fault_address:
+                    fault = part.endpoint
         state = fleet.get_state(self.T, fault)
         if not isinstance(outcome, _sends.NotRun) or not outcome.arrived:
             routing.record_failure(state, now)
+        elif outcome.misplaced:
+            routing.record_misplaced(state, now)
         elif took_s >= self.settings.bounds.stall_s * _STALLED_SHARE:
             # The engine gave up waiting for this stage.
             routing.record_dead(state, now, _moves.DEAD_AVOID_S)
@@ -256,13 +261,6 @@
             organisation, request.target, request.body
         )
 
-    def find_address(self, address):
-        """Return the listed endpoint at an address, or None."""
-        for endpoint in self.T.endpoints.values():
-            if endpoint.address == address:
-                return endpoint
-        return None
-
     def refuse(self, job, caller, code, reason):
         """Answer for the system itself, and log it."""
         _jobs.send_refusal(caller, code, reason)
@@ -321,7 +319,8 @@
                 break
             sent_at = self.now()
             outcome = await self._send_plain(job, endpoint)
-            self.note_outcome(job, endpoint, outcome, sent_at)
+            parts = (fleet.Part(endpoint, None),)
+            self.note_outcome(job, parts, outcome, sent_at)
             if isinstance(outcome, _sends.Answered):
                 last = outcome
                 if (
--- a/sniperudder/forwarding/_sends.py
+++ b/sniperudder/forwarding/_sends.py
@@ -40,11 +40,14 @@
         Stage that is at fault, where another than the first one.
     arrived : bool
         Whether it reached an endpoint, which refused it.
+    misplaced : bool
+        Whether the stage at fault does not hold its part.
     """
 
     reason: str
     fault_address: str | None = None
     arrived: bool = False
+    misplaced: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -232,4 +235,5 @@
         f'refused with {head.status_code}',
         fault_address=known.fault_address,
         arrived=True,
+        misplaced=known.misplaced,
     )
--- a/sniperudder/forwarding/_streams.py
+++ b/sniperudder/forwarding/_streams.py
@@ -33,7 +33,7 @@
         if outcome is None:
             _note_answered(forwarder, job, stream)
             return
-        forwarder.note_outcome(job, parts[0].endpoint, outcome, sent_at)
+        forwarder.note_outcome(job, parts, outcome, sent_at)
         if isinstance(outcome, _sends.NotRun):
             code = _Code.TARGET_UNREACHABLE
             if not await forwarder.may_go_on(job, outcome):
--- a/sniperudder/platform/_headers.py
+++ b/sniperudder/platform/_headers.py
@@ -91,6 +91,9 @@
         Whether the endpoint's digest comes with it.
     not_run : bool
         Whether the endpoint promises that it did not run the request.
+    misplaced : bool
+        Whether it is not the endpoint that was meant, or does not hold its
+        part.
     fault_address : str or None
         Address of the stage that is at fault.
     """
@@ -98,6 +101,7 @@
     request_id: str
     sealed: bool
     not_run: bool
+    misplaced: bool
     fault_address: str | None
 
 
@@ -137,6 +141,7 @@
         request_id=_read_text(found, _REQUEST_ID) or '',
         sealed=_SEAL in found,
         not_run=_NOT_RUN in found or status == _MISDIRECTED,
+        misplaced=status == _MISDIRECTED,
         fault_address=_read_text(found, _FAULT_ADDRESS),
     )
 
--- a/sniperudder/routing/__init__.py
+++ b/sniperudder/routing/__init__.py
@@ -9,6 +9,8 @@
 from sniperudder.routing._health import is_avoided
 from sniperudder.routing._health import record_dead
 from sniperudder.routing._health import record_failure
+from sniperudder.routing._health import record_misplaced
+from sniperudder.routing._health import record_placed
 from sniperudder.routing._health import record_refusal
 from sniperudder.routing._health import record_success
 from sniperudder.routing._health import record_told
@@ -47,6 +49,8 @@
     'price_layer',
     'record_dead',
     'record_failure',
+    'record_misplaced',
+    'record_placed',
     'record_refusal',
     'record_success',
     'record_told',
--- a/sniperudder/routing/_health.py
+++ b/sniperudder/routing/_health.py
@@ -66,6 +66,20 @@
     state.dead_until = max(state.dead_until, now + avoid_s)
 
 
+def record_misplaced(state, now):
+    """Set aside an endpoint that does not hold what it is listed with."""
+    until = now + _MAX_AVOID_S
+    state.avoid_until = max(state.avoid_until, until)
+    state.dead_until = max(state.dead_until, until)
+
+
+def record_placed(state):
+    """Note that the list tells anew what an endpoint holds."""
+    state.refusals = 0
+    state.avoid_until = 0.0
+    state.dead_until = 0.0
+
+
 def record_told(state, now, left_s):
     """Take in that another instance found an endpoint dead.
 
--- a/sniperudder/routing/tests/test_chains.py
+++ b/sniperudder/routing/tests/test_chains.py
@@ -1,5 +1,6 @@
 """Tests of choosing chains, by the load that each answers."""
 
+import dataclasses
 import random
 
 import testtools
@@ -77,6 +78,27 @@
         )
 
 
+class SupersededTest(testtools.TestCase):
+    def test_two_runs_at_one_address_are_one_endpoint(self):
+        # Pattern: an engine starts again under another id before its old
+        # entry has lapsed; an engine twice in a chain is refused.
+        old = _fleets.create_endpoint('old', 0, 40)
+        new = dataclasses.replace(
+            _fleets.create_endpoint('new', 20, 60, born_ms=2),
+            address=old.address,
+        )
+        rest = _fleets.create_endpoint('rest', 60, 80)
+        start = _fleets.create_endpoint('start', 0, 20)
+        T = _fleets.create_tables(old, new, rest, start)
+        fleet.update_superseded(T)
+        chain = choose(T, fleet.list_endpoints(T, 'llm'))
+        routing.check_chain(chain, 80)
+        self.assertEqual(
+            ['start', 'new', 'rest'], [p.endpoint.id for p in chain]
+        )
+        self.assertFalse(fleet.is_serving(T, fleet.Part(old, None)))
+
+
 class LoadTest(testtools.TestCase):
     def test_requests_of_peers_count(self):
         # Pattern: independent instances choose at the same time.
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -17,7 +17,10 @@
     'StoreStandin',
     'make_configuration',
     'make_engine',
+    'make_seal',
+    'read_header',
     'send_request',
+    'write_answer',
 ]
 
 _HOST = '127.0.0.1'
@@ -149,7 +152,7 @@
         else:
             status, value = self._transact(json.loads(body))
         value = {'row_version': self.version, 'now_ms': 0, **value}
-        _write_answer(http, writer, status, json.dumps(value).encode(), [])
+        write_answer(http, writer, status, json.dumps(value).encode(), [])
 
     def _get(self, asked):
         rows = [
@@ -216,6 +219,8 @@
         Told each order.
     order_s : float
         Time until an order is answered, seconds.
+    born : int
+        Start of its run.
     misdirected : list of str
         Targets of what was meant for another endpoint.
     """
@@ -236,6 +241,7 @@
         self.on_order = None
         self.order_s = 0.0
         self.misdirected = []
+        self.born = 1
 
     def list_in(self, store, state='ready'):
         """Write this endpoint's entry to the store."""
@@ -248,7 +254,7 @@
             'state': state,
             'cold_left_ms': 0,
             'sequence': 1,
-            'born': 1,
+            'born': self.born,
         }
         if self.card:
             entry['kind'] = self.card
@@ -265,7 +271,7 @@
             self.misdirected.append(path)
             headers = make_seal(request)[:1]
             headers.append(('At-Server', self.address))
-            _write_answer(http, writer, 421, b'', headers)
+            write_answer(http, writer, 421, b'', headers)
         elif path == '/order':
             await asyncio.sleep(self.order_s)
             self._take_order(json.loads(body), http, writer)
@@ -276,7 +282,7 @@
                 'stalled': self.stalled,
             }
             text = json.dumps(report).encode()
-            _write_answer(http, writer, 200, text, [])
+            write_answer(http, writer, 200, text, [])
         elif self.script:
             self.requests.append((request, body))
             await self.script.popleft()(request, http, writer)
@@ -290,7 +296,7 @@
             await self.send_stream(request, http, writer)
             return
         body = f'{self.id} {request.target.decode()}'.encode()
-        _write_answer(http, writer, 200, body, make_seal(request))
+        write_answer(http, writer, 200, body, make_seal(request))
 
     async def send_stream(self, request, http, writer, upto=None):
         """Send events behind the last one that the request names.
@@ -318,7 +324,7 @@
         async def serve(request, http, writer):
             self.requests.pop()
             headers = [(_NOT_RUN, '1'), *make_seal(request)[:1]]
-            _write_answer(http, writer, 503, b'', headers)
+            write_answer(http, writer, 503, b'', headers)
 
         return serve
 
@@ -326,7 +332,7 @@
         """Return a script entry: run the request and answer 500."""
 
         async def serve(request, http, writer):
-            _write_answer(http, writer, 500, b'bad', make_seal(request))
+            write_answer(http, writer, 500, b'bad', make_seal(request))
 
         return serve
 
@@ -345,7 +351,7 @@
             self.layers = order['from'], order['to']
         if self.on_order is not None:
             self.on_order(order)
-        _write_answer(http, writer, 202, b'', [])
+        write_answer(http, writer, 202, b'', [])
 
 
 def make_seal(request):
@@ -497,7 +503,8 @@
             return None, b''
 
 
-def _write_answer(http, writer, status, body, headers):
+def write_answer(http, writer, status, body, headers):
+    """Write a whole answer with a length."""
     headers = [('Content-Length', str(len(body))), *headers]
     writer.write(
         http.send(h11.Response(status_code=status, headers=headers))
