Take instances that are gone off the list; say that a channel closed

Cause: rows of machines that were replaced stayed in the table of instances for ever, and every instance went on sending them digests.

Change: a peer unheard for ten minutes is gone; the holder of the lease removes its row on the condition of its version, the others forget it once the row is gone. The reason reads 'closed before the answer'.

--- a/sniperudder/digests/_peers.py
+++ b/sniperudder/digests/_peers.py
@@ -14,6 +14,10 @@
 # Seconds between two digests to a quiet peer.
 _TRY_S = 2.0
 
+# Time without a digest after which a peer is taken to be gone for good,
+# seconds: longer than any restart or outage that callers live through.
+_GONE_S = 600.0
+
 _NOTHING = _records.Load(0, 0.0)
 
 
@@ -97,6 +101,20 @@
                 silent.append(name)
         return silent
 
+    def list_gone(self, now):
+        """Return the names of the peers that are gone for good."""
+        return [
+            name
+            for name, peer in self.peers.items()
+            if now - peer.heard_at > _GONE_S
+        ]
+
+    def forget(self, name):
+        """Drop a peer that is gone."""
+        peer = self.peers.pop(name)
+        if peer.digest is not None:
+            self._count(peer.digest, -1)
+
     def get_load(self, endpoint):
         """Return what all peers have in flight at an endpoint.
 
--- a/sniperudder/digests/tests/test_peers.py
+++ b/sniperudder/digests/tests/test_peers.py
@@ -58,6 +58,15 @@
         self.assertEqual(1, len(self.table.list_due(20.0)))
         self.assertEqual([], self.table.list_due(20.5))
 
+    def test_peer_that_is_gone_for_good_is_told(self):
+        peers = digests.PeerTable()
+        peers.add_peer('a', ('h', 1), 0.0)
+        peers.add_peer('b', ('h', 2), 500.0)
+        self.assertEqual([], peers.list_gone(599.0))
+        self.assertEqual(['a'], peers.list_gone(700.0))
+        peers.forget('a')
+        self.assertEqual(['b'], list(peers.peers))
+
     def test_random_digests_leave_nothing_behind(self):
         rng = random.Random(4)
         for sequence in range(1, 400):
--- a/sniperudder/entry/_gossip.py
+++ b/sniperudder/entry/_gossip.py
@@ -98,8 +98,9 @@
             self._journal.write('instance:list unread', reason=str(outcome))
             return
         now = _read_clock()
+        gone = await self._remove_gone(outcome.rows, now)
         for row in outcome.rows:
-            if row.key == self._settings.name:
+            if row.key == self._settings.name or row.key in gone:
                 continue
             try:
                 value = json.loads(row.value)
@@ -109,6 +110,26 @@
                 continue
             self._T.peers.add_peer(row.key, address, now)
 
+    async def _remove_gone(self, rows, now):
+        """Take peers that are gone off the list; return their names.
+
+        The holder of the lease removes their rows; the others forget a
+        peer once its row is gone.
+        """
+        gone = set(self._T.peers.list_gone(now))
+        listed = {row.key: row.version for row in rows}
+        for name in sorted(gone & listed.keys()):
+            if not self._placer.lease_version:
+                gone.discard(name)
+                continue
+            outcome = await self._store.write_row(
+                platform.INSTANCES_TABLE, name, None, listed[name]
+            )
+            self._journal.write('instance:gone', name, outcome=str(outcome))
+        for name in gone:
+            self._T.peers.forget(name)
+        return gone
+
     def _make_digest(self):
         self._sequence += 1
         events, slow_events = self._forwarder.pressure.count_events()
--- a/sniperudder/forwarding/_channels.py
+++ b/sniperudder/forwarding/_channels.py
@@ -154,6 +154,8 @@
             if self._error is not None:
                 raise ChannelBroken(f'reset: {self._error}')
             if self._ended:
+                if self._http.their_state is h11.SEND_RESPONSE:
+                    raise ChannelBroken('closed before the answer')
                 self._http.receive_data(b'')
                 event = self._parse()
                 if event is h11.NEED_DATA:
--- a/sniperudder/forwarding/tests/test_channels.py
+++ b/sniperudder/forwarding/tests/test_channels.py
@@ -135,6 +135,19 @@
 
         self.run_endpoint(case)
 
+    def test_channel_that_closes_before_its_answer_says_so(self):
+        async def case(endpoint, pool):
+            async def close(request, http, writer):
+                writer.write_eof()
+
+            endpoint.script.append(close)
+            outcome = await _sends.exchange(
+                pool, endpoint.address, make_outgoing()
+            )
+            self.assertEqual('closed before the answer', outcome.reason)
+
+        self.run_endpoint(case)
+
     def test_bytes_that_are_no_http(self):
         async def case(endpoint, pool):
             async def garble(request, http, writer):
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -79,7 +79,8 @@
                 if http.our_state is not h11.DONE:
                     return
                 http.start_next_cycle()
-        except (OSError, h11.RemoteProtocolError):
+        except (OSError, h11.RemoteProtocolError, asyncio.CancelledError):
+            # The last comes with the end of the test's loop.
             return
         finally:
             del self._readers[writer]
