Choose chains by the speed of engines as their streams show it

Cause: prices knew a card's speed only; an engine that ran at a fraction of it kept its share of the streams, and each of them was slow. Ruled out: engines' reports (each is a probe, and they are some hundred ms old) and absolute times (load and batch size shift all of them): the pace of a stream is compared with that of the others, and an engine is as slow as the fastest stream through it allows.

Change: fleet/_speeds.py, forwarding/_paces.py; the price of a layer is multiplied; endpoint:slow and endpoint:not slow are logged.

--- a/sniperudder/entry/_entry.py
+++ b/sniperudder/entry/_entry.py
@@ -305,6 +305,7 @@
             self._reload()
             self._requests.close_idle()
             self._calls.close_idle()
+            self._forwarder.note_speeds()
             self._forwarder.crashes.forget(asyncio.get_running_loop().time())
 
     async def stop(self):
--- a/sniperudder/entry/tests/test_streams.py
+++ b/sniperudder/entry/tests/test_streams.py
@@ -465,6 +465,34 @@
         self.assertLess(pauses[0], 200)
 
 
+class SlowEngineTest(testtools.TestCase):
+    def test_slow_engine_is_told(self):
+        # Pattern: one of several engines runs at a fifth of its speed.
+        engines = [
+            create_engine(f'gpu-{number}', layers=(0, 8)) for number in (1, 2)
+        ]
+        for engine in engines:
+            engine.events, engine.event_s = 20, 0.04
+        engines[1].event_s = 0.2
+
+        async def run():
+            engine = standins.make_engine(cards=_CARDS)
+            async with _fleets.run_fleet(*engines, engine=engine) as fleet:
+                async with asyncio.TaskGroup() as group:
+                    for _ in range(12):
+                        group.create_task(
+                            fleet.send('/stream/a', wait_ms=10_000)
+                        )
+                    await fleet.await_event('endpoint:slow')
+                return fleet.journal
+
+        journal = asyncio.run(run())
+        slow = [
+            line[1] for line in journal.lines if line[0] == 'endpoint:slow'
+        ]
+        self.assertEqual(['gpu-2'], slow)
+
+
 class PlacementTest(testtools.TestCase):
     def test_empty_engines_are_given_all_layers(self):
         engines = [create_engine(f'gpu-{n}', 'half') for n in range(4)]
--- a/sniperudder/fleet/__init__.py
+++ b/sniperudder/fleet/__init__.py
@@ -16,6 +16,7 @@
 from sniperudder.fleet._endpoints import Part
 from sniperudder.fleet._settings import Bounds
 from sniperudder.fleet._settings import InstanceSettings
+from sniperudder.fleet._speeds import SpeedTable
 from sniperudder.fleet._tables import FleetTables
 from sniperudder.fleet._tables import forget_states
 from sniperudder.fleet._tables import get_load
@@ -40,6 +41,7 @@
     'Part',
     'Route',
     'Service',
+    'SpeedTable',
     'Target',
     'forget_states',
     'get_load',
--- a/sniperudder/fleet/_tables.py
+++ b/sniperudder/fleet/_tables.py
@@ -5,6 +5,7 @@
 from sniperudder import digests
 from sniperudder.fleet import _crossings
 from sniperudder.fleet import _endpoints
+from sniperudder.fleet import _speeds
 
 
 @dataclasses.dataclass(slots=True)
@@ -26,6 +27,7 @@
     superseded : frozenset of str
         Ids of endpoints whose address a later run has.
     crossings : CrossingCounter
+    speeds : SpeedTable
     peers : sniperudder.digests.PeerTable
         What other instances have in flight.
     """
@@ -39,6 +41,9 @@
     crossings: _crossings.CrossingCounter = dataclasses.field(
         default_factory=_crossings.CrossingCounter
     )
+    speeds: _speeds.SpeedTable = dataclasses.field(
+        default_factory=_speeds.SpeedTable
+    )
     peers: digests.PeerTable = dataclasses.field(
         default_factory=digests.PeerTable
     )
@@ -137,3 +142,4 @@
     for key in list(T.states):
         if key not in listed and T.states[key].requests == 0:
             del T.states[key]
+    T.speeds.forget(listed)
--- a/sniperudder/forwarding/_attempts.py
+++ b/sniperudder/forwarding/_attempts.py
@@ -130,7 +130,7 @@
                 )
                 if broken is not None:
                     return broken
-                self._watch.record_progress()
+                self._watch.record_progress(len(whole))
                 await caller.drain()
                 self._watch.leave_stages()
         if splitter.rest:
--- a/sniperudder/forwarding/_forwarder.py
+++ b/sniperudder/forwarding/_forwarder.py
@@ -60,6 +60,7 @@
         self.pressure = _pressure.FleetPressure(T, self.rng, journal)
         self.mover = _moves.Mover(T, self.rng, journal)
         self._budgets = {}
+        self._slow = set()
 
     async def handle(self, request, caller):
         """Answer one request; the server's handler."""
@@ -95,6 +96,22 @@
         for budget in self._budgets.values():
             budget.set_bounds(bounds.repeat_ratio, bounds.repeat_window_s)
 
+    def note_speeds(self):
+        """Log which endpoints began or ceased to count as slow."""
+        now = self.now()
+        for endpoint in self.T.endpoints.values():
+            run = endpoint.id, endpoint.born_ms
+            slowness = self.T.speeds.get_slowness(run, now)
+            if (slowness > 1.0) == (run in self._slow):
+                continue
+            self._slow ^= {run}
+            self.journal.write(
+                'endpoint:slow' if slowness > 1.0 else 'endpoint:not slow',
+                endpoint.id,
+                slowness=round(slowness, 1),
+            )
+        self._slow &= {(e.id, e.born_ms) for e in self.T.endpoints.values()}
+
     def list_faults(self):
         """Return the stages that other instances should avoid."""
         now = self.now()
--- a/sniperudder/forwarding/_watches.py
+++ b/sniperudder/forwarding/_watches.py
@@ -9,6 +9,7 @@
 
 from sniperudder import fleet
 from sniperudder.forwarding import _jobs
+from sniperudder.forwarding import _paces
 
 __all__ = ['StageWatch']
 
@@ -58,6 +59,7 @@
         self._leave_at = None
         self._began_at = forwarder.now()
         self._moving = None
+        self._pace = _paces.PaceSampler(forwarder.T, job)
         self.parts = parts
 
     async def receive(self, receive, stall_s):
@@ -86,9 +88,10 @@
             looks += 1
             stall_s = _LOOK_S if looks < _FREQUENT_LOOKS else stall_s * 2
 
-    def record_progress(self):
-        """Note that something came through all stages."""
+    def record_progress(self, events):
+        """Note that a number of events came through all stages."""
         now = self._forwarder.now()
+        self._pace.record(self.parts, events, now)
         for part in self.parts:
             self._get_state(part).progress_at = now
 
@@ -114,6 +117,7 @@
     async def _examine(self):
         """Tell whether the stream may go on; move it where it stalls."""
         mover, job = self._forwarder.mover, self._job
+        self._pace.restart()
         first = self.parts[0]
         if first.layers is None:
             return True
@@ -214,4 +218,5 @@
         )
         if moved is not self.parts:
             self.parts = moved
+            self._pace.restart()
             self._holding.take(moved, self._forwarder.now())
--- a/sniperudder/routing/__init__.py
+++ b/sniperudder/routing/__init__.py
@@ -22,6 +22,7 @@
 from sniperudder.routing._pressure import update_level
 from sniperudder.routing._prices import Demand
 from sniperudder.routing._prices import get_room
+from sniperudder.routing._prices import get_stage_ms
 from sniperudder.routing._prices import price_crossing
 from sniperudder.routing._prices import price_layer
 from sniperudder.routing._routes import draw_service
@@ -41,6 +42,7 @@
     'get_rank',
     'get_room',
     'get_shed_share',
+    'get_stage_ms',
     'has_channel',
     'is_avoided',
     'make_fingerprint',
--- a/sniperudder/routing/_chains.py
+++ b/sniperudder/routing/_chains.py
@@ -103,6 +103,8 @@
         ):
             continue
         price = _prices.price_layer(endpoint, load, engine, demand)
+        run = endpoint.id, endpoint.born_ms
+        price *= T.speeds.get_slowness(run, search.now)
         entry = endpoint, price * (1.0 + _JITTER * search.rng.random())
         (avoided if search.now < state.avoid_until else usable).append(entry)
     fills = {}
--- a/sniperudder/routing/_prices.py
+++ b/sniperudder/routing/_prices.py
@@ -70,9 +70,7 @@
     card = engine.cards.get(endpoint.card)
     step_factor = card.step_factor if card else 1.0
     read_factor = card.read_factor if card else 1.0
-    context = (demand.prompt + demand.answer) / _TOKENS_PER_K
-    beside_ms = engine.per_request_ms + engine.context_per_k_ms * context
-    step_ms = engine.step_ms + beside_ms * load.requests * _LOAD_WEIGHT
+    step_ms = _get_step_ms(engine, demand, load.requests * _LOAD_WEIGHT)
     read_ms = demand.prompt / max(engine.read_per_ms, 1e-9)
     read_ms *= 1 + load.requests * _LOAD_WEIGHT / max(demand.answer, 1.0)
     whole_ms = step_factor * step_ms * demand.answer + read_factor * read_ms
@@ -81,6 +79,26 @@
     return whole_ms / engine.layers / (1.0 - fill)
 
 
+def get_stage_ms(part, load, engine, demand):
+    """Return the time that a token is expected to take at a stage, ms.
+
+    Parameters
+    ----------
+    part : sniperudder.fleet.Part
+    load, engine, demand
+        See `price_layer`.
+
+    Returns
+    -------
+    float
+    """
+    card = engine.cards.get(part.endpoint.card)
+    step_factor = card.step_factor if card else 1.0
+    share = len(part.layers) / engine.layers
+    step_ms = _get_step_ms(engine, demand, load.requests)
+    return max(step_factor * step_ms * share, 1e-9)
+
+
 def price_crossing(engine, demand, fill):
     """Return the price of passing between two data centres once, ms.
 
@@ -122,3 +140,10 @@
     asked = tokens * max(end - start, 0)
     room = get_room(endpoint, engine)
     return load.token_layers + asked <= room * limit
+
+
+def _get_step_ms(engine, demand, beside):
+    """Return the time of a step over all layers with requests beside."""
+    context = demand.total / _TOKENS_PER_K
+    beside_ms = engine.per_request_ms + engine.context_per_k_ms * context
+    return engine.step_ms + beside_ms * beside
