--- a/sniperudder/fleet/_speeds.py
+++ b/sniperudder/fleet/_speeds.py
@@ -10,6 +10,10 @@
 # seconds; after it, it is tried again.
 _HOLD_S = 6.0
 
+# Age up to which the usual pace is not computed anew, seconds: half of
+# what a sample spans.
+_USUAL_S = 0.2
+
 # Samples of all streams that a comparison needs.
 _MIN_STREAM_SAMPLES = 6
 
@@ -40,11 +44,13 @@
     [1.0, 1.0, 5.0]
     """
 
-    __slots__ = ('_ratios', '_samples')
+    __slots__ = ('_ratios', '_samples', '_usual', '_usual_at')
 
     def __init__(self):
         self._ratios = collections.deque()
         self._samples = {}
+        self._usual = 1.0
+        self._usual_at = None
 
     def record(self, shares, ratio, now):
         """Take in a sample of a stream.
@@ -63,17 +69,26 @@
         _trim(self._ratios, now - _WINDOW_S)
         if len(self._ratios) < _MIN_STREAM_SAMPLES:
             return
-        # The quarter that is fastest passes no slow stage, as long as a
-        # few endpoints are slow and not most of them.
-        usual, _, _ = statistics.quantiles(
-            [found for _, found in self._ratios], n=4
-        )
+        usual = self._get_usual(now)
         excess = ratio / usual - 1.0
         for run, share in shares.items():
             samples = self._samples.setdefault(run, collections.deque())
             samples.append((now, 1.0 + excess / share))
             _trim(samples, now - _WINDOW_S)
 
+    def _get_usual(self, now):
+        """Return the ratio of a stream that passes no slow stage.
+
+        The fastest quarter passes none, as long as a few endpoints are
+        slow and not most of them.
+        """
+        known_at = self._usual_at
+        if known_at is None or now - known_at >= _USUAL_S:
+            ratios = [found for _, found in self._ratios]
+            self._usual, _, _ = statistics.quantiles(ratios, n=4)
+            self._usual_at = now
+        return self._usual
+
     def get_slowness(self, run, now):
         """Return how much slower than expected an endpoint runs.
 
