--- a/sniperudder/entry/tests/test_plain.py
+++ b/sniperudder/entry/tests/test_plain.py
@@ -372,6 +372,78 @@
 
         self.run_fleet(case, create_desk())
 
+    def test_revoked_key_is_refused(self):
+        async def case(fleet):
+            self.assertEqual(200, (await fleet.send('/safe/a'))[0])
+            new = standins.make_configuration(version=2)
+            new['tenants'][0]['api_keys'] = ['key-9']
+            fleet.store.put_json('op', 'config', new)
+            await asyncio.sleep(0.2)
+            self.assertEqual(401, (await fleet.send('/safe/a'))[0])
+
+        self.run_fleet(case, create_desk())
+
+    def test_storm_of_versions_ends_with_the_last(self):
+        # The users' bound for a version to be in force, seconds.
+        bound_s = 2.0
+
+        async def case(fleet):
+            for version in range(2, 60):
+                new = standins.make_configuration(version=version)
+                if version == 59:
+                    new['routes'] = [
+                        r for r in new['routes'] if r['name'] != 'safe'
+                    ]
+                fleet.store.put_json('op', 'config', new)
+                await asyncio.sleep(0.01)
+            async with asyncio.timeout(bound_s):
+                while (await fleet.send('/safe/a'))[0] != 404:
+                    await asyncio.sleep(0.02)
+
+        self.run_fleet(case, create_desk())
+
+    def test_slow_store_still_keeps_the_bound(self):
+        # Pattern: the store's answers take 88 times as long as usual.
+        bound_s = 2.0
+
+        async def case(fleet):
+            fleet.store.delay_s = 0.35
+            await asyncio.sleep(0.5)
+            new = standins.make_configuration(version=2)
+            new['routes'] = [r for r in new['routes'] if r['name'] != 'safe']
+            fleet.store.put_json('op', 'config', new)
+            async with asyncio.timeout(bound_s):
+                while (await fleet.send('/safe/a'))[0] != 404:
+                    await asyncio.sleep(0.02)
+
+        self.run_fleet(case, create_desk())
+
+    def test_silent_store_stops_nobody_and_is_found_again(self):
+        async def case(fleet):
+            fleet.store.silent = True
+            # Ends the calls that wait; those that follow fall silent.
+            fleet.store.forget_history()
+            await fleet.await_event('platform:lost')
+            self.assertEqual(200, (await fleet.send('/safe/a'))[0])
+            self.assertEqual(200, await fleet.get_readiness())
+            fleet.store.silent = False
+            await fleet.await_event('platform:regained')
+
+        self.run_fleet(case, create_desk())
+
+    def test_endpoint_that_is_off_the_list_gets_no_new_work(self):
+        # Some endpoints leave without saying so: their entry is removed.
+        first, second = create_desk('desk-1'), create_desk('desk-2')
+
+        async def case(fleet):
+            fleet.store.put('servers', first.id, None)
+            await asyncio.sleep(0.3)
+            for _ in range(6):
+                await fleet.send('/safe/a')
+
+        self.run_fleet(case, first, second)
+        self.assertEqual((0, 6), (len(first.requests), len(second.requests)))
+
     def test_leaving_endpoint_gets_no_new_work(self):
         first, second = create_desk('desk-1'), create_desk('desk-2')
 
--- a/sniperudder/entry/tests/test_streams.py
+++ b/sniperudder/entry/tests/test_streams.py
@@ -535,3 +535,25 @@
 
         asyncio.run(run())
         self.assertEqual(1, len(engine.orders))
+
+    def test_order_that_is_carried_out_late_changes_nothing(self):
+        # Pattern: an order gets no answer, another is given, and the first
+        # one is carried out after it.
+        engine = create_engine('gpu-1')
+        engine.late_orders_s.append(2.5)
+
+        async def run():
+            wanted = standins.make_engine(cards=_CARDS)
+            async with _fleets.run_fleet(engine, engine=wanted) as fleet:
+                await fleet.await_placed()
+                held = engine.layers
+                async with asyncio.timeout(5):
+                    while not engine.refused_orders:
+                        await asyncio.sleep(0.05)
+                return held
+
+        held = asyncio.run(run())
+        self.assertEqual(held, engine.layers)
+        self.assertEqual(
+            (1, 1), (len(engine.orders), len(engine.refused_orders))
+        )
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -105,6 +105,10 @@
         Status of every answer while it is set.
     calls : list of str
         Paths of the calls so far.
+    silent : bool
+        Whether calls are taken and never answered.
+    delay_s : float
+        Time until a call is answered, seconds.
     """
 
     def __init__(self):
@@ -113,6 +117,8 @@
         self.version = 1
         self.oldest = 0
         self.failing = None
+        self.silent = False
+        self.delay_s = 0.0
         self.calls = []
         self._changes = []
         self._changed = asyncio.Event()
@@ -144,6 +150,9 @@
         path, _, query = request.target.decode().partition('?')
         self.calls.append(path)
         asked = dict(urllib.parse.parse_qsl(query))
+        if self.silent:
+            await asyncio.Event().wait()
+        await asyncio.sleep(self.delay_s)
         if self.failing is not None:
             status, value = self.failing, {}
         elif path == '/rows-get':
@@ -220,6 +229,10 @@
         Told each order.
     order_s : float
         Time until an order is answered, seconds.
+    late_orders_s : collections.deque of float
+        Times after which the next orders are carried out, without an
+        answer, seconds.
+    refused_orders : list of dict
     born : int
         Start of its run.
     misdirected : list of str
@@ -240,6 +253,8 @@
         self.event_s = 0.0
         self.stalled = []
         self.on_order = None
+        self.late_orders_s = collections.deque()
+        self.refused_orders = []
         self.order_s = 0.0
         self.misdirected = []
         self.born = 1
@@ -260,8 +275,7 @@
         if self.card:
             entry['kind'] = self.card
         if self.layers is not None:
-            start, end = self.layers
-            entry['layers'] = {'from': start, 'to': end, 'version': 1}
+            entry['layers'] = self._make_layers()
         store.put_json('servers', self.id, entry)
 
     async def answer(self, request, body, http, writer):
@@ -275,11 +289,17 @@
             write_answer(http, writer, 421, b'', headers)
         elif path == '/order':
             await asyncio.sleep(self.order_s)
-            self._take_order(json.loads(body), http, writer)
+            if self.late_orders_s:
+                await asyncio.sleep(self.late_orders_s.popleft())
+                self._begin_order(json.loads(body))
+                raise OSError('answer lost')
+            status = self._begin_order(json.loads(body))
+            write_answer(http, writer, status, b'', [])
         elif path == '/report':
             report = {
                 'sequence': len(self.orders),
                 'busy': False,
+                'layers': self._make_layers(),
                 'stalled': self.stalled,
             }
             text = json.dumps(report).encode()
@@ -346,13 +366,24 @@
 
         return serve
 
-    def _take_order(self, order, http, writer):
+    def _make_layers(self):
+        if self.layers is None:
+            return None
+        start, end = self.layers
+        return {'from': start, 'to': end, 'version': 1}
+
+    def _begin_order(self, order):
+        """Carry out an order, unless another came first; return a status."""
+        expected = order.get('expected_rev')
+        if expected is not None and expected != len(self.orders):
+            self.refused_orders.append(order)
+            return 409
         self.orders.append(order)
         if order['operation'] == 'place':
             self.layers = order['from'], order['to']
         if self.on_order is not None:
             self.on_order(order)
-        write_answer(http, writer, 202, b'', [])
+        return 202
 
 
 def make_seal(request):
