Split the platform's stand-in; share settings and entries between tests

Cause: standins/fleet.py held five subjects in 550 lines; settings and an entry stood twice in tests. Change: a package with a module a subject, _fleets.make_settings, platform/tests/_documents.py; no behaviour. Conclusion: one subject a module.

--- a/sniperudder/entry/tests/_fleets.py
+++ b/sniperudder/entry/tests/_fleets.py
@@ -13,6 +13,22 @@
 _LOOK_S = 0.01
 
 
+def make_settings(**changes):
+    """Return an instance's settings, some of them changed."""
+    values = {
+        'name': 'entry-1',
+        'data_centre': 'north',
+        'host': '127.0.0.1',
+        'callers_address': '127.0.0.1:1',
+        'ready_address': '127.0.0.1:2',
+        'peer_port': 3,
+        'platform_address': '127.0.0.1:4',
+        'bounds': fleet.Bounds(2.0, 4.0, 2.0, 0.2, 10.0, 200.0),
+        **changes,
+    }
+    return fleet.InstanceSettings(**values)
+
+
 class Recorder:
     """A journal that keeps its lines."""
 
@@ -66,15 +82,11 @@
         """Start the entry instance."""
         addresses = _processes.find_addresses(4)
         self.callers, self.ready, self.metrics, peers = addresses
-        self.settings = fleet.InstanceSettings(
-            name='entry-1',
-            data_centre='north',
-            host='127.0.0.1',
+        self.settings = make_settings(
             callers_address=self.callers,
             ready_address=self.ready,
             peer_port=int(peers.rpartition(':')[2]),
             platform_address=self.store.address,
-            bounds=fleet.Bounds(2.0, 4.0, 2.0, 0.2, 10.0, 200.0),
         )
         self.instance = entry.Entry(
             self.settings,
--- a/sniperudder/entry/tests/test_settings.py
+++ b/sniperudder/entry/tests/test_settings.py
@@ -7,21 +7,10 @@
 
 from sniperudder.entry import _settings
 from sniperudder.entry.tests import _fleets
-from sniperudder import fleet
 from sniperudder import platform
 from standins import fleet as standins
 
-_BOUNDS = fleet.Bounds(2.0, 4.0, 2.0, 0.2, 10.0, 200.0)
-_SETTINGS = fleet.InstanceSettings(
-    name='entry-1',
-    data_centre='north',
-    host='127.0.0.1',
-    callers_address='127.0.0.1:1',
-    ready_address='127.0.0.1:2',
-    peer_port=3,
-    platform_address='127.0.0.1:4',
-    bounds=_BOUNDS,
-)
+_SETTINGS = _fleets.make_settings()
 
 
 def list_versions(running):
--- /dev/null
+++ b/sniperudder/platform/tests/_documents.py
@@ -0,0 +1,14 @@
+"""An entry of an endpoint, as the platform lists it."""
+
+ENTRY = {
+    'service': 'llm',
+    'address': '10.1.0.1:80',
+    'zone': 'north',
+    'version': 'v1',
+    'slots': 8,
+    'state': 'ready',
+    'sequence': 7,
+    'born': 5,
+    'kind': 'big',
+    'layers': {'from': 0, 'to': 4, 'version': 1},
+}
--- a/sniperudder/platform/tests/test_documents.py
+++ b/sniperudder/platform/tests/test_documents.py
@@ -6,25 +6,13 @@
 
 from sniperudder import fleet
 from sniperudder import platform
+from sniperudder.platform.tests import _documents
 from standins import fleet as standins
 
-_ENTRY = {
-    'service': 'llm',
-    'address': '10.1.0.1:80',
-    'zone': 'north',
-    'version': 'v1',
-    'slots': 8,
-    'state': 'ready',
-    'sequence': 7,
-    'born': 5,
-    'kind': 'big',
-    'layers': {'from': 0, 'to': 4, 'version': 1},
-}
-
 
 def read_entry(**changes):
     """Read an entry with some fields changed."""
-    data = json.dumps({**_ENTRY, **changes}).encode()
+    data = json.dumps({**_documents.ENTRY, **changes}).encode()
     return platform.read_endpoint('gpu-1', data)
 
 
--- a/sniperudder/platform/tests/test_foreign.py
+++ b/sniperudder/platform/tests/test_foreign.py
@@ -9,19 +9,9 @@
 
 from sniperudder import fleet
 from sniperudder import platform
+from sniperudder.platform.tests import _documents
 from standins import fleet as standins
 
-_ENTRY = {
-    'service': 'llm',
-    'address': '10.1.0.1:80',
-    'zone': 'north',
-    'slots': 8,
-    'state': 'ready',
-    'sequence': 7,
-    'born': 5,
-    'kind': 'big',
-    'layers': {'from': 0, 'to': 4, 'version': 1},
-}
 _REPORT = {
     'sequence': 2,
     'busy': True,
@@ -83,7 +73,9 @@
     @hypothesis.settings(max_examples=300, derandomize=True, deadline=None)
     def test_entry(self, data):
         read = self.check(
-            lambda text: platform.read_endpoint('gpu-1', text), _ENTRY, data
+            lambda text: platform.read_endpoint('gpu-1', text),
+            _documents.ENTRY,
+            data,
         )
         if read is not None and read.layers is not None:
             self.assertTrue(0 <= read.layers.start < read.layers.end)
@@ -100,13 +92,13 @@
         self.check(platform.read_report, _REPORT, data)
 
     def test_range_that_ends_before_it_starts_is_none(self):
-        entry = {**_ENTRY, 'layers': {'from': 4, 'to': 0}}
+        entry = {**_documents.ENTRY, 'layers': {'from': 4, 'to': 0}}
         read = platform.read_endpoint('gpu-1', json.dumps(entry).encode())
         self.assertIsNone(read.layers)
         self.assertEqual(fleet.Layers(0, 4), self.read_layers(0, 4))
 
     def read_layers(self, start, end):
         """Return the layers of an entry."""
-        entry = {**_ENTRY, 'layers': {'from': start, 'to': end}}
+        entry = {**_documents.ENTRY, 'layers': {'from': start, 'to': end}}
         text = json.dumps(entry).encode()
         return platform.read_endpoint('gpu-1', text).layers
--- /dev/null
+++ b/standins/fleet/_endpoints.py
@@ -0,0 +1,202 @@
+"""Endpoints: plain ones, and engines that hold layers."""
+
+import asyncio
+import collections
+import json
+
+import h11
+
+from standins.fleet import _messages
+from standins.fleet import _servers
+
+
+class EndpointStandin(_servers.Server):
+    """An endpoint: plain, or an engine that holds layers.
+
+    Attributes
+    ----------
+    id, service : str
+    data_centre, card : str
+    layers : (int, int) or None
+        Range that it holds; orders set it.
+    requests : list of (h11.Request, bytes)
+        Those that it ran.
+    orders : list of dict
+    script : collections.deque of callable
+        Each serves one request in place of the usual answer: a coroutine
+        function of the request, the h11 connection and the writer.
+    events : int
+        Length of a stream.
+    event_s : float
+        Seconds between two events.
+    stalled : list of dict
+        What reports tell of stalled requests.
+    on_order : callable or None
+        Told each order.
+    order_s : float
+        Time until an order is answered, seconds.
+    late_orders_s : collections.deque of float
+        Times after which the next orders are carried out, without an
+        answer, seconds.
+    refused_orders : list of dict
+    born : int
+        Start of its run.
+    misdirected : list of str
+        Targets of what was meant for another endpoint.
+    """
+
+    def __init__(self, name, service, data_centre='north', card=''):
+        super().__init__()
+        self.id = name
+        self.service = service
+        self.data_centre = data_centre
+        self.card = card
+        self.layers = None
+        self.requests = []
+        self.orders = []
+        self.script = collections.deque()
+        self.events = 3
+        self.event_s = 0.0
+        self.stalled = []
+        self.on_order = None
+        self.late_orders_s = collections.deque()
+        self.refused_orders = []
+        self.order_s = 0.0
+        self.misdirected = []
+        self.born = 1
+
+    def list_in(self, store, state='ready'):
+        """Write this endpoint's entry to the store."""
+        entry = {
+            'service': self.service,
+            'address': self.address,
+            'zone': self.data_centre,
+            'version': 'v1',
+            'slots': 8,
+            'state': state,
+            'cold_left_ms': 0,
+            'sequence': 1,
+            'born': self.born,
+        }
+        if self.card:
+            entry['kind'] = self.card
+        if self.layers is not None:
+            entry['layers'] = self._make_layers()
+        store.put_json('servers', self.id, entry)
+
+    async def answer(self, request, body, http, writer):
+        """See base class."""
+        path = request.target.decode()
+        meant = _messages.read_header(request, 'x-sniperudder-expect-instance')
+        if meant not in (None, self.id):
+            self.misdirected.append(path)
+            headers = _messages.make_seal(request)[:1]
+            headers.append(('At-Server', self.address))
+            _messages.write_answer(http, writer, 421, b'', headers)
+        elif path == '/order':
+            await asyncio.sleep(self.order_s)
+            if self.late_orders_s:
+                await asyncio.sleep(self.late_orders_s.popleft())
+                self._begin_order(json.loads(body))
+                raise OSError('answer lost')
+            status = self._begin_order(json.loads(body))
+            _messages.write_answer(http, writer, status, b'', [])
+        elif path == '/report':
+            report = {
+                'sequence': len(self.orders),
+                'busy': False,
+                'layers': self._make_layers(),
+                'stalled': self.stalled,
+            }
+            text = json.dumps(report).encode()
+            _messages.write_answer(http, writer, 200, text, [])
+        elif self.script:
+            self.requests.append((request, body))
+            await self.script.popleft()(request, http, writer)
+        else:
+            self.requests.append((request, body))
+            await self.answer_usually(request, http, writer)
+
+    async def answer_usually(self, request, http, writer):
+        """Answer as a sound endpoint does."""
+        if self.card:
+            await self.send_stream(request, http, writer)
+            return
+        body = f'{self.id} {request.target.decode()}'.encode()
+        _messages.write_answer(
+            http, writer, 200, body, _messages.make_seal(request)
+        )
+
+    async def send_stream(self, request, http, writer, upto=None):
+        """Send events behind the last one that the request names.
+
+        Parameters
+        ----------
+        upto : int, optional
+            Last event to send; the stream then stays open.
+        """
+        headers = [
+            ('Transfer-Encoding', 'chunked'),
+            *_messages.make_seal(request),
+        ]
+        writer.write(http.send(h11.Response(status_code=200, headers=headers)))
+        first = int(_messages.read_header(request, 'last-event-id') or 0) + 1
+        for number in range(first, (upto or self.events) + 1):
+            data = f'id: {number}\ndata: {number}\n\n'.encode()
+            writer.write(http.send(h11.Data(data=data)))
+            await writer.drain()
+            if self.event_s:
+                await asyncio.sleep(self.event_s)
+        if upto is None:
+            writer.write(http.send(h11.EndOfMessage()))
+
+    def refuse(self):
+        """Return a script entry: refuse, as an endpoint without room."""
+
+        async def serve(request, http, writer):
+            self.requests.pop()
+            headers = [
+                (_messages.NOT_RUN, '1'),
+                *_messages.make_seal(request)[:1],
+            ]
+            _messages.write_answer(http, writer, 503, b'', headers)
+
+        return serve
+
+    def fail(self):
+        """Return a script entry: run the request and answer 500."""
+
+        async def serve(request, http, writer):
+            _messages.write_answer(
+                http, writer, 500, b'bad', _messages.make_seal(request)
+            )
+
+        return serve
+
+    def reset(self):
+        """Return a script entry: run the request and reset."""
+
+        async def serve(request, http, writer):
+            writer.transport.abort()
+            raise OSError('reset by the script')
+
+        return serve
+
+    def _make_layers(self):
+        if self.layers is None:
+            return None
+        start, end = self.layers
+        return {'from': start, 'to': end, 'version': 1}
+
+    def _begin_order(self, order):
+        """Carry out an order, unless another came first; return a status."""
+        expected = order.get('expected_rev')
+        if expected is not None and expected != len(self.orders):
+            self.refused_orders.append(order)
+            return 409
+        self.orders.append(order)
+        if order['operation'] == 'place':
+            self.layers = order['from'], order['to']
+        if self.on_order is not None:
+            self.on_order(order)
+        return 202
--- /dev/null
+++ b/standins/fleet/_store.py
@@ -0,0 +1,131 @@
+"""The platform's store: rows under versions, and a feed of changes."""
+
+import asyncio
+import base64
+import json
+import urllib.parse
+
+from standins.fleet import _messages
+from standins.fleet import _servers
+
+
+class StoreStandin(_servers.Server):
+    """The platform's store: rows under versions, and a feed of changes.
+
+    Attributes
+    ----------
+    rows : dict of (str, str) to (bytes, int)
+        Value and version by table and key.
+    version : int
+    oldest : int
+        Changes up to this version are forgotten.
+    failing : int or None
+        Status of every answer while it is set.
+    calls : list of str
+        Paths of the calls so far.
+    silent : bool
+        Whether calls are taken and never answered.
+    delay_s : float
+        Time until a call is answered, seconds.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.rows = {}
+        self.version = 1
+        self.oldest = 0
+        self.failing = None
+        self.silent = False
+        self.delay_s = 0.0
+        self.calls = []
+        self._changes = []
+        self._changed = asyncio.Event()
+
+    def put(self, table, key, value):
+        """Set a row, or remove it where the value is None."""
+        self.version += 1
+        if value is None:
+            self.rows.pop((table, key), None)
+        else:
+            self.rows[table, key] = value, self.version
+        self._changes.append((self.version, table, key, value))
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def put_json(self, table, key, value):
+        """Set a row to a value as JSON."""
+        self.put(table, key, json.dumps(value).encode())
+
+    def forget_history(self):
+        """Drop all changes so far, and end the calls that wait."""
+        self.oldest = self.version
+        self._changes.clear()
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def answer(self, request, body, http, writer):
+        """See base class."""
+        path, _, query = request.target.decode().partition('?')
+        self.calls.append(path)
+        asked = dict(urllib.parse.parse_qsl(query))
+        if self.silent:
+            await asyncio.Event().wait()
+        await asyncio.sleep(self.delay_s)
+        if self.failing is not None:
+            status, value = self.failing, {}
+        elif path == '/rows-get':
+            status, value = 200, self._get(asked)
+        elif path == '/rows-feed':
+            status, value = await self._follow(asked)
+        else:
+            status, value = self._transact(json.loads(body))
+        value = {'row_version': self.version, 'now_ms': 0, **value}
+        _messages.write_answer(
+            http, writer, status, json.dumps(value).encode(), []
+        )
+
+    def _get(self, asked):
+        rows = [
+            _make_row(table, key, value, version)
+            for (table, key), (value, version) in sorted(self.rows.items())
+            if table == asked['table'] and key >= asked.get('from', '')
+        ]
+        return {'rows': rows, 'more_pages': False}
+
+    async def _follow(self, asked):
+        after = int(asked['after'])
+        end = asyncio.get_running_loop().time() + int(asked['wait_ms']) / 1000
+        while True:
+            if after < self.oldest:
+                return 410, {}
+            rows = [
+                _make_row(table, key, value, version)
+                for version, table, key, value in self._changes
+                if version > after and table == asked['table']
+            ]
+            left = end - asyncio.get_running_loop().time()
+            if rows or left <= 0:
+                return 200, {'rows': rows}
+            try:
+                await asyncio.wait_for(self._changed.wait(), left)
+            except TimeoutError:
+                continue
+
+    def _transact(self, call):
+        for row in call['expected_rev']:
+            _, version = self.rows.get((row['table'], row['key']), (b'', 0))
+            if version != row['row_version']:
+                return 412, {'rows': []}
+        for row in call['set_keys']:
+            value = base64.b64decode(row['value'])
+            self.put(row['table'], row['key'], value)
+        for row in call['remove']:
+            self.put(row['table'], row['key'], None)
+        return 200, {}
+
+
+def _make_row(table, key, value, version):
+    row = {'table': table, 'part': '', 'key': key, 'row_version': version}
+    if value is None:
+        return {**row, 'tombstone': True}
+    return {**row, 'value': base64.b64encode(value).decode()}
