Find whole words in stories; show what the store's tests hold

Cause: a story took any line in which its subject stood as a part of a word: r-1 found r-10, a version 9 found addresses.

Change: whole words in logs/_stories.py (the command story; nothing on the way of a request); the test of the slow store has the table read whole again, each answer late, so it is stricter.

--- a/sniperudder/entry/tests/test_plain.py
+++ b/sniperudder/entry/tests/test_plain.py
@@ -408,7 +408,9 @@
 
         async def case(fleet):
             fleet.store.delay_s = 0.35
-            await asyncio.sleep(0.5)
+            # The table is read whole again, each answer as late.
+            fleet.store.forget_history()
+            await fleet.await_event('table:gap')
             new = standins.make_configuration(version=2)
             new['routes'] = [r for r in new['routes'] if r['name'] != 'safe']
             fleet.store.put_json('op', 'config', new)
--- a/sniperudder/logs/_stories.py
+++ b/sniperudder/logs/_stories.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import json
+import re
 
 from sniperudder.logs import _events
 
@@ -51,7 +52,8 @@
         Of any number of logs, one after another; text before a line's
         JSON is passed over.
     subject : str
-        A line counts if this is its subject, or stands in a field.
+        A line counts if this is its subject, or stands in a field as a
+        whole word.
 
     Returns
     -------
@@ -65,6 +67,7 @@
     >>> [(line.event, line.fields) for line in story.lines], story.skipped
     ([('request:end', {'code': 300})], 1)
     """
+    mention = re.compile(rf'(?<![\w.-]){re.escape(subject)}(?![\w.-])')
     found, skipped = [], 0
     for text in lines:
         if not text.strip():
@@ -72,7 +75,7 @@
         line = _read_line(text)
         if line is None:
             skipped += 1
-        elif line.subject == subject or subject in str(line.fields):
+        elif line.subject == subject or mention.search(str(line.fields)):
             found.append(line)
     found.sort(key=lambda line: line.clock)
     return Story(tuple(found), skipped)
--- a/sniperudder/logs/tests/test_stories.py
+++ b/sniperudder/logs/tests/test_stories.py
@@ -29,6 +29,16 @@
         lines = [make_line(1, 'r-1', path='10.1.0.1:80=0-8')]
         self.assertEqual(1, len(logs.read_story(lines, '10.1.0.1:80').lines))
 
+    def test_part_of_a_word_is_no_mention(self):
+        lines = [
+            make_line(1, 'r-10', sends=['gpu-12: 200']),
+            make_line(2, 'x', callers='10.2.0.9:8744', row_version=39),
+        ]
+        for subject in ('r-1', 'gpu-1', '9', '10.2'):
+            self.assertEqual((), logs.read_story(lines, subject).lines)
+        for subject in ('gpu-12', '10.2.0.9', '39'):
+            self.assertEqual(1, len(logs.read_story(lines, subject).lines))
+
     def test_foreign_and_cut_lines_are_skipped_and_told(self):
         whole = make_line(1, 'r-1')
         lines = [whole, whole[:20], 'Traceback', '[1]', '{"a": 1}', '{' * 9]
