--- a/sniperudder/entry/tests/_fleets.py
+++ b/sniperudder/entry/tests/_fleets.py
@@ -3,12 +3,15 @@
 import asyncio
 import contextlib
 import json
+import re
 
 from scenarios import _processes
 from sniperudder import entry
 from sniperudder import fleet
 from standins import fleet as standins
 
+CARDS = {'big': 12_000.0, 'half': 7_000.0}
+
 _READY_S = 5.0
 _LOOK_S = 0.01
 
@@ -159,3 +162,20 @@
 def read_body(answer):
     """Return the JSON body of an answer of the system's own."""
     return json.loads(answer[2])
+
+
+def create_desk(name='desk-1'):
+    """Return an endpoint of the plain service."""
+    return standins.EndpointStandin(name, 'desk')
+
+
+def create_engine(name, card='big', layers=None):
+    """Return an engine, which may hold layers from the beginning."""
+    engine = standins.EndpointStandin(name, 'llm', card=card)
+    engine.layers = layers
+    return engine
+
+
+def list_ids(body):
+    """Return the ids of a stream's events."""
+    return [int(found) for found in re.findall(rb'id: (\d+)', body)]
--- /dev/null
+++ b/sniperudder/entry/tests/test_configuration.py
@@ -0,0 +1,172 @@
+"""Tests of following the store, over loopback."""
+
+import asyncio
+
+import testtools
+
+from sniperudder.entry.tests import _fleets
+from standins import fleet as standins
+
+
+class ConfigurationTest(testtools.TestCase):
+    def run_fleet(self, case, *endpoints, **options):
+        async def run():
+            async with _fleets.run_fleet(*endpoints, **options) as fleet:
+                await case(fleet)
+
+        asyncio.run(run())
+
+    def test_not_ready_before_a_configuration(self):
+        async def run():
+            fleet = _fleets.Fleet([_fleets.create_desk()])
+            await fleet.start(None)
+            try:
+                await fleet.await_event('endpoint:listed')
+                self.assertEqual(503, await fleet.get_readiness())
+                status, _, _ = await fleet.send('/safe/a')
+                self.assertEqual(503, status)
+            finally:
+                await fleet.stop()
+
+        asyncio.run(run())
+
+    def test_new_version_is_in_force_and_never_reverts(self):
+        async def case(fleet):
+            new = standins.make_configuration(version=5)
+            new['routes'] = [r for r in new['routes'] if r['name'] != 'safe']
+            fleet.store.put_json('op', 'config', new)
+            await asyncio.sleep(0.2)
+            status, _, _ = await fleet.send('/safe/a')
+            self.assertEqual(404, status)
+            fleet.store.put_json(
+                'op', 'config', standins.make_configuration(version=4)
+            )
+            await asyncio.sleep(0.2)
+            status, _, _ = await fleet.send('/safe/a')
+            self.assertEqual(404, status)
+
+        self.run_fleet(case, _fleets.create_desk())
+
+    def test_change_in_a_dropped_history_is_found(self):
+        async def case(fleet):
+            fleet.store.put_json(
+                'op', 'config', standins.make_configuration(version=2)
+            )
+            fleet.store.forget_history()
+            await asyncio.sleep(0.3)
+            versions = [
+                subject
+                for event, subject, _ in fleet.journal.lines
+                if event == 'configuration:in force'
+            ]
+            self.assertEqual(['1', '2'], versions)
+
+        self.run_fleet(case, _fleets.create_desk())
+
+    def test_store_that_fails_is_asked_again(self):
+        async def case(fleet):
+            fleet.store.failing = 503
+            fleet.store.forget_history()
+            await fleet.await_event('platform:lost')
+            fleet.store.failing = None
+            fleet.store.put_json(
+                'op', 'config', standins.make_configuration(version=2)
+            )
+            await fleet.await_event('platform:regained')
+            await asyncio.sleep(0.2)
+            status, _, _ = await fleet.send('/safe/a')
+            self.assertEqual(200, status)
+
+        self.run_fleet(case, _fleets.create_desk())
+
+    def test_revoked_key_is_refused(self):
+        async def case(fleet):
+            self.assertEqual(200, (await fleet.send('/safe/a'))[0])
+            new = standins.make_configuration(version=2)
+            new['tenants'][0]['api_keys'] = ['key-9']
+            fleet.store.put_json('op', 'config', new)
+            await asyncio.sleep(0.2)
+            self.assertEqual(401, (await fleet.send('/safe/a'))[0])
+
+        self.run_fleet(case, _fleets.create_desk())
+
+    def test_storm_of_versions_ends_with_the_last(self):
+        # The users' bound for a version to be in force, seconds.
+        bound_s = 2.0
+
+        async def case(fleet):
+            for version in range(2, 60):
+                new = standins.make_configuration(version=version)
+                if version == 59:
+                    new['routes'] = [
+                        r for r in new['routes'] if r['name'] != 'safe'
+                    ]
+                fleet.store.put_json('op', 'config', new)
+                await asyncio.sleep(0.01)
+            async with asyncio.timeout(bound_s):
+                while (await fleet.send('/safe/a'))[0] != 404:
+                    await asyncio.sleep(0.02)
+
+        self.run_fleet(case, _fleets.create_desk())
+
+    def test_slow_store_still_keeps_the_bound(self):
+        # Pattern: the store's answers take 88 times as long as usual.
+        bound_s = 2.0
+
+        async def case(fleet):
+            fleet.store.delay_s = 0.35
+            # The table is read whole again, each answer as late.
+            fleet.store.forget_history()
+            await fleet.await_event('table:gap')
+            new = standins.make_configuration(version=2)
+            new['routes'] = [r for r in new['routes'] if r['name'] != 'safe']
+            fleet.store.put_json('op', 'config', new)
+            async with asyncio.timeout(bound_s):
+                while (await fleet.send('/safe/a'))[0] != 404:
+                    await asyncio.sleep(0.02)
+
+        self.run_fleet(case, _fleets.create_desk())
+
+    def test_silent_store_stops_nobody_and_is_found_again(self):
+        async def case(fleet):
+            fleet.store.silent = True
+            # Ends the calls that wait; those that follow fall silent.
+            fleet.store.forget_history()
+            await fleet.await_event('platform:lost')
+            self.assertEqual(200, (await fleet.send('/safe/a'))[0])
+            self.assertEqual(200, await fleet.get_readiness())
+            fleet.store.silent = False
+            await fleet.await_event('platform:regained')
+
+        self.run_fleet(case, _fleets.create_desk())
+
+    def test_endpoint_that_is_off_the_list_gets_no_new_work(self):
+        # Some endpoints leave without saying so: their entry is removed.
+        first, second = (
+            _fleets.create_desk('desk-1'),
+            _fleets.create_desk('desk-2'),
+        )
+
+        async def case(fleet):
+            fleet.store.put('servers', first.id, None)
+            await asyncio.sleep(0.3)
+            for _ in range(6):
+                await fleet.send('/safe/a')
+
+        self.run_fleet(case, first, second)
+        self.assertEqual((0, 6), (len(first.requests), len(second.requests)))
+
+    def test_leaving_endpoint_gets_no_new_work(self):
+        first, second = (
+            _fleets.create_desk('desk-1'),
+            _fleets.create_desk('desk-2'),
+        )
+
+        async def case(fleet):
+            first.list_in(fleet.store, state='draining')
+            await asyncio.sleep(0.2)
+            for _ in range(6):
+                await fleet.send('/safe/a')
+
+        self.run_fleet(case, first, second)
+        self.assertEqual((0, 6), (len(first.requests), len(second.requests)))
--- a/sniperudder/entry/tests/test_endpoints.py
+++ b/sniperudder/entry/tests/test_endpoints.py
@@ -11,11 +11,6 @@
 _AT_ONCE_S = 0.1
 
 
-def create_desk(name='desk-1'):
-    """Return an endpoint of the plain service."""
-    return standins.EndpointStandin(name, 'desk')
-
-
 def make_hold(event, desk):
     """Return a script entry: answer only once an event is set."""
 
@@ -37,7 +32,7 @@
     """Pattern: more requests at once than endpoints accept channels."""
 
     def test_request_beyond_the_limit_is_refused_at_once(self):
-        desk = create_desk()
+        desk = _fleets.create_desk()
         configuration = standins.make_configuration()
         configuration['services'][0]['max_conns'] = 1
 
@@ -66,7 +61,7 @@
 class SentLineTest(testtools.TestCase):
     def test_late_request_names_its_endpoint(self):
         # An on-call engineer has the id of a 504 and looks for its cause.
-        desk = create_desk()
+        desk = _fleets.create_desk()
 
         async def run():
             desk.script.append(make_hold(asyncio.Event(), desk))
@@ -86,7 +81,10 @@
     """Pattern: an endpoint is gone, and its address serves another one."""
 
     def test_request_runs_at_the_endpoint_it_was_meant_for(self):
-        gone, sound = create_desk('desk-1'), create_desk('desk-2')
+        gone, sound = (
+            _fleets.create_desk('desk-1'),
+            _fleets.create_desk('desk-2'),
+        )
 
         async def run():
             async with _fleets.run_fleet(gone, sound) as fleet:
@@ -98,7 +96,7 @@
         self.assertNotEqual([], gone.misdirected)
 
     def test_request_without_another_endpoint_did_not_run(self):
-        gone = create_desk()
+        gone = _fleets.create_desk()
 
         async def run():
             async with _fleets.run_fleet(gone) as fleet:
@@ -134,7 +132,7 @@
     def test_rest_of_a_long_body_is_not_taken_for_a_request(self):
         # Pattern: an endpoint answers before it has read the body, keeps
         # the channel and reads on.
-        desk = create_desk()
+        desk = _fleets.create_desk()
         body = b'x' * 90_000
 
         async def run():
--- /dev/null
+++ b/sniperudder/entry/tests/test_placement.py
@@ -0,0 +1,76 @@
+"""Tests of the placement of layers, over loopback."""
+
+import asyncio
+
+import testtools
+
+from sniperudder.entry.tests import _fleets
+from standins import fleet as standins
+
+
+class PlacementTest(testtools.TestCase):
+    def test_empty_engines_are_given_all_layers(self):
+        engines = [_fleets.create_engine(f'gpu-{n}', 'half') for n in range(4)]
+
+        async def run():
+            engine = standins.make_engine(cards=_fleets.CARDS)
+            async with _fleets.run_fleet(*engines, engine=engine) as fleet:
+                await fleet.await_placed()
+                status, _, body = await fleet.send('/stream/a')
+                self.assertEqual(
+                    (200, [1, 2, 3]), (status, _fleets.list_ids(body))
+                )
+
+        asyncio.run(run())
+        held = set()
+        for engine in engines:
+            (order,) = engine.orders
+            self.assertEqual(0, order['expected_rev'])
+            self.assertLessEqual(order['to'] - order['from'], 7)
+            held.update(range(order['from'], order['to']))
+        self.assertEqual(set(range(8)), held)
+
+    def test_one_instance_of_two_gives_orders(self):
+        engine = _fleets.create_engine('gpu-1')
+
+        async def run():
+            wanted = standins.make_engine(cards=_fleets.CARDS)
+            async with _fleets.run_fleet(engine, engine=wanted) as fleet:
+                taken = fleet.journal
+                first = fleet.instance
+                fleet.journal = _fleets.Recorder()
+                await fleet.start_instance()
+                await fleet.await_placed()
+                await asyncio.sleep(1.0)
+                second = fleet.journal
+                await first.close()
+                leases = [
+                    len(journal.list_events('lease:taken'))
+                    for journal in (taken, second)
+                ]
+                self.assertEqual(1, sum(leases))
+
+        asyncio.run(run())
+        self.assertEqual(1, len(engine.orders))
+
+    def test_order_that_is_carried_out_late_changes_nothing(self):
+        # Pattern: an order gets no answer, another is given, and the first
+        # one is carried out after it.
+        engine = _fleets.create_engine('gpu-1')
+        engine.late_orders_s.append(2.5)
+
+        async def run():
+            wanted = standins.make_engine(cards=_fleets.CARDS)
+            async with _fleets.run_fleet(engine, engine=wanted) as fleet:
+                await fleet.await_placed()
+                held = engine.layers
+                async with asyncio.timeout(5):
+                    while not engine.refused_orders:
+                        await asyncio.sleep(0.05)
+                return held
+
+        held = asyncio.run(run())
+        self.assertEqual(held, engine.layers)
+        self.assertEqual(
+            (1, 1), (len(engine.orders), len(engine.refused_orders))
+        )
--- a/sniperudder/entry/tests/test_plain.py
+++ b/sniperudder/entry/tests/test_plain.py
@@ -9,11 +9,6 @@
 from standins import fleet as standins
 
 
-def create_desk(name='desk-1'):
-    """Return an endpoint of the plain service."""
-    return standins.EndpointStandin(name, 'desk')
-
-
 class PlainRequestTest(testtools.TestCase):
     def run_fleet(self, case, *endpoints, **options):
         async def run():
@@ -23,7 +18,7 @@
         asyncio.run(run())
 
     def test_request_passes_unchanged(self):
-        desk = create_desk()
+        desk = _fleets.create_desk()
 
         async def case(fleet):
             status, headers, body = await fleet.send(
@@ -46,7 +41,7 @@
         self.assertTrue(1_000 < int(left) <= 1_500, left)
 
     def test_caller_cannot_name_its_organisation(self):
-        desk = create_desk()
+        desk = _fleets.create_desk()
 
         async def case(fleet):
             forged = [('X-Sniperudder-Tenant', 'another')]
@@ -65,10 +60,13 @@
             status, _, _ = await fleet.send('/safe/a', headers=wrong)
             self.assertEqual(401, status)
 
-        self.run_fleet(case, create_desk())
+        self.run_fleet(case, _fleets.create_desk())
 
     def test_safe_request_is_sent_again_after_an_error(self):
-        first, second = create_desk('desk-1'), create_desk('desk-2')
+        first, second = (
+            _fleets.create_desk('desk-1'),
+            _fleets.create_desk('desk-2'),
+        )
         for desk in (first, second):
             desk.script.append(desk.fail())
 
@@ -83,7 +81,10 @@
         self.assertEqual(3, len(first.requests) + len(second.requests))
 
     def test_unsafe_request_never_runs_twice(self):
-        first, second = create_desk('desk-1'), create_desk('desk-2')
+        first, second = (
+            _fleets.create_desk('desk-1'),
+            _fleets.create_desk('desk-2'),
+        )
         for desk in (first, second):
             desk.script.append(desk.reset())
 
@@ -106,7 +107,7 @@
 
     def test_request_that_may_have_run_is_not_said_not_to_have(self):
         # Pattern: one endpoint breaks off, all others are full.
-        desks = create_desk('desk-1'), create_desk('desk-2')
+        desks = _fleets.create_desk('desk-1'), _fleets.create_desk('desk-2')
         answers = []
 
         def make_answer(desk):
@@ -127,7 +128,7 @@
         self.assertGreater(len(answers), 1)
 
     def test_refused_unsafe_request_is_said_not_to_have_run(self):
-        desk = create_desk()
+        desk = _fleets.create_desk()
         desk.script.extend(desk.refuse() for _ in range(20))
 
         async def case(fleet):
@@ -139,7 +140,10 @@
         self.assertEqual([], desk.requests)
 
     def test_refused_unsafe_request_is_sent_to_another_endpoint(self):
-        first, second = create_desk('desk-1'), create_desk('desk-2')
+        first, second = (
+            _fleets.create_desk('desk-1'),
+            _fleets.create_desk('desk-2'),
+        )
         for desk in (first, second):
             desk.script.append(desk.refuse())
 
@@ -151,7 +155,7 @@
         self.assertEqual(1, len(first.requests) + len(second.requests))
 
     def test_answer_to_another_request_is_passed_over(self):
-        desk = create_desk()
+        desk = _fleets.create_desk()
 
         async def send_late(request, http, writer):
             late = (
@@ -171,7 +175,7 @@
         self.run_fleet(case, desk)
 
     def test_cut_answer_is_no_success(self):
-        desk = create_desk()
+        desk = _fleets.create_desk()
 
         async def cut(request, http, writer):
             headers = [('Content-Length', '100'), *standins.make_seal(request)]
@@ -189,7 +193,7 @@
         self.run_fleet(case, desk)
 
     def test_answer_without_digest_is_no_success(self):
-        desk = create_desk()
+        desk = _fleets.create_desk()
 
         async def send_bare(request, http, writer):
             headers = [
@@ -211,7 +215,7 @@
         self.run_fleet(case, desk)
 
     def test_timeout_of_the_route_ends_the_wait(self):
-        desk = create_desk()
+        desk = _fleets.create_desk()
 
         async def hang(request, http, writer):
             await asyncio.sleep(5)
@@ -239,7 +243,7 @@
         self.run_fleet(case)
 
     def test_leaving_caller_ends_the_work(self):
-        desk = create_desk()
+        desk = _fleets.create_desk()
         ended = []
 
         async def hang(request, http, writer):
@@ -267,7 +271,7 @@
 class CrashingRequestTest(testtools.TestCase):
     def test_request_that_crashes_endpoints_is_stopped(self):
         # Pattern: a caller sends again what crashed each endpoint so far.
-        desks = [create_desk(f'desk-{number}') for number in range(6)]
+        desks = [_fleets.create_desk(f'desk-{number}') for number in range(6)]
 
         async def run():
             async with _fleets.run_fleet(*desks) as fleet:
@@ -299,161 +303,3 @@
         # Two sends a request: the second request ended at the fourth.
         reached = [body for desk in desks for _, body in desk.requests]
         self.assertEqual(4, reached.count(b'bad'))
-
-
-class ConfigurationTest(testtools.TestCase):
-    def run_fleet(self, case, *endpoints, **options):
-        async def run():
-            async with _fleets.run_fleet(*endpoints, **options) as fleet:
-                await case(fleet)
-
-        asyncio.run(run())
-
-    def test_not_ready_before_a_configuration(self):
-        async def run():
-            fleet = _fleets.Fleet([create_desk()])
-            await fleet.start(None)
-            try:
-                await fleet.await_event('endpoint:listed')
-                self.assertEqual(503, await fleet.get_readiness())
-                status, _, _ = await fleet.send('/safe/a')
-                self.assertEqual(503, status)
-            finally:
-                await fleet.stop()
-
-        asyncio.run(run())
-
-    def test_new_version_is_in_force_and_never_reverts(self):
-        async def case(fleet):
-            new = standins.make_configuration(version=5)
-            new['routes'] = [r for r in new['routes'] if r['name'] != 'safe']
-            fleet.store.put_json('op', 'config', new)
-            await asyncio.sleep(0.2)
-            status, _, _ = await fleet.send('/safe/a')
-            self.assertEqual(404, status)
-            fleet.store.put_json(
-                'op', 'config', standins.make_configuration(version=4)
-            )
-            await asyncio.sleep(0.2)
-            status, _, _ = await fleet.send('/safe/a')
-            self.assertEqual(404, status)
-
-        self.run_fleet(case, create_desk())
-
-    def test_change_in_a_dropped_history_is_found(self):
-        async def case(fleet):
-            fleet.store.put_json(
-                'op', 'config', standins.make_configuration(version=2)
-            )
-            fleet.store.forget_history()
-            await asyncio.sleep(0.3)
-            versions = [
-                subject
-                for event, subject, _ in fleet.journal.lines
-                if event == 'configuration:in force'
-            ]
-            self.assertEqual(['1', '2'], versions)
-
-        self.run_fleet(case, create_desk())
-
-    def test_store_that_fails_is_asked_again(self):
-        async def case(fleet):
-            fleet.store.failing = 503
-            fleet.store.forget_history()
-            await fleet.await_event('platform:lost')
-            fleet.store.failing = None
-            fleet.store.put_json(
-                'op', 'config', standins.make_configuration(version=2)
-            )
-            await fleet.await_event('platform:regained')
-            await asyncio.sleep(0.2)
-            status, _, _ = await fleet.send('/safe/a')
-            self.assertEqual(200, status)
-
-        self.run_fleet(case, create_desk())
-
-    def test_revoked_key_is_refused(self):
-        async def case(fleet):
-            self.assertEqual(200, (await fleet.send('/safe/a'))[0])
-            new = standins.make_configuration(version=2)
-            new['tenants'][0]['api_keys'] = ['key-9']
-            fleet.store.put_json('op', 'config', new)
-            await asyncio.sleep(0.2)
-            self.assertEqual(401, (await fleet.send('/safe/a'))[0])
-
-        self.run_fleet(case, create_desk())
-
-    def test_storm_of_versions_ends_with_the_last(self):
-        # The users' bound for a version to be in force, seconds.
-        bound_s = 2.0
-
-        async def case(fleet):
-            for version in range(2, 60):
-                new = standins.make_configuration(version=version)
-                if version == 59:
-                    new['routes'] = [
-                        r for r in new['routes'] if r['name'] != 'safe'
-                    ]
-                fleet.store.put_json('op', 'config', new)
-                await asyncio.sleep(0.01)
-            async with asyncio.timeout(bound_s):
-                while (await fleet.send('/safe/a'))[0] != 404:
-                    await asyncio.sleep(0.02)
-
-        self.run_fleet(case, create_desk())
-
-    def test_slow_store_still_keeps_the_bound(self):
-        # Pattern: the store's answers take 88 times as long as usual.
-        bound_s = 2.0
-
-        async def case(fleet):
-            fleet.store.delay_s = 0.35
-            # The table is read whole again, each answer as late.
-            fleet.store.forget_history()
-            await fleet.await_event('table:gap')
-            new = standins.make_configuration(version=2)
-            new['routes'] = [r for r in new['routes'] if r['name'] != 'safe']
-            fleet.store.put_json('op', 'config', new)
-            async with asyncio.timeout(bound_s):
-                while (await fleet.send('/safe/a'))[0] != 404:
-                    await asyncio.sleep(0.02)
-
-        self.run_fleet(case, create_desk())
-
-    def test_silent_store_stops_nobody_and_is_found_again(self):
-        async def case(fleet):
-            fleet.store.silent = True
-            # Ends the calls that wait; those that follow fall silent.
-            fleet.store.forget_history()
-            await fleet.await_event('platform:lost')
-            self.assertEqual(200, (await fleet.send('/safe/a'))[0])
-            self.assertEqual(200, await fleet.get_readiness())
-            fleet.store.silent = False
-            await fleet.await_event('platform:regained')
-
-        self.run_fleet(case, create_desk())
-
-    def test_endpoint_that_is_off_the_list_gets_no_new_work(self):
-        # Some endpoints leave without saying so: their entry is removed.
-        first, second = create_desk('desk-1'), create_desk('desk-2')
-
-        async def case(fleet):
-            fleet.store.put('servers', first.id, None)
-            await asyncio.sleep(0.3)
-            for _ in range(6):
-                await fleet.send('/safe/a')
-
-        self.run_fleet(case, first, second)
-        self.assertEqual((0, 6), (len(first.requests), len(second.requests)))
-
-    def test_leaving_endpoint_gets_no_new_work(self):
-        first, second = create_desk('desk-1'), create_desk('desk-2')
-
-        async def case(fleet):
-            first.list_in(fleet.store, state='draining')
-            await asyncio.sleep(0.2)
-            for _ in range(6):
-                await fleet.send('/safe/a')
-
-        self.run_fleet(case, first, second)
-        self.assertEqual((0, 6), (len(first.requests), len(second.requests)))
--- /dev/null
+++ b/sniperudder/entry/tests/test_stages.py
@@ -0,0 +1,206 @@
+"""Tests of stages that fail, leave or are slow under a stream."""
+
+import asyncio
+
+import h11
+import testtools
+
+from sniperudder.entry.tests import _fleets
+from standins import fleet as standins
+
+
+class LeavingStageTest(testtools.TestCase):
+    def test_silent_stream_is_moved_off_a_stage_that_left(self):
+        # Pattern: a stage leaves and ends before its streams do; reports
+        # of the first stage do not tell of it in time.
+        first = _fleets.create_engine('gpu-1', 'half', (0, 4))
+        left = _fleets.create_engine('gpu-2', 'half', (4, 8))
+        spare = _fleets.create_engine('gpu-3', 'half', (4, 8))
+        spare.data_centre = 'south'
+        moved_at = []
+
+        async def run():
+            engine = standins.make_engine(cards=_fleets.CARDS)
+            fleet_options = {'engine': engine}
+            async with _fleets.run_fleet(
+                first, left, spare, **fleet_options
+            ) as fleet:
+                await fleet.await_placed()
+                loop = asyncio.get_running_loop()
+
+                async def stall(request, http, writer):
+                    await first.send_stream(request, http, writer, upto=1)
+                    fleet.store.put('servers', left.id, None)
+                    began = loop.time()
+                    while not any(
+                        order['operation'] == 'repath'
+                        for order in first.orders
+                    ):
+                        await asyncio.sleep(0.01)
+                    moved_at.append(loop.time() - began)
+                    data = b'id: 2\ndata: 2\n\n'
+                    writer.write(http.send(h11.Data(data=data)))
+                    writer.write(http.send(h11.EndOfMessage()))
+
+                first.script.append(stall)
+                status, _, body = await fleet.send('/stream/a')
+                self.assertEqual(
+                    (200, [1, 2]), (status, _fleets.list_ids(body))
+                )
+
+        asyncio.run(run())
+        # Callers leave a stream after a pause of 2 s.
+        self.assertLess(moved_at[0], 1.0)
+
+
+class LeavingFirstStageTest(testtools.TestCase):
+    def test_stream_is_not_cut_where_the_first_stage_refuses_reports(self):
+        # Pattern: a first stage leaves; it refuses new connections, and
+        # ends what it has begun. A report that is refused is no death.
+        first = _fleets.create_engine('gpu-1', layers=(0, 8))
+        other = _fleets.create_engine('gpu-2', layers=(0, 8))
+        engines = [first, other]
+
+        async def run():
+            engine = standins.make_engine(cards=_fleets.CARDS)
+            async with _fleets.run_fleet(*engines, engine=engine) as fleet:
+                await fleet.await_placed()
+
+                def leave(engine):
+                    async def serve(request, http, writer):
+                        await engine.send_stream(request, http, writer, upto=1)
+                        engine.list_in(fleet.store, state='draining')
+                        engine.refuse_connections()
+                        # Longer than a look at a silent stream takes.
+                        await asyncio.sleep(1.2)
+                        data = b'id: 2\ndata: 2\n\n'
+                        writer.write(http.send(h11.Data(data=data)))
+                        writer.write(http.send(h11.EndOfMessage()))
+
+                    return serve
+
+                for each in engines:
+                    each.script.append(leave(each))
+                status, _, body = await fleet.send('/stream/a', wait_ms=9_000)
+                self.assertEqual(
+                    (200, [1, 2]), (status, _fleets.list_ids(body))
+                )
+                silent = fleet.journal.list_events('endpoint:silent')
+                self.assertNotEqual([], silent)
+
+        asyncio.run(run())
+        self.assertEqual(1, len(first.requests) + len(other.requests))
+
+
+class SilentStageTest(testtools.TestCase):
+    def test_stage_without_any_progress_is_left(self):
+        # Pattern: a stage crashes, and reports do not name it yet. Streams
+        # beside the stalled one show that the other stages go on.
+        first = _fleets.create_engine('gpu-1', 'half', (0, 4))
+        dead = _fleets.create_engine('gpu-2', 'half', (4, 8))
+        spare = _fleets.create_engine('gpu-3', 'half', (4, 8))
+        first.events, first.event_s = 60, 0.05
+        paths = []
+
+        async def stall(request, http, writer):
+            hops = standins.read_header(request, 'x-sniperudder-hop-count')
+            paths.append(hops)
+            if dead.address not in hops:
+                await first.send_stream(request, http, writer)
+                return
+            await first.send_stream(request, http, writer, upto=1)
+            own_id = standins.read_header(request, 'x-sniperudder-request-id')
+            while not any(o.get('id') == own_id for o in first.orders):
+                await asyncio.sleep(0.01)
+            data = b'id: 2\ndata: 2\n\n'
+            writer.write(http.send(h11.Data(data=data)))
+            writer.write(http.send(h11.EndOfMessage()))
+
+        first.script.extend([stall] * 8)
+
+        async def run():
+            engine = standins.make_engine(cards=_fleets.CARDS)
+            async with _fleets.run_fleet(
+                first, dead, spare, engine=engine
+            ) as fleet:
+                await fleet.await_placed()
+                sends = [
+                    fleet.send(
+                        '/stream/a',
+                        headers=[('X-Sniperudder-Request-Id', f'r-{n}')],
+                        wait_ms=9_000,
+                    )
+                    for n in range(8)
+                ]
+                answers = await asyncio.gather(*sends)
+                self.assertEqual([200] * 8, [a[0] for a in answers])
+                moves = fleet.journal.list_events('stream:moved')
+                stalled = sum(dead.address in path for path in paths)
+                self.assertEqual(stalled, len(moves))
+                self.assertTrue(0 < stalled < 8, paths)
+
+        asyncio.run(run())
+
+
+class SlowOrderTest(testtools.TestCase):
+    def test_events_pass_while_a_move_is_ordered(self):
+        # Pattern: an engine answers the order to move a stream late, and
+        # goes on with the stream meanwhile.
+        first = _fleets.create_engine('gpu-1', 'half', (0, 4))
+        left = _fleets.create_engine('gpu-2', 'half', (4, 8))
+        spare = _fleets.create_engine('gpu-3', 'half', (4, 8))
+        spare.data_centre = 'south'
+        first.events, first.event_s = 50, 0.05
+        first.order_s = 0.35
+        pauses = []
+
+        async def run():
+            engine = standins.make_engine(cards=_fleets.CARDS)
+            async with _fleets.run_fleet(
+                first, left, spare, engine=engine
+            ) as fleet:
+                await fleet.await_placed()
+                sending = asyncio.create_task(
+                    fleet.send('/stream/a', wait_ms=9_000)
+                )
+                await asyncio.sleep(0.2)
+                left.list_in(fleet.store, state='draining')
+                status, _, _ = await sending
+                self.assertEqual(200, status)
+                ends = fleet.journal.list_events('request:end')
+                pauses.append(ends[-1]['pause_ms'])
+                moves = fleet.journal.list_events('stream:moved')
+                self.assertEqual(1, len(moves))
+
+        asyncio.run(run())
+        # The longest pause of a timely stream is 200 ms.
+        self.assertLess(pauses[0], 200)
+
+
+class SlowEngineTest(testtools.TestCase):
+    def test_slow_engine_is_told(self):
+        # Pattern: one of several engines runs at a fifth of its speed.
+        engines = [
+            _fleets.create_engine(f'gpu-{number}', layers=(0, 8))
+            for number in (1, 2)
+        ]
+        for engine in engines:
+            engine.events, engine.event_s = 20, 0.04
+        engines[1].event_s = 0.2
+
+        async def run():
+            engine = standins.make_engine(cards=_fleets.CARDS)
+            async with _fleets.run_fleet(*engines, engine=engine) as fleet:
+                async with asyncio.TaskGroup() as group:
+                    for _ in range(12):
+                        group.create_task(
+                            fleet.send('/stream/a', wait_ms=10_000)
+                        )
+                    await fleet.await_event('endpoint:slow')
+                return fleet.journal
+
+        journal = asyncio.run(run())
+        slow = [
+            line[1] for line in journal.lines if line[0] == 'endpoint:slow'
+        ]
+        self.assertEqual(['gpu-2'], slow)
