Read the store's tables by one instance in each data centre

Change: the members of a data centre rank each other alike (largest link first); the first one reads the tables, the others follow it by a long poll over HTTP with thrift bodies. Tables are kept as copies that never go back. A source that does not respond, has lost the store or is behind what others know is passed over for a while. Only readers compete for the placement lease. The list of instances is followed like the other tables. The stand-in's forget_history now always makes waiting calls outdated; before, that depended on which write came first.

--- a/Makefile
+++ b/Makefile
@@ -56,6 +56,9 @@
 	rm -rf sniperudder/digests/gen/wire
 	thrift --gen py:slots,enum -out sniperudder/digests/gen \
 		sniperudder/digests/digest.thrift
+	rm -rf sniperudder/feeds/gen/wire
+	thrift --gen py:slots,enum -out sniperudder/feeds/gen \
+		sniperudder/feeds/feeds.thrift
 
 # Writes reports/policy.md and reports/policy.png.
 measure: setup
--- a/sniperudder/entry/_entry.py
+++ b/sniperudder/entry/_entry.py
@@ -8,11 +8,12 @@
 import sys
 import traceback
 
+from sniperudder.entry import _feed
 from sniperudder.entry import _gossip
 from sniperudder.entry import _journal
 from sniperudder.entry import _placer
 from sniperudder.entry import _settings
-from sniperudder.entry import _watchers
+from sniperudder import feeds
 from sniperudder import fleet
 from sniperudder import forwarding
 from sniperudder import logs
@@ -28,13 +29,18 @@
 # The process exits this long before the end of the grace period.
 _EXIT_MARGIN_S = 0.2
 
-# Time for which changes of the endpoint list are batched. It grows with the
-# number of instances, since all of them call the store after a change, but is
-# at most a fraction of the time limit for draining endpoints.
-_BATCH_DELAY_S = 0.15
-_BATCH_DELAY_PER_PEER_S = 0.01
+# Time for which changes of the endpoint list and of the list of instances are
+# batched. It grows with the number of data centres, each of which calls the
+# store after a change, but is at most a fraction of the time limit for
+# draining endpoints.
+_BATCH_DELAY_S = 0.1
+_BATCH_DELAY_PER_DATA_CENTRE_S = 0.05
 _BATCH_DELAY_DRAIN_FRACTION = 0.4
 
+# Time after the start at which the list of instances is first read. Instances
+# that start together are listed by then.
+_FIRST_LIST_READ_S = 1.0
+
 # Polling interval while stopping, and interval of periodic maintenance.
 _STOP_POLL_S = 0.05
 _MAINTENANCE_INTERVAL_S = 1.0
@@ -95,6 +101,7 @@
             self._control_pool,
             settings.name,
             journal,
+            lambda: self._feed.reads_store,
         )
         self._gossip = _gossip.Gossip(
             self._T,
@@ -104,6 +111,33 @@
             self._forwarder,
             self._placer,
         )
+        batch_delays_s = dict.fromkeys(
+            (platform.ENDPOINTS_TABLE, platform.INSTANCES_TABLE),
+            self._get_batch_delay_s,
+        )
+        self._feed = _feed.Feed(
+            self._store,
+            (
+                feeds.TableCopy(
+                    platform.CONFIGURATION_TABLE, self._apply_configuration
+                ),
+                feeds.TableCopy(
+                    platform.ENDPOINTS_TABLE, self._apply_endpoints
+                ),
+                feeds.TableCopy(
+                    platform.INSTANCES_TABLE, self._gossip.apply_instances
+                ),
+            ),
+            self._call_peer,
+            settings.name,
+            journal,
+            batch_delays_s,
+            {platform.INSTANCES_TABLE: _FIRST_LIST_READ_S},
+        )
+        self._gossip.feed = self._feed
+        self._peer_server = forwarding.CallerServer(
+            self._feed.handle_request, self._log_exception, self._log_rejection
+        )
         self._stopping = asyncio.Event()
         self._tasks = []
 
@@ -128,6 +162,9 @@
         await self._caller_server.start(self._settings.callers_address)
         await self._readiness_server.start(self._settings.ready_address)
         await self._gossip.start()
+        await self._peer_server.start(
+            f'{self._settings.host}:{self._settings.peer_port}'
+        )
         if self._metrics_port:
             address = f'{self._settings.host}:{self._metrics_port}'
             await self._metrics_server.start(address)
@@ -139,36 +176,38 @@
             process=os.getpid(),
         )
         for coroutine in (
-            self._watch_table(
-                platform.CONFIGURATION_TABLE, self._apply_configuration
-            ),
-            self._watch_table(
-                platform.ENDPOINTS_TABLE,
-                self._apply_endpoints,
-                self._get_batch_delay_s,
-            ),
+            self._feed.run(),
+            self._gossip.register(),
             self._placer.maintain_lease(),
             self._placer.run_placement(),
             self._gossip.send_digests(),
-            self._gossip.sync_instance_list(),
+            self._gossip.remove_gone_peers(),
             self._run_maintenance(),
         ):
             task = asyncio.create_task(coroutine)
             task.add_done_callback(self._handle_task_end)
             self._tasks.append(task)
 
-    def _watch_table(self, table, apply, get_batch_delay_s=None):
-        return _watchers.TableWatcher(
-            self._store, table, apply, self._journal, get_batch_delay_s
-        ).run()
-
     def _get_batch_delay_s(self):
-        peer_count = len(self._T.peers.peers)
+        data_centres = {e.data_centre for e in self._T.endpoints.values()}
         max_delay_s = (
             self._settings.bounds.drain_s * _BATCH_DELAY_DRAIN_FRACTION
         )
         return min(
-            _BATCH_DELAY_S + _BATCH_DELAY_PER_PEER_S * peer_count, max_delay_s
+            _BATCH_DELAY_S
+            + _BATCH_DELAY_PER_DATA_CENTRE_S * len(data_centres),
+            max_delay_s,
+        )
+
+    async def _call_peer(self, address, target, body, timeout_s):
+        return await forwarding.request_json(
+            self._control_pool,
+            address,
+            'POST',
+            target,
+            body,
+            timeout_s,
+            content_type='application/x-thrift',
         )
 
     async def _call_platform(self, address, method, target, body, timeout_s):
@@ -334,6 +373,7 @@
             self._settings.name,
             channels=len(self._caller_server.connections),
         )
+        self._feed.stop()
         self._caller_server.announce_close = True
         deadline = started_at + self._settings.bounds.grace_s - _EXIT_MARGIN_S
         while loop.time() < started_at + _ACCEPT_AFTER_SIGTERM_S:
@@ -355,6 +395,7 @@
             task.cancel()
         self._caller_server.close()
         self._readiness_server.close()
+        self._peer_server.close()
         self._metrics_server.close()
         self._gossip.close()
 
--- /dev/null
+++ b/sniperudder/entry/_feed.py
@@ -0,0 +1,399 @@
+"""Feed of the store's tables, read by one instance in each data centre.
+
+The instance that all members of a data centre rank first reads the tables from
+the store. The others follow it by long polls. If it fails, or loses the store,
+they turn to the next one; an instance for which no other one works reads the
+store itself.
+"""
+
+import asyncio
+
+from sniperudder.entry import _watchers
+from sniperudder import feeds
+
+FEED_TARGET = '/feed'
+
+# Longest time that a follower's call waits for a change, and time allowed for
+# the reply in addition, seconds. Their sum bounds how long a follower relies
+# on an instance that has stopped, which must leave time to read the store
+# within the shortest bound for configurations in use (2 s).
+_FOLLOW_WAIT_S = 0.8
+_FOLLOW_TIMEOUT_S = 0.4
+
+# Time for which a source that did not respond is not called, doubled with each
+# failure in succession up to the maximum, seconds.
+_MIN_EXCLUSION_S = 4.0
+_MAX_EXCLUSION_S = 32.0
+
+# Time for which a source without a connection to the store is not called, and
+# the number of such sources after which the store is taken to be down.
+_DISCONNECTED_EXCLUSION_S = 2.0
+_MAX_DISCONNECTED = 3
+
+# Time after which an instance that lost the store tries it again, if there is
+# another source, doubled with each failure in succession up to the maximum;
+# and additional time for each better ranked instance, so that the instances of
+# a large data centre do not all call a failing store.
+_MIN_STORE_RETRY_S = 1.0
+_MAX_STORE_RETRY_S = 8.0
+_STORE_RETRY_PER_RANK_S = 0.2
+
+# Largest number of instances between the store and a source. A larger number
+# means that instances follow each other in a circle.
+_MAX_DEPTH = 4
+
+# Interval at which a reader of the store checks whether it should still read.
+_CHECK_INTERVAL_S = 0.25
+
+# Time for which other data centres may know a newer version of a table before
+# the source is taken to be stale, seconds; longer than changes are batched.
+_STALE_AFTER_S = 1.0
+
+# Number of readers in a deployment with a single data centre: only a second
+# one reveals that the first has been cut off from the store silently.
+_SINGLE_DATA_CENTRE_READERS = 2
+
+_OK = 200
+_BAD_REQUEST = 400
+_CONTENT_TYPE = (b'Content-Type', b'application/x-thrift')
+
+
+class Feed:
+    """Keeps copies of tables current and serves them to other instances.
+
+    Parameters
+    ----------
+    store : sniperudder.platform.Store
+    copies : iterable of sniperudder.feeds.TableCopy
+    call_peer : callable
+        Coroutine function of address, target, body and timeout in seconds;
+        returns a status and a body, or raises OSError.
+    own_name : str
+        Name of this instance.
+    journal : Journal
+    get_batch_delay_s : dict of str to callable
+        See `TableWatcher`, by table.
+    start_delays_s : dict of str to float
+        See `TableWatcher`, by table.
+
+    Attributes
+    ----------
+    source : str
+        Name of the instance that it follows, or its own if it reads the store.
+    """
+
+    def __init__(
+        self,
+        store,
+        copies,
+        call_peer,
+        own_name,
+        journal,
+        get_batch_delay_s,
+        start_delays_s,
+    ):
+        self._copies = {copy.table: copy for copy in copies}
+        self._call_peer = call_peer
+        self._own_name = own_name
+        self._journal = journal
+        self._choice = feeds.SourceChoice(own_name)
+        self._addresses = {}
+        self._reader_count = 1
+        self._watchers = [
+            _watchers.TableWatcher(
+                store,
+                copy,
+                journal,
+                get_batch_delay_s.get(table),
+                start_delays_s.get(table, 0.0),
+            )
+            for table, copy in self._copies.items()
+        ]
+        for watcher in self._watchers:
+            watcher.on_reachable_changed = self._wake_followers
+        for copy in self._copies.values():
+            copy.on_applied = self._wake_followers
+        self._source_depth = 0
+        self._store_retry_s = _MIN_STORE_RETRY_S
+        self._exclusions_s = {}
+        self._disconnected_at = {}
+        # Time since which a version of a table is known to others only.
+        self._behind_since = {}
+        self._followers = set()
+        self._stopped = False
+        self.source = own_name
+
+    @property
+    def reads_store(self):
+        """Whether this instance reads the store itself."""
+        return self.source == self._own_name
+
+    @property
+    def depth(self):
+        """Number of instances up to the store; 0 if it is not connected."""
+        if self._stopped:
+            return 0
+        if not self.reads_store:
+            return self._source_depth
+        if not all(copy.is_known for copy in self._copies.values()):
+            return 0
+        return int(self._is_store_reachable())
+
+    def set_members(self, members, has_other_data_centres):
+        """Replace the other instances of this data centre.
+
+        Parameters
+        ----------
+        members : dict of str to (str, float)
+            Address of the feed (``host:port``) and bandwidth of the network
+            link in Mbit/s, by name; including this instance.
+        has_other_data_centres : bool
+        """
+        self._addresses = {
+            name: address
+            for name, (address, _) in members.items()
+            if name != self._own_name
+        }
+        self._choice.set_candidates(
+            {name: mbps for name, (_, mbps) in members.items()}
+        )
+        self._reader_count = (
+            1 if has_other_data_centres else _SINGLE_DATA_CENTRE_READERS
+        )
+        rank = self._choice.get_rank()
+        for watcher in self._watchers:
+            watcher.max_backoff_s = (
+                _watchers.MAX_BACKOFF_S + _STORE_RETRY_PER_RANK_S * rank
+            )
+
+    def get_versions(self):
+        """Return the version of the last change of each known table."""
+        return {
+            table: copy.changed_version
+            for table, copy in self._copies.items()
+            if copy.is_known
+        }
+
+    def record_peer_versions(self, versions):
+        """Note which changes another instance knows."""
+        now = _read_loop_time()
+        for table, version in versions.items():
+            copy = self._copies.get(table)
+            if copy is None or not copy.is_known:
+                continue
+            if version <= copy.version:
+                self._behind_since.pop(table, None)
+            else:
+                self._behind_since.setdefault(table, (now, version))
+
+    def stop(self):
+        """Tell the followers to choose another source."""
+        self._stopped = True
+        self._wake_followers()
+
+    async def run(self):
+        """Keep the copies current until cancelled."""
+        while True:
+            source = self._choose_source()
+            self._set_source(source)
+            if source == self._own_name:
+                await self._read_store()
+            else:
+                await self._follow(source)
+
+    async def handle_request(self, request, caller):
+        """Respond to the long poll of a follower.
+
+        Parameters
+        ----------
+        request : sniperudder.forwarding.CallerRequest
+        caller : sniperudder.forwarding.CallerConnection
+        """
+        try:
+            if request.target != FEED_TARGET.encode():
+                raise feeds.FeedError(f'target {request.target!r}')
+            feed_request = feeds.decode_request(request.body)
+        except feeds.FeedError as error:
+            self._journal.write('feed:foreign', reason=str(error))
+            caller.send_response(_BAD_REQUEST, [], b'')
+            return
+        deadline = _read_loop_time() + feed_request.wait_s
+        while self.depth and not self._list_changed(feed_request):
+            remaining_s = deadline - _read_loop_time()
+            if remaining_s <= 0 or not await self._await_change(remaining_s):
+                break
+        reply = feeds.FeedReply(
+            self.depth,
+            tuple(
+                copy.collect_changes(feed_request.versions[copy.table])
+                for copy in self._list_requested(feed_request)
+            ),
+        )
+        caller.send_response(_OK, [_CONTENT_TYPE], feeds.encode_reply(reply))
+
+    def _list_requested(self, request):
+        return [
+            copy
+            for table, copy in self._copies.items()
+            if copy.is_known and table in request.versions
+        ]
+
+    def _list_changed(self, request):
+        return [
+            copy
+            for copy in self._list_requested(request)
+            if copy.has_changes(request.versions[copy.table])
+        ]
+
+    async def _await_change(self, timeout_s):
+        """Return whether something changed within the time."""
+        future = asyncio.get_running_loop().create_future()
+        self._followers.add(future)
+        try:
+            async with asyncio.timeout(timeout_s):
+                await future
+        except TimeoutError:
+            return False
+        finally:
+            self._followers.discard(future)
+        return True
+
+    def _wake_followers(self):
+        for future in self._followers:
+            if not future.done():
+                future.set_result(None)
+
+    def _choose_source(self):
+        now = _read_loop_time()
+        if self._own_name in self._choice.list_first(self._reader_count, now):
+            return self._own_name
+        disconnected = sum(
+            now - at < _DISCONNECTED_EXCLUSION_S
+            for at in self._disconnected_at.values()
+        )
+        if disconnected >= _MAX_DISCONNECTED:
+            return self._own_name
+        return self._choice.choose(now) or self._own_name
+
+    def _set_source(self, source):
+        if source == self.source:
+            return
+        self._journal.write('feed:source', source, before=self.source)
+        self.source = source
+        self._source_depth = 0
+
+    async def _read_store(self):
+        """Watch the tables until another source is to be used."""
+        # If others know more than this instance, its long polls may hang.
+        first_wait_s = (
+            {'first_wait_s': 0.0} if self._behind_since.keys() else {}
+        )
+        self._behind_since.clear()
+        tasks = [
+            asyncio.create_task(watcher.run(**first_wait_s))
+            for watcher in self._watchers
+        ]
+        try:
+            while True:
+                done, _ = await asyncio.wait(
+                    tasks,
+                    timeout=_CHECK_INTERVAL_S,
+                    return_when=asyncio.FIRST_EXCEPTION,
+                )
+                for task in done:
+                    task.result()
+                now = _read_loop_time()
+                if self._is_stale(now):
+                    return
+                if self._is_store_reachable():
+                    self._store_retry_s = _MIN_STORE_RETRY_S
+                else:
+                    self._exclude_self(now)
+                if self._choose_source() != self._own_name:
+                    if not self._is_store_reachable():
+                        self._store_retry_s = min(
+                            2 * self._store_retry_s, _MAX_STORE_RETRY_S
+                        )
+                    return
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _is_store_reachable(self):
+        return all(watcher.reachable for watcher in self._watchers)
+
+    def _exclude_self(self, now):
+        """Use other sources, if there are any, until the store is retried."""
+        rank_delay_s = _STORE_RETRY_PER_RANK_S * self._choice.get_rank()
+        self._choice.record_failure(
+            self._own_name, now, self._store_retry_s + rank_delay_s
+        )
+
+    async def _follow(self, source):
+        """Call the source once."""
+        request = feeds.FeedRequest(
+            {
+                table: copy.version if copy.is_known else 0
+                for table, copy in self._copies.items()
+            },
+            # The first call shows at once whether the source is connected.
+            _FOLLOW_WAIT_S if self._source_depth else 0.0,
+        )
+        try:
+            status, body = await self._call_peer(
+                self._addresses[source],
+                FEED_TARGET,
+                feeds.encode_request(request),
+                request.wait_s + _FOLLOW_TIMEOUT_S,
+            )
+            if status != _OK:
+                raise feeds.FeedError(f'status {status}')
+            reply = feeds.decode_reply(body)
+        except (OSError, feeds.FeedError) as error:
+            self._record_no_response(source, error)
+            return
+        for changes in reply.changes:
+            copy = self._copies.get(changes.table)
+            if copy is not None:
+                copy.update(changes)
+        now = _read_loop_time()
+        if not 0 < reply.depth < _MAX_DEPTH or self._is_stale(now):
+            self._source_depth = 0
+            self._disconnected_at[source] = now
+            self._choice.record_failure(source, now, _DISCONNECTED_EXCLUSION_S)
+            self._wake_followers()
+            return
+        self._source_depth = reply.depth + 1
+        self._exclusions_s.pop(source, None)
+        self._disconnected_at.pop(source, None)
+
+    def _record_no_response(self, source, error):
+        exclusion_s = self._exclusions_s.get(source, _MIN_EXCLUSION_S)
+        self._exclusions_s[source] = min(2 * exclusion_s, _MAX_EXCLUSION_S)
+        self._choice.record_failure(source, _read_loop_time(), exclusion_s)
+        self._journal.write(
+            'feed:no response',
+            source,
+            reason=f'{type(error).__name__}: {error}',
+        )
+
+    def _is_stale(self, now):
+        """Return whether others have known a newer version for too long."""
+        for table, (since, version) in list(self._behind_since.items()):
+            if version <= self._copies[table].version:
+                del self._behind_since[table]
+            elif now - since > _STALE_AFTER_S:
+                self._journal.write(
+                    'feed:stale',
+                    table,
+                    known=self._copies[table].version,
+                    version=version,
+                    source=self.source,
+                )
+                return True
+        return False
+
+
+def _read_loop_time():
+    return asyncio.get_running_loop().time()
--- a/sniperudder/entry/_gossip.py
+++ b/sniperudder/entry/_gossip.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import dataclasses
 import json
 import time
 
@@ -17,11 +18,31 @@
 _MIN_DIGEST_INTERVAL_S = 0.25
 _DIGEST_INTERVAL_PER_PEER_S = 0.01
 
-# Times after the start at which the platform's list of instances is read, and
-# the interval between later reads. Instances that start later are discovered
-# through their digests.
-_INITIAL_READ_TIMES_S = (0.3, 2.0, 5.0)
-_LIST_READ_INTERVAL_S = 20.0
+# Interval at which rows of permanently gone instances are looked for.
+_CLEANUP_INTERVAL_S = 20.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Member:
+    """A row of the platform's list of instances.
+
+    Attributes
+    ----------
+    row_version : int
+    host : str
+    port : int
+        Port for messages between instances.
+    data_centre : str
+        Empty if the instance runs a version that does not state it.
+    link_mbps : float
+        Bandwidth of the instance's network link, Mbit/s; 0 if unknown.
+    """
+
+    row_version: int
+    host: str
+    port: int
+    data_centre: str
+    link_mbps: float
 
 
 class Gossip:
@@ -37,6 +58,10 @@
     placer : Placer
     """
 
+    # The feed is set after construction, since its tables include the list of
+    # instances, which this object applies.
+    feed = None
+
     def __init__(self, T, store, settings, journal, forwarder, placer):
         self._T = T
         self._store = store
@@ -44,6 +69,8 @@
         self._journal = journal
         self._forwarder = forwarder
         self._placer = placer
+        # The platform's list of instances, by name.
+        self._members = {}
         self._incarnation = time.time_ns() // 1_000_000
         self._sequence = 0
         self._exchange = digests.DigestExchange(
@@ -77,22 +104,15 @@
             if addresses:
                 self._exchange.send(self._make_digest(), addresses)
 
-    async def sync_instance_list(self):
-        """Register this instance in the platform's list and poll the list."""
-        await self._register_instance()
-        started_at = _read_monotonic_time()
-        for read_time_s in _INITIAL_READ_TIMES_S:
-            await asyncio.sleep(
-                max(0.0, started_at + read_time_s - _read_monotonic_time())
-            )
-            await self._read_instance_list()
-        while True:
-            await asyncio.sleep(_LIST_READ_INTERVAL_S)
-            await self._read_instance_list()
-
-    async def _register_instance(self):
+    async def register(self):
+        """Add this instance to the platform's list of instances."""
         settings = self._settings
-        value = {'host': settings.host, 'port': settings.peer_port}
+        value = {
+            'host': settings.host,
+            'port': settings.peer_port,
+            'data_centre': settings.data_centre,
+            'link_mbps': settings.link_mbps,
+        }
         outcome = await self._store.write_row(
             platform.INSTANCES_TABLE,
             settings.name,
@@ -104,43 +124,85 @@
                 'instance:unlisted', settings.name, reason=str(outcome)
             )
 
-    async def _read_instance_list(self):
-        outcome = await self._store.read_table(platform.INSTANCES_TABLE)
-        if not isinstance(outcome, platform.Rows):
-            self._journal.write('instance:list unread', reason=str(outcome))
-            return
+    def apply_instances(self, rows, is_snapshot):
+        """Apply changes of the platform's list of instances.
+
+        Parameters
+        ----------
+        rows : iterable of sniperudder.platform.StoredRow
+        is_snapshot : bool
+            Whether the rows are the whole list.
+        """
         now = _read_monotonic_time()
-        gone = await self._remove_gone_peers(outcome.rows, now)
-        for row in outcome.rows:
-            if row.key == self._settings.name or row.key in gone:
+        if is_snapshot:
+            listed = {row.key for row in rows}
+            for name in self._members.keys() - listed:
+                self._remove_peer(name)
+        for row in rows:
+            if row.value is None:
+                self._remove_peer(row.key)
                 continue
             try:
                 value = json.loads(row.value)
-                address = str(value['host']), int(value['port'])
-            except (KeyError, TypeError, ValueError) as error:
+                member = _Member(
+                    row.version,
+                    str(value['host']),
+                    int(value['port']),
+                    str(value.get('data_centre', '')),
+                    float(value.get('link_mbps', 0.0)),
+                )
+            except (AttributeError, KeyError, TypeError, ValueError) as error:
                 self._log_invalid_data(f'row {row.key}: {error}')
                 continue
-            self._T.peers.add_peer(row.key, address, now)
+            self._members[row.key] = member
+            if row.key != self._settings.name:
+                self._T.peers.add_peer(
+                    row.key, (member.host, member.port), now
+                )
+        self._set_feed_members()
+
+    def _remove_peer(self, name):
+        self._members.pop(name, None)
+        if name in self._T.peers.peers:
+            self._T.peers.remove_peer(name)
 
-    async def _remove_gone_peers(self, rows, now):
-        """Remove permanently gone peers and return their names.
+    def _set_feed_members(self):
+        own = self._settings.data_centre
+        self.feed.set_members(
+            {
+                name: (f'{member.host}:{member.port}', member.link_mbps)
+                for name, member in self._members.items()
+                if member.data_centre == own
+            },
+            any(m.data_centre != own for m in self._members.values()),
+        )
+
+    async def remove_gone_peers(self):
+        """Remove permanently gone peers, periodically, until cancelled."""
+        while True:
+            await asyncio.sleep(_CLEANUP_INTERVAL_S)
+            await self._remove_gone_peers(_read_monotonic_time())
+
+    async def _remove_gone_peers(self, now):
+        """Remove peers that have been silent for very long.
 
         The holder of the placement lease deletes their rows; the other
-        instances remove a peer only after its row has been deleted.
+        instances remove a listed peer only after its row has been deleted.
         """
-        gone = set(self._T.peers.list_gone_peers(now))
-        row_versions = {row.key: row.version for row in rows}
-        for name in sorted(gone & row_versions.keys()):
+        for name in sorted(self._T.peers.list_gone_peers(now)):
+            member = self._members.get(name)
+            if member is None:
+                self._T.peers.remove_peer(name)
+                continue
             if not self._placer.lease_version:
-                gone.discard(name)
                 continue
             outcome = await self._store.write_row(
-                platform.INSTANCES_TABLE, name, None, row_versions[name]
+                platform.INSTANCES_TABLE, name, None, member.row_version
             )
             self._journal.write('instance:gone', name, outcome=str(outcome))
-        for name in gone:
-            self._T.peers.remove_peer(name)
-        return gone
+            if isinstance(outcome, platform.Written):
+                self._remove_peer(name)
+                self._set_feed_members()
 
     def _make_digest(self):
         self._sequence += 1
--- a/sniperudder/entry/_placer.py
+++ b/sniperudder/entry/_placer.py
@@ -11,6 +11,10 @@
 
 _LEASE_KEY = 'placement'
 
+# Interval at which an instance that does not compete for the lease checks
+# whether it should, seconds.
+_COMPETE_INTERVAL_S = 0.5
+
 # Interval between checks for missing layers.
 _CHECK_INTERVAL_S = 0.25
 
@@ -60,14 +64,19 @@
     name : str
         Name of this instance.
     journal : Journal
+    may_compete : callable
+        Returns whether this instance should take over an expired lease.
     """
 
-    def __init__(self, T, store, pool, name, journal):
+    def __init__(
+        self, T, store, pool, name, journal, may_compete=lambda: True
+    ):
         self._T = T
         self._store = store
         self._engine_client = forwarding.EngineClient(pool, _ORDER_TIMEOUT_S)
         self._name = name
         self._journal = journal
+        self._may_compete = may_compete
         self._lease = placement.LeaseView()
         self._orders = {}
         self._in_flight = set()
@@ -92,7 +101,11 @@
         """Renew the lease or try to acquire it until cancelled."""
         while True:
             now = _read_boot_time()
-            if self._lease.renewal_requested_at is not None or (
+            holds = self._lease.renewal_requested_at is not None
+            if not holds and not self._may_compete():
+                await asyncio.sleep(_COMPETE_INTERVAL_S)
+                continue
+            if holds or (
                 placement.may_acquire(self._lease, now) and self._lease.seen_at
             ):
                 await self._write_lease(now)
--- a/sniperudder/entry/tests/test_gossip.py
+++ b/sniperudder/entry/tests/test_gossip.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import time
 import types
 
 import testtools
@@ -44,14 +45,15 @@
     Each replacement has a new address and a new row.
     """
 
-    def run_list_read(self, lease_version):
-        """Read the list with two gone peers and a live one in the table."""
+    def run_cleanup(self, lease_version):
+        """Apply a list with two gone peers and a live one, and clean up."""
         T = fleet.FleetTables()
         T.peers.add_peer('entry-2', ('h', 1), -10_000.0)
         T.peers.add_peer('entry-4', ('h', 1), -10_000.0)
         digest = digests.Digest('entry-3', 1, 1, {}, (), {})
         T.peers.record_digest(digest, ('h', 1), 1e12)
         store = StubStore('entry-1', 'entry-2', 'entry-3')
+        members = types.SimpleNamespace(set_members=lambda *_: None)
         gossip = _gossip.Gossip(
             T,
             store,
@@ -60,15 +62,17 @@
             None,
             types.SimpleNamespace(lease_version=lease_version),
         )
-        asyncio.run(gossip._read_instance_list())
+        gossip.feed = members
+        gossip.apply_instances(store.rows.values(), True)
+        asyncio.run(gossip._remove_gone_peers(time.monotonic()))
         return sorted(store.rows), sorted(T.peers.peers)
 
     def test_lease_holder_deletes_row_of_gone_peer(self):
-        rows, peers = self.run_list_read(lease_version=7)
+        rows, peers = self.run_cleanup(lease_version=7)
         self.assertEqual(['entry-1', 'entry-3'], rows)
         self.assertEqual(['entry-3'], peers)
 
     def test_other_instances_wait_until_row_is_deleted(self):
-        rows, peers = self.run_list_read(lease_version=0)
+        rows, peers = self.run_cleanup(lease_version=0)
         self.assertEqual(['entry-1', 'entry-2', 'entry-3'], rows)
         self.assertEqual(['entry-2', 'entry-3'], peers)
--- a/sniperudder/entry/tests/test_watchers.py
+++ b/sniperudder/entry/tests/test_watchers.py
@@ -6,6 +6,7 @@
 
 from sniperudder.entry import _watchers
 from sniperudder.entry.tests import _fleets
+from sniperudder import feeds
 from sniperudder import platform
 
 _READ_S = 2.0
@@ -50,7 +51,8 @@
             applied.append(([row.key for row in rows], is_snapshot))
 
         async def run():
-            watcher = _watchers.TableWatcher(store, 't', apply, journal)
+            copy = feeds.TableCopy('t', apply)
+            watcher = _watchers.TableWatcher(store, copy, journal)
             try:
                 async with asyncio.timeout(_READ_S):
                     await watcher.run()
--- /dev/null
+++ b/sniperudder/feeds/_codec.py
@@ -0,0 +1,153 @@
+"""Serialization of feed requests and replies as Thrift structures."""
+
+import zlib
+
+from thrift.protocol import TCompactProtocol
+from thrift import Thrift
+from thrift import TSerialization
+
+from sniperudder.feeds import _records
+from sniperudder.feeds.gen.wire import ttypes
+from sniperudder import platform
+
+_MS_PER_S = 1000
+_PROTOCOL_FACTORY = TCompactProtocol.TCompactProtocolAcceleratedFactory()
+
+# Values from this size on are compressed, bytes. A configuration with many
+# routes shrinks to a tenth; it is sent to a whole data centre over one link.
+_MIN_COMPRESSED_BYTES = 512
+_COMPRESSION_LEVEL = 1
+
+# Largest value after decompression; the platform's limit for a value that is
+# written in pieces of 64 KiB.
+_MAX_VALUE_BYTES = 16_777_216
+
+# Longest time that a request may ask to wait, ms.
+_MAX_WAIT_MS = 30_000
+
+
+class FeedError(ValueError):
+    """Raised for bytes that do not hold a valid request or reply."""
+
+
+def encode_request(request):
+    """Serialize a `FeedRequest`.
+
+    Examples
+    --------
+    >>> request = _records.FeedRequest({'op': 3}, 1.5)
+    >>> decode_request(encode_request(request)) == request
+    True
+    """
+    positions = [
+        ttypes.Position(table, version)
+        for table, version in request.versions.items()
+    ]
+    message = ttypes.FeedRequest(positions, int(request.wait_s * _MS_PER_S))
+    return TSerialization.serialize(message, _PROTOCOL_FACTORY)
+
+
+def decode_request(data):
+    """Deserialize a `FeedRequest`.
+
+    Raises
+    ------
+    FeedError
+        If the bytes are not a request.
+    """
+    message = _deserialize(ttypes.FeedRequest(), data)
+    if not 0 <= message.wait_ms <= _MAX_WAIT_MS:
+        raise FeedError(f'wait of {message.wait_ms} ms')
+    for position in message.positions:
+        _validate(position)
+    return _records.FeedRequest(
+        {position.table: position.version for position in message.positions},
+        message.wait_ms / _MS_PER_S,
+    )
+
+
+def encode_reply(reply):
+    """Serialize a `FeedReply`.
+
+    Examples
+    --------
+    >>> rows = (platform.StoredRow('config', b'{}' * 400, 5),)
+    >>> changes = _records.Changes('op', 7, True, rows)
+    >>> reply = _records.FeedReply(1, (changes,))
+    >>> decode_reply(encode_reply(reply)) == reply
+    True
+    """
+    message = ttypes.FeedReply(
+        reply.depth,
+        [
+            ttypes.Changes(
+                changes.table,
+                changes.version,
+                changes.is_snapshot,
+                [_encode_row(row) for row in changes.rows],
+            )
+            for changes in reply.changes
+        ],
+    )
+    return TSerialization.serialize(message, _PROTOCOL_FACTORY)
+
+
+def decode_reply(data):
+    """Deserialize a `FeedReply`.
+
+    Raises
+    ------
+    FeedError
+        If the bytes are not a reply.
+    """
+    message = _deserialize(ttypes.FeedReply(), data)
+    return _records.FeedReply(
+        message.depth,
+        tuple(_decode_changes(changes) for changes in message.changes),
+    )
+
+
+def _deserialize(message, data):
+    try:
+        TSerialization.deserialize(message, data, _PROTOCOL_FACTORY)
+    except Exception as error:
+        # Thrift raises exceptions of many types for malformed bytes.
+        raise FeedError(f'{type(error).__name__}: {error}') from error
+    _validate(message)
+    return message
+
+
+def _validate(message):
+    try:
+        message.validate()
+    except Thrift.TException as error:
+        raise FeedError(str(error)) from error
+
+
+def _encode_row(row):
+    if row.value is None or len(row.value) < _MIN_COMPRESSED_BYTES:
+        return ttypes.Row(row.key, row.version, row.value)
+    value = zlib.compress(row.value, _COMPRESSION_LEVEL)
+    return ttypes.Row(row.key, row.version, value, True)
+
+
+def _decode_changes(changes):
+    _validate(changes)
+    rows = tuple(_decode_row(row) for row in changes.rows)
+    return _records.Changes(
+        changes.table, changes.version, changes.is_snapshot, rows
+    )
+
+
+def _decode_row(row):
+    _validate(row)
+    value = row.value
+    if value is not None and row.compressed:
+        decompressor = zlib.decompressobj()
+        try:
+            value = decompressor.decompress(value, _MAX_VALUE_BYTES)
+        except zlib.error as error:
+            raise FeedError(f'row {row.key}: {error}') from error
+        if not decompressor.eof:
+            raise FeedError(f'row {row.key}: value too long or truncated')
+    return platform.StoredRow(row.key, value, row.version)
--- /dev/null
+++ b/sniperudder/feeds/feeds.thrift
@@ -0,0 +1,37 @@
+// Changes of the store's tables, passed on between instances of a data centre.
+
+namespace py wire
+
+// Store version up to which the sender of a request knows a table.
+struct Position {
+  1: required string table;
+  2: required i64 version;
+}
+
+struct FeedRequest {
+  1: required list<Position> positions;
+  2: required i32 wait_ms;
+}
+
+// A row; deleted if it has no value. The value may be compressed.
+struct Row {
+  1: required string key;
+  2: required i64 version;
+  3: optional binary value;
+  4: optional bool compressed;
+}
+
+// Changes up to a store version, or the whole table as of that version.
+struct Changes {
+  1: required string table;
+  2: required i64 version;
+  3: required bool is_snapshot;
+  4: required list<Row> rows;
+}
+
+// Depth 1 is an instance that reads the store itself, and 0 one without a
+// connection to it.
+struct FeedReply {
+  1: required i32 depth;
+  2: required list<Changes> changes;
+}
--- /dev/null
+++ b/sniperudder/feeds/gen/wire/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants']
--- a/sniperudder/fleet/_settings.py
+++ b/sniperudder/fleet/_settings.py
@@ -47,9 +47,11 @@
         ``host:port`` on which the instance listens for callers, and for
         the readiness checks of the load balancer.
     peer_port : int
-        UDP port for messages between instances.
+        Port for messages between instances: UDP for digests, TCP for feeds.
     platform_address : str
     bounds : Bounds
+    link_mbps : float
+        Bandwidth of the instance's network link, Mbit/s; 0 if unknown.
     """
 
     name: str
@@ -60,3 +62,4 @@
     peer_port: int
     platform_address: str
     bounds: Bounds
+    link_mbps: float = 0.0
--- a/sniperudder/forwarding/_connections.py
+++ b/sniperudder/forwarding/_connections.py
@@ -353,9 +353,16 @@
 
 
 async def request_json(
-    pool, address, method, target, body, timeout_s, extra_headers=()
+    pool,
+    address,
+    method,
+    target,
+    body,
+    timeout_s,
+    extra_headers=(),
+    content_type='application/json',
 ):
-    """Send one request with a JSON body and return the response.
+    """Send one request, with a JSON body by default, and return the response.
 
     Parameters
     ----------
@@ -365,6 +372,7 @@
     timeout_s : float
         Timeout for the complete response, seconds.
     extra_headers : iterable of (bytes, bytes)
+    content_type : str
 
     Returns
     -------
@@ -383,7 +391,7 @@
             headers = [('Host', address), *extra_headers]
             if body is not None:
                 headers += [
-                    ('Content-Type', 'application/json'),
+                    ('Content-Type', content_type),
                     ('Content-Length', str(len(body))),
                 ]
             connection.send_request(method, target, headers, body)
--- a/sniperudder/platform/_documents.py
+++ b/sniperudder/platform/_documents.py
@@ -57,6 +57,9 @@
             retry_window_s=get_field(bounds, 'budget_window_s', float),
             retry_slack=get_field(bounds, 'budget_slack', float),
         ),
+        link_mbps=get_field(
+            get_field(value, 'limits', dict, {}), 'link_mbps', float, 0.0
+        ),
     )
 
 
--- a/standins/fleet/_store.py
+++ b/standins/fleet/_store.py
@@ -57,7 +57,9 @@
         self.put(table, key, json.dumps(value).encode())
 
     def forget_history(self):
-        """Drop all changes so far; waiting calls for older changes get 410."""
+        """Drop all changes so far; waiting calls get 410."""
+        # A transaction on some other table, after the calls began to wait.
+        self.version += 1
         self.forgotten_version = self.version
         self._changes.clear()
         self._changed.set()
