--- a/sniperudder/platform/_documents.py
+++ b/sniperudder/platform/_documents.py
@@ -9,6 +9,10 @@
 # Default for deployments without engines, in which no stage can stall.
 _NO_STALL_MS = 0.0
 
+# Bound for configurations in a deployment that states none, ms; the users'
+# shortest one.
+_DEFAULT_CONFIG_MS = 2_000.0
+
 _REPEATABLE_KIND = 'safe'
 _STREAMING_KIND = 'streaming'
 _READY_STATE = 'ready'
@@ -56,7 +60,7 @@
             retry_ratio=get_field(bounds, 'budget_ratio', float),
             retry_window_s=get_field(bounds, 'budget_window_s', float),
             retry_slack=get_field(bounds, 'budget_slack', float),
-            config_s=get_seconds(bounds, 'config_ms'),
+            config_s=get_seconds(bounds, 'config_ms', _DEFAULT_CONFIG_MS),
         ),
         link_mbps=get_field(
             get_field(value, 'limits', dict, {}), 'link_mbps', float, 0.0
