Log which parts an interrupted request had, and when its crash was counted

A line request:interrupted now names the chain, the shared parts of the prompt and the fingerprint; request:crashed endpoint says how long after the interruption it was written and what each instance counts. No decision changes.

--- a/sniperudder/entry/_entry.py
+++ b/sniperudder/entry/_entry.py
@@ -328,9 +328,16 @@
     def _record_run_end(self, endpoint):
         run_id = endpoint.id, endpoint.born_ms
         now = asyncio.get_running_loop().time()
-        for fingerprint in self._forwarder.crashes.record_run_end(run_id, now):
+        crashes = self._forwarder.crashes
+        for fingerprint, since_s in crashes.record_run_end(
+            run_id, now
+        ).items():
             self._journal.write(
-                'request:crashed endpoint', fingerprint, endpoint=endpoint.id
+                'request:crashed endpoint',
+                fingerprint,
+                endpoint=endpoint.id,
+                interrupted_ms=round(since_s * 1000),
+                counts=crashes.list_counts(fingerprint),
             )
 
     async def _send_readiness(self, request, caller):
--- a/sniperudder/entry/tests/test_plain.py
+++ b/sniperudder/entry/tests/test_plain.py
@@ -302,9 +302,18 @@
                 for desk in desks:
                     desk.script.clear()
                 good, _, _ = await test_fleet.send('/safe/a', body=b'good')
-                return statuses, good
-
-        statuses, good = asyncio.run(run())
+                journal = test_fleet.journal
+                interrupted = journal.list_events('request:interrupted')
+                crashed = journal.list_events('request:crashed endpoint')
+                return statuses, good, interrupted, crashed
+
+        statuses, good, interrupted, crashed = asyncio.run(run())
+        # From a crash to its requests: the same endpoints, in both lines.
+        self.assertEqual(
+            sorted(fields['endpoints'] for fields in interrupted),
+            sorted([fields['endpoint']] for fields in crashed),
+        )
+        self.assertLess(crashed[0]['interrupted_ms'], 500)
         self.assertEqual([502, 502, 503, 503], statuses)
         self.assertEqual(200, good)
         # Each of the first two requests is sent twice; the later ones are
--- a/sniperudder/entry/tests/test_streams.py
+++ b/sniperudder/entry/tests/test_streams.py
@@ -102,8 +102,11 @@
 
         async def case(test_fleet):
             cut = h11.RemoteProtocolError
+            parts = ('X-Sniperudder-Prefix-Hash', 'aa:40,bb:10,cc:9')
             with testtools.ExpectedException(cut):
-                await test_fleet.send('/once/a')
+                await test_fleet.send('/once/a', headers=[parts])
+            (line,) = test_fleet.journal.list_events('request:interrupted')
+            self.assertEqual(('aa', 'bb'), line['parts'])
 
         self.run_fleet(case, engine)
         self.assertEqual(1, len(engine.requests))
--- a/sniperudder/forwarding/_attempts.py
+++ b/sniperudder/forwarding/_attempts.py
@@ -81,7 +81,9 @@
         if isinstance(outcome, _exchanges.NotRun):
             job.may_have_run = may_have_run_before
         elif isinstance(outcome, _exchanges.Interrupted):
-            forwarder.record_interrupted_request(job, self._monitor.stages)
+            forwarder.record_interrupted_request(
+                job, self._monitor.stages, outcome.reason
+            )
         return outcome
 
     def _get_last_event_id(self):
--- a/sniperudder/forwarding/_forwarder.py
+++ b/sniperudder/forwarding/_forwarder.py
@@ -318,13 +318,22 @@
             f'{endpoint.id}: {outcome.reason} at {failed_endpoint.id}'
         )
 
-    def record_interrupted_request(self, job, stages):
+    def record_interrupted_request(self, job, stages, reason):
         """Record an interrupted request for each endpoint of the chain.
 
         If one of these endpoints turns out to have crashed, the crash is
         counted against the request.
         """
         fingerprint = self.make_fingerprint(job)
+        self.journal.write(
+            'request:interrupted',
+            job.head.request_id,
+            attempt=job.attempts,
+            endpoints=[stage.endpoint.id for stage in stages],
+            reason=reason,
+            fingerprint=fingerprint,
+            parts=job.head.shared_parts,
+        )
         for stage in stages:
             run_id = stage.endpoint.id, stage.endpoint.born_ms
             self.crashes.record_interruption(fingerprint, run_id, self.now())
@@ -469,7 +478,7 @@
         if isinstance(outcome, _exchanges.NotRun):
             job.may_have_run = may_have_run_before
         elif isinstance(outcome, _exchanges.Interrupted):
-            self.record_interrupted_request(job, stages)
+            self.record_interrupted_request(job, stages, outcome.reason)
         return outcome
 
     def _handle_timeout(self, job, caller):
--- a/sniperudder/platform/_headers.py
+++ b/sniperudder/platform/_headers.py
@@ -8,6 +8,8 @@
 _DEADLINE = b'x-sniperudder-request-deadline'
 _TOKEN_COUNT = b'x-sniperudder-token-count'
 _LENGTH_HINT = b'x-sniperudder-length-hint'
+# Despite its name, this header lists the ids of all parts of the prompt.
+_PREFIX_HASH = b'x-sniperudder-prefix-hash'
 _LAST_EVENT_ID = b'last-event-id'
 _AUTHORIZATION = b'authorization'
 _TENANT = b'x-sniperudder-tenant'
@@ -72,6 +74,9 @@
         most its limit, or the limit if there is no estimate. 0 if unknown.
     last_event_id : str or None
         Id of the event after which a stream is resumed.
+    shared_parts : tuple of str
+        Ids of the parts of the prompt that other requests may share: all but
+        the last one, which belongs to the request or its session.
     """
 
     request_id: str
@@ -80,6 +85,7 @@
     prompt_tokens: int
     output_tokens: int
     last_event_id: str | None
+    shared_parts: tuple = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -130,6 +136,7 @@
         prompt_tokens=prompt_tokens,
         output_tokens=output_tokens,
         last_event_id=_decode_text(values, _LAST_EVENT_ID),
+        shared_parts=_decode_shared_parts(values),
     )
 
 
@@ -296,6 +303,12 @@
     )
 
 
+def _decode_shared_parts(values):
+    entries = (_decode_text(values, _PREFIX_HASH) or '').split(',')
+    parts = [entry.partition(':')[0].strip().lower() for entry in entries]
+    return tuple(dict.fromkeys(part for part in parts[:-1] if part))
+
+
 def _decode_count(text):
     return int(text) if text.strip().isdecimal() else 0
 
--- a/sniperudder/platform/tests/test_documents.py
+++ b/sniperudder/platform/tests/test_documents.py
@@ -105,6 +105,21 @@
         self.assertEqual((700, 30), (head.prompt_tokens, head.output_tokens))
         self.assertEqual(('abc', '4'), (head.key, head.last_event_id))
 
+    def test_last_part_of_a_prompt_is_not_shared(self):
+        for value, parts in (
+            (
+                b'5c1e07a2:800, 91BD3f06:410,e4402b7d:250',
+                ['5c1e07a2', '91bd3f06'],
+            ),
+            (b'e4402b7d:250', []),
+            (b',,x', []),
+            (b'a:1,a:1,b:2', ['a']),
+        ):
+            head = platform.decode_request_head(
+                [(b'x-sniperudder-prefix-hash', value)]
+            )
+            self.assertEqual(parts, list(head.shared_parts))
+
     def test_malformed_header_values_are_ignored(self):
         head = platform.decode_request_head(
             [
--- a/sniperudder/routing/_crashes.py
+++ b/sniperudder/routing/_crashes.py
@@ -75,15 +75,16 @@
 
         Returns
         -------
-        list of str
-            Fingerprints of the requests that the crash counts against.
+        dict of str to float
+            Time since the interruption of each request that the crash counts
+            against, by fingerprint, seconds.
         """
         interrupted = self._interrupted.pop(run_id, {})
-        counted = [
-            fingerprint
+        counted = {
+            fingerprint: now - at
             for fingerprint, at in interrupted.items()
             if now - at <= _MAX_CRASH_DELAY_S
-        ]
+        }
         for fingerprint in counted:
             count = self._counts.pop(fingerprint, 0) + 1
             self._counts[fingerprint] = count
@@ -105,14 +106,19 @@
         )
         return dict(newest)
 
+    def list_counts(self, fingerprint):
+        """Return this instance's count for a request, then its peers'."""
+        counts = [self._counts.get(fingerprint, 0)]
+        counts += [
+            peer.get(fingerprint, 0) for peer in self._peer_counts.values()
+        ]
+        return counts
+
     def is_condemned(self, fingerprint):
         """Return whether a request may not be sent to any endpoint."""
         # Two instances that both saw one crash count it twice. The largest
         # count is therefore a lower bound, and the sum an upper bound.
-        counts = [
-            peer.get(fingerprint, 0) for peer in self._peer_counts.values()
-        ]
-        counts.append(self._counts.get(fingerprint, 0))
+        counts = self.list_counts(fingerprint)
         return max(counts) >= _MAX_CRASHES or sum(counts) >= 2 * _MAX_CRASHES
 
     def drop_expired(self, now):
