--- a/standins/fleet/_messages.py
+++ b/standins/fleet/_messages.py
@@ -7,6 +7,7 @@
 _READ_BYTES = 65_536
 _SEAL = 'x-sniperudder-response-seal'
 REQUEST_ID = 'x-sniperudder-request-id'
+PREFIX_HASH = 'x-sniperudder-prefix-hash'
 NOT_RUN = 'x-sniperudder-not-executed'
 
 
@@ -24,6 +25,12 @@
     return None
 
 
+def read_shared_parts(request):
+    """Return the ids of all parts of the prompt but the last."""
+    entries = (read_header(request, PREFIX_HASH) or '').split(',')
+    return [entry.partition(':')[0] for entry in entries[:-1]]
+
+
 async def send_request(
     address, target, method='POST', body=b'x', headers=(), wait_ms=1_500
 ):
