--- a/sniperudder/digests/__init__.py
+++ b/sniperudder/digests/__init__.py
@@ -3,6 +3,9 @@
 from sniperudder.digests._codec import decode_digest
 from sniperudder.digests._codec import DigestError
 from sniperudder.digests._codec import encode_digest
+from sniperudder.digests._crash_reports import Crash
+from sniperudder.digests._crash_reports import CrashReport
+from sniperudder.digests._crash_reports import limit_crash_report
 from sniperudder.digests._exchange import DigestExchange
 from sniperudder.digests._peers import Peer
 from sniperudder.digests._peers import PeerTable
@@ -15,6 +18,8 @@
 from sniperudder.digests._sums import subtract_digest
 
 __all__ = [
+    'Crash',
+    'CrashReport',
     'Digest',
     'DigestError',
     'DigestExchange',
@@ -27,5 +32,6 @@
     'add_digests',
     'decode_digest',
     'encode_digest',
+    'limit_crash_report',
     'subtract_digest',
 ]
--- a/sniperudder/digests/_codec.py
+++ b/sniperudder/digests/_codec.py
@@ -3,6 +3,7 @@
 from thrift.protocol import TCompactProtocol
 from thrift import TSerialization
 
+from sniperudder.digests import _crash_reports
 from sniperudder.digests import _records
 from sniperudder.digests.gen.wire import ttypes
 
@@ -21,7 +22,7 @@
     --------
     >>> from sniperudder import digests
     >>> load = digests.Load(2, 1600.0)
-    >>> digest = digests.Digest('entry-1', 5, 1, {'gpu-1': load}, (), {})
+    >>> digest = digests.Digest('entry-1', 5, 1, {'gpu-1': load}, ())
     >>> decode_digest(encode_digest(digest)) == digest
     True
     """
@@ -39,15 +40,7 @@
             )
             for fault in digest.faults
         ],
-        crashes=[
-            ttypes.Crash(fingerprint, count)
-            for fingerprint, count in digest.crashes.items()
-        ]
-        + [
-            ttypes.Crash(fingerprint, count, name)
-            for name, counts in digest.peer_crashes.items()
-            for fingerprint, count in counts.items()
-        ],
+        crashes=[],
         lease_version=digest.lease_version,
         events=digest.events,
         slow_events=digest.slow_events,
@@ -60,6 +53,7 @@
         instances=digest.instances,
         included=[ttypes.Included(*entry) for entry in digest.included],
         table_versions=digest.table_versions,
+        crash_report=_encode_crash_report(digest.crash_report),
     )
     return TSerialization.serialize(message, _PROTOCOL_FACTORY)
 
@@ -80,12 +74,11 @@
     except Exception as error:
         # Thrift raises exceptions of many types for malformed bytes.
         raise DigestError(f'{type(error).__name__}: {error}') from error
-    crashes, peer_crashes = {}, {}
-    for crash in message.crashes:
-        counts = crashes
-        if crash.counted_by is not None:
-            counts = peer_crashes.setdefault(crash.counted_by, {})
-        counts[crash.fingerprint] = crash.count
+    try:
+        crash_report = _decode_crash_report(message.crash_report)
+    except (AttributeError, TypeError) as error:
+        # A field of a nested structure is missing.
+        raise DigestError(f'crash report: {error}') from error
     try:
         scope = _records.Scope(message.scope)
     except ValueError as error:
@@ -106,7 +99,6 @@
             )
             for fault in message.faults
         ),
-        crashes=crashes,
         lease_version=message.lease_version,
         events=message.events,
         slow_events=message.slow_events,
@@ -121,6 +113,51 @@
             (entry.sender, entry.incarnation, entry.sequence)
             for entry in message.included or ()
         ),
-        peer_crashes=peer_crashes,
         table_versions=message.table_versions or {},
+        crash_report=crash_report,
+    )
+
+
+def _encode_crash_report(report):
+    if not (report.crashes or report.cleared or report.blocks):
+        return None
+    return ttypes.CrashReport(
+        crashes=[
+            ttypes.EndpointCrash(
+                endpoint,
+                born_ms,
+                int(crash.age_s * _MS_PER_S),
+                crash.suspects,
+            )
+            for (endpoint, born_ms), crash in report.crashes.items()
+        ],
+        cleared_ms={
+            key: int(age_s * _MS_PER_S)
+            for key, age_s in report.cleared.items()
+        },
+        blocks=[
+            ttypes.Block(sorted(keys), int(age_s * _MS_PER_S))
+            for keys, age_s in report.blocks.items()
+        ],
+    )
+
+
+def _decode_crash_report(message):
+    if message is None:
+        return _crash_reports.CrashReport()
+    return _crash_reports.CrashReport(
+        {
+            (crash.endpoint, crash.born_ms): _crash_reports.Crash(
+                crash.age_ms / _MS_PER_S, crash.suspects
+            )
+            for crash in message.crashes
+        },
+        {
+            key: age_ms / _MS_PER_S
+            for key, age_ms in message.cleared_ms.items()
+        },
+        {
+            frozenset(block.keys): block.age_ms / _MS_PER_S
+            for block in message.blocks
+        },
     )
--- a/sniperudder/digests/_records.py
+++ b/sniperudder/digests/_records.py
@@ -3,6 +3,8 @@
 import dataclasses
 import enum
 
+from sniperudder.digests import _crash_reports
+
 
 class Scope(enum.Enum):
     """What a digest covers."""
@@ -62,8 +64,6 @@
     loads : dict of str to Load
         Loads by endpoint id; endpoints without requests are omitted.
     faults : tuple of Fault
-    crashes : dict of str to int
-        Number of endpoint crashes by request fingerprint.
     lease_version : int
         Version of the placement lease that the sender holds; 0 if it
         holds none.
@@ -80,10 +80,9 @@
     included : tuple of (str, int, int)
         Sender, incarnation and sequence number of the digests of the sender's
         data centre that are part of a sum.
-    peer_crashes : dict of str to dict
-        In a sum, the crashes by the name of the instance that counted them.
     table_versions : dict of str to int
         Store version of the last change of each table that the sender knows.
+    crash_report : CrashReport
     """
 
     sender: str
@@ -91,7 +90,6 @@
     sequence: int
     loads: dict
     faults: tuple
-    crashes: dict
     lease_version: int = 0
     events: int = 0
     slow_events: int = 0
@@ -100,5 +98,7 @@
     data_centre: str = ''
     instances: int = 1
     included: tuple = ()
-    peer_crashes: dict = dataclasses.field(default_factory=dict)
     table_versions: dict = dataclasses.field(default_factory=dict)
+    crash_report: _crash_reports.CrashReport = dataclasses.field(
+        default_factory=_crash_reports.CrashReport
+    )
--- a/sniperudder/digests/_sums.py
+++ b/sniperudder/digests/_sums.py
@@ -9,12 +9,12 @@
 import dataclasses
 import heapq
 
+from sniperudder.digests import _crash_reports
 from sniperudder.digests import _records
 
-# Largest numbers of loads and crash counts in a sum, so that it fits in a
-# datagram whatever the size of the fleet. The largest ones are kept.
+# Largest number of loads in a sum, so that it fits in a datagram whatever the
+# size of the fleet. The largest ones are kept.
 _MAX_LOADS = 1_000
-_MAX_CRASHES = 100
 
 
 def add_digests(header, digests, ages_s):
@@ -36,8 +36,8 @@
     Examples
     --------
     >>> load = _records.Load(2, 100.0)
-    >>> first = _records.Digest('entry-1', 5, 1, {'gpu-1': load}, (), {})
-    >>> second = _records.Digest('entry-2', 5, 3, {'gpu-1': load}, (), {})
+    >>> first = _records.Digest('entry-1', 5, 1, {'gpu-1': load}, ())
+    >>> second = _records.Digest('entry-2', 5, 3, {'gpu-1': load}, ())
     >>> total = add_digests(first, [first, second], [0.0, 0.1])
     >>> total.loads['gpu-1'], total.instances
     (Load(requests=4, token_layers=200.0), 2)
@@ -46,7 +46,6 @@
     token_layers = collections.Counter()
     crossings = collections.Counter()
     faults = {}
-    peer_crashes = {}
     table_versions = {}
     included = []
     for digest, age_s in zip(digests, ages_s):
@@ -62,9 +61,6 @@
                 faults[fault.endpoint, fault.born_ms] = dataclasses.replace(
                     fault, left_s=left_s
                 )
-        if digest.crashes:
-            peer_crashes[digest.sender] = digest.crashes
-        peer_crashes.update(digest.peer_crashes)
         for table, version in digest.table_versions.items():
             table_versions[table] = max(version, table_versions.get(table, 0))
         if digest.data_centre == header.data_centre:
@@ -84,15 +80,16 @@
             for name in busiest
         },
         faults=tuple(faults.values()),
-        crashes={},
         lease_version=max((d.lease_version for d in digests), default=0),
         events=sum(digest.events for digest in digests),
         slow_events=sum(digest.slow_events for digest in digests),
         crossings=dict(crossings),
         instances=sum(digest.instances for digest in digests),
         included=tuple(included),
-        peer_crashes=_keep_largest(peer_crashes),
         table_versions=table_versions,
+        crash_report=_crash_reports.merge_crash_reports(
+            [digest.crash_report for digest in digests], ages_s
+        ),
     )
 
 
@@ -131,16 +128,3 @@
         crossings=crossings,
         instances=max(total.instances - part.instances, 0),
     )
-
-
-def _keep_largest(peer_crashes):
-    """Return the largest crash counts."""
-    entries = [
-        (count, fingerprint, name)
-        for name, counts in peer_crashes.items()
-        for fingerprint, count in counts.items()
-    ]
-    kept = {}
-    for count, fingerprint, name in heapq.nlargest(_MAX_CRASHES, entries):
-        kept.setdefault(name, {})[fingerprint] = count
-    return kept
--- a/sniperudder/digests/digest.thrift
+++ b/sniperudder/digests/digest.thrift
@@ -16,14 +16,36 @@
   3: required i32 left_ms;
 }
 
-// Number of endpoint crashes attributed to one request fingerprint, by the
-// sender of the digest if no other instance is named.
+// Number of endpoint crashes of one request; no longer sent.
 struct Crash {
   1: required string fingerprint;
   2: required i32 count;
   3: optional string counted_by;
 }
 
+// A run of an endpoint that crashed, and the number of requests that it had
+// just begun, by key.
+struct EndpointCrash {
+  1: required string endpoint;
+  2: required i64 born_ms;
+  3: required i32 age_ms;
+  4: required map<string, i32> suspects;
+}
+
+// Requests with all of these keys are blocked.
+struct Block {
+  1: required list<string> keys;
+  // Time since the last crash.
+  2: required i32 age_ms;
+}
+
+struct CrashReport {
+  1: required list<EndpointCrash> crashes;
+  // Time since a request with the key last ran without a crash, by key.
+  2: required map<string, i32> cleared_ms;
+  3: required list<Block> blocks;
+}
+
 // Token rate between two data centres.
 struct Crossing {
   1: required string left;
@@ -44,6 +66,7 @@
   3: required i64 sequence;
   4: required list<Load> loads;
   5: required list<Fault> faults;
+  // Empty; instances of earlier versions require it.
   6: required list<Crash> crashes;
   7: required i64 lease_version;
   8: required i32 events;
@@ -56,4 +79,5 @@
   14: optional list<Included> included;
   // Store version of the last change of each table that the sender knows.
   15: optional map<string, i64> table_versions;
+  16: optional CrashReport crash_report;
 }
--- a/sniperudder/digests/gen/wire/ttypes.py
+++ b/sniperudder/digests/gen/wire/ttypes.py
@@ -309,6 +309,346 @@
         return not (self == other)
 
 
+class EndpointCrash(object):
+    """
+    Attributes:
+     - endpoint
+     - born_ms
+     - age_ms
+     - suspects
+
+    """
+
+    __slots__ = (
+        'endpoint',
+        'born_ms',
+        'age_ms',
+        'suspects',
+    )
+
+
+    def __init__(self, endpoint=None, born_ms=None, age_ms=None, suspects=None,):
+        self.endpoint = endpoint
+        self.born_ms = born_ms
+        self.age_ms = age_ms
+        self.suspects = suspects
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.endpoint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.born_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.MAP:
+                    self.suspects = {}
+                    (_ktype1, _vtype2, _size0) = iprot.readMapBegin()
+                    for _i4 in range(_size0):
+                        _key5 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val6 = iprot.readI32()
+                        self.suspects[_key5] = _val6
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EndpointCrash')
+        if self.endpoint is not None:
+            oprot.writeFieldBegin('endpoint', TType.STRING, 1)
+            oprot.writeString(self.endpoint.encode('utf-8') if sys.version_info[0] == 2 else self.endpoint)
+            oprot.writeFieldEnd()
+        if self.born_ms is not None:
+            oprot.writeFieldBegin('born_ms', TType.I64, 2)
+            oprot.writeI64(self.born_ms)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 3)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        if self.suspects is not None:
+            oprot.writeFieldBegin('suspects', TType.MAP, 4)
+            oprot.writeMapBegin(TType.STRING, TType.I32, len(self.suspects))
+            for kiter7, viter8 in self.suspects.items():
+                oprot.writeString(kiter7.encode('utf-8') if sys.version_info[0] == 2 else kiter7)
+                oprot.writeI32(viter8)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.endpoint is None:
+            raise TProtocolException(message='Required field endpoint is unset!')
+        if self.born_ms is None:
+            raise TProtocolException(message='Required field born_ms is unset!')
+        if self.age_ms is None:
+            raise TProtocolException(message='Required field age_ms is unset!')
+        if self.suspects is None:
+            raise TProtocolException(message='Required field suspects is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Block(object):
+    """
+    Attributes:
+     - keys
+     - age_ms
+
+    """
+
+    __slots__ = (
+        'keys',
+        'age_ms',
+    )
+
+
+    def __init__(self, keys=None, age_ms=None,):
+        self.keys = keys
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.keys = []
+                    (_etype12, _size9) = iprot.readListBegin()
+                    for _i13 in range(_size9):
+                        _elem14 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.keys.append(_elem14)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Block')
+        if self.keys is not None:
+            oprot.writeFieldBegin('keys', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRING, len(self.keys))
+            for iter15 in self.keys:
+                oprot.writeString(iter15.encode('utf-8') if sys.version_info[0] == 2 else iter15)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 2)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.keys is None:
+            raise TProtocolException(message='Required field keys is unset!')
+        if self.age_ms is None:
+            raise TProtocolException(message='Required field age_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class CrashReport(object):
+    """
+    Attributes:
+     - crashes
+     - cleared_ms
+     - blocks
+
+    """
+
+    __slots__ = (
+        'crashes',
+        'cleared_ms',
+        'blocks',
+    )
+
+
+    def __init__(self, crashes=None, cleared_ms=None, blocks=None,):
+        self.crashes = crashes
+        self.cleared_ms = cleared_ms
+        self.blocks = blocks
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.crashes = []
+                    (_etype19, _size16) = iprot.readListBegin()
+                    for _i20 in range(_size16):
+                        _elem21 = EndpointCrash()
+                        _elem21.read(iprot)
+                        self.crashes.append(_elem21)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.MAP:
+                    self.cleared_ms = {}
+                    (_ktype23, _vtype24, _size22) = iprot.readMapBegin()
+                    for _i26 in range(_size22):
+                        _key27 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val28 = iprot.readI32()
+                        self.cleared_ms[_key27] = _val28
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.blocks = []
+                    (_etype32, _size29) = iprot.readListBegin()
+                    for _i33 in range(_size29):
+                        _elem34 = Block()
+                        _elem34.read(iprot)
+                        self.blocks.append(_elem34)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CrashReport')
+        if self.crashes is not None:
+            oprot.writeFieldBegin('crashes', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.crashes))
+            for iter35 in self.crashes:
+                iter35.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.cleared_ms is not None:
+            oprot.writeFieldBegin('cleared_ms', TType.MAP, 2)
+            oprot.writeMapBegin(TType.STRING, TType.I32, len(self.cleared_ms))
+            for kiter36, viter37 in self.cleared_ms.items():
+                oprot.writeString(kiter36.encode('utf-8') if sys.version_info[0] == 2 else kiter36)
+                oprot.writeI32(viter37)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
+        if self.blocks is not None:
+            oprot.writeFieldBegin('blocks', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.blocks))
+            for iter38 in self.blocks:
+                iter38.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.crashes is None:
+            raise TProtocolException(message='Required field crashes is unset!')
+        if self.cleared_ms is None:
+            raise TProtocolException(message='Required field cleared_ms is unset!')
+        if self.blocks is None:
+            raise TProtocolException(message='Required field blocks is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Crossing(object):
     """
     Attributes:
@@ -523,6 +863,7 @@
      - instances
      - included
      - table_versions
+     - crash_report
 
     """
 
@@ -542,10 +883,11 @@
         'instances',
         'included',
         'table_versions',
+        'crash_report',
     )
 
 
-    def __init__(self, sender=None, incarnation=None, sequence=None, loads=None, faults=None, crashes=None, lease_version=None, events=None, slow_events=None, crossings=None, scope=0, data_centre="", instances=1, included=None, table_versions=None,):
+    def __init__(self, sender=None, incarnation=None, sequence=None, loads=None, faults=None, crashes=None, lease_version=None, events=None, slow_events=None, crossings=None, scope=0, data_centre="", instances=1, included=None, table_versions=None, crash_report=None,):
         self.sender = sender
         self.incarnation = incarnation
         self.sequence = sequence
@@ -561,6 +903,7 @@
         self.instances = instances
         self.included = included
         self.table_versions = table_versions
+        self.crash_report = crash_report
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -589,33 +932,33 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype3, _size0) = iprot.readListBegin()
-                    for _i4 in range(_size0):
-                        _elem5 = Load()
-                        _elem5.read(iprot)
-                        self.loads.append(_elem5)
+                    (_etype42, _size39) = iprot.readListBegin()
+                    for _i43 in range(_size39):
+                        _elem44 = Load()
+                        _elem44.read(iprot)
+                        self.loads.append(_elem44)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.faults = []
-                    (_etype9, _size6) = iprot.readListBegin()
-                    for _i10 in range(_size6):
-                        _elem11 = Fault()
-                        _elem11.read(iprot)
-                        self.faults.append(_elem11)
+                    (_etype48, _size45) = iprot.readListBegin()
+                    for _i49 in range(_size45):
+                        _elem50 = Fault()
+                        _elem50.read(iprot)
+                        self.faults.append(_elem50)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.crashes = []
-                    (_etype15, _size12) = iprot.readListBegin()
-                    for _i16 in range(_size12):
-                        _elem17 = Crash()
-                        _elem17.read(iprot)
-                        self.crashes.append(_elem17)
+                    (_etype54, _size51) = iprot.readListBegin()
+                    for _i55 in range(_size51):
+                        _elem56 = Crash()
+                        _elem56.read(iprot)
+                        self.crashes.append(_elem56)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -637,11 +980,11 @@
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.crossings = []
-                    (_etype21, _size18) = iprot.readListBegin()
-                    for _i22 in range(_size18):
-                        _elem23 = Crossing()
-                        _elem23.read(iprot)
-                        self.crossings.append(_elem23)
+                    (_etype60, _size57) = iprot.readListBegin()
+                    for _i61 in range(_size57):
+                        _elem62 = Crossing()
+                        _elem62.read(iprot)
+                        self.crossings.append(_elem62)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -663,25 +1006,31 @@
             elif fid == 14:
                 if ftype == TType.LIST:
                     self.included = []
-                    (_etype27, _size24) = iprot.readListBegin()
-                    for _i28 in range(_size24):
-                        _elem29 = Included()
-                        _elem29.read(iprot)
-                        self.included.append(_elem29)
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = Included()
+                        _elem68.read(iprot)
+                        self.included.append(_elem68)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 15:
                 if ftype == TType.MAP:
                     self.table_versions = {}
-                    (_ktype31, _vtype32, _size30) = iprot.readMapBegin()
-                    for _i34 in range(_size30):
-                        _key35 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val36 = iprot.readI64()
-                        self.table_versions[_key35] = _val36
+                    (_ktype70, _vtype71, _size69) = iprot.readMapBegin()
+                    for _i73 in range(_size69):
+                        _key74 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val75 = iprot.readI64()
+                        self.table_versions[_key74] = _val75
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.STRUCT:
+                    self.crash_report = CrashReport()
+                    self.crash_report.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -707,22 +1056,22 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter37 in self.loads:
-                iter37.write(oprot)
+            for iter76 in self.loads:
+                iter76.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.faults is not None:
             oprot.writeFieldBegin('faults', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.faults))
-            for iter38 in self.faults:
-                iter38.write(oprot)
+            for iter77 in self.faults:
+                iter77.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.crashes))
-            for iter39 in self.crashes:
-                iter39.write(oprot)
+            for iter78 in self.crashes:
+                iter78.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.lease_version is not None:
@@ -740,8 +1089,8 @@
         if self.crossings is not None:
             oprot.writeFieldBegin('crossings', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.crossings))
-            for iter40 in self.crossings:
-                iter40.write(oprot)
+            for iter79 in self.crossings:
+                iter79.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.scope is not None:
@@ -759,18 +1108,22 @@
         if self.included is not None:
             oprot.writeFieldBegin('included', TType.LIST, 14)
             oprot.writeListBegin(TType.STRUCT, len(self.included))
-            for iter41 in self.included:
-                iter41.write(oprot)
+            for iter80 in self.included:
+                iter80.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.table_versions is not None:
             oprot.writeFieldBegin('table_versions', TType.MAP, 15)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.table_versions))
-            for kiter42, viter43 in self.table_versions.items():
-                oprot.writeString(kiter42.encode('utf-8') if sys.version_info[0] == 2 else kiter42)
-                oprot.writeI64(viter43)
+            for kiter81, viter82 in self.table_versions.items():
+                oprot.writeString(kiter81.encode('utf-8') if sys.version_info[0] == 2 else kiter81)
+                oprot.writeI64(viter82)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
+        if self.crash_report is not None:
+            oprot.writeFieldBegin('crash_report', TType.STRUCT, 16)
+            self.crash_report.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -835,6 +1188,27 @@
     (2, TType.I32, 'count', None, None, ),  # 2
     (3, TType.STRING, 'counted_by', 'UTF8', None, ),  # 3
 )
+all_structs.append(EndpointCrash)
+EndpointCrash.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'endpoint', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'born_ms', None, None, ),  # 2
+    (3, TType.I32, 'age_ms', None, None, ),  # 3
+    (4, TType.MAP, 'suspects', (TType.STRING, 'UTF8', TType.I32, None, False), None, ),  # 4
+)
+all_structs.append(Block)
+Block.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'keys', (TType.STRING, 'UTF8', False), None, ),  # 1
+    (2, TType.I32, 'age_ms', None, None, ),  # 2
+)
+all_structs.append(CrashReport)
+CrashReport.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'crashes', (TType.STRUCT, [EndpointCrash, None], False), None, ),  # 1
+    (2, TType.MAP, 'cleared_ms', (TType.STRING, 'UTF8', TType.I32, None, False), None, ),  # 2
+    (3, TType.LIST, 'blocks', (TType.STRUCT, [Block, None], False), None, ),  # 3
+)
 all_structs.append(Crossing)
 Crossing.thrift_spec = (
     None,  # 0
@@ -867,6 +1241,7 @@
     (13, TType.I32, 'instances', None, 1, ),  # 13
     (14, TType.LIST, 'included', (TType.STRUCT, [Included, None], False), None, ),  # 14
     (15, TType.MAP, 'table_versions', (TType.STRING, 'UTF8', TType.I64, None, False), None, ),  # 15
+    (16, TType.STRUCT, 'crash_report', [CrashReport, None], None, ),  # 16
 )
 fix_spec(all_structs)
 del all_structs
--- a/sniperudder/digests/tests/test_peers.py
+++ b/sniperudder/digests/tests/test_peers.py
@@ -15,7 +15,6 @@
         sequence,
         {name: digests.Load(n, 10.0 * n) for name, n in loads.items()},
         (),
-        {},
     )
 
 
--- a/sniperudder/digests/tests/test_sums.py
+++ b/sniperudder/digests/tests/test_sums.py
@@ -7,8 +7,11 @@
 import random
 
 import testtools
+from thrift.protocol import TCompactProtocol
+from thrift import TSerialization
 
 from sniperudder import digests
+from sniperudder.digests.gen.wire import ttypes
 
 # Largest payload of a datagram.
 _DATAGRAM_BYTES = 65_507
@@ -29,7 +32,22 @@
         'data_centre': 'milano',
         **changes,
     }
-    return digests.Digest(name, 1, 1, loads, (), {}, **values)
+    return digests.Digest(name, 1, 1, loads, (), **values)
+
+
+def make_crash_report(rng):
+    """Return a report that is larger than instances send."""
+    keys = [f'request:{rng.randrange(1 << 64):016x}' for _ in range(400)]
+    return digests.CrashReport(
+        {
+            (f'i-{rng.randrange(1 << 40):010x}', 1_785_381_178_541): (
+                digests.Crash(1.0, dict.fromkeys(keys[n : n + 100], 1))
+            )
+            for n in range(40)
+        },
+        dict.fromkeys(keys, 1.0),
+        {frozenset((key,)): 1.0 for key in keys},
+    )
 
 
 class DigestSumTest(testtools.TestCase):
@@ -72,21 +90,60 @@
             total = digests.add_digests(own, [part], [age_s])
             self.assertEqual(left, [f.left_s for f in total.faults])
 
-    def test_crashes_keep_the_name_of_who_counted_them(self):
+    def test_crash_that_several_instances_saw_is_one_crash(self):
         own = make_digest('entry-1', random.Random(1))
+        crash = digests.Crash(1.0, {'part:a': 1})
         parts = [
-            digests.Digest(f'entry-{n}', 1, 1, {}, (), {'request': 1})
+            digests.Digest(
+                f'entry-{n}',
+                1,
+                1,
+                {},
+                (),
+                crash_report=digests.CrashReport(
+                    {('gpu-1', 5): crash, (f'gpu-{n}', 7): crash},
+                    {'part:b': float(n)},
+                    {frozenset(('part:c',)): float(n)},
+                ),
+            )
             for n in (2, 3)
         ]
-        total = digests.add_digests(own, parts, [0.0, 0.0])
+        total = digests.add_digests(own, parts, [0.5, 0.0])
         decoded = digests.decode_digest(digests.encode_digest(total))
+        report = decoded.crash_report
         self.assertEqual(
-            {'entry-2': {'request': 1}, 'entry-3': {'request': 1}},
-            decoded.peer_crashes,
+            {
+                ('gpu-1', 5): digests.Crash(1.5, {'part:a': 1}),
+                ('gpu-2', 7): digests.Crash(1.5, {'part:a': 1}),
+                ('gpu-3', 7): digests.Crash(1.0, {'part:a': 1}),
+            },
+            report.crashes,
         )
+        self.assertEqual({'part:b': 2.5}, report.cleared)
+        self.assertEqual({frozenset(('part:c',)): 2.5}, report.blocks)
+
+    def test_digest_with_an_incomplete_crash_report_is_refused(self):
+        message = ttypes.Digest(
+            sender='a',
+            incarnation=1,
+            sequence=1,
+            loads=[],
+            faults=[],
+            crashes=[],
+            lease_version=0,
+            events=0,
+            slow_events=0,
+            crossings=[],
+            crash_report=ttypes.CrashReport(),
+        )
+        data = TSerialization.serialize(
+            message, TCompactProtocol.TCompactProtocolAcceleratedFactory()
+        )
+        with testtools.ExpectedException(digests.DigestError):
+            digests.decode_digest(data)
 
     def test_sum_of_the_largest_fleet_fits_in_a_datagram(self):
-        # 12,000 endpoints, and 33 instances with crash counts.
+        # 12,000 endpoints, and 33 instances that each saw crashes.
         rng = random.Random(1)
         parts = [
             digests.Digest(
@@ -98,8 +155,8 @@
                     for _ in range(400)
                 },
                 (),
-                {f'{rng.randrange(1 << 96):024x}': 3 for _ in range(20)},
                 data_centre='milano-a',
+                crash_report=make_crash_report(rng),
             )
             for number in range(33)
         ]
@@ -113,7 +170,7 @@
         rng = random.Random(3)
         peers = digests.PeerTable()
         load = digests.Load(2, 50.0)
-        single = digests.Digest('entry-2', 1, 1, {'gpu-1': load}, (), {})
+        single = digests.Digest('entry-2', 1, 1, {'gpu-1': load}, ())
         peers.record_digest(single, ('h', 1), 0.0)
         summary = make_digest('entry-3', rng, instances=9)
         peers.record_summary(summary, 0.0)
@@ -126,7 +183,7 @@
     def test_single_digests_count_again_when_the_sum_ceases(self):
         peers = digests.PeerTable()
         load = digests.Load(2, 50.0)
-        single = digests.Digest('entry-2', 1, 1, {'gpu-1': load}, (), {})
+        single = digests.Digest('entry-2', 1, 1, {'gpu-1': load}, ())
         peers.record_summary(make_digest('entry-3', random.Random(3)), 0.0)
         peers.record_digest(single, ('h', 1), 1.0)
         peers.expire_loads(2.0)
@@ -143,7 +200,6 @@
                 1,
                 {'gpu-1': load},
                 (),
-                {},
                 scope=digests.Scope.DATA_CENTRE,
                 data_centre='como',
             )
--- a/sniperudder/entry/_entry.py
+++ b/sniperudder/entry/_entry.py
@@ -286,7 +286,7 @@
             known = self._T.endpoints.get(row.key)
             if known != endpoint:
                 if known is not None and known.born_ms != endpoint.born_ms:
-                    self._record_run_end(known)
+                    self._forwarder.crash_monitor.record_run_end(known)
                 elif known is not None and known.layers != endpoint.layers:
                     # The endpoint may now hold the layers whose absence made
                     # it reject requests.
@@ -322,24 +322,9 @@
     def _remove_endpoint(self, name, version):
         known = self._T.endpoints.pop(name, None)
         if known is not None:
-            self._record_run_end(known)
+            self._forwarder.crash_monitor.record_run_end(known)
             self._journal.write('endpoint:gone', name, row_version=version)
 
-    def _record_run_end(self, endpoint):
-        run_id = endpoint.id, endpoint.born_ms
-        now = asyncio.get_running_loop().time()
-        crashes = self._forwarder.crashes
-        for fingerprint, since_s in crashes.record_run_end(
-            run_id, now
-        ).items():
-            self._journal.write(
-                'request:crashed endpoint',
-                fingerprint,
-                endpoint=endpoint.id,
-                interrupted_ms=round(since_s * 1000),
-                counts=crashes.list_counts(fingerprint),
-            )
-
     async def _send_readiness(self, request, caller):
         path_matches = request.target == platform.READY_TARGET.encode()
         ready = (
@@ -358,6 +343,7 @@
             'endpoints': len(self._T.endpoints),
             'instances': self._T.peers.count_alive(),
             'pressure': self._forwarder.load_shedder.shedding_level,
+            **self._forwarder.crash_monitor.get_gauges(),
         }
         for name, value in gauges.items():
             metrics.set_gauge(self._metrics, name, value)
@@ -378,9 +364,6 @@
             self._request_pool.close_idle()
             self._control_pool.close_idle()
             self._forwarder.log_slow_endpoints()
-            self._forwarder.crashes.drop_expired(
-                asyncio.get_running_loop().time()
-            )
 
     async def stop(self):
         """Finish open requests within the grace period, then close."""
--- a/sniperudder/entry/_gossip.py
+++ b/sniperudder/entry/_gossip.py
@@ -121,6 +121,7 @@
             await asyncio.sleep(interval_s)
             now = _read_monotonic_time()
             self._forwarder.load_shedder.update(interval_s)
+            self._forwarder.crash_monitor.update()
             for name in self._T.peers.expire_loads(now):
                 self._journal.write('instance:silent', name)
             if self._uses_sums():
@@ -350,7 +351,6 @@
             sequence=self._sequence,
             loads=loads,
             faults=self._forwarder.list_fault_notices(),
-            crashes=self._forwarder.crashes.list_recent_counts(),
             lease_version=self._placer.lease_version,
             events=events,
             slow_events=slow_events,
@@ -359,6 +359,7 @@
             ),
             data_centre=self._settings.data_centre,
             table_versions=self.feed.get_versions(),
+            crash_report=self._forwarder.crash_monitor.make_report(),
         )
 
     def _handle_digest(self, digest, address):
@@ -370,13 +371,9 @@
                 return
         elif not self._T.peers.record_digest(digest, address, now):
             return
-        if digest.scope is digests.Scope.INSTANCE:
-            self._forwarder.crashes.record_peer_counts(
-                digest.sender, digest.crashes
-            )
-        for name, counts in digest.peer_crashes.items():
-            if name != self._settings.name:
-                self._forwarder.crashes.record_peer_counts(name, counts)
+        self._forwarder.crash_monitor.apply_report(
+            digest.sender, digest.crash_report
+        )
         self._forwarder.apply_fault_notices(digest.sender, digest.faults)
         if digest.lease_version:
             self._placer.record_peer_lease(digest.lease_version)
--- a/sniperudder/entry/tests/test_gossip.py
+++ b/sniperudder/entry/tests/test_gossip.py
@@ -50,7 +50,7 @@
         T = fleet.FleetTables()
         T.peers.add_peer('entry-2', ('h', 1), -10_000.0)
         T.peers.add_peer('entry-4', ('h', 1), -10_000.0)
-        digest = digests.Digest('entry-3', 1, 1, {}, (), {})
+        digest = digests.Digest('entry-3', 1, 1, {}, ())
         T.peers.record_digest(digest, ('h', 1), 1e12)
         store = StubStore('entry-1', 'entry-2', 'entry-3')
         members = types.SimpleNamespace(set_members=lambda *_: None)
--- a/sniperudder/entry/tests/test_plain.py
+++ b/sniperudder/entry/tests/test_plain.py
@@ -304,16 +304,20 @@
                 good, _, _ = await test_fleet.send('/safe/a', body=b'good')
                 journal = test_fleet.journal
                 interrupted = journal.list_events('request:interrupted')
-                crashed = journal.list_events('request:crashed endpoint')
+                crashed = [
+                    (event, subject, fields)
+                    for event, subject, fields in journal.lines
+                    if event == 'endpoint:crashed'
+                ]
                 return statuses, good, interrupted, crashed
 
         statuses, good, interrupted, crashed = asyncio.run(run())
         # From a crash to its requests: the same endpoints, in both lines.
         self.assertEqual(
             sorted(fields['endpoints'] for fields in interrupted),
-            sorted([fields['endpoint']] for fields in crashed),
+            sorted([subject] for _, subject, _ in crashed),
         )
-        self.assertLess(crashed[0]['interrupted_ms'], 500)
+        self.assertLess(crashed[0][2]['interrupted_ms'], 500)
         self.assertEqual([502, 502, 503, 503], statuses)
         self.assertEqual(200, good)
         # Each of the first two requests is sent twice; the later ones are
--- a/sniperudder/entry/tests/test_streams.py
+++ b/sniperudder/entry/tests/test_streams.py
@@ -106,7 +106,8 @@
             with testtools.ExpectedException(cut):
                 await test_fleet.send('/once/a', headers=[parts])
             (line,) = test_fleet.journal.list_events('request:interrupted')
-            self.assertEqual(('aa', 'bb'), line['parts'])
+            parts = [key for key in line['keys'] if key.startswith('part:')]
+            self.assertEqual(['part:aa', 'part:bb'], parts)
 
         self.run_fleet(case, engine)
         self.assertEqual(1, len(engine.requests))
--- a/sniperudder/forwarding/_attempts.py
+++ b/sniperudder/forwarding/_attempts.py
@@ -9,6 +9,7 @@
 from sniperudder.forwarding import _progress
 from sniperudder.forwarding import _reservations
 from sniperudder import platform
+from sniperudder import routing
 
 __all__ = ['Attempt']
 
@@ -41,6 +42,8 @@
         self._caller = caller
         self._stream = stream
         self._stages = stages
+        self._began_at = None
+        self._survived = False
         self._reservation = _reservations.Reservation(
             forwarder.T, _jobs.get_request_size(job).total
         )
@@ -81,8 +84,8 @@
         if isinstance(outcome, _exchanges.NotRun):
             job.may_have_run = may_have_run_before
         elif isinstance(outcome, _exchanges.Interrupted):
-            forwarder.record_interrupted_request(
-                job, self._monitor.stages, outcome.reason
+            forwarder.crash_monitor.record_interruption(
+                job, self._monitor.stages, outcome.reason, self._survived
             )
         return outcome
 
@@ -142,6 +145,7 @@
                 if interrupted is not None:
                     return interrupted
                 self._monitor.record_progress(len(complete_events))
+                self._check_survival()
                 await caller.drain()
                 self._monitor.reroute_around_leaving()
         if splitter.remainder:
@@ -150,5 +154,18 @@
             caller.start_response(200, headers)
             stream.started = True
         self._exchange.release()
+        self._record_survival()
         caller.end_response()
         return None
+
+    def _check_survival(self):
+        now = self._forwarder.now()
+        if self._began_at is None:
+            self._began_at = now
+        elif now - self._began_at > routing.SURVIVAL_S:
+            self._record_survival()
+
+    def _record_survival(self):
+        if not self._survived:
+            self._survived = True
+            self._forwarder.crash_monitor.record_survival(self._job)
--- a/sniperudder/forwarding/_connections.py
+++ b/sniperudder/forwarding/_connections.py
@@ -186,6 +186,8 @@
         """Prepare for another request; return whether that is possible."""
         if self._ended or not self.is_flushed():
             return False
+        if self._http.our_state is h11.IDLE:
+            return not self._has_stray_data
         remainder, _ = self._http.trailing_data
         if remainder:
             return False
@@ -277,6 +279,14 @@
             if connection.is_usable(loop.time()):
                 return connection
             connection.close()
+        return await self.open(address, timeout_s)
+
+    async def open(self, address, timeout_s=_CONNECT_TIMEOUT_S):
+        """Open a connection, even if there is an idle one.
+
+        Parameters and errors are those of `acquire`.
+        """
+        loop = asyncio.get_running_loop()
         host, _, port = address.rpartition(':')
         self.opened += 1
         async with asyncio.timeout(timeout_s):
@@ -286,7 +296,7 @@
         return connection
 
     def release(self, connection, idle_timeout_s=None):
-        """Return a connection to the pool after a complete response.
+        """Return an unused connection, or one after a complete response.
 
         Parameters
         ----------
--- /dev/null
+++ b/sniperudder/forwarding/_crash_monitor.py
@@ -0,0 +1,198 @@
+"""Observation of crashed endpoints; blocks the requests that crash them."""
+
+import asyncio
+
+from sniperudder import fleet
+from sniperudder.forwarding import _exchanges
+from sniperudder import routing
+
+__all__ = ['CrashMonitor']
+
+
+class CrashMonitor:
+    """Finds out whether an endpoint that interrupted a request has crashed.
+
+    A broken connection alone does not tell. The endpoint has crashed if it
+    refuses a new connection, or if its run ends in the platform's list.
+
+    Parameters
+    ----------
+    T : sniperudder.fleet.FleetTables
+    pool : ConnectionPool
+    journal : object
+        Event log; see `Forwarder`.
+    """
+
+    def __init__(self, T, pool, journal):
+        self._T = T
+        self._pool = pool
+        self._journal = journal
+        self._table = routing.CrashTable()
+        self._checks = {}
+
+    def is_blocked(self, job):
+        """Return whether a request may not be sent to any endpoint."""
+        return self.find_block(job) is not None
+
+    def find_block(self, job):
+        """Return the keys for which a request is rejected, or None.
+
+        Parameters
+        ----------
+        job : Job
+
+        Returns
+        -------
+        frozenset of str or None
+        """
+        return self._table.find_block(job.crash_keys)
+
+    def get_retry_after_s(self, blocked):
+        """Return the time until a block ends, seconds."""
+        return self._table.get_retry_after_s(blocked, _read_time())
+
+    def get_gauges(self):
+        """Return the present numbers of suspects and blocks.
+
+        Returns
+        -------
+        dict of str to int
+        """
+        return {
+            'crash_suspects': self._table.count_suspects(),
+            'crash_blocks': len(self._table.list_blocks()),
+        }
+
+    def record_interruption(self, job, stages, reason, survived):
+        """Record a request that was interrupted while it ran.
+
+        Parameters
+        ----------
+        job : Job
+        stages : sequence of sniperudder.fleet.Stage
+        reason : str
+        survived : bool
+            Whether the request had run for so long that it cannot be the cause
+            of a crash.
+        """
+        self._journal.write(
+            'request:interrupted',
+            job.head.request_id,
+            attempt=job.attempts,
+            endpoints=[stage.endpoint.id for stage in stages],
+            reason=reason,
+            survived=survived,
+            keys=sorted(job.crash_keys),
+        )
+        if survived:
+            return
+        now = _read_time()
+        for stage in stages:
+            # An endpoint that leaves ends as planned.
+            if fleet.is_serving(self._T, stage):
+                run_id = _get_run_id(stage.endpoint)
+                self._table.record_interruption(job.crash_keys, run_id, now)
+        first = stages[0]
+        if fleet.is_serving(self._T, first):
+            self._start_check(first.endpoint)
+
+    def record_survival(self, job):
+        """Record that an endpoint runs on although it began a request."""
+        lifted = self._table.record_survival(job.crash_keys, _read_time())
+        self._log_lifted(lifted, job.head.request_id)
+
+    def record_run_end(self, endpoint):
+        """Record that a run of an endpoint ended, as the platform lists it."""
+        self._record_crash(endpoint, 'listed as gone')
+
+    def update(self):
+        """Keep the verdicts that hold, and drop what has expired."""
+        added, ended = self._table.update(_read_time())
+        for keys in added:
+            self._log_blocked(keys, 'own')
+        for keys in ended:
+            self._log_unblocked(keys, 'expired')
+
+    def make_report(self):
+        """Return what other instances should know.
+
+        Returns
+        -------
+        sniperudder.digests.CrashReport
+        """
+        return self._table.make_report(_read_time())
+
+    def apply_report(self, sender, report):
+        """Add what another instance knows.
+
+        Parameters
+        ----------
+        sender : str
+            Name of the instance.
+        report : sniperudder.digests.CrashReport
+        """
+        added, lifted = self._table.apply_report(report, _read_time())
+        for keys in added:
+            self._log_blocked(keys, sender)
+        self._log_lifted(lifted, sender)
+
+    def _start_check(self, endpoint):
+        run_id = _get_run_id(endpoint)
+        if run_id in self._checks or self._table.is_crash_known(run_id):
+            return
+        task = asyncio.create_task(self._check_endpoint(endpoint))
+        self._checks[run_id] = task
+        task.add_done_callback(lambda _: self._checks.pop(run_id, None))
+
+    async def _check_endpoint(self, endpoint):
+        try:
+            connection = await self._pool.open(endpoint.address)
+        except ConnectionRefusedError:
+            self._record_crash(endpoint, 'connection refused')
+        except OSError as error:
+            # The platform's list tells whether it has ended.
+            self._journal.write(
+                'endpoint:unchecked',
+                endpoint.id,
+                reason=_exchanges.describe_error(error),
+            )
+        else:
+            self._pool.release(connection)
+
+    def _record_crash(self, endpoint, reason):
+        run_id = _get_run_id(endpoint)
+        suspects = self._table.record_run_end(run_id, _read_time())
+        if suspects:
+            self._journal.write(
+                'endpoint:crashed',
+                endpoint.id,
+                reason=reason,
+                interrupted_ms=round(max(suspects.values()) * 1000),
+                suspects=sorted(suspects),
+            )
+
+    def _log_blocked(self, keys, source):
+        for key in keys:
+            self._journal.write(
+                'requests:blocked',
+                key,
+                together_with=sorted(keys - {key}),
+                by=source,
+                endpoints=[name for name, _ in self._table.list_crashes(keys)],
+            )
+
+    def _log_lifted(self, lifted, source):
+        for keys in lifted:
+            self._log_unblocked(keys, f'ran at {source}')
+
+    def _log_unblocked(self, keys, reason):
+        for key in keys:
+            self._journal.write('requests:unblocked', key, reason=reason)
+
+
+def _get_run_id(endpoint):
+    return endpoint.id, endpoint.born_ms
+
+
+def _read_time():
+    return asyncio.get_running_loop().time()
--- a/sniperudder/forwarding/_forwarder.py
+++ b/sniperudder/forwarding/_forwarder.py
@@ -5,6 +5,7 @@
 
 from sniperudder import digests
 from sniperudder import fleet
+from sniperudder.forwarding import _crash_monitor
 from sniperudder.forwarding import _exchanges
 from sniperudder.forwarding import _jobs
 from sniperudder.forwarding import _rerouting
@@ -59,7 +60,7 @@
         self.journal = journal
         self.request_metrics = request_metrics
         self.rng = rng or random.Random()
-        self.crashes = routing.CrashTable()
+        self.crash_monitor = _crash_monitor.CrashMonitor(T, pool, journal)
         self.load_shedder = _shedding.LoadShedder(T, self.rng, journal)
         self.rerouter = _rerouting.StreamRerouter(T, self.rng, journal)
         self._budgets = {}
@@ -78,9 +79,9 @@
             self._reject(job, caller)
             return
         self.get_budget(job.service.name).record_request(self.now())
-        if self.crashes.is_condemned(self.make_fingerprint(job)):
-            reason = 'crashed endpoints before'
-            self.end_with_error(job, caller, _Code.CONTENT_CONDEMNED, reason)
+        blocked = self.crash_monitor.find_block(job)
+        if blocked is not None:
+            self._reject_blocked(job, caller, blocked)
             return
         if job.route.streaming and self.load_shedder.should_shed(job.rank):
             reason = f'pressure level {self.load_shedder.shedding_level:.2f}'
@@ -190,17 +191,23 @@
         job.sends_not_run += 1
         if job.sends_not_run > _MAX_SENDS_NOT_RUN:
             return False
-        if not outcome.reached_endpoint:
-            return True
-        await asyncio.sleep(_NOT_RUN_BACKOFF_S * 2 ** (job.sends_not_run - 1))
-        return self._spend_retry(job)
+        if outcome.reached_endpoint:
+            delay_s = _NOT_RUN_BACKOFF_S * 2 ** (job.sends_not_run - 1)
+            await asyncio.sleep(delay_s)
+        if self.crash_monitor.is_blocked(job):
+            return False
+        return not outcome.reached_endpoint or self._spend_retry(job)
 
     def take_retry(self, job):
         """Take a retry from the budget, if the route allows one.
 
         Returns whether to send the request to another endpoint.
         """
-        return self.has_attempts_left(job) and self._spend_retry(job)
+        return (
+            self.has_attempts_left(job)
+            and not self.crash_monitor.is_blocked(job)
+            and self._spend_retry(job)
+        )
 
     def _spend_retry(self, job):
         instances = max(
@@ -318,34 +325,6 @@
             f'{endpoint.id}: {outcome.reason} at {failed_endpoint.id}'
         )
 
-    def record_interrupted_request(self, job, stages, reason):
-        """Record an interrupted request for each endpoint of the chain.
-
-        If one of these endpoints turns out to have crashed, the crash is
-        counted against the request.
-        """
-        fingerprint = self.make_fingerprint(job)
-        self.journal.write(
-            'request:interrupted',
-            job.head.request_id,
-            attempt=job.attempts,
-            endpoints=[stage.endpoint.id for stage in stages],
-            reason=reason,
-            fingerprint=fingerprint,
-            parts=job.head.shared_parts,
-        )
-        for stage in stages:
-            run_id = stage.endpoint.id, stage.endpoint.born_ms
-            self.crashes.record_interruption(fingerprint, run_id, self.now())
-
-    def make_fingerprint(self, job):
-        """Return a fingerprint that identifies repetitions of a request."""
-        organisation = job.organisation.name if job.organisation else ''
-        request = job.request
-        return routing.make_fingerprint(
-            organisation, request.target, request.body
-        )
-
     def end_with_error(self, job, caller, code, reason):
         """Send an error response of the router itself and log it."""
         _jobs.send_error_response(caller, code, reason)
@@ -389,6 +368,13 @@
             duration_ms=round(elapsed_s * 1000),
         )
 
+    def _reject_blocked(self, job, caller, blocked):
+        code = _Code.CONTENT_CONDEMNED
+        reason = f'crashed endpoints before: {", ".join(sorted(blocked))}'
+        retry_after_s = self.crash_monitor.get_retry_after_s(blocked)
+        _jobs.send_error_response(caller, code, reason, retry_after_s)
+        self.record_end(job, code, reason)
+
     def _reject(self, rejection, caller):
         code = rejection.code
         _jobs.send_error_response(caller, code, '')
@@ -478,7 +464,11 @@
         if isinstance(outcome, _exchanges.NotRun):
             job.may_have_run = may_have_run_before
         elif isinstance(outcome, _exchanges.Interrupted):
-            self.record_interrupted_request(job, stages, outcome.reason)
+            self.crash_monitor.record_interruption(
+                job, stages, outcome.reason, survived=False
+            )
+        else:
+            self.crash_monitor.record_survival(job)
         return outcome
 
     def _handle_timeout(self, job, caller):
--- a/sniperudder/forwarding/_jobs.py
+++ b/sniperudder/forwarding/_jobs.py
@@ -69,6 +69,8 @@
         Outcome of each send, for the log.
     endpoint : sniperudder.fleet.Endpoint or None
         First endpoint of the current send.
+    crash_keys : frozenset of str
+        See `sniperudder.routing.make_crash_keys`.
     """
 
     request: object
@@ -86,6 +88,7 @@
     may_have_run: bool = False
     send_outcomes: list = dataclasses.field(default_factory=list)
     endpoint: fleet.Endpoint | None = None
+    crash_keys: frozenset = frozenset()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -152,6 +155,12 @@
         hide_key=configuration.keys is not None,
         deadline=deadline,
         caller_deadline=caller_deadline,
+        crash_keys=routing.make_crash_keys(
+            organisation.name if organisation else '',
+            request.target,
+            request.body,
+            head.shared_parts,
+        ),
     )
 
 
@@ -178,7 +187,7 @@
     )
 
 
-def send_error_response(caller, code, reason):
+def send_error_response(caller, code, reason, retry_after_s=None):
     """Send an error response of the router itself.
 
     Parameters
@@ -187,15 +196,19 @@
     code : sniperudder.outcomes.Code
     reason : str
         Text for the caller.
+    retry_after_s : float, optional
+        Time after which the caller may try again, seconds; by default, it
+        depends on the code.
     """
     status = _HTTP_STATUSES[code]
     body = json.dumps({'code': int(code), 'reason': reason}).encode()
     headers = [(b'Content-Type', b'application/json')]
     if status == 503:
-        wait_s = _RETRY_AFTER_S
-        if code is _Code.SHED:
-            wait_s = random.uniform(*_SHED_RETRY_AFTER_S)
-        headers.append((b'Retry-After', b'%.1f' % wait_s))
+        if retry_after_s is None:
+            retry_after_s = _RETRY_AFTER_S
+            if code is _Code.SHED:
+                retry_after_s = random.uniform(*_SHED_RETRY_AFTER_S)
+        headers.append((b'Retry-After', b'%.1f' % retry_after_s))
     caller.send_response(status, headers, body)
 
 
--- a/sniperudder/forwarding/_monitors.py
+++ b/sniperudder/forwarding/_monitors.py
@@ -215,6 +215,9 @@
         """
         if self._reroute_task is not None and not self._reroute_task.done():
             return
+        if self._forwarder.crash_monitor.is_blocked(self._job):
+            # It would crash the new stages.
+            return
         self._reroute_task = asyncio.create_task(self._reroute(excluded))
         self._reroute_task.add_done_callback(self._log_reroute_error)
 
--- a/sniperudder/routing/__init__.py
+++ b/sniperudder/routing/__init__.py
@@ -13,7 +13,8 @@
 from sniperudder.routing._costs import get_kv_capacity
 from sniperudder.routing._costs import RequestSize
 from sniperudder.routing._crashes import CrashTable
-from sniperudder.routing._crashes import make_fingerprint
+from sniperudder.routing._crashes import make_crash_keys
+from sniperudder.routing._crashes import SURVIVAL_S
 from sniperudder.routing._health import is_avoided
 from sniperudder.routing._health import record_dead
 from sniperudder.routing._health import record_failure
@@ -34,6 +35,7 @@
     'GapCounter',
     'RequestSize',
     'RetryBudget',
+    'SURVIVAL_S',
     'check_chain',
     'choose_chain',
     'choose_endpoint',
@@ -47,7 +49,7 @@
     'get_shed_share',
     'has_free_connection',
     'is_avoided',
-    'make_fingerprint',
+    'make_crash_keys',
     'match_route',
     'record_dead',
     'record_failure',
--- a/sniperudder/routing/tests/_fleets.py
+++ b/sniperudder/routing/tests/_fleets.py
@@ -56,7 +56,7 @@
 def record_peer_load(T, endpoint, requests, tokens):
     """Record a digest of a peer that has requests at an endpoint."""
     load = digests.Load(requests, tokens * len(endpoint.layers))
-    digest = digests.Digest('peer', 1, 1, {endpoint.id: load}, (), {})
+    digest = digests.Digest('peer', 1, 1, {endpoint.id: load}, ())
     T.peers.record_digest(digest, ('h', 1), 0.0)
 
 
--- a/sniperudder/routing/tests/test_requests.py
+++ b/sniperudder/routing/tests/test_requests.py
@@ -1,4 +1,4 @@
-"""Tests of routes, retry budgets, endpoint health and crashes."""
+"""Tests of routes, retry budgets and endpoint health."""
 
 import random
 
@@ -186,57 +186,3 @@
         self.assertTrue(10.5 < state.dead_until < 12.0)
         routing.record_success(state, 10.6)
         self.assertLessEqual(state.dead_until, 10.6)
-
-
-class CrashTest(testtools.TestCase):
-    """One request crashes each endpoint that runs it."""
-
-    def setUp(self):
-        super().setUp()
-        self.table = routing.CrashTable()
-
-    def crash(self, fingerprint, count):
-        """Record a number of crashes caused by a request."""
-        for number in range(count):
-            run_id = f'gpu-{number}', 1
-            self.table.record_interruption(fingerprint, run_id, 0.0)
-            self.table.record_run_end(run_id, 1.0)
-
-    def test_third_crash_blocks_a_request(self):
-        self.crash('bad', 2)
-        self.assertFalse(self.table.is_condemned('bad'))
-        self.crash('bad', 1)
-        self.assertTrue(self.table.is_condemned('bad'))
-
-    def test_request_is_not_blocked_by_one_crash(self):
-        self.table.record_interruption('good', ('gpu-1', 1), 0.0)
-        self.table.record_interruption('bad', ('gpu-1', 1), 0.0)
-        self.table.record_run_end(('gpu-1', 1), 1.0)
-        self.assertFalse(self.table.is_condemned('good'))
-
-    def test_interruption_without_a_crash_does_not_count(self):
-        for number in range(5):
-            self.table.record_interruption('good', (f'gpu-{number}', 1), 0.0)
-            self.table.record_run_end((f'gpu-{number}', 1), 60.0)
-        self.assertFalse(self.table.is_condemned('good'))
-
-    def test_counts_of_peers_block_a_request(self):
-        self.table.record_peer_counts('entry-2', {'bad': 3})
-        self.assertTrue(self.table.is_condemned('bad'))
-        self.table.record_peer_counts('entry-2', {})
-        self.assertFalse(self.table.is_condemned('bad'))
-
-    def test_fingerprint_distinguishes_requests(self):
-        make_fingerprint = routing.make_fingerprint
-        self.assertEqual(
-            make_fingerprint('a', b'/x', b'1'),
-            make_fingerprint('a', b'/x', b'1'),
-        )
-        self.assertNotEqual(
-            make_fingerprint('a', b'/x', b'1'),
-            make_fingerprint('b', b'/x', b'1'),
-        )
-        self.assertNotEqual(
-            make_fingerprint('a', b'/x1', b''),
-            make_fingerprint('a', b'/x', b'1'),
-        )
