Break off answers without end

What callers could see: an entry instance that runs out of memory, and all of its streams cut.

Cause: a body was collected whole, whatever its size, until the deadline; also that of an answer to an earlier request, which is skipped. Heads were limited before. Change: a collected body of over 8 MB, the largest object of the platform, ends the exchange as interrupted.

test_endless_body_is_broken_off failed before (no end within 10 s, one failed and 11 passed); test_connections.py passes now. test_endless_head_is_broken_off passed before as well.

--- a/sniperudder/forwarding/_connections.py
+++ b/sniperudder/forwarding/_connections.py
@@ -10,6 +10,10 @@
 # Limit for the response headers; endpoints send a few hundred bytes.
 _MAX_HEADER_BYTES = 65_536
 
+# Limit for a response body that is collected whole. The platform's largest
+# responses are its objects, of at most 8 MB.
+_MAX_BODY_BYTES = 8_388_608
+
 # Numbers of unread bytes at which reading from the server pauses and resumes.
 _READ_PAUSE_BYTES = 262_144
 _READ_RESUME_BYTES = 65_536
@@ -446,8 +450,13 @@
     Returns
     -------
     bytes
+
+    Raises
+    ------
+    ConnectionBroken
+        If the body ends early or is too long.
     """
-    chunks = []
+    chunks, size = [], 0
     while True:
         event = await connection.receive()
         if isinstance(event, h11.EndOfMessage):
@@ -455,3 +464,6 @@
         if not isinstance(event, h11.Data):
             raise ConnectionBroken('closed within an answer')
         chunks.append(bytes(event.data))
+        size += len(event.data)
+        if size > _MAX_BODY_BYTES:
+            raise ConnectionBroken(f'answer of over {_MAX_BODY_BYTES} bytes')
--- a/sniperudder/forwarding/tests/test_connections.py
+++ b/sniperudder/forwarding/tests/test_connections.py
@@ -180,6 +180,67 @@
         self.run_endpoint(case)
 
 
+class EndlessAnswerTest(testtools.TestCase):
+    """A server in trouble sends bytes until the connection is closed."""
+
+    def run_exchange(self, first, repeated):
+        """Exchange with a server that repeats some bytes without end."""
+
+        async def run():
+            sent = []
+
+            async def serve(reader, writer):
+                await reader.read(100)
+                writer.write(first)
+                try:
+                    while True:
+                        writer.write(repeated)
+                        sent.append(len(repeated))
+                        await writer.drain()
+                        await asyncio.sleep(0)
+                except OSError:
+                    writer.close()
+
+            server = await asyncio.start_server(serve, '127.0.0.1', 0)
+            port = server.sockets[0].getsockname()[1]
+            async with server, asyncio.timeout(10.0):
+                outcome = await _exchanges.run_exchange(
+                    forwarding.ConnectionPool(),
+                    f'127.0.0.1:{port}',
+                    create_outgoing_request(),
+                )
+            return outcome, sum(sent)
+
+        return asyncio.run(run())
+
+    # Guards against: an answer without end was collected until the process had
+    # no memory left.
+    def test_endless_body_is_broken_off(self):
+        head = b'HTTP/1.1 200 OK\r\nX-Sniperudder-Request-Id: %s\r\n'
+        for request_id in (b'r-1', b'r-0'):
+            for framing, repeated in (
+                (b'\r\n', b'x' * 65_536),
+                (
+                    b'Transfer-Encoding: chunked\r\n\r\n',
+                    b'10000\r\n' + b'x' * 65_536 + b'\r\n',
+                ),
+            ):
+                outcome, sent = self.run_exchange(
+                    head % request_id + framing, repeated
+                )
+                self.assertIsInstance(outcome, _exchanges.Interrupted)
+                self.assertLess(sent, 32_000_000)
+
+    def test_endless_head_is_broken_off(self):
+        for first, repeated in (
+            (b'', b'x' * 1_000),
+            (b'HTTP/1.1 200 OK\r\n', b'a: b\r\n' * 100),
+        ):
+            outcome, sent = self.run_exchange(first, repeated)
+            self.assertIsInstance(outcome, _exchanges.Interrupted)
+            self.assertLess(sent, 32_000_000)
+
+
 class IdleTimeoutTest(testtools.TestCase):
     def test_idle_timeout_is_read_from_headers(self):
         for headers, expected in (
