Check the endpoint when an answer ends with its connection

What callers could see: a stream, or an answer, that was cut by a crash and passed on as complete.

Cause: an answer with neither a length nor chunks ends with its connection, and the connection of an endpoint that crashes ends as well. Change: such an end is taken for complete only if the endpoint still takes connections, or leaves as planned; otherwise the exchange was interrupted, and is resumed or repeated where that is allowed.

test_stream_that_ends_with_its_engine_is_resumed failed before (two events of three, 15 others passed). Also new, and passing before: streams without framing that end as a whole, within an event, and by a reset.

--- a/sniperudder/entry/tests/test_plain.py
+++ b/sniperudder/entry/tests/test_plain.py
@@ -324,3 +324,34 @@
         # rejected without reaching an endpoint.
         reached = [body for desk in desks for _, body in desk.requests]
         self.assertEqual(4, reached.count(b'bad'))
+
+    # Guards against: an answer without a length was passed on as complete
+    # although its endpoint had crashed, which ends the connection as well.
+    def test_answer_that_ends_with_its_endpoint_is_repeated(self):
+        desks = [_fleets.create_desk(f'desk-{number}') for number in range(2)]
+
+        async def run():
+            async with _fleets.run_fleet(*desks) as test_fleet:
+
+                def crash(desk):
+                    async def serve(request, http, writer):
+                        for other in desks:
+                            other.script.clear()
+                        desk.refuse_connections()
+                        seal = standins.make_seal(request)
+                        head = ''.join(f'{n}: {v}\r\n' for n, v in seal)
+                        writer.write(f'HTTP/1.1 200 OK\r\n{head}\r\n'.encode())
+                        writer.write(b'cut')
+                        writer.write_eof()
+                        await asyncio.sleep(0.05)
+                        raise OSError('end of the script')
+
+                    return serve
+
+                for desk in desks:
+                    desk.script.append(crash(desk))
+                return await test_fleet.send('/safe/a')
+
+        status, _, body = asyncio.run(run())
+        self.assertEqual(200, status)
+        self.assertNotEqual(b'cut', body)
--- a/sniperudder/entry/tests/test_streams.py
+++ b/sniperudder/entry/tests/test_streams.py
@@ -1,6 +1,8 @@
 """Tests of event streams with a fleet on the loopback interface."""
 
 import asyncio
+import socket
+import struct
 
 import h11
 import testtools
@@ -299,3 +301,110 @@
             self.assertEqual(1, sum(len(e.requests) for e in engines))
 
         self.run_engines(case)
+
+
+class UnframedStreamTest(testtools.TestCase):
+    """A stream with neither a length nor chunks ends with its connection."""
+
+    def run_engines(self, case):
+        async def run():
+            engine = standins.make_engine(accelerators=_fleets.ACCELERATORS)
+            engines = [
+                _fleets.create_engine(f'gpu-{number}', layers=(0, 8))
+                for number in range(2)
+            ]
+            async with _fleets.run_fleet(
+                *engines, engine=engine
+            ) as test_fleet:
+                await test_fleet.await_placed()
+                await case(test_fleet, engines)
+
+        asyncio.run(run())
+
+    def script(self, engines, rest, end):
+        """Send two events and a rest without framing, then end."""
+
+        async def serve(request, http, writer):
+            seal = standins.make_seal(request)
+            head = ''.join(f'{name}: {value}\r\n' for name, value in seal)
+            writer.write(f'HTTP/1.1 200 OK\r\n{head}\r\n'.encode())
+            writer.write(b'id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n' + rest)
+            await writer.drain()
+            await asyncio.sleep(0.05)
+            for engine in engines:
+                # The other engine resumes the stream as usual.
+                engine.script.clear()
+            await end(writer)
+            raise OSError('end of the script')
+
+        for engine in engines:
+            engine.script.append(serve)
+
+    async def close(self, writer):
+        """End the connection as a whole answer does."""
+        writer.write_eof()
+        await asyncio.sleep(0.05)
+
+    async def reset(self, writer):
+        """Reset the connection."""
+        writer.transport.get_extra_info('socket').setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+        )
+        writer.transport.abort()
+
+    def test_stream_that_ends_with_its_connection_is_complete(self):
+        async def case(test_fleet, engines):
+            self.script(engines, b'id: 3\ndata: 3\n\n', self.close)
+            status, _, body = await test_fleet.send('/once/a')
+            self.assertEqual(
+                (200, [1, 2, 3]), (status, _fleets.list_ids(body))
+            )
+
+        self.run_engines(case)
+
+    def test_stream_that_ends_within_an_event_is_resumed(self):
+        async def case(test_fleet, engines):
+            self.script(engines, b'id: 3\nda', self.close)
+            status, _, body = await test_fleet.send('/stream/a')
+            self.assertEqual(
+                (200, [1, 2, 3]), (status, _fleets.list_ids(body))
+            )
+            self.assertNotIn(b'da\n', body.replace(b'data', b''))
+
+        self.run_engines(case)
+
+    def test_stream_that_ends_within_an_event_does_not_look_complete(self):
+        async def case(test_fleet, engines):
+            self.script(engines, b'id: 3\nda', self.close)
+            with testtools.ExpectedException(h11.RemoteProtocolError):
+                await test_fleet.send('/once/a')
+
+        self.run_engines(case)
+
+    def test_stream_that_is_reset_does_not_look_complete(self):
+        async def case(test_fleet, engines):
+            self.script(engines, b'', self.reset)
+            with testtools.ExpectedException(h11.RemoteProtocolError):
+                await test_fleet.send('/once/a')
+
+        self.run_engines(case)
+
+    # Guards against: a stream was passed on as complete although its engine
+    # had crashed, which ends the connection as well.
+    def test_stream_that_ends_with_its_engine_is_resumed(self):
+        async def case(test_fleet, engines):
+            async def crash(writer):
+                for engine in engines:
+                    if engine.requests:
+                        engine.refuse_connections()
+                await self.close(writer)
+
+            self.script(engines, b'', crash)
+            status, _, body = await test_fleet.send('/stream/a')
+            self.assertEqual(
+                (200, [1, 2, 3]), (status, _fleets.list_ids(body))
+            )
+            (line,) = test_fleet.journal.list_events('request:interrupted')
+            self.assertIn('crashed', line['reason'])
+
+        self.run_engines(case)
--- a/sniperudder/forwarding/_attempts.py
+++ b/sniperudder/forwarding/_attempts.py
@@ -109,9 +109,28 @@
         )
         if not response_head.has_seal:
             return _exchanges.Interrupted('stream without a digest')
-        return await self._relay_events(
+        outcome = await self._relay_events(
             platform.filter_response_headers(_exchanges.list_headers(head))
         )
+        if outcome is not None:
+            return outcome
+        if _exchanges.ends_with_connection(head):
+            monitor = self._forwarder.crash_monitor
+            if await monitor.has_crashed(self._stages[0]):
+                return _exchanges.Interrupted('crashed at the end')
+        self._finish(head)
+        return None
+
+    def _finish(self, head):
+        if not self._stream.started:
+            headers = _exchanges.list_headers(head)
+            self._caller.start_response(
+                200, platform.filter_response_headers(headers)
+            )
+            self._stream.started = True
+        self._exchange.release()
+        self._record_survival()
+        self._caller.end_response()
 
     async def _relay_events(self, headers):
         stream, caller = self._stream, self._caller
@@ -150,12 +169,6 @@
                 self._monitor.reroute_around_leaving()
         if splitter.remainder:
             return _exchanges.Interrupted('ended within an event')
-        if not stream.started:
-            caller.start_response(200, headers)
-            stream.started = True
-        self._exchange.release()
-        self._record_survival()
-        caller.end_response()
         return None
 
     def _check_survival(self):
--- a/sniperudder/forwarding/_crash_monitor.py
+++ b/sniperudder/forwarding/_crash_monitor.py
@@ -29,6 +29,8 @@
         self._journal = journal
         self._table = routing.CrashTable()
         self._checks = {}
+        # Runs that refused a connection, until the platform lists their end.
+        self._refusing = set()
 
     def is_blocked(self, job):
         """Return whether a request may not be sent to any endpoint."""
@@ -96,6 +98,27 @@
         if fleet.is_serving(self._T, first):
             self._start_check(first.endpoint)
 
+    async def has_crashed(self, stage):
+        """Find out whether a serving endpoint takes no connections any more.
+
+        Parameters
+        ----------
+        stage : sniperudder.fleet.Stage
+
+        Returns
+        -------
+        bool
+            False for an endpoint that leaves, which refuses connections as
+            well but completes its answers.
+        """
+        if not fleet.is_serving(self._T, stage):
+            return False
+        run_id = _get_run_id(stage.endpoint)
+        self._start_check(stage.endpoint)
+        if run_id in self._checks:
+            await asyncio.shield(self._checks[run_id])
+        return run_id in self._refusing
+
     def record_survival(self, job):
         """Record that an endpoint runs on although it began a request."""
         lifted = self._table.record_survival(job.crash_keys, _read_time())
@@ -103,6 +126,7 @@
 
     def record_run_end(self, endpoint):
         """Record that a run of an endpoint ended, as the platform lists it."""
+        self._refusing.discard(_get_run_id(endpoint))
         self._record_crash(endpoint, 'listed as gone')
 
     def update(self):
@@ -138,7 +162,7 @@
 
     def _start_check(self, endpoint):
         run_id = _get_run_id(endpoint)
-        if run_id in self._checks or self._table.is_crash_known(run_id):
+        if run_id in self._checks or run_id in self._refusing:
             return
         task = asyncio.create_task(self._check_endpoint(endpoint))
         self._checks[run_id] = task
@@ -148,6 +172,7 @@
         try:
             connection = await self._pool.open(endpoint.address)
         except ConnectionRefusedError:
+            self._refusing.add(_get_run_id(endpoint))
             self._record_crash(endpoint, 'connection refused')
         except OSError as error:
             # The platform's list tells whether it has ended.
--- a/sniperudder/forwarding/_exchanges.py
+++ b/sniperudder/forwarding/_exchanges.py
@@ -23,11 +23,14 @@
     headers : list of (bytes, bytes)
         Headers to send to the caller.
     body : bytes
+    ends_with_connection : bool
+        Whether only the end of the connection shows that it is complete.
     """
 
     status: int
     headers: list
     body: bytes
+    ends_with_connection: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -203,6 +206,7 @@
             head.status_code,
             platform.filter_response_headers(list_headers(head)),
             body,
+            ends_with_connection(head),
         )
 
     def release(self):
@@ -263,6 +267,17 @@
     ]
 
 
+def ends_with_connection(head):
+    """Return whether a body has neither a length nor chunks.
+
+    Parameters
+    ----------
+    head : h11.Response
+    """
+    names = {bytes(name) for name, _ in head.headers}
+    return names.isdisjoint((b'content-length', b'transfer-encoding'))
+
+
 def describe_error(error):
     """Return the message of an exception, or its type if it has none."""
     if isinstance(error, asyncio.TimeoutError):
--- a/sniperudder/forwarding/_forwarder.py
+++ b/sniperudder/forwarding/_forwarder.py
@@ -459,6 +459,12 @@
                 endpoint.address,
                 self.create_outgoing_request(job, stages, None),
             )
+            if (
+                isinstance(outcome, _exchanges.Answered)
+                and outcome.ends_with_connection
+                and await self.crash_monitor.has_crashed(stages[0])
+            ):
+                outcome = _exchanges.Interrupted('crashed at the end')
         finally:
             reservation.clear()
         if isinstance(outcome, _exchanges.NotRun):
--- a/sniperudder/routing/_crashes.py
+++ b/sniperudder/routing/_crashes.py
@@ -156,10 +156,6 @@
         if crash is not None:
             self.record_run_end(run_id, now)
 
-    def is_crash_known(self, run_id):
-        """Return whether a run of an endpoint is known to have crashed."""
-        return run_id in self._crashes
-
     def record_run_end(self, run_id, now):
         """Record that a run of an endpoint ended.
 
