Keep blocked requests in the store, where they outlive all instances

What callers could see: after all instances had started again, engines crashed anew until the same part had been found once more.

Cause: what was blocked was known to the instances only. Change: the holder of the placement lease writes the blocks to a row of the list of instances, which all follow anyway, so that it takes no further poll; an instance that starts has them with its first list. An operator lifts all blocks by deleting the row.

--- a/sniperudder/entry/_entry.py
+++ b/sniperudder/entry/_entry.py
@@ -8,6 +8,7 @@
 import sys
 import traceback
 
+from sniperudder.entry import _blocks
 from sniperudder.entry import _feed
 from sniperudder.entry import _gossip
 from sniperudder.entry import _journal
@@ -115,6 +116,12 @@
             self._forwarder,
             self._placer,
         )
+        self._block_store = _blocks.BlockStore(
+            self._store,
+            self._forwarder.crash_monitor,
+            lambda: bool(self._placer.lease_version),
+            journal,
+        )
         batch_delays_s = dict.fromkeys(
             (platform.ENDPOINTS_TABLE, platform.INSTANCES_TABLE),
             self._get_batch_delay_s,
@@ -129,7 +136,7 @@
                     platform.ENDPOINTS_TABLE, self._apply_endpoints
                 ),
                 feeds.TableCopy(
-                    platform.INSTANCES_TABLE, self._gossip.apply_instances
+                    platform.INSTANCES_TABLE, self._apply_instances
                 ),
             ),
             self._call_peer,
@@ -194,6 +201,7 @@
             self._placer.run_placement(),
             self._gossip.send_digests(),
             self._gossip.remove_gone_peers(),
+            self._block_store.maintain(),
             self._run_maintenance(),
         ):
             task = asyncio.create_task(coroutine)
@@ -298,6 +306,17 @@
         self._update_superseded()
         fleet.drop_ended_states(self._T)
 
+    def _apply_instances(self, rows, is_snapshot):
+        instances, blocks = [], None
+        for row in rows:
+            if row.key == platform.BLOCKS_KEY:
+                blocks = row
+            else:
+                instances.append(row)
+        if blocks is not None or is_snapshot:
+            self._block_store.apply_row(blocks)
+        self._gossip.apply_instances(instances, is_snapshot)
+
     def _update_superseded(self):
         before = self._T.superseded
         fleet.update_superseded(self._T)
--- a/sniperudder/forwarding/_crash_monitor.py
+++ b/sniperudder/forwarding/_crash_monitor.py
@@ -137,6 +137,26 @@
         for keys in ended:
             self._log_unblocked(keys, 'expired')
 
+    def list_blocks(self):
+        """Return the sets of keys of blocked requests."""
+        return self._table.list_blocks()
+
+    def add_blocks(self, blocks):
+        """Block the requests that were blocked before this instance started.
+
+        Parameters
+        ----------
+        blocks : iterable of frozenset of str
+        """
+        for keys in blocks:
+            if self._table.add_block(keys, _read_time()):
+                self._log_blocked(keys, 'store')
+
+    def lift_blocks(self, reason):
+        """Lift all blocks."""
+        for keys in self._table.lift_blocks(_read_time()):
+            self._log_unblocked(keys, reason)
+
     def make_report(self):
         """Return what other instances should know.
 
--- a/sniperudder/platform/__init__.py
+++ b/sniperudder/platform/__init__.py
@@ -21,6 +21,7 @@
 from sniperudder.platform._orders import ORDER_TARGET
 from sniperudder.platform._orders import REPORT_TARGET
 from sniperudder.platform._orders import StalledRequest
+from sniperudder.platform._store import BLOCKS_KEY
 from sniperudder.platform._store import CONFIGURATION_KEY
 from sniperudder.platform._store import CONFIGURATION_TABLE
 from sniperudder.platform._store import Conflict
@@ -38,6 +39,7 @@
 SETTINGS_VARIABLE = 'SNIPERUDDER_CONFIG'
 
 __all__ = [
+    'BLOCKS_KEY',
     'CONFIGURATION_KEY',
     'CONFIGURATION_TABLE',
     'Conflict',
--- a/sniperudder/platform/_store.py
+++ b/sniperudder/platform/_store.py
@@ -12,6 +12,8 @@
 CONFIGURATION_KEY = 'config'
 ENDPOINTS_TABLE = 'servers'
 INSTANCES_TABLE = 'instances'
+# Key of the row of that table that is no instance but holds blocked requests.
+BLOCKS_KEY = '.blocked-requests'
 LEASES_TABLE = 'duties'
 
 _OK = 200
--- a/sniperudder/routing/_crashes.py
+++ b/sniperudder/routing/_crashes.py
@@ -255,6 +255,34 @@
         """Return the sets of keys of blocked requests."""
         return list(self._blocks)
 
+    def add_block(self, keys, now):
+        """Block requests for as long as after a crash.
+
+        Returns
+        -------
+        bool
+            Whether they were not blocked before.
+        """
+        if keys in self._blocks:
+            return False
+        self._blocks[keys] = _Block(now)
+        self._invalidate()
+        return True
+
+    def lift_blocks(self, now):
+        """Lift all blocks, as if the requests had run without a crash.
+
+        Returns
+        -------
+        list of frozenset
+            Keys of the requests that are no longer blocked.
+        """
+        lifted = []
+        for keys in list(self._blocks):
+            for key in keys:
+                lifted += self._clear(key, now)
+        return lifted
+
     def list_crashes(self, keys):
         """Return the run ids of the crashes that are counted against keys."""
         return [
