Count one crash for a request that loses several stages at once

What callers could see: a sound request refused for ten minutes.

Cause: an interrupted request was recorded for each stage of its chain, and each stage that ended counted.

--- a/sniperudder/forwarding/_crash_monitor.py
+++ b/sniperudder/forwarding/_crash_monitor.py
@@ -88,15 +88,13 @@
         )
         if survived:
             return
-        now = _read_time()
-        for stage in stages:
-            # An endpoint that leaves ends as planned.
-            if fleet.is_serving(self._T, stage):
-                run_id = _get_run_id(stage.endpoint)
-                self._table.record_interruption(job.crash_keys, run_id, now)
-        first = stages[0]
-        if fleet.is_serving(self._T, first):
-            self._start_check(first.endpoint)
+        # An endpoint that leaves ends as planned.
+        serving = [s.endpoint for s in stages if fleet.is_serving(self._T, s)]
+        self._table.record_interruption(
+            job.crash_keys, [_get_run_id(e) for e in serving], _read_time()
+        )
+        if stages[0].endpoint in serving:
+            self._start_check(stages[0].endpoint)
 
     async def has_crashed(self, stage):
         """Find out whether a serving endpoint takes no connections any more.
--- a/sniperudder/routing/_crashes.py
+++ b/sniperudder/routing/_crashes.py
@@ -91,6 +91,24 @@
     return digest.hexdigest()
 
 
+@dataclasses.dataclass(frozen=True, eq=False, slots=True)
+class _Interruption:
+    """A request that was interrupted as it began.
+
+    Attributes
+    ----------
+    keys : tuple of str
+    run_ids : tuple of (str, int)
+        Endpoints of its chain.
+    at : float
+        Loop time, seconds.
+    """
+
+    keys: tuple
+    run_ids: tuple
+    at: float
+
+
 @dataclasses.dataclass(slots=True)
 class _Block:
     """Keys of blocked requests.
@@ -119,7 +137,7 @@
     )
 
     def __init__(self):
-        # Time and number of recent interruptions, by run id and key.
+        # Recent interruptions by run id.
         self._interrupted = {}
         # Crashes by run id, in the order in which they became known.
         self._crashes = {}
@@ -135,26 +153,30 @@
         # All keys of crashes and blocks; None until it is needed.
         self._suspected = None
 
-    def record_interruption(self, keys, run_id, now):
-        """Record that an endpoint interrupted a request as it began it.
+    def record_interruption(self, keys, run_ids, now):
+        """Record that a request was interrupted as endpoints began to run it.
+
+        If several of them crashed, only the crash that becomes known first
+        counts against the request: it was sent once.
 
         Parameters
         ----------
         keys : iterable of str
-        run_id : (str, int)
-            See `sniperudder.fleet.Endpoint`.
+        run_ids : sequence of (str, int)
+            Run ids of the endpoints of its chain; see
+            `sniperudder.fleet.Endpoint`.
         now : float
             Loop time, seconds.
         """
-        crash = self._crashes.get(run_id)
-        if crash is not None and now - crash.at > _MAX_CRASH_DELAY_S:
-            return
-        interrupted = self._interrupted.setdefault(run_id, {})
-        for key in keys:
-            _, count = interrupted.get(key, (now, 0))
-            interrupted[key] = now, count + 1
-        if crash is not None:
-            self.record_run_end(run_id, now)
+        interruption = _Interruption(tuple(keys), tuple(run_ids), now)
+        for run_id in run_ids:
+            crash = self._crashes.get(run_id)
+            if crash is not None and now - crash.at <= _MAX_CRASH_DELAY_S:
+                self._interrupted[run_id] = [interruption]
+                self.record_run_end(run_id, now)
+                return
+        for run_id in run_ids:
+            self._interrupted.setdefault(run_id, []).append(interruption)
 
     def record_run_end(self, run_id, now):
         """Record that a run of an endpoint ended.
@@ -162,19 +184,31 @@
         Returns
         -------
         dict of str to float
-            Time since the last interruption of each suspect, by key, seconds;
-            empty if the endpoint had just begun no request.
+            Time since the interruption of each suspect, by key, seconds; empty
+            if the endpoint had just begun no request.
         """
-        interrupted = {
-            key: (at, count)
-            for key, (at, count) in self._interrupted.pop(run_id, {}).items()
-            if now - at <= _MAX_CRASH_DELAY_S
-        }
-        if interrupted:
-            at = min(at for at, _ in interrupted.values())
-            victims = {key: count for key, (_, count) in interrupted.items()}
-            self._add_crash(run_id, at, victims)
-        return {key: now - at for key, (at, _) in interrupted.items()}
+        interruptions = [
+            interruption
+            for interruption in self._interrupted.pop(run_id, ())
+            if now - interruption.at <= _MAX_CRASH_DELAY_S
+        ]
+        if not interruptions:
+            return {}
+        victims = collections.Counter()
+        since_s = {}
+        for interruption in interruptions:
+            victims.update(interruption.keys)
+            for key in interruption.keys:
+                since_s[key] = now - interruption.at
+            for other in interruption.run_ids:
+                if other != run_id and other in self._interrupted:
+                    self._interrupted[other].remove(interruption)
+        at = min(interruption.at for interruption in interruptions)
+        known = self._crashes.get(run_id)
+        if known is not None:
+            victims.update(known.victims)
+        self._add_crash(run_id, at, victims)
+        return since_s
 
     def record_survival(self, keys, now):
         """Record that an endpoint runs on although it began a request.
@@ -471,11 +505,15 @@
             self._invalidate()
 
     def _drop_expired(self, now):
-        for run_id, interrupted in list(self._interrupted.items()):
-            for key, (at, _) in list(interrupted.items()):
-                if now - at > _MAX_CRASH_DELAY_S:
-                    del interrupted[key]
-            if not interrupted:
+        for run_id, interruptions in list(self._interrupted.items()):
+            kept = [
+                interruption
+                for interruption in interruptions
+                if now - interruption.at <= _MAX_CRASH_DELAY_S
+            ]
+            if kept:
+                self._interrupted[run_id] = kept
+            else:
                 del self._interrupted[run_id]
         for run_id, crash in list(self._crashes.items()):
             expired = now - crash.at > _BLOCK_S
--- a/sniperudder/routing/tests/_crash_fleets.py
+++ b/sniperudder/routing/tests/_crash_fleets.py
@@ -174,7 +174,7 @@
         for request in requests:
             table = self.tables[request.instance]
             if not request.survived:
-                table.record_interruption(request.keys, run_id, self.now)
+                table.record_interruption(request.keys, [run_id], self.now)
             if crashed:
                 delay_s = self._rng.uniform(0.001, 0.005)
                 instance = request.instance
@@ -207,6 +207,6 @@
     table = _crashes.CrashTable()
     for number, keys in enumerate(crashes):
         run_id = f'gpu-{number}', 1
-        table.record_interruption(keys, run_id, start + number)
+        table.record_interruption(keys, [run_id], start + number)
         table.record_run_end(run_id, start + number)
     return table
--- a/sniperudder/routing/tests/test_crashes.py
+++ b/sniperudder/routing/tests/test_crashes.py
@@ -73,7 +73,7 @@
 
     def test_request_is_not_blocked_by_one_crash(self):
         table = _crash_fleets.make_table(make_keys('a'))
-        table.record_interruption(make_keys('b'), ('gpu-0', 1), 0.0)
+        table.record_interruption(make_keys('b'), [('gpu-0', 1)], 0.0)
         self.assertIsNone(table.find_block(make_keys('a')))
         self.assertIsNone(table.find_block(make_keys('b')))
 
@@ -82,7 +82,7 @@
         keys = make_keys('good')
         for number in range(5):
             run_id = f'gpu-{number}', 1
-            table.record_interruption(keys, run_id, 10.0 * number)
+            table.record_interruption(keys, [run_id], 10.0 * number)
             table.record_run_end(run_id, 10.0 * number + 60.0)
         self.assertIsNone(table.find_block(keys))
 
@@ -102,13 +102,25 @@
             self.assertIsNone(table.find_block(make_keys('bad')))
             run_id = f'gpu-{number}', 1
             keys = make_keys('bad', body=b'%d' % number)
-            table.record_interruption(keys, run_id, 1.0 + number)
+            table.record_interruption(keys, [run_id], 1.0 + number)
             table.record_run_end(run_id, 1.0 + number)
         self.assertIsNotNone(table.find_block(make_keys('bad')))
 
+    # Guards against: a request whose chain lost three stages at once was
+    # blocked for ten minutes, as each stage was counted against it.
+    def test_chain_that_loses_several_stages_counts_once(self):
+        table = routing.CrashTable()
+        keys = make_keys('a')
+        run_ids = [(f'gpu-{number}', 1) for number in range(5)]
+        table.record_interruption(keys, run_ids, 0.0)
+        for number, run_id in enumerate(run_ids):
+            table.record_run_end(run_id, 2.0 + number / 2)
+        self.assertIsNone(table.find_block(keys))
+        self.assertEqual(1, len(table.list_crashes(keys)))
+
     def test_further_interruptions_count_for_a_known_crash(self):
         table = _crash_fleets.make_table(make_keys('a'))
-        table.record_interruption(make_keys('b'), ('gpu-0', 1), 0.01)
+        table.record_interruption(make_keys('b'), [('gpu-0', 1)], 0.01)
         (crash,) = table.make_report(0.1).crashes.values()
         self.assertIn('part:b', crash.suspects)
 
@@ -134,7 +146,7 @@
         for number in range(400):
             parts = [f'{number}-{part}' for part in range(300)]
             run_id = f'gpu-flood-{number % 150}', number
-            table.record_interruption(make_keys(*parts), run_id, 3.0)
+            table.record_interruption(make_keys(*parts), [run_id], 3.0)
             table.record_run_end(run_id, 3.0)
         self.assertLessEqual(table.count_suspects(), 10_000)
         report = digests.encode_digest(
@@ -154,7 +166,7 @@
             run_id = f'gpu-{number}', 1
             for part in ('bad', f'subject-{number % 4}', f's-{number}'):
                 keys = make_keys('route', part, body=b'%d' % number)
-                table.record_interruption(keys, run_id, float(number))
+                table.record_interruption(keys, [run_id], float(number))
             table.record_run_end(run_id, float(number))
         self.assertEqual(
             block('part:bad'), table.find_block(make_keys('route', 'bad'))
@@ -175,7 +187,7 @@
             run_id = f'gpu-{number}', 1
             keys = make_keys('route', f's-{number}', body=b'%d' % number)
             at = 5.0 + number / 100
-            table.record_interruption(keys, run_id, at)
+            table.record_interruption(keys, [run_id], at)
             table.record_run_end(run_id, at)
         self.assertIsNone(table.find_block(make_keys('route')))
 
@@ -186,7 +198,7 @@
         bad = make_keys('route', body=b'bad')
         for number in range(3):
             run_id = f'gpu-{number}', 1
-            table.record_interruption(bad, run_id, 1.0 + number)
+            table.record_interruption(bad, [run_id], 1.0 + number)
             table.record_run_end(run_id, 1.0 + number)
         self.assertIsNotNone(table.find_block(bad))
         self.assertIsNone(table.find_block(make_keys('route', body=b'x')))
@@ -201,7 +213,7 @@
         tables = [routing.CrashTable() for _ in range(3)]
         for number, keys in enumerate(self.bad):
             run_id = f'gpu-{number}', 1
-            tables[number].record_interruption(keys, run_id, float(number))
+            tables[number].record_interruption(keys, [run_id], float(number))
             tables[number].record_run_end(run_id, float(number))
         other = routing.CrashTable()
         for table in tables:
