--- a/sniperudder/systems/requests/tests/test_requests.py
+++ b/sniperudder/systems/requests/tests/test_requests.py
@@ -162,6 +162,20 @@
             outcome = fleet.received[f'req-{number}'].outcome
             self.assertIsInstance(outcome, outcomes.Answered)
 
+    # Guards against: prompts that share what crashes engines, no two alike,
+    # are sent to engine after engine, as only whole prompts are identified.
+    def test_prompts_that_share_what_crashes_engines_are_stopped(self):
+        fleet = _fleets.create_fleet(copies=4)
+        for number in range(12):
+            arrival = _fleets.make_arrival(
+                number, prompt=f'say \0poison {number}'
+            )
+            fleet.send_request('entry-0', arrival)
+            fleet.clock.run_until(5.0 * number)
+        crashes = sum(len(e.crashes) for e in fleet.engines.values())
+        # Five, and three more while they become known.
+        self.assertLessEqual(crashes, 8)
+
     def test_missing_reports_confirm_crashes(self):
         fleet = _fleets.create_fleet(copies=4)
         for engine in fleet.engines.values():
