Give an instance no slack of the retry budget before it knows the others

Until the list of instances is read, a second later, each knew 0 to 19 others and took a share of the slack as if there were 12 instances, 38 retries each. 2,286 of the sends of second 36 were made by instances in that state; 1,311 of the 1,432 repeated sends that the logs hold followed a refusal by an engine, which held no layers yet.

Change: no slack before the list has been read, only the ratio of the own requests.

--- a/sniperudder/entry/_entry.py
+++ b/sniperudder/entry/_entry.py
@@ -316,6 +316,8 @@
         if blocks is not None or is_snapshot:
             self._block_store.apply_row(blocks)
         self._gossip.apply_instances(instances, is_snapshot)
+        if is_snapshot:
+            self._T.instances_known = True
 
     def _update_superseded(self):
         before = self._T.superseded
--- a/sniperudder/entry/tests/_fleets.py
+++ b/sniperudder/entry/tests/_fleets.py
@@ -105,6 +105,8 @@
         async with asyncio.timeout(_READY_S):
             while await self.get_readiness() != 200:
                 await asyncio.sleep(_POLL_S)
+        # The list is read a second later, which most tests need not wait for.
+        self.instance._T.instances_known = True
 
     async def await_event(self, event):
         """Wait until the instance has logged an event."""
--- a/sniperudder/entry/tests/test_plain.py
+++ b/sniperudder/entry/tests/test_plain.py
@@ -355,3 +355,30 @@
         status, _, body = asyncio.run(run())
         self.assertEqual(200, status)
         self.assertNotEqual(b'cut', body)
+
+
+class RetryBudgetAtStartTest(testtools.TestCase):
+    def test_instance_without_a_list_of_instances_does_not_retry(self):
+        desks = [_fleets.create_desk(f'desk-{number}') for number in range(2)]
+
+        async def run():
+            async with _fleets.run_fleet(*desks) as test_fleet:
+                tables = test_fleet.instance._T
+                tables.instances_known = False
+                for desk in desks:
+                    desk.script.extend([desk.refuse()] * 4)
+                refused, _, _ = await test_fleet.send('/safe/a')
+                left = sum(len(desk.script) for desk in desks)
+                # The list is read about a second after the start.
+                async with asyncio.timeout(5.0):
+                    while not tables.instances_known:
+                        await asyncio.sleep(0.02)
+                for desk in desks:
+                    desk.script.clear()
+                    desk.script.append(desk.refuse())
+                await test_fleet.send('/safe/a')
+                return refused, left, sum(len(d.script) for d in desks)
+
+        refused, left, later = asyncio.run(run())
+        self.assertEqual((503, 7), (refused, left))
+        self.assertEqual(0, later)
--- a/sniperudder/fleet/_tables.py
+++ b/sniperudder/fleet/_tables.py
@@ -22,6 +22,8 @@
         By run id; see `Endpoint`.
     endpoints_known : bool
         Whether the list of endpoints has been read since the start.
+    instances_known : bool
+        Whether the list of instances has been read since the start.
     endpoint_list_updates : int
         Number of updates of the list of endpoints.
     superseded : frozenset of str
@@ -36,6 +38,7 @@
     endpoints: dict = dataclasses.field(default_factory=dict)
     states: dict = dataclasses.field(default_factory=dict)
     endpoints_known: bool = False
+    instances_known: bool = False
     endpoint_list_updates: int = 0
     superseded: frozenset = frozenset()
     crossings: _crossings.CrossingCounter = dataclasses.field(
--- a/sniperudder/forwarding/_forwarder.py
+++ b/sniperudder/forwarding/_forwarder.py
@@ -28,14 +28,6 @@
 # a stage is dead rather than out of capacity.
 _STALL_TIMEOUT_FRACTION = 0.8
 
-# Number of instances among which the slack of the retry budget is divided:
-# the known instances and a margin of half for those not discovered yet. An
-# instance that knows few others, for example after its start, would take too
-# large a share; the divisor is therefore at least 12, which is 1.5 times the
-# number of instances that the users run.
-_MIN_BUDGET_INSTANCES = 12.0
-_INSTANCE_MARGIN_FACTOR = 1.5
-
 _Code = outcomes.Code
 
 
@@ -210,11 +202,10 @@
         )
 
     def _spend_retry(self, job):
-        instances = max(
-            _MIN_BUDGET_INSTANCES,
-            _INSTANCE_MARGIN_FACTOR * (1 + len(self.T.peers.peers)),
+        slack = routing.get_slack_share(
+            self.settings.bounds.retry_slack,
+            1 + len(self.T.peers.peers) if self.T.instances_known else None,
         )
-        slack = self.settings.bounds.retry_slack / instances
         return self.get_budget(job.service.name).spend(self.now(), slack)
 
     def create_outgoing_request(self, job, stages, last_event_id):
--- a/sniperudder/routing/__init__.py
+++ b/sniperudder/routing/__init__.py
@@ -1,6 +1,7 @@
 """Routing decisions: routes, endpoints, retries and load shedding."""
 
 from sniperudder.routing._balancing import choose_endpoint
+from sniperudder.routing._budgets import get_slack_share
 from sniperudder.routing._budgets import RetryBudget
 from sniperudder.routing._chain_search import find_chain
 from sniperudder.routing._chains import check_chain
@@ -47,6 +48,7 @@
     'get_kv_capacity',
     'get_rank',
     'get_shed_share',
+    'get_slack_share',
     'has_free_connection',
     'is_avoided',
     'make_crash_keys',
--- a/sniperudder/routing/_budgets.py
+++ b/sniperudder/routing/_budgets.py
@@ -13,6 +13,38 @@
 # begin later than this one, and these may contain fewer of its requests.
 _SAFETY_FACTOR = 0.8
 
+# Number of instances among which the slack is divided: the known instances and
+# a margin of half for those not discovered yet, but at least 1.5 times the
+# number of instances that the users run.
+_MIN_INSTANCES = 12.0
+_INSTANCE_MARGIN_FACTOR = 1.5
+
+
+def get_slack_share(slack, instances):
+    """Return the part of the slack that one instance may spend.
+
+    Parameters
+    ----------
+    slack : float
+        Number of retries beyond the ratio in a window, over all instances.
+    instances : int or None
+        Number of known instances; None while the platform's list of them has
+        not been read.
+
+    Returns
+    -------
+    float
+
+    Examples
+    --------
+    >>> [get_slack_share(600.0, instances) for instances in (8, 100, None)]
+    [50.0, 4.0, 0.0]
+    """
+    if instances is None:
+        # There may be any number of instances that all start now.
+        return 0.0
+    return slack / max(_MIN_INSTANCES, _INSTANCE_MARGIN_FACTOR * instances)
+
 
 class RetryBudget:
     """Requests and retries to one service in a sliding window.
