Keep other requests pending when a crash is known already

What callers could see: a request that ends with an internal error instead of its retry. Found by reading the change again: a request whose chain holds an endpoint that is known to have crashed, and another one at which other requests were interrupted, was removed from the list of the second, where it never was (ValueError). test_interruption_by_a_known_crash_leaves_other_requests_pending failed with that before; routing: 87 passed.

--- a/sniperudder/routing/_crashes.py
+++ b/sniperudder/routing/_crashes.py
@@ -172,8 +172,7 @@
         for run_id in run_ids:
             crash = self._crashes.get(run_id)
             if crash is not None and now - crash.at <= _MAX_CRASH_DELAY_S:
-                self._interrupted[run_id] = [interruption]
-                self.record_run_end(run_id, now)
+                self._record_victims(run_id, [interruption])
                 return
         for run_id in run_ids:
             self._interrupted.setdefault(run_id, []).append(interruption)
@@ -192,22 +191,15 @@
             for interruption in self._interrupted.pop(run_id, ())
             if now - interruption.at <= _MAX_CRASH_DELAY_S
         ]
-        if not interruptions:
-            return {}
-        victims = collections.Counter()
         since_s = {}
         for interruption in interruptions:
-            victims.update(interruption.keys)
             for key in interruption.keys:
                 since_s[key] = now - interruption.at
             for other in interruption.run_ids:
-                if other != run_id and other in self._interrupted:
+                if other in self._interrupted:
                     self._interrupted[other].remove(interruption)
-        at = min(interruption.at for interruption in interruptions)
-        known = self._crashes.get(run_id)
-        if known is not None:
-            victims.update(known.victims)
-        self._add_crash(run_id, at, victims)
+        if interruptions:
+            self._record_victims(run_id, interruptions)
         return since_s
 
     def record_survival(self, keys, now):
@@ -397,6 +389,16 @@
                 known.crashed_at = max(known.crashed_at, crashed_at)
         return added, lifted
 
+    def _record_victims(self, run_id, interruptions):
+        victims = collections.Counter()
+        for interruption in interruptions:
+            victims.update(interruption.keys)
+        known = self._crashes.get(run_id)
+        if known is not None:
+            victims.update(known.victims)
+        at = min(interruption.at for interruption in interruptions)
+        self._add_crash(run_id, at, victims)
+
     def _add_crash(self, run_id, at, victims):
         kept = {}
         for key, count in victims.items():
@@ -444,7 +446,8 @@
         known_at, count = self._survivals.get(key, (at, 1))
         if key.startswith(_PART_PREFIX):
             self._survivals[key] = max(at, known_at), count
-            self._invalidate()
+            if key in self._list_suspects():
+                self._condemned = None
         return self._clear(key, at)
 
     def _get_survival(self, key):
--- a/sniperudder/routing/tests/test_crashes.py
+++ b/sniperudder/routing/tests/test_crashes.py
@@ -118,6 +118,15 @@
         self.assertIsNone(table.find_block(keys))
         self.assertEqual(1, len(table.list_crashes(keys)))
 
+    def test_interruption_by_a_known_crash_leaves_other_requests_pending(self):
+        table = _crash_fleets.make_table(make_keys('a'))
+        waiting = make_keys('b')
+        table.record_interruption(waiting, [('gpu-9', 1)], 0.01)
+        chain = [('gpu-0', 1), ('gpu-9', 1)]
+        table.record_interruption(make_keys('c'), chain, 0.02)
+        ended = table.record_run_end(('gpu-9', 1), 0.03)
+        self.assertEqual(waiting, ended.keys())
+
     def test_further_interruptions_count_for_a_known_crash(self):
         table = _crash_fleets.make_table(make_keys('a'))
         table.record_interruption(make_keys('b'), [('gpu-0', 1)], 0.01)
