Test that blocked requests are not repeated, resumed or rerouted

Each way on which a request may reach a further engine while its part becomes blocked: new, resumed by the caller, repeated after an interruption or a refusal, resumed midway, rerouted to other stages.

--- a/sniperudder/entry/tests/test_crashing_parts.py
+++ b/sniperudder/entry/tests/test_crashing_parts.py
@@ -121,3 +121,133 @@
         self.assertGreaterEqual(len(statuses), 20)
         served = statuses.count(200) / len(statuses)
         self.assertGreaterEqual(served, 0.5, statuses)
+
+
+class BlockedRequestTest(testtools.TestCase):
+    """A part is blocked before, or while, a request with it is under way."""
+
+    _PARTS = ('X-Sniperudder-Prefix-Hash', '0a:40,bad:300,f1:9')
+
+    def run_engines(self, case, layers=((0, 8), (0, 8)), accelerator='big'):
+        """Run a case with an instance and engines; return the engines."""
+        engines = [
+            _fleets.create_engine(f'gpu-{number}', accelerator, held)
+            for number, held in enumerate(layers)
+        ]
+
+        async def run():
+            engine = standins.make_engine(accelerators=_fleets.ACCELERATORS)
+            async with _fleets.run_fleet(
+                *engines, engine=engine
+            ) as test_fleet:
+                await test_fleet.await_placed()
+                await case(test_fleet, engines)
+
+        asyncio.run(run())
+        return engines
+
+    def block(self, test_fleet):
+        """Block the part, as other instances found."""
+        monitor = test_fleet.instance._forwarder.crash_monitor
+        monitor.add_blocks([frozenset(('part:bad',))])
+
+    def break_off(self, test_fleet, engines, upto):
+        """Let the first engine block the part, then break the stream off."""
+
+        def make_entry(engine):
+            async def serve(request, http, writer):
+                for other in engines:
+                    other.script.clear()
+                if upto:
+                    await engine.send_stream(request, http, writer, upto)
+                    await asyncio.sleep(0.05)
+                self.block(test_fleet)
+                writer.transport.abort()
+                raise OSError('reset by the script')
+
+            return serve
+
+        for engine in engines:
+            engine.script.append(make_entry(engine))
+
+    def test_new_request_is_refused_at_once(self):
+        async def case(test_fleet, engines):
+            self.block(test_fleet)
+            for extra in ([], [('Last-Event-Id', '2')]):
+                status, headers, _ = await test_fleet.send(
+                    '/stream/a', headers=[self._PARTS, *extra]
+                )
+                self.assertEqual(503, status)
+                self.assertGreater(float(headers['retry-after']), 60.0)
+            sound = ('X-Sniperudder-Prefix-Hash', '0a:40,good:300,f1:9')
+            status, _, _ = await test_fleet.send('/stream/a', headers=[sound])
+            self.assertEqual(200, status)
+
+        engines = self.run_engines(case)
+        self.assertEqual(1, sum(len(engine.requests) for engine in engines))
+
+    def test_interrupted_request_is_not_repeated(self):
+        async def case(test_fleet, engines):
+            self.break_off(test_fleet, engines, upto=0)
+            status, _, _ = await test_fleet.send(
+                '/stream/a', headers=[self._PARTS]
+            )
+            # It may have run.
+            self.assertEqual(502, status)
+
+        engines = self.run_engines(case)
+        self.assertEqual(1, sum(len(engine.requests) for engine in engines))
+
+    def test_interrupted_stream_is_not_resumed(self):
+        async def case(test_fleet, engines):
+            self.break_off(test_fleet, engines, upto=2)
+            with testtools.ExpectedException(h11.RemoteProtocolError):
+                await test_fleet.send('/stream/a', headers=[self._PARTS])
+
+        engines = self.run_engines(case)
+        self.assertEqual(1, sum(len(engine.requests) for engine in engines))
+
+    def test_refused_request_is_not_sent_again(self):
+        async def case(test_fleet, engines):
+            def refuse(engine):
+                async def serve(request, http, writer):
+                    self.block(test_fleet)
+                    await engine.refuse()(request, http, writer)
+
+                return serve
+
+            for engine in engines:
+                engine.script.extend([refuse(engine)] * 4)
+            status, _, _ = await test_fleet.send(
+                '/stream/a', headers=[self._PARTS]
+            )
+            self.assertEqual(503, status)
+            left = sum(len(engine.script) for engine in engines)
+            self.assertEqual(7, left)
+
+        self.run_engines(case)
+
+    def test_stream_is_not_rerouted_to_other_stages(self):
+        async def case(test_fleet, engines):
+            first, left, _ = engines
+
+            async def stall(request, http, writer):
+                await first.send_stream(request, http, writer, upto=1)
+                self.block(test_fleet)
+                first.stalled = [{'id': 'r-1', 'address': left.address}]
+                await asyncio.sleep(1.5)
+                data = b'id: 2\ndata: 2\n\n'
+                writer.write(http.send(h11.Data(data=data)))
+                writer.write(http.send(h11.EndOfMessage()))
+
+            first.script.append(stall)
+            status, _, body = await test_fleet.send(
+                '/stream/a', headers=[self._PARTS], wait_ms=4_000
+            )
+            self.assertEqual((200, [1, 2]), (status, _fleets.list_ids(body)))
+
+        engines = self.run_engines(
+            case, layers=((0, 4), (4, 8), (4, 8)), accelerator='half'
+        )
+        orders = [order['operation'] for e in engines for order in e.orders]
+        self.assertNotIn('repath', orders)
