--- a/sniperudder/routing/_suspects.py
+++ b/sniperudder/routing/_suspects.py
@@ -3,9 +3,9 @@
 import collections
 import dataclasses
 
-# Crashes after which requests are blocked, and after which those are that are
-# known to have run without one: such a key is more likely to be a coincidence.
-# The users allow three crashes by one request, and five by a part.
+# Crashes after which requests with a key are blocked: the users allow three by
+# one request and five by a part. A part of requests that ran without a crash
+# before is more likely to be there by coincidence.
 MIN_CRASHES = 3
 MIN_CRASHES_IF_SOUND_BEFORE = 5
 
