Read and log what endpoints say of themselves

The logs could not tell whether a limit that an endpoint names was heard, by which instance and when. Each answer's Server-Leaving, Server-Limit and (of a 503) Retry-After is now decoded in platform/, recorded by run of the endpoint and logged as endpoint:notice; request:sent names the limit and its age; metrics count the restricted endpoints. Malformed values are logged and left out, excessive ones bounded. Where requests are sent does not change.

--- a/sniperudder/entry/_entry.py
+++ b/sniperudder/entry/_entry.py
@@ -8,6 +8,7 @@
 import sys
 import traceback
 
+from sniperudder import clocks
 from sniperudder.entry import _blocks
 from sniperudder.entry import _feed
 from sniperudder.entry import _gossip
@@ -365,6 +366,7 @@
             'instances': self._T.peers.count_alive(),
             'pressure': self._forwarder.load_shedder.shedding_level,
             **self._forwarder.crash_monitor.get_gauges(),
+            **self._T.notices.count_restricted(clocks.read_clock()),
         }
         for name, value in gauges.items():
             metrics.set_gauge(self._metrics, name, value)
--- a/sniperudder/entry/_placer.py
+++ b/sniperudder/entry/_placer.py
@@ -73,7 +73,9 @@
     ):
         self._T = T
         self._store = store
-        self._engine_client = forwarding.EngineClient(pool, _ORDER_TIMEOUT_S)
+        self._engine_client = forwarding.EngineClient(
+            pool, _ORDER_TIMEOUT_S, forwarding.NoticeRecorder(T, journal)
+        )
         self._name = name
         self._journal = journal
         self._may_compete = may_compete
--- a/sniperudder/fleet/__init__.py
+++ b/sniperudder/fleet/__init__.py
@@ -14,6 +14,9 @@
 from sniperudder.fleet._endpoints import EndpointState
 from sniperudder.fleet._endpoints import Layers
 from sniperudder.fleet._endpoints import Stage
+from sniperudder.fleet._notices import Notice
+from sniperudder.fleet._notices import NoticeTable
+from sniperudder.fleet._notices import Restrictions
 from sniperudder.fleet._settings import Bounds
 from sniperudder.fleet._settings import InstanceSettings
 from sniperudder.fleet._speeds import SpeedTable
@@ -37,7 +40,10 @@
     'InstanceSettings',
     'Layers',
     'Limits',
+    'Notice',
+    'NoticeTable',
     'Organisation',
+    'Restrictions',
     'Route',
     'Service',
     'SpeedTable',
--- a/sniperudder/fleet/_tables.py
+++ b/sniperudder/fleet/_tables.py
@@ -5,6 +5,7 @@
 from sniperudder import digests
 from sniperudder.fleet import _crossings
 from sniperudder.fleet import _endpoints
+from sniperudder.fleet import _notices
 from sniperudder.fleet import _speeds
 
 
@@ -30,6 +31,8 @@
         Ids of endpoints whose address is in use by a later run.
     crossings : CrossingCounter
     speeds : SpeedTable
+    notices : NoticeTable
+        What endpoints say of themselves in their responses.
     peers : sniperudder.digests.PeerTable
         Other instances and their requests in flight.
     """
@@ -47,6 +50,9 @@
     speeds: _speeds.SpeedTable = dataclasses.field(
         default_factory=_speeds.SpeedTable
     )
+    notices: _notices.NoticeTable = dataclasses.field(
+        default_factory=_notices.NoticeTable
+    )
     peers: digests.PeerTable = dataclasses.field(
         default_factory=digests.PeerTable
     )
--- a/sniperudder/forwarding/__init__.py
+++ b/sniperudder/forwarding/__init__.py
@@ -7,6 +7,7 @@
 from sniperudder.forwarding._engines import EngineClient
 from sniperudder.forwarding._engines import NoResponse
 from sniperudder.forwarding._forwarder import Forwarder
+from sniperudder.forwarding._notices import NoticeRecorder
 
 __all__ = [
     'CallerLimits',
@@ -15,5 +16,6 @@
     'EngineClient',
     'Forwarder',
     'NoResponse',
+    'NoticeRecorder',
     'request_json',
 ]
--- a/sniperudder/forwarding/_connections.py
+++ b/sniperudder/forwarding/_connections.py
@@ -375,6 +375,7 @@
     timeout_s,
     extra_headers=(),
     content_type='application/json',
+    handle_head=None,
 ):
     """Send one request, with a JSON body by default, and return the response.
 
@@ -387,6 +388,8 @@
         Timeout for the complete response, seconds.
     extra_headers : iterable of (bytes, bytes)
     content_type : str
+    handle_head : callable, optional
+        Called with the head of the response.
 
     Returns
     -------
@@ -410,6 +413,8 @@
                 ]
             connection.send_request(method, target, headers, body)
             head = await receive_head(connection)
+            if handle_head is not None:
+                handle_head(head)
             response_body = await receive_body(connection)
     except BaseException:
         if connection is not None:
--- a/sniperudder/forwarding/_engines.py
+++ b/sniperudder/forwarding/_engines.py
@@ -1,6 +1,7 @@
 """Client for the control interface of engines: reports and orders."""
 
 import dataclasses
+import functools
 
 from sniperudder.forwarding import _connections
 from sniperudder import platform
@@ -51,12 +52,14 @@
         control calls carry no id.
     timeout_s : float
         Timeout of a call, seconds.
+    notice_recorder : NoticeRecorder
     """
 
-    __slots__ = ('_pool', '_timeout_s')
+    __slots__ = ('_notice_recorder', '_pool', '_timeout_s')
 
-    def __init__(self, pool, timeout_s):
+    def __init__(self, pool, timeout_s, notice_recorder):
         self._pool = pool
+        self._notice_recorder = notice_recorder
         self._timeout_s = timeout_s
 
     async def fetch_report(self, endpoint):
@@ -107,6 +110,9 @@
                 body,
                 self._timeout_s,
                 platform.make_control_headers(endpoint),
+                handle_head=functools.partial(
+                    self._notice_recorder.record_head, endpoint
+                ),
             )
         except OSError as error:
             return NoResponse(f'{type(error).__name__}: {error}')
--- a/sniperudder/forwarding/_exchanges.py
+++ b/sniperudder/forwarding/_exchanges.py
@@ -94,12 +94,15 @@
     pool : ConnectionPool
     address : str
     outgoing : OutgoingRequest
+    handle_head : callable, optional
+        Called with the head of each response on the connection.
     """
 
-    def __init__(self, pool, address, outgoing):
+    def __init__(self, pool, address, outgoing, handle_head=None):
         self._pool = pool
         self._address = address
         self._outgoing = outgoing
+        self._handle_head = handle_head
         self._connection = None
         self._idle_timeout_s = None
 
@@ -155,6 +158,8 @@
                 raise
             except OSError as error:
                 return Interrupted(describe_error(error))
+            if self._handle_head is not None:
+                self._handle_head(head)
             response_head = platform.decode_response_head(
                 head.status_code, head.headers
             )
@@ -221,7 +226,7 @@
             self._connection = None
 
 
-async def run_exchange(pool, address, outgoing):
+async def run_exchange(pool, address, outgoing, handle_head=None):
     """Send a request and receive the complete response.
 
     Parameters
@@ -229,12 +234,14 @@
     pool : ConnectionPool
     address : str
     outgoing : OutgoingRequest
+    handle_head : callable, optional
+        Called with the head of each response on the connection.
 
     Returns
     -------
     Answered, NotRun or Interrupted
     """
-    exchange = Exchange(pool, address, outgoing)
+    exchange = Exchange(pool, address, outgoing, handle_head)
     try:
         failure = await exchange.open()
         if failure is not None:
--- a/sniperudder/forwarding/_forwarder.py
+++ b/sniperudder/forwarding/_forwarder.py
@@ -1,13 +1,16 @@
 """Forwarding of requests, from arrival to the final response."""
 
 import asyncio
+import functools
 import random
 
+from sniperudder import clocks
 from sniperudder import digests
 from sniperudder import fleet
 from sniperudder.forwarding import _crash_monitor
 from sniperudder.forwarding import _exchanges
 from sniperudder.forwarding import _jobs
+from sniperudder.forwarding import _notices
 from sniperudder.forwarding import _rerouting
 from sniperudder.forwarding import _reservations
 from sniperudder.forwarding import _shedding
@@ -54,7 +57,10 @@
         self.rng = rng or random.Random()
         self.crash_monitor = _crash_monitor.CrashMonitor(T, pool, journal)
         self.load_shedder = _shedding.LoadShedder(T, self.rng, journal)
-        self.rerouter = _rerouting.StreamRerouter(T, self.rng, journal)
+        self.notice_recorder = _notices.NoticeRecorder(T, journal)
+        self.rerouter = _rerouting.StreamRerouter(
+            T, self.rng, journal, self.notice_recorder
+        )
         self._budgets = {}
         self._slow_run_ids = set()
 
@@ -251,6 +257,12 @@
         """Log a send with the state that is known of its first endpoint."""
         first = stages[0].endpoint
         state = fleet.get_state(self.T, first)
+        limit = self.T.notices.get((first.id, first.born_ms))
+        if limit.rate_limit is not None:
+            fields['rate_limit'] = limit.rate_limit
+            fields['limit_age_s'] = round(
+                clocks.read_clock() - limit.limit_at, 2
+            )
         if not job.send_outcomes:
             waited_s = self.now() - job.request.arrived_at
             metrics.record_duration(
@@ -449,6 +461,7 @@
                 self.pool,
                 endpoint.address,
                 self.create_outgoing_request(job, stages, None),
+                functools.partial(self.notice_recorder.record_head, endpoint),
             )
             if (
                 isinstance(outcome, _exchanges.Answered)
--- a/sniperudder/forwarding/_rerouting.py
+++ b/sniperudder/forwarding/_rerouting.py
@@ -42,14 +42,15 @@
     rng : random.Random
     journal : object
         Event log; see `Forwarder`.
+    notice_recorder : NoticeRecorder
     """
 
-    def __init__(self, T, rng, journal):
+    def __init__(self, T, rng, journal, notice_recorder):
         self._T = T
         self._rng = rng
         self._journal = journal
         self._engine_client = _engines.EngineClient(
-            _connections.ConnectionPool(), _CALL_TIMEOUT_S
+            _connections.ConnectionPool(), _CALL_TIMEOUT_S, notice_recorder
         )
         self._reports = {}
 
--- a/sniperudder/platform/__init__.py
+++ b/sniperudder/platform/__init__.py
@@ -13,6 +13,7 @@
 from sniperudder.platform._headers import make_request_headers
 from sniperudder.platform._headers import RequestHead
 from sniperudder.platform._headers import ResponseHead
+from sniperudder.platform._notices import decode_notice
 from sniperudder.platform._orders import decode_fault_address
 from sniperudder.platform._orders import decode_report
 from sniperudder.platform._orders import EngineReport
@@ -64,6 +65,7 @@
     'decode_configuration',
     'decode_endpoint',
     'decode_fault_address',
+    'decode_notice',
     'decode_report',
     'decode_request_head',
     'decode_response_head',
