--- a/sniperudder/entry/tests/test_crashing_parts.py
+++ b/sniperudder/entry/tests/test_crashing_parts.py
@@ -108,7 +108,7 @@
         further = [
             at
             for server in servers
-            for at, parts, _ in server.arrivals
+            for at, parts in server.part_arrivals
             if at > bound and 'bad' in parts
         ]
         self.assertLessEqual(len(further), _MAX_FURTHER_SENDS, further)
--- a/standins/fleet/_crashing.py
+++ b/standins/fleet/_crashing.py
@@ -26,8 +26,8 @@
         Time for which the entry of a crashed run stays listed, seconds.
     crashes : list of float
         Loop time of each crash, seconds.
-    arrivals : list of (float, tuple of str, str)
-        Loop time, shared parts and id of each request.
+    part_arrivals : list of (float, tuple of str)
+        Loop time and shared parts of each request.
     """
 
     def __init__(self, name, store, layers):
@@ -39,7 +39,7 @@
         self.restart_s = 1.0
         self.expiry_s = 3.0
         self.crashes = []
-        self.arrivals = []
+        self.part_arrivals = []
         self._name = name
         self._store = store
         self._tasks = set()
@@ -47,9 +47,8 @@
     async def respond_normally(self, request, http, writer):
         """See base class."""
         parts = tuple(_messages.read_shared_parts(request))
-        request_id = _messages.read_header(request, _messages.REQUEST_ID)
         now = asyncio.get_running_loop().time()
-        self.arrivals.append((now, parts, request_id))
+        self.part_arrivals.append((now, parts))
         await asyncio.sleep(self.prefill_s)
         if self.crashing_parts.intersection(parts):
             await asyncio.sleep(self.crash_after_s)
--- a/standins/fleet/_endpoints.py
+++ b/standins/fleet/_endpoints.py
@@ -43,6 +43,11 @@
         Wall-clock time of its start, ms.
     misdirected : list of str
         Targets of requests that were meant for another endpoint.
+    notices : list of (str, str)
+        Headers of all answers, in which it speaks of itself.
+    arrivals : list of (float, str)
+        Loop time and request id of each request that reached it, run or
+        refused.
     """
 
     def __init__(self, name, service, data_centre='north', accelerator=''):
@@ -63,6 +68,8 @@
         self.refused_orders = []
         self.order_s = 0.0
         self.misdirected = []
+        self.notices = []
+        self.arrivals = []
         self.born = 1
 
     def list_in(self, store, state='ready'):
@@ -93,7 +100,7 @@
         if expected_id not in (None, self.id):
             self.misdirected.append(path)
             headers = _messages.make_seal(request)[:1]
-            headers.append(('At-Server', self.address))
+            headers += [('At-Server', self.address), *self.notices]
             _messages.write_response(http, writer, 421, b'', headers)
         elif path == '/order':
             await asyncio.sleep(self.order_s)
@@ -102,7 +109,7 @@
                 self._begin_order(json.loads(body))
                 raise OSError('answer lost')
             status = self._begin_order(json.loads(body))
-            _messages.write_response(http, writer, status, b'', [])
+            _messages.write_response(http, writer, status, b'', self.notices)
         elif path == '/report':
             report = {
                 'sequence': len(self.orders),
@@ -111,11 +118,13 @@
                 'stalled': self.stalled,
             }
             text = json.dumps(report).encode()
-            _messages.write_response(http, writer, 200, text, [])
+            _messages.write_response(http, writer, 200, text, self.notices)
         elif self.script:
+            self._record_arrival(request)
             self.requests.append((request, body))
             await self.script.popleft()(request, http, writer)
         else:
+            self._record_arrival(request)
             self.requests.append((request, body))
             await self.respond_normally(request, http, writer)
 
@@ -125,9 +134,8 @@
             await self.send_stream(request, http, writer)
             return
         body = f'{self.id} {request.target.decode()}'.encode()
-        _messages.write_response(
-            http, writer, 200, body, _messages.make_seal(request)
-        )
+        headers = [*_messages.make_seal(request), *self.notices]
+        _messages.write_response(http, writer, 200, body, headers)
 
     async def send_stream(self, request, http, writer, upto=None):
         """Send the events after the last one that the request names.
@@ -140,6 +148,7 @@
         headers = [
             ('Transfer-Encoding', 'chunked'),
             *_messages.make_seal(request),
+            *self.notices,
         ]
         writer.write(http.send(h11.Response(status_code=200, headers=headers)))
         first = int(_messages.read_header(request, 'last-event-id') or 0) + 1
@@ -152,7 +161,7 @@
         if upto is None:
             writer.write(http.send(h11.EndOfMessage()))
 
-    def refuse(self):
+    def refuse(self, retry_after=None):
         """Return a script entry: refuse, as an endpoint without room."""
 
         async def serve(request, http, writer):
@@ -160,7 +169,10 @@
             headers = [
                 (_messages.NOT_RUN, '1'),
                 *_messages.make_seal(request)[:1],
+                *self.notices,
             ]
+            if retry_after is not None:
+                headers.append(('Retry-After', retry_after))
             _messages.write_response(http, writer, 503, b'', headers)
 
         return serve
@@ -169,9 +181,8 @@
         """Return a script entry: run the request and respond with 500."""
 
         async def serve(request, http, writer):
-            _messages.write_response(
-                http, writer, 500, b'bad', _messages.make_seal(request)
-            )
+            headers = [*_messages.make_seal(request), *self.notices]
+            _messages.write_response(http, writer, 500, b'bad', headers)
 
         return serve
 
@@ -184,6 +195,11 @@
 
         return serve
 
+    def _record_arrival(self, request):
+        request_id = _messages.read_header(request, _messages.REQUEST_ID)
+        now = asyncio.get_running_loop().time()
+        self.arrivals.append((now, request_id))
+
     def _make_layers(self):
         if self.layers is None:
             return None
