Heed the limits, pauses and departures that endpoints state themselves

Callers saw nothing; endpoints in need got many times the requests that they name in their answers, and requests after they had said that they leave or had asked for a pause.

Cause: no answer's Server-Limit, Server-Leaving or Retry-After was read; what is known of an endpoint was a preference only, which ends with the next success and is passed over when there is no other endpoint. A reaction of single instances would not do: each of them alone was below the limit.

Change: restrictions by run of an endpoint, asked right before each send, for first sends, retries and resumed streams alike. Limits and departures are told in digests with their age; pauses concern one instance. A limit is shared by a few holders that all instances choose alike (a ring), at most two more than the limit, each with a token bucket of one request whose rate grows with its demand. An instance uses its part only while its digests go out in time, and waits a second after a start or a suspension; the part of a silent one is taken over after 5 s, by the larger part of the fleet only. While all endpoints pause, requests are refused at once, and callers are told when it ends.

--- a/sniperudder/digests/__init__.py
+++ b/sniperudder/digests/__init__.py
@@ -14,6 +14,8 @@
 from sniperudder.digests._records import Fault
 from sniperudder.digests._records import Load
 from sniperudder.digests._records import Scope
+from sniperudder.digests._restrictions import MAX_RESTRICTIONS
+from sniperudder.digests._restrictions import Restriction
 from sniperudder.digests._sums import add_digests
 from sniperudder.digests._sums import subtract_digest
 
@@ -25,9 +27,11 @@
     'DigestExchange',
     'Fault',
     'Load',
+    'MAX_RESTRICTIONS',
     'Peer',
     'PeerTable',
     'REMOVE_AFTER_S',
+    'Restriction',
     'Scope',
     'add_digests',
     'decode_digest',
--- a/sniperudder/digests/_codec.py
+++ b/sniperudder/digests/_codec.py
@@ -1,13 +1,20 @@
 """Serialization of digests as Thrift structures."""
 
+import math
+
 from thrift.protocol import TCompactProtocol
 from thrift import TSerialization
 
 from sniperudder.digests import _crash_reports
 from sniperudder.digests import _records
+from sniperudder.digests import _restrictions
 from sniperudder.digests.gen.wire import ttypes
 
 _MS_PER_S = 1000
+
+# Largest age of a restriction that is told, seconds.
+_MAX_AGE_S = 86_400.0
+
 _PROTOCOL_FACTORY = TCompactProtocol.TCompactProtocolAcceleratedFactory()
 
 
@@ -54,6 +61,20 @@
         included=[ttypes.Included(*entry) for entry in digest.included],
         table_versions=digest.table_versions,
         crash_report=_encode_crash_report(digest.crash_report),
+        restrictions=[
+            ttypes.Restriction(
+                endpoint,
+                born_ms,
+                told.leaving,
+                told.rate_limit,
+                int(min(told.age_s, _MAX_AGE_S) * _MS_PER_S),
+            )
+            for (endpoint, born_ms), told in digest.restrictions.items()
+        ],
+        demands={
+            service: int(rate * _MS_PER_S)
+            for service, rate in digest.demands.items()
+        },
     )
     return TSerialization.serialize(message, _PROTOCOL_FACTORY)
 
@@ -76,9 +97,10 @@
         raise DigestError(f'{type(error).__name__}: {error}') from error
     try:
         crash_report = _decode_crash_report(message.crash_report)
+        restrictions = _decode_restrictions(message.restrictions)
     except (AttributeError, TypeError) as error:
         # A field of a nested structure is missing.
-        raise DigestError(f'crash report: {error}') from error
+        raise DigestError(f'nested structure: {error}') from error
     try:
         scope = _records.Scope(message.scope)
     except ValueError as error:
@@ -115,6 +137,11 @@
         ),
         table_versions=message.table_versions or {},
         crash_report=crash_report,
+        restrictions=restrictions,
+        demands={
+            service: rate / _MS_PER_S
+            for service, rate in (message.demands or {}).items()
+        },
     )
 
 
@@ -161,3 +188,17 @@
             for block in message.blocks
         },
     )
+
+
+def _decode_restrictions(messages):
+    restrictions = {}
+    for message in messages or ():
+        rate_limit = message.rate_limit
+        if rate_limit is not None and not 0 <= rate_limit < math.inf:
+            raise TypeError(f'rate limit {rate_limit}')
+        restrictions[message.endpoint, message.born_ms] = (
+            _restrictions.Restriction(
+                bool(message.leaving), rate_limit, message.age_ms / _MS_PER_S
+            )
+        )
+    return restrictions
--- a/sniperudder/digests/_peers.py
+++ b/sniperudder/digests/_peers.py
@@ -8,6 +8,11 @@
 # Either its requests ended with it, or their state is unknown.
 _LOAD_EXPIRY_S = 1.5
 
+# Time without a digest after which others may use a peer's part of what all
+# instances share, seconds. A peer that was suspended for as long has lost its
+# part by then; see `sniperudder.routing.update_quotas`.
+_TAKEOVER_S = 5.0
+
 # Time without a digest after which a peer is only probed occasionally.
 _SILENT_AFTER_S = 10.0
 
@@ -36,6 +41,8 @@
         Time at which a digest was last sent to the peer, seconds.
     data_centre : str
         Empty if it is not known.
+    demands : dict of str to float
+        Requests per second by service, as it last told.
     """
 
     address: tuple
@@ -43,6 +50,7 @@
     heard_at: float = 0.0
     sent_at: float = 0.0
     data_centre: str = ''
+    demands: dict = dataclasses.field(default_factory=dict)
 
 
 class PeerTable:
@@ -97,6 +105,8 @@
         peer.address = address
         peer.digest = digest
         peer.heard_at = now
+        if digest.scope is _records.Scope.INSTANCE:
+            peer.demands = digest.demands
         self._add_loads(digest, 1)
         return True
 
@@ -180,6 +190,31 @@
             if now - peer.heard_at > REMOVE_AFTER_S
         ]
 
+    def list_sharing_peers(self, now):
+        """Return the peers that may use what all instances share.
+
+        Peers that have been silent for long are left out if most instances
+        are heard. In a fleet that is split, at most one part takes over what
+        the others used.
+
+        Parameters
+        ----------
+        now : float
+            Seconds.
+
+        Returns
+        -------
+        dict of str to Peer
+        """
+        heard = {
+            name: peer
+            for name, peer in self.peers.items()
+            if now - peer.heard_at <= _TAKEOVER_S
+        }
+        if 2 * (1 + len(heard)) > 1 + len(self.peers):
+            return heard
+        return dict(self.peers)
+
     def remove_peer(self, name):
         """Remove a peer and its load."""
         peer = self.peers.pop(name)
--- a/sniperudder/digests/_records.py
+++ b/sniperudder/digests/_records.py
@@ -83,6 +83,11 @@
     table_versions : dict of str to int
         Store version of the last change of each table that the sender knows.
     crash_report : CrashReport
+    restrictions : dict of (str, int) to Restriction
+        By run id; see `sniperudder.fleet.Endpoint`.
+    demands : dict of str to float
+        Requests per second that the sender receives, by service; empty in
+        sums.
     """
 
     sender: str
@@ -102,3 +107,5 @@
     crash_report: _crash_reports.CrashReport = dataclasses.field(
         default_factory=_crash_reports.CrashReport
     )
+    restrictions: dict = dataclasses.field(default_factory=dict)
+    demands: dict = dataclasses.field(default_factory=dict)
--- a/sniperudder/digests/_sums.py
+++ b/sniperudder/digests/_sums.py
@@ -11,6 +11,7 @@
 
 from sniperudder.digests import _crash_reports
 from sniperudder.digests import _records
+from sniperudder.digests import _restrictions
 
 # Largest number of loads in a sum, so that it fits in a datagram whatever the
 # size of the fleet. The largest ones are kept.
@@ -90,6 +91,10 @@
         crash_report=_crash_reports.merge_crash_reports(
             [digest.crash_report for digest in digests], ages_s
         ),
+        restrictions=_restrictions.merge_restrictions(
+            [digest.restrictions for digest in digests], ages_s
+        ),
+        demands={},
     )
 
 
--- a/sniperudder/digests/digest.thrift
+++ b/sniperudder/digests/digest.thrift
@@ -53,6 +53,17 @@
   3: required i32 tokens_per_s;
 }
 
+// What a run of an endpoint asks of all instances.
+struct Restriction {
+  1: required string endpoint;
+  2: required i64 born_ms;
+  3: required bool leaving;
+  // Requests per second; none if it states no limit any more.
+  4: optional double rate_limit;
+  // Time since the response that stated the limit or none.
+  5: required i32 age_ms;
+}
+
 // A digest that is part of a sum.
 struct Included {
   1: required string sender;
@@ -80,4 +91,7 @@
   // Store version of the last change of each table that the sender knows.
   15: optional map<string, i64> table_versions;
   16: optional CrashReport crash_report;
+  17: optional list<Restriction> restrictions;
+  // Requests in 1000 s that the sender receives, by service.
+  18: optional map<string, i32> demands;
 }
--- a/sniperudder/digests/gen/wire/ttypes.py
+++ b/sniperudder/digests/gen/wire/ttypes.py
@@ -747,6 +747,130 @@
         return not (self == other)
 
 
+class Restriction(object):
+    """
+    Attributes:
+     - endpoint
+     - born_ms
+     - leaving
+     - rate_limit
+     - age_ms
+
+    """
+
+    __slots__ = (
+        'endpoint',
+        'born_ms',
+        'leaving',
+        'rate_limit',
+        'age_ms',
+    )
+
+
+    def __init__(self, endpoint=None, born_ms=None, leaving=None, rate_limit=None, age_ms=None,):
+        self.endpoint = endpoint
+        self.born_ms = born_ms
+        self.leaving = leaving
+        self.rate_limit = rate_limit
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.endpoint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.born_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.leaving = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.DOUBLE:
+                    self.rate_limit = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Restriction')
+        if self.endpoint is not None:
+            oprot.writeFieldBegin('endpoint', TType.STRING, 1)
+            oprot.writeString(self.endpoint.encode('utf-8') if sys.version_info[0] == 2 else self.endpoint)
+            oprot.writeFieldEnd()
+        if self.born_ms is not None:
+            oprot.writeFieldBegin('born_ms', TType.I64, 2)
+            oprot.writeI64(self.born_ms)
+            oprot.writeFieldEnd()
+        if self.leaving is not None:
+            oprot.writeFieldBegin('leaving', TType.BOOL, 3)
+            oprot.writeBool(self.leaving)
+            oprot.writeFieldEnd()
+        if self.rate_limit is not None:
+            oprot.writeFieldBegin('rate_limit', TType.DOUBLE, 4)
+            oprot.writeDouble(self.rate_limit)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 5)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.endpoint is None:
+            raise TProtocolException(message='Required field endpoint is unset!')
+        if self.born_ms is None:
+            raise TProtocolException(message='Required field born_ms is unset!')
+        if self.leaving is None:
+            raise TProtocolException(message='Required field leaving is unset!')
+        if self.age_ms is None:
+            raise TProtocolException(message='Required field age_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Included(object):
     """
     Attributes:
@@ -864,6 +988,8 @@
      - included
      - table_versions
      - crash_report
+     - restrictions
+     - demands
 
     """
 
@@ -884,10 +1010,12 @@
         'included',
         'table_versions',
         'crash_report',
+        'restrictions',
+        'demands',
     )
 
 
-    def __init__(self, sender=None, incarnation=None, sequence=None, loads=None, faults=None, crashes=None, lease_version=None, events=None, slow_events=None, crossings=None, scope=0, data_centre="", instances=1, included=None, table_versions=None, crash_report=None,):
+    def __init__(self, sender=None, incarnation=None, sequence=None, loads=None, faults=None, crashes=None, lease_version=None, events=None, slow_events=None, crossings=None, scope=0, data_centre="", instances=1, included=None, table_versions=None, crash_report=None, restrictions=None, demands=None,):
         self.sender = sender
         self.incarnation = incarnation
         self.sequence = sequence
@@ -904,6 +1032,8 @@
         self.included = included
         self.table_versions = table_versions
         self.crash_report = crash_report
+        self.restrictions = restrictions
+        self.demands = demands
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1031,6 +1161,28 @@
                     self.crash_report.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.LIST:
+                    self.restrictions = []
+                    (_etype79, _size76) = iprot.readListBegin()
+                    for _i80 in range(_size76):
+                        _elem81 = Restriction()
+                        _elem81.read(iprot)
+                        self.restrictions.append(_elem81)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 18:
+                if ftype == TType.MAP:
+                    self.demands = {}
+                    (_ktype83, _vtype84, _size82) = iprot.readMapBegin()
+                    for _i86 in range(_size82):
+                        _key87 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val88 = iprot.readI32()
+                        self.demands[_key87] = _val88
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1056,22 +1208,22 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter76 in self.loads:
-                iter76.write(oprot)
+            for iter89 in self.loads:
+                iter89.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.faults is not None:
             oprot.writeFieldBegin('faults', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.faults))
-            for iter77 in self.faults:
-                iter77.write(oprot)
+            for iter90 in self.faults:
+                iter90.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.crashes))
-            for iter78 in self.crashes:
-                iter78.write(oprot)
+            for iter91 in self.crashes:
+                iter91.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.lease_version is not None:
@@ -1089,8 +1241,8 @@
         if self.crossings is not None:
             oprot.writeFieldBegin('crossings', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.crossings))
-            for iter79 in self.crossings:
-                iter79.write(oprot)
+            for iter92 in self.crossings:
+                iter92.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.scope is not None:
@@ -1108,22 +1260,37 @@
         if self.included is not None:
             oprot.writeFieldBegin('included', TType.LIST, 14)
             oprot.writeListBegin(TType.STRUCT, len(self.included))
-            for iter80 in self.included:
-                iter80.write(oprot)
+            for iter93 in self.included:
+                iter93.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.table_versions is not None:
             oprot.writeFieldBegin('table_versions', TType.MAP, 15)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.table_versions))
-            for kiter81, viter82 in self.table_versions.items():
-                oprot.writeString(kiter81.encode('utf-8') if sys.version_info[0] == 2 else kiter81)
-                oprot.writeI64(viter82)
+            for kiter94, viter95 in self.table_versions.items():
+                oprot.writeString(kiter94.encode('utf-8') if sys.version_info[0] == 2 else kiter94)
+                oprot.writeI64(viter95)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.crash_report is not None:
             oprot.writeFieldBegin('crash_report', TType.STRUCT, 16)
             self.crash_report.write(oprot)
             oprot.writeFieldEnd()
+        if self.restrictions is not None:
+            oprot.writeFieldBegin('restrictions', TType.LIST, 17)
+            oprot.writeListBegin(TType.STRUCT, len(self.restrictions))
+            for iter96 in self.restrictions:
+                iter96.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.demands is not None:
+            oprot.writeFieldBegin('demands', TType.MAP, 18)
+            oprot.writeMapBegin(TType.STRING, TType.I32, len(self.demands))
+            for kiter97, viter98 in self.demands.items():
+                oprot.writeString(kiter97.encode('utf-8') if sys.version_info[0] == 2 else kiter97)
+                oprot.writeI32(viter98)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1216,6 +1383,15 @@
     (2, TType.STRING, 'right', 'UTF8', None, ),  # 2
     (3, TType.I32, 'tokens_per_s', None, None, ),  # 3
 )
+all_structs.append(Restriction)
+Restriction.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'endpoint', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'born_ms', None, None, ),  # 2
+    (3, TType.BOOL, 'leaving', None, None, ),  # 3
+    (4, TType.DOUBLE, 'rate_limit', None, None, ),  # 4
+    (5, TType.I32, 'age_ms', None, None, ),  # 5
+)
 all_structs.append(Included)
 Included.thrift_spec = (
     None,  # 0
@@ -1242,6 +1418,8 @@
     (14, TType.LIST, 'included', (TType.STRUCT, [Included, None], False), None, ),  # 14
     (15, TType.MAP, 'table_versions', (TType.STRING, 'UTF8', TType.I64, None, False), None, ),  # 15
     (16, TType.STRUCT, 'crash_report', [CrashReport, None], None, ),  # 16
+    (17, TType.LIST, 'restrictions', (TType.STRUCT, [Restriction, None], False), None, ),  # 17
+    (18, TType.MAP, 'demands', (TType.STRING, 'UTF8', TType.I32, None, False), None, ),  # 18
 )
 fix_spec(all_structs)
 del all_structs
--- a/sniperudder/entry/_gossip.py
+++ b/sniperudder/entry/_gossip.py
@@ -11,9 +11,11 @@
 import json
 import time
 
+from sniperudder import clocks
 from sniperudder import digests
 from sniperudder import feeds
 from sniperudder import platform
+from sniperudder import routing
 
 # Interval between digests, and largest number of peers to which an instance
 # sends its digest itself, so that it receives at most 100 per second. With
@@ -100,6 +102,7 @@
         self._sent_digests = collections.deque(maxlen=_SENT_DIGESTS)
         self._incarnation = time.time_ns() // 1_000_000
         self._sequence = 0
+        self._demands = {}
         self._exchange = digests.DigestExchange(
             self._handle_digest, self._log_invalid_data
         )
@@ -122,6 +125,7 @@
             now = _read_monotonic_time()
             self._forwarder.load_shedder.update(interval_s)
             self._forwarder.crash_monitor.update()
+            self._update_quotas(now)
             for name in self._T.peers.expire_loads(now):
                 self._journal.write('instance:silent', name)
             if self._uses_sums():
@@ -132,6 +136,19 @@
             if addresses:
                 self._exchange.send(self._make_digest(), addresses)
 
+    def _update_quotas(self, now):
+        # As told in the digest that is sent next.
+        self._demands = self._forwarder.list_demands()
+        routing.update_quotas(
+            self._T,
+            self._settings.name,
+            self._T.peers.list_sharing_peers(now),
+            # Sums hold no demands of single instances.
+            None if self._uses_sums() else self._demands,
+            clocks.read_clock(),
+            self._forwarder.rng,
+        )
+
     def _uses_sums(self):
         return (
             len(self._T.peers.peers) > _MAX_DIRECT_PEERS
@@ -360,6 +377,8 @@
             data_centre=self._settings.data_centre,
             table_versions=self.feed.get_versions(),
             crash_report=self._forwarder.crash_monitor.make_report(),
+            restrictions=self._forwarder.list_restrictions(),
+            demands=self._demands,
         )
 
     def _handle_digest(self, digest, address):
@@ -375,6 +394,7 @@
             digest.sender, digest.crash_report
         )
         self._forwarder.apply_fault_notices(digest.sender, digest.faults)
+        self._forwarder.apply_restrictions(digest.sender, digest.restrictions)
         if digest.lease_version:
             self._placer.record_peer_lease(digest.lease_version)
         self.feed.record_peer_versions(digest.table_versions)
--- a/sniperudder/entry/tests/_loads.py
+++ b/sniperudder/entry/tests/_loads.py
@@ -55,24 +55,3 @@
                 headers=[('X-Sniperudder-Request-Id', request_id)],
             )
         self.outcomes.append((sent_at, address, status, headers))
-
-
-def count_most(times, window_s, start=0.0):
-    """Return the largest number of times within a window.
-
-    Parameters
-    ----------
-    times : iterable of float
-        Seconds.
-    window_s : float
-    start : float
-        Earlier times are left out.
-    """
-    times = sorted(at for at in times if at >= start)
-    return max(
-        (
-            sum(1 for at in times[first:] if at < begin + window_s)
-            for first, begin in enumerate(times)
-        ),
-        default=0,
-    )
--- a/sniperudder/entry/tests/test_notices.py
+++ b/sniperudder/entry/tests/test_notices.py
@@ -13,6 +13,7 @@
 from sniperudder.entry.tests import _fleets
 from sniperudder.entry.tests import _loads
 from sniperudder.entry.tests import _members
+from sniperudder import testing
 from standins import fleet as standins
 
 # The users' bounds. A limit counts from 3 s after it was first named; a window
@@ -79,7 +80,7 @@
             if rate_per_s is None:
                 continue
             times = [at for at, _ in server.arrivals]
-            most = _loads.count_most(times, _WINDOW_S, start)
+            most = testing.count_most(times, _WINDOW_S, start)
             allowed = _RATIO * rate_per_s * _WINDOW_S + _SLACK
             self.assertLessEqual(most, allowed, server.id)
 
--- a/sniperudder/fleet/__init__.py
+++ b/sniperudder/fleet/__init__.py
@@ -17,6 +17,8 @@
 from sniperudder.fleet._notices import Notice
 from sniperudder.fleet._notices import NoticeTable
 from sniperudder.fleet._notices import Restrictions
+from sniperudder.fleet._quotas import Quota
+from sniperudder.fleet._quotas import QuotaTable
 from sniperudder.fleet._settings import Bounds
 from sniperudder.fleet._settings import InstanceSettings
 from sniperudder.fleet._speeds import SpeedTable
@@ -43,6 +45,8 @@
     'Notice',
     'NoticeTable',
     'Organisation',
+    'Quota',
+    'QuotaTable',
     'Restrictions',
     'Route',
     'Service',
--- a/sniperudder/fleet/_notices.py
+++ b/sniperudder/fleet/_notices.py
@@ -7,6 +7,10 @@
 # that have not heard of its end do not restore it.
 _LIFTED_S = 15.0
 
+# Age by which a statement of a known limit is newer, seconds, so that its
+# delays between instances do not add up.
+_MIN_NEWER_S = 0.5
+
 # Number of runs of endpoints that are remembered; those of which nothing was
 # heard for the longest time are dropped first.
 _MAX_RUNS = 20_000
@@ -45,14 +49,14 @@
     paused_until : float
         Seconds, on the clock of `sniperudder.clocks.read_clock`.
     rate_limit : float or None
-    limit_at : float
-        Time of the newest response that stated a limit or none, seconds.
+    stated_at : float
+        Time of the newest response that is known, seconds.
     """
 
     leaving: bool = False
     paused_until: float = 0.0
     rate_limit: float | None = None
-    limit_at: float = 0.0
+    stated_at: float = 0.0
 
 
 _UNRESTRICTED = Restrictions()
@@ -103,15 +107,29 @@
         if not limit_malformed:
             changed |= self.apply_limit(run_id, notice.rate_limit, now)
         if notice.leaving:
-            changed |= self.apply_leaving(run_id)
+            changed |= self.apply_leaving(run_id, now)
         return changed
 
-    def apply_leaving(self, run_id):
-        """Record that a run leaves; return whether that was unknown."""
+    def apply_leaving(self, run_id, stated_at):
+        """Record that a run leaves, for as long as it lasts.
+
+        Parameters
+        ----------
+        run_id : (str, int)
+        stated_at : float
+            Seconds.
+
+        Returns
+        -------
+        bool
+            Whether that was unknown.
+        """
+        if self.get(run_id).leaving:
+            return False
         known = self._touch(run_id)
-        changed = not known.leaving
         known.leaving = True
-        return changed
+        known.stated_at = max(known.stated_at, stated_at)
+        return True
 
     def apply_limit(self, run_id, rate_limit, stated_at):
         """Record the limit of a run unless a newer statement is known.
@@ -131,12 +149,13 @@
         known = self.get(run_id)
         if rate_limit is None and known.rate_limit is None:
             return False
-        if stated_at < known.limit_at:
+        changed = known.rate_limit != rate_limit
+        newer_by_s = stated_at - known.stated_at
+        if newer_by_s < (0.0 if changed else _MIN_NEWER_S):
             return False
         known = self._touch(run_id)
-        changed = known.rate_limit != rate_limit
         known.rate_limit = rate_limit
-        known.limit_at = stated_at
+        known.stated_at = stated_at
         return changed
 
     def list_limits(self):
@@ -184,7 +203,7 @@
         statements = []
         for run_id in reversed(self._runs):
             known = self._runs[run_id]
-            lifted_lately = known.limit_at > now - _LIFTED_S
+            lifted_lately = known.stated_at > now - _LIFTED_S
             if known.leaving or known.rate_limit is not None or lifted_lately:
                 statements.append((run_id, known))
                 if len(statements) == count:
--- a/sniperudder/fleet/_tables.py
+++ b/sniperudder/fleet/_tables.py
@@ -6,6 +6,7 @@
 from sniperudder.fleet import _crossings
 from sniperudder.fleet import _endpoints
 from sniperudder.fleet import _notices
+from sniperudder.fleet import _quotas
 from sniperudder.fleet import _speeds
 
 
@@ -33,6 +34,8 @@
     speeds : SpeedTable
     notices : NoticeTable
         What endpoints say of themselves in their responses.
+    quotas : QuotaTable
+        Parts of endpoints' rate limits that this instance may use.
     peers : sniperudder.digests.PeerTable
         Other instances and their requests in flight.
     """
@@ -53,6 +56,9 @@
     notices: _notices.NoticeTable = dataclasses.field(
         default_factory=_notices.NoticeTable
     )
+    quotas: _quotas.QuotaTable = dataclasses.field(
+        default_factory=_quotas.QuotaTable
+    )
     peers: digests.PeerTable = dataclasses.field(
         default_factory=digests.PeerTable
     )
@@ -99,6 +105,8 @@
         return False
     if listed.born_ms != stage.endpoint.born_ms:
         return False
+    if T.notices.get((listed.id, listed.born_ms)).leaving:
+        return False
     if stage.layers is None:
         return True
     held = listed.layers
@@ -119,6 +127,7 @@
         for endpoint in T.endpoints.values()
         if endpoint.service == service
         and not endpoint.leaving
+        and not T.notices.get((endpoint.id, endpoint.born_ms)).leaving
         and endpoint.id not in T.superseded
     ]
 
--- a/sniperudder/forwarding/_attempts.py
+++ b/sniperudder/forwarding/_attempts.py
@@ -1,7 +1,5 @@
 """One attempt to serve a stream from a chain of endpoints."""
 
-import functools
-
 import h11
 
 from sniperudder.forwarding import _events
@@ -58,9 +56,7 @@
             forwarder.create_outgoing_request(
                 job, stages, self._get_last_event_id()
             ),
-            functools.partial(
-                forwarder.notice_recorder.record_head, stages[0].endpoint
-            ),
+            forwarder.create_guard(stages[0].endpoint),
         )
 
     async def run(self):
--- a/sniperudder/forwarding/_exchanges.py
+++ b/sniperudder/forwarding/_exchanges.py
@@ -47,12 +47,15 @@
     misdirected : bool
         Whether the request reached the wrong endpoint, or one that does not
         hold the requested layers.
+    restricted : bool
+        Whether it was not sent, because the endpoint asked for fewer requests.
     """
 
     reason: str
     fault_address: str | None = None
     reached_endpoint: bool = False
     misdirected: bool = False
+    restricted: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -94,15 +97,14 @@
     pool : ConnectionPool
     address : str
     outgoing : OutgoingRequest
-    handle_head : callable, optional
-        Called with the head of each response on the connection.
+    guard : SendGuard, optional
     """
 
-    def __init__(self, pool, address, outgoing, handle_head=None):
+    def __init__(self, pool, address, outgoing, guard=None):
         self._pool = pool
         self._address = address
         self._outgoing = outgoing
-        self._handle_head = handle_head
+        self._guard = guard
         self._connection = None
         self._idle_timeout_s = None
 
@@ -115,10 +117,18 @@
             NotRun if the request could not be sent.
         """
         outgoing = self._outgoing
+        sent = False
         try:
             self._connection = await self._pool.acquire(self._address)
+            if self._guard is not None and not self._guard.may_send():
+                self.release()
+                return NotRun('restricted by the endpoint', restricted=True)
+            sent = True
         except OSError as error:
             return NotRun(f'connection failed: {describe_error(error)}')
+        finally:
+            if self._guard is not None and not sent:
+                self._guard.give_back()
         try:
             self._connection.send_request(
                 outgoing.method,
@@ -158,8 +168,8 @@
                 raise
             except OSError as error:
                 return Interrupted(describe_error(error))
-            if self._handle_head is not None:
-                self._handle_head(head)
+            if self._guard is not None:
+                self._guard.record_head(head)
             response_head = platform.decode_response_head(
                 head.status_code, head.headers
             )
@@ -226,7 +236,7 @@
             self._connection = None
 
 
-async def run_exchange(pool, address, outgoing, handle_head=None):
+async def run_exchange(pool, address, outgoing, guard=None):
     """Send a request and receive the complete response.
 
     Parameters
@@ -234,14 +244,13 @@
     pool : ConnectionPool
     address : str
     outgoing : OutgoingRequest
-    handle_head : callable, optional
-        Called with the head of each response on the connection.
+    guard : SendGuard, optional
 
     Returns
     -------
     Answered, NotRun or Interrupted
     """
-    exchange = Exchange(pool, address, outgoing, handle_head)
+    exchange = Exchange(pool, address, outgoing, guard)
     try:
         failure = await exchange.open()
         if failure is not None:
--- a/sniperudder/forwarding/_forwarder.py
+++ b/sniperudder/forwarding/_forwarder.py
@@ -1,7 +1,6 @@
 """Forwarding of requests, from arrival to the final response."""
 
 import asyncio
-import functools
 import random
 
 from sniperudder import clocks
@@ -9,6 +8,7 @@
 from sniperudder import fleet
 from sniperudder.forwarding import _crash_monitor
 from sniperudder.forwarding import _exchanges
+from sniperudder.forwarding import _guards
 from sniperudder.forwarding import _jobs
 from sniperudder.forwarding import _notices
 from sniperudder.forwarding import _rerouting
@@ -31,6 +31,14 @@
 # a stage is dead rather than out of capacity.
 _STALL_TIMEOUT_FRACTION = 0.8
 
+# Time over which callers that were rejected during a pause of all endpoints
+# return after its end, seconds.
+_PAUSE_END_SPREAD_S = 0.5
+
+# Window in which the requests of this instance are counted to divide rate
+# limits among the instances, seconds.
+_DEMAND_WINDOW_S = 4.0
+
 _Code = outcomes.Code
 
 
@@ -143,6 +151,61 @@
                     'endpoint:told dead', fault.endpoint, by=sender
                 )
 
+    def list_restrictions(self):
+        """Return the restrictions of endpoints to tell other instances.
+
+        Returns
+        -------
+        dict of (str, int) to sniperudder.digests.Restriction
+        """
+        now = clocks.read_clock()
+        statements = self.T.notices.list_statements(
+            now, digests.MAX_RESTRICTIONS
+        )
+        return {
+            run_id: digests.Restriction(
+                known.leaving, known.rate_limit, now - known.stated_at
+            )
+            for run_id, known in statements
+        }
+
+    def apply_restrictions(self, sender, restrictions):
+        """Apply restrictions of which another instance told."""
+        now = clocks.read_clock()
+        for run_id, told in restrictions.items():
+            changed = self.T.notices.apply_limit(
+                run_id, told.rate_limit, now - told.age_s
+            )
+            if told.leaving:
+                changed |= self.T.notices.apply_leaving(
+                    run_id, now - told.age_s
+                )
+            if changed:
+                self.journal.write(
+                    'endpoint:notice',
+                    run_id[0],
+                    leaving=told.leaving,
+                    rate_limit=told.rate_limit,
+                    age_s=round(told.age_s, 3),
+                    by=sender,
+                )
+
+    def list_demands(self):
+        """Return the requests per second of this instance by service."""
+        now = self.now()
+        return {
+            service: budget.get_request_rate(now, _DEMAND_WINDOW_S)
+            for service, budget in self._budgets.items()
+        }
+
+    def list_restricted(self, endpoints):
+        """Return the ids of endpoints that may be sent no request now."""
+        return routing.list_restricted(self.T, endpoints, clocks.read_clock())
+
+    def create_guard(self, endpoint):
+        """Return the guard of a send to an endpoint."""
+        return _guards.SendGuard(self.T, endpoint, self.notice_recorder)
+
     def now(self):
         """Return the time of the event loop, seconds."""
         return asyncio.get_running_loop().time()
@@ -261,7 +324,7 @@
         if limit.rate_limit is not None:
             fields['rate_limit'] = limit.rate_limit
             fields['limit_age_s'] = round(
-                clocks.read_clock() - limit.limit_at, 2
+                clocks.read_clock() - limit.stated_at, 2
             )
         if not job.send_outcomes:
             waited_s = self.now() - job.request.arrived_at
@@ -308,6 +371,9 @@
             for stage in stages:
                 if stage.endpoint.address == outcome.fault_address:
                     failed_endpoint = stage.endpoint
+        if isinstance(outcome, _exchanges.NotRun) and outcome.restricted:
+            job.send_outcomes.append(f'{endpoint.id}: {outcome.reason}')
+            return
         state = fleet.get_state(self.T, failed_endpoint)
         if (
             not isinstance(outcome, _exchanges.NotRun)
@@ -330,7 +396,9 @@
 
     def end_with_error(self, job, caller, code, reason):
         """Send an error response of the router itself and log it."""
-        _jobs.send_error_response(caller, code, reason)
+        _jobs.send_error_response(
+            caller, code, reason, self._get_pause_retry_after_s(job, code)
+        )
         self.record_end(job, code, reason)
 
     def record_end(self, job, code, reason='', **fields):
@@ -371,6 +439,26 @@
             duration_ms=round(elapsed_s * 1000),
         )
 
+    def _get_pause_retry_after_s(self, job, code):
+        """Return when the first of the service's endpoints ends its pause.
+
+        Returns None if one of them accepts requests now, seconds otherwise.
+        """
+        if code not in (_Code.SHED, _Code.TARGET_UNREACHABLE):
+            return None
+        pause_s = routing.get_pause_s(
+            self.T,
+            [
+                endpoint
+                for endpoint in fleet.list_endpoints(self.T, job.service.name)
+                if endpoint.layers is None or endpoint.layers.start == 0
+            ],
+            clocks.read_clock(),
+        )
+        if not pause_s:
+            return None
+        return pause_s + self.rng.uniform(0.0, _PAUSE_END_SPREAD_S)
+
     def _reject_blocked(self, job, caller, blocked):
         code = _Code.CONTENT_CONDEMNED
         reason = f'crashed endpoints before: {", ".join(sorted(blocked))}'
@@ -403,6 +491,7 @@
                 self.now(),
                 self.rng,
                 job.failed_ids,
+                self.list_restricted(endpoints),
             )
             if endpoint is None:
                 code = _Code.SHED if endpoints else _Code.NO_ENDPOINT
@@ -461,7 +550,7 @@
                 self.pool,
                 endpoint.address,
                 self.create_outgoing_request(job, stages, None),
-                functools.partial(self.notice_recorder.record_head, endpoint),
+                self.create_guard(endpoint),
             )
             if (
                 isinstance(outcome, _exchanges.Answered)
--- a/sniperudder/forwarding/_streams.py
+++ b/sniperudder/forwarding/_streams.py
@@ -112,6 +112,7 @@
             now,
             forwarder.rng,
             job.failed_ids,
+            forwarder.list_restricted(endpoints),
         )
         return () if endpoint is None else (fleet.Stage(endpoint, None),)
     stages = routing.choose_chain(
@@ -126,6 +127,7 @@
         1.0
         if job.attempts
         else forwarder.load_shedder.get_relative_urgency(job.rank),
+        forwarder.list_restricted(endpoints),
     )
     if stages:
         routing.check_chain(stages, engine.layer_count)
--- a/sniperudder/routing/__init__.py
+++ b/sniperudder/routing/__init__.py
@@ -24,6 +24,17 @@
 from sniperudder.routing._health import record_layers_changed
 from sniperudder.routing._health import record_refusal
 from sniperudder.routing._health import record_success
+from sniperudder.routing._quotas import choose_holders
+from sniperudder.routing._quotas import compute_share
+from sniperudder.routing._quotas import has_quota
+from sniperudder.routing._quotas import rank_instances
+from sniperudder.routing._quotas import return_quota
+from sniperudder.routing._quotas import spend_quota
+from sniperudder.routing._quotas import update_quotas
+from sniperudder.routing._restrictions import get_pause_s
+from sniperudder.routing._restrictions import is_open
+from sniperudder.routing._restrictions import list_restricted
+from sniperudder.routing._restrictions import may_send
 from sniperudder.routing._routes import choose_service
 from sniperudder.routing._routes import get_rank
 from sniperudder.routing._routes import match_route
@@ -40,19 +51,27 @@
     'check_chain',
     'choose_chain',
     'choose_endpoint',
+    'choose_holders',
     'choose_service',
     'compute_crossing_cost',
     'compute_layer_cost',
+    'compute_share',
     'estimate_stage_ms',
     'find_chain',
     'get_kv_capacity',
+    'get_pause_s',
     'get_rank',
     'get_shed_share',
     'get_slack_share',
     'has_free_connection',
+    'has_quota',
     'is_avoided',
+    'is_open',
+    'list_restricted',
     'make_crash_keys',
     'match_route',
+    'may_send',
+    'rank_instances',
     'record_dead',
     'record_failure',
     'record_fault_notice',
@@ -61,5 +80,8 @@
     'record_refusal',
     'record_success',
     'replace_stages',
+    'return_quota',
+    'spend_quota',
+    'update_quotas',
     'update_shedding_level',
 ]
--- a/sniperudder/routing/_balancing.py
+++ b/sniperudder/routing/_balancing.py
@@ -13,7 +13,15 @@
 _REMOTE_REQUESTS = 0.25
 
 
-def choose_endpoint(T, endpoints, local_data_centre, now, rng, excluded=()):
+def choose_endpoint(
+    T,
+    endpoints,
+    local_data_centre,
+    now,
+    rng,
+    excluded=(),
+    restricted=(),
+):
     """Choose the endpoint with the fewest requests in flight per slot.
 
     Endpoints to which this instance has no free connection are left out.
@@ -30,6 +38,9 @@
     excluded : collection of str
         Ids of endpoints that were tried before; used only if there are no
         others.
+    restricted : collection of str
+        Ids of endpoints that may be sent no request now; see
+        `list_restricted`.
 
     Returns
     -------
@@ -49,6 +60,9 @@
         )
 
     available = [
-        e for e in endpoints if _connection_limits.has_free_connection(T, e)
+        e
+        for e in endpoints
+        if e.id not in restricted
+        and _connection_limits.has_free_connection(T, e)
     ]
     return min(available, key=get_sort_key, default=None)
--- a/sniperudder/routing/_budgets.py
+++ b/sniperudder/routing/_budgets.py
@@ -8,6 +8,7 @@
 """
 
 import collections
+import itertools
 
 # Fraction of the budget that is used. The budget also applies to windows that
 # begin later than this one, and these may contain fewer of its requests.
@@ -81,6 +82,21 @@
         self._requests.append(now)
         self._trim(now)
 
+    def get_request_rate(self, now, window_s):
+        """Return the requests per second in the last seconds.
+
+        Parameters
+        ----------
+        now : float
+            Loop time, seconds.
+        window_s : float
+            At most the window of the budget.
+        """
+        recent = itertools.takewhile(
+            lambda at: at > now - window_s, reversed(self._requests)
+        )
+        return sum(1 for _ in recent) / window_s
+
     def spend(self, now, slack):
         """Take one retry from the budget if it is not exhausted.
 
--- a/sniperudder/routing/_chains.py
+++ b/sniperudder/routing/_chains.py
@@ -47,6 +47,7 @@
     now,
     rng,
     relative_urgency=1.0,
+    restricted=(),
 ):
     """Choose a chain for a new request.
 
@@ -68,6 +69,9 @@
     relative_urgency : float
         From 0 for the least urgent rank to 1 for the most urgent one. Part
         of the capacity is reserved for more urgent requests.
+    restricted : collection of str
+        Ids of endpoints that may not be the first stage, which receives the
+        request; see `list_restricted`.
 
     Returns
     -------
@@ -86,7 +90,8 @@
         {
             e.id
             for e in endpoints
-            if not _connection_limits.has_free_connection(T, e)
+            if e.id in restricted
+            or not _connection_limits.has_free_connection(T, e)
         },
     )
 
--- a/sniperudder/testing/__init__.py
+++ b/sniperudder/testing/__init__.py
@@ -33,6 +33,7 @@
 from sniperudder.testing._streams import ReceivedAnswer
 from sniperudder.testing._streams import StreamFleet
 from sniperudder.testing._virtual_time import VirtualTime
+from sniperudder.testing._windows import count_most
 
 __all__ = [
     'CommandRecord',
@@ -55,6 +56,7 @@
     'GuaranteeMonitor',
     'Caller',
     'check_streams',
+    'count_most',
     'create_fleet',
     'create_stream_fleet',
     'draw_plan',
