Test from where notices of endpoints are read, and each way of sending

Failed answers, refusals, bodies that break off, reports and orders; told by a peer; an address that is used again; retries, resumed streams, later stages and restrictions stated while a connection is opened. The simulated fleet reads its list of instances after its start.

--- a/sniperudder/digests/tests/test_sums.py
+++ b/sniperudder/digests/tests/test_sums.py
@@ -205,3 +205,49 @@
             )
             peers.record_digest(total, ('h', 1), 0.0)
         self.assertEqual(load, peers.get_load('gpu-1'))
+
+
+class RestrictionTest(testtools.TestCase):
+    def test_restrictions_and_demands_are_sent(self):
+        digest = digests.Digest(
+            'entry-1',
+            1,
+            1,
+            {},
+            (),
+            restrictions={
+                ('gpu-1', 5): digests.Restriction(False, 4.25, 1.5),
+                ('gpu-2', 6): digests.Restriction(True, None, 0.25),
+            },
+            demands={'llm': 12.5},
+        )
+        sent = digests.decode_digest(digests.encode_digest(digest))
+        self.assertEqual(digest, sent)
+
+    def test_digest_of_an_endless_limit_is_rejected(self):
+        for limit in (float('nan'), float('inf'), -1.0):
+            told = {('gpu-1', 5): digests.Restriction(False, limit, 1.0)}
+            digest = digests.Digest('entry-1', 1, 1, {}, (), restrictions=told)
+            with testtools.ExpectedException(digests.DigestError):
+                digests.decode_digest(digests.encode_digest(digest))
+
+    def test_sum_of_many_restrictions_fits_in_a_datagram(self):
+        rng = random.Random(1)
+        parts = [
+            make_digest(
+                f'entry-{n}',
+                rng,
+                restrictions={
+                    (f'i-{n}-{m}', 1_785_381_178_541): digests.Restriction(
+                        False, 4.3, rng.uniform(0.0, 9.0)
+                    )
+                    for m in range(digests.MAX_RESTRICTIONS)
+                },
+            )
+            for n in range(60)
+        ]
+        total = digests.add_digests(parts[0], parts, [0.0] * len(parts))
+        self.assertEqual(digests.MAX_RESTRICTIONS, len(total.restrictions))
+        size = len(digests.encode_digest(total))
+        self.assertLess(size, _DATAGRAM_BYTES / 2)
+        self.assertEqual({}, total.demands)
--- a/sniperudder/entry/tests/test_notices.py
+++ b/sniperudder/entry/tests/test_notices.py
@@ -7,12 +7,18 @@
 
 import asyncio
 import random
+import unittest.mock
 
+import h11
 import testtools
 
+from sniperudder import clocks
+from sniperudder import digests
 from sniperudder.entry.tests import _fleets
 from sniperudder.entry.tests import _loads
 from sniperudder.entry.tests import _members
+from sniperudder import fleet
+from sniperudder import forwarding
 from sniperudder import testing
 from standins import fleet as standins
 
@@ -186,3 +192,191 @@
 
         asyncio.run(run())
         self.assertEqual(1, len(desk.arrivals))
+
+
+class NoticeSourceTest(testtools.TestCase):
+    """Where a notice may come from, and what it applies to."""
+
+    def run_case(self, case, *endpoints, engine=None):
+        async def run():
+            async with _fleets.run_fleet(
+                *endpoints, engine=engine
+            ) as test_fleet:
+                await case(test_fleet)
+
+        asyncio.run(run())
+
+    def run_engines(self, case, layers, accelerator='big'):
+        """Run a case with an instance and engines; return the engines."""
+        engines = [
+            _fleets.create_engine(f'gpu-{number}', accelerator, held)
+            for number, held in enumerate(layers)
+        ]
+
+        async def run_placed(test_fleet):
+            await test_fleet.await_placed()
+            await case(test_fleet, engines)
+
+        engine = standins.make_engine(accelerators=_fleets.ACCELERATORS)
+        self.run_case(run_placed, *engines, engine=engine)
+        return engines
+
+    def get_restrictions(self, test_fleet, endpoint):
+        """Return what the instance knows of an endpoint."""
+        run_id = endpoint.id, endpoint.born
+        return test_fleet.instance._T.notices.get(run_id)
+
+    def test_restriction_told_by_a_peer_is_heeded(self):
+        desks = [_fleets.create_desk(f'desk-{n}') for n in range(2)]
+
+        async def case(test_fleet):
+            told = {('desk-0', 1): digests.Restriction(True, None, 0.5)}
+            forwarder = test_fleet.instance._forwarder
+            forwarder.apply_restrictions('entry-2', told)
+            for _ in range(10):
+                status, _, _ = await test_fleet.send('/safe/a')
+                self.assertEqual(200, status)
+
+        self.run_case(case, *desks)
+        self.assertEqual([0, 10], [len(desk.arrivals) for desk in desks])
+
+    def test_failed_answers_and_refusals_are_read(self):
+        for make_entry in (
+            lambda desk: desk.fail(),
+            lambda desk: desk.refuse(),
+        ):
+            desk = _fleets.create_desk()
+            desk.notices = [('Server-Limit', '3.5')]
+            desk.script.append(make_entry(desk))
+
+            async def case(test_fleet, desk=desk):
+                await test_fleet.send('/unsafe/a')
+                known = self.get_restrictions(test_fleet, desk)
+                self.assertEqual(3.5, known.rate_limit)
+
+            self.run_case(case, desk)
+
+    def test_answer_whose_body_breaks_off_is_read(self):
+        desk = _fleets.create_desk()
+        desk.notices = [('Server-Leaving', '1')]
+
+        async def break_off(request, http, writer):
+            headers = [
+                *standins.make_seal(request),
+                *desk.notices,
+                ('Content-Length', '9'),
+            ]
+            head = h11.Response(status_code=200, headers=headers)
+            writer.write(http.send(head))
+            writer.write(http.send(h11.Data(data=b'part')))
+            await writer.drain()
+            writer.close()
+            raise OSError('broken off by the script')
+
+        desk.script.append(break_off)
+
+        async def case(test_fleet):
+            await test_fleet.send('/unsafe/a')
+            self.assertTrue(self.get_restrictions(test_fleet, desk).leaving)
+
+        self.run_case(case, desk)
+
+    def test_reports_and_orders_are_read(self):
+        async def case(test_fleet, engines):
+            first = engines[0]
+            first.notices = [('Server-Limit', '2.5')]
+            rerouter = test_fleet.instance._forwarder.rerouter
+            endpoint = test_fleet.instance._T.endpoints[first.id]
+            await rerouter.find_stalling_stage(endpoint, 'r-1')
+            known = self.get_restrictions(test_fleet, first)
+            self.assertEqual(2.5, known.rate_limit)
+
+        self.run_engines(case, [(0, 8)])
+
+    # Guards against: another endpoint that has taken over an address speaks
+    # for the one that the request was meant for.
+    def test_misdirected_answer_does_not_count(self):
+        desk = _fleets.create_desk()
+        desk.notices = [('Server-Leaving', '1')]
+
+        async def case(test_fleet):
+            desk.id = 'desk-new'
+            await test_fleet.send('/safe/a')
+            desk.id = 'desk-1'
+            self.assertFalse(self.get_restrictions(test_fleet, desk).leaving)
+            self.assertGreater(len(desk.misdirected), 0)
+
+        self.run_case(case, desk)
+
+    def test_refused_request_is_not_sent_to_a_pausing_endpoint_again(self):
+        desk = _fleets.create_desk()
+        desk.script.extend([desk.refuse('3.0')] * 4)
+
+        async def case(test_fleet):
+            status, headers, _ = await test_fleet.send('/unsafe/a')
+            self.assertEqual(503, status)
+            self.assertGreater(float(headers['retry-after']), 2.0)
+
+        self.run_case(case, desk)
+        self.assertEqual(1, len(desk.arrivals))
+
+    def test_stream_is_not_resumed_at_a_pausing_endpoint(self):
+        async def case(test_fleet, engines):
+            def make_entry(engine, other):
+                async def serve(request, http, writer):
+                    test_fleet.instance._T.notices.record(
+                        (other.id, other.born),
+                        fleet.Notice(pause_s=5.0),
+                        clocks.read_clock(),
+                    )
+                    await engine.send_stream(request, http, writer, upto=1)
+                    writer.transport.abort()
+                    raise OSError('reset by the script')
+
+                return serve
+
+            left, right = engines
+            left.script.append(make_entry(left, right))
+            right.script.append(make_entry(right, left))
+            with testtools.ExpectedException(h11.RemoteProtocolError):
+                await test_fleet.send('/stream/a', wait_ms=4_000)
+
+        engines = self.run_engines(case, [(0, 8), (0, 8)])
+        self.assertEqual(1, sum(len(engine.arrivals) for engine in engines))
+
+    def test_limited_endpoint_may_be_a_later_stage(self):
+        async def case(test_fleet, engines):
+            for engine in engines[1:]:
+                test_fleet.instance._T.notices.record(
+                    (engine.id, engine.born),
+                    fleet.Notice(rate_limit=0.0, pause_s=9.0),
+                    clocks.read_clock(),
+                )
+            status, _, _ = await test_fleet.send('/stream/a', wait_ms=4_000)
+            self.assertEqual(200, status)
+
+        self.run_engines(case, [(0, 4), (4, 8)], 'half')
+
+    def test_restriction_stated_while_connecting_is_heeded(self):
+        desks = [_fleets.create_desk(f'desk-{n}') for n in range(2)]
+
+        acquire = forwarding.ConnectionPool.acquire
+
+        async def case(test_fleet):
+            notices = test_fleet.instance._T.notices
+
+            async def acquire_late(pool, address, *args):
+                for desk in desks:
+                    if desk.address == address:
+                        run_id = desk.id, desk.born
+                        notices.apply_leaving(run_id, clocks.read_clock())
+                return await acquire(pool, address, *args)
+
+            with unittest.mock.patch.object(
+                forwarding.ConnectionPool, 'acquire', acquire_late
+            ):
+                status, _, _ = await test_fleet.send('/unsafe/a')
+            self.assertEqual(503, status)
+
+        self.run_case(case, *desks)
+        self.assertEqual([0, 0], [len(desk.arrivals) for desk in desks])
--- a/sniperudder/routing/tests/_quota_fleets.py
+++ b/sniperudder/routing/tests/_quota_fleets.py
@@ -34,8 +34,13 @@
         self.incarnation += 1
         self.sequence = 0
         self.T = fleet.FleetTables(endpoints=endpoints)
-        for peer in self.peers:
-            self.T.peers.add_peer(peer, (peer, 1), now)
+
+    def read_list(self, T, now):
+        """Read the list of instances, unless it has restarted since."""
+        if self.T is T:
+            T.instances_known = True
+            for peer in self.peers:
+                T.peers.add_peer(peer, (peer, 1), now)
 
     def update(self, now, direct):
         """Update the quotas; return the digest to send."""
@@ -156,11 +161,10 @@
         instance = self.instances[index]
         instance.start(self.now, {e.id: e for e in self._endpoints})
         T = instance.T
-
-        def read_list():
-            T.instances_known = True
-
-        self.call_at(self.now + _LIST_READ_S, read_list)
+        self.call_at(
+            self.now + _LIST_READ_S,
+            lambda: instance.read_list(T, self.now),
+        )
 
     def _update(self, index):
         instance = self.instances[index]
