Reject the least urgent requests while all endpoints have a rate limit

Callers of urgent requests would have been rejected as often as the others once every endpoint of a service names a limit: a token went to whoever came first.

A holder may save half a second of its part beyond one request: with buckets of one, a twentieth was rejected at three times the capacity.

--- a/sniperudder/forwarding/_forwarder.py
+++ b/sniperudder/forwarding/_forwarder.py
@@ -1,6 +1,7 @@
 """Forwarding of requests, from arrival to the final response."""
 
 import asyncio
+import collections
 import random
 
 from sniperudder import clocks
@@ -70,6 +71,7 @@
             T, self.rng, journal, self.notice_recorder
         )
         self._budgets = {}
+        self._rank_counters = collections.defaultdict(routing.RankCounter)
         self._slow_run_ids = set()
 
     async def handle(self, request, caller):
@@ -93,6 +95,10 @@
             reason = f'pressure level {self.load_shedder.shedding_level:.2f}'
             self.end_with_error(job, caller, _Code.SHED, reason)
             return
+        if self._exceeds_limits(job):
+            reason = 'beyond the rate limits of all endpoints'
+            self.end_with_error(job, caller, _Code.SHED, reason)
+            return
         try:
             async with asyncio.timeout_at(job.deadline):
                 if job.route.streaming:
@@ -439,6 +445,33 @@
             duration_ms=round(elapsed_s * 1000),
         )
 
+    def _exceeds_limits(self, job):
+        """Return whether to reject a request for its rank; drawn at random.
+
+        This is the case only while all endpoints have a rate limit.
+        """
+        counter = self._rank_counters[job.service.name]
+        counter.record_request(job.rank, self.now())
+        if not self.T.quotas.quotas:
+            return False
+        capacity_per_s = routing.get_limited_capacity(
+            self.T, self._list_first_stages(job.service), clocks.read_clock()
+        )
+        if capacity_per_s is None:
+            return False
+        shares = routing.compute_admitted_shares(
+            counter.get_rates(self.now()), capacity_per_s
+        )
+        return self.rng.random() >= shares[job.rank]
+
+    def _list_first_stages(self, service):
+        """Return the endpoints that may receive requests of a service."""
+        return [
+            endpoint
+            for endpoint in fleet.list_endpoints(self.T, service.name)
+            if endpoint.layers is None or endpoint.layers.start == 0
+        ]
+
     def _get_pause_retry_after_s(self, job, code):
         """Return when the first of the service's endpoints ends its pause.
 
@@ -447,13 +480,7 @@
         if code not in (_Code.SHED, _Code.TARGET_UNREACHABLE):
             return None
         pause_s = routing.get_pause_s(
-            self.T,
-            [
-                endpoint
-                for endpoint in fleet.list_endpoints(self.T, job.service.name)
-                if endpoint.layers is None or endpoint.layers.start == 0
-            ],
-            clocks.read_clock(),
+            self.T, self._list_first_stages(job.service), clocks.read_clock()
         )
         if not pause_s:
             return None
--- a/sniperudder/routing/__init__.py
+++ b/sniperudder/routing/__init__.py
@@ -41,10 +41,14 @@
 from sniperudder.routing._shedding import GapCounter
 from sniperudder.routing._shedding import get_shed_share
 from sniperudder.routing._shedding import update_shedding_level
+from sniperudder.routing._shortage import compute_admitted_shares
+from sniperudder.routing._shortage import get_limited_capacity
+from sniperudder.routing._shortage import RankCounter
 
 __all__ = [
     'CrashTable',
     'GapCounter',
+    'RankCounter',
     'RequestSize',
     'RetryBudget',
     'SURVIVAL_S',
@@ -53,12 +57,14 @@
     'choose_endpoint',
     'choose_holders',
     'choose_service',
+    'compute_admitted_shares',
     'compute_crossing_cost',
     'compute_layer_cost',
     'compute_share',
     'estimate_stage_ms',
     'find_chain',
     'get_kv_capacity',
+    'get_limited_capacity',
     'get_pause_s',
     'get_rank',
     'get_shed_share',
--- a/sniperudder/routing/_quotas.py
+++ b/sniperudder/routing/_quotas.py
@@ -4,7 +4,7 @@
 from all instances together. Its limit is divided among a few holders, which
 all instances choose alike, so that a small limit is not split into parts that
 nobody can use. Each holder's part grows with the requests that it receives,
-as told in digests, and is a token bucket of one request.
+as told in digests, and is a small token bucket.
 
 An instance uses its part only while it hears from the others in time. One that
 was suspended, or has just started, waits until they have heard of it.
@@ -25,7 +25,7 @@
 _SETTLE_S = 1.0
 
 # Number of holders beyond the limit in requests per second. Each holder may
-# use one saved token at any moment.
+# send one saved request at any moment.
 _EXTRA_HOLDERS = 2
 
 # Lowest limit that is applied, requests per second. Without any requests, the
@@ -36,7 +36,10 @@
 # without requests can serve its first ones.
 _MIN_DEMAND_PER_S = 0.25
 
-_MAX_TOKENS = 1.0
+# Time for which a holder may save up its part beyond one request, seconds.
+# Together, all holders may then send the limit of four seconds and less than
+# twice the limit of one second more within four seconds.
+_SAVED_S = 0.5
 
 
 def choose_holders(run_id, names, rate_limit):
@@ -164,7 +167,7 @@
         quota = table.quotas.get(run_id)
         if quota is None:
             # At random, so that the holders' first requests are spread.
-            quota = fleet.Quota(0.0, rng.random() * _MAX_TOKENS, now)
+            quota = fleet.Quota(0.0, rng.random(), now)
         _refill(quota, now)
         quota.per_s = rate_limit * share
         quotas[run_id] = quota
@@ -195,7 +198,7 @@
     if quota is None:
         return False
     _refill(quota, now)
-    return quota.tokens >= _MAX_TOKENS
+    return quota.tokens >= 1.0
 
 
 def spend_quota(T, endpoint, now):
@@ -210,7 +213,7 @@
         return False
     quota = T.quotas.quotas.get((endpoint.id, endpoint.born_ms))
     if quota is not None:
-        quota.tokens -= _MAX_TOKENS
+        quota.tokens -= 1.0
     return True
 
 
@@ -218,7 +221,7 @@
     """Return a request to the quota, as it was not sent."""
     quota = T.quotas.quotas.get((endpoint.id, endpoint.born_ms))
     if quota is not None:
-        quota.tokens = min(_MAX_TOKENS, quota.tokens + _MAX_TOKENS)
+        quota.tokens = min(_get_max_tokens(quota), quota.tokens + 1.0)
 
 
 def _list_demands(name, peers, demands, service):
@@ -235,12 +238,16 @@
 
 def _refill(quota, now):
     quota.tokens = min(
-        _MAX_TOKENS,
+        _get_max_tokens(quota),
         quota.tokens + quota.per_s * max(now - quota.updated_at, 0.0),
     )
     quota.updated_at = now
 
 
+def _get_max_tokens(quota):
+    return 1.0 + quota.per_s * _SAVED_S
+
+
 def _hash(text):
     digest = hashlib.blake2b(text.encode(), digest_size=8).digest()
     return int.from_bytes(digest)
