--- a/sniperudder/entry/_feed.py
+++ b/sniperudder/entry/_feed.py
@@ -336,10 +336,8 @@
 
     def _check_store(self):
         """Call the store once for each table, beside other work."""
-        if self._store_check is not None:
-            # Its successor must not wait for longer than this one took.
-            return
-        self._store_check = asyncio.create_task(self._poll_store())
+        if self._store_check is None:
+            self._store_check = asyncio.create_task(self._poll_store())
         self._choice.record_failure(
             self._own_name, _read_loop_time(), self._get_store_retry_s()
         )
