Drop the restrictions of runs that ended a minute ago

Found by reading. Runs that the platform no longer lists are now dropped when nothing was heard of them for a minute. A pause counts as heard. test_ended_runs_are_dropped_after_a_time failed before (no such method).

--- a/sniperudder/fleet/_notices.py
+++ b/sniperudder/fleet/_notices.py
@@ -11,6 +11,11 @@
 # delays between instances do not add up.
 _MIN_NEWER_S = 0.5
 
+# Time for which the restrictions of a run that is not listed are kept and told
+# to others, seconds. The entry of a live endpoint may be missing for some time
+# while the store fails.
+_ENDED_S = 60.0
+
 # Number of runs of endpoints that are remembered; those of which nothing was
 # heard for the longest time are dropped first.
 _MAX_RUNS = 20_000
@@ -98,11 +103,13 @@
         """
         if run_id not in self._runs and notice == Notice():
             return False
-        pause = notice.pause_s and now + notice.pause_s
-        changed = pause > self.get(run_id).paused_until
-        if pause:
+        changed = False
+        if notice.pause_s:
             known = self._touch(run_id)
-            known.paused_until = max(known.paused_until, pause)
+            until = now + notice.pause_s
+            changed = until > known.paused_until
+            known.paused_until = max(known.paused_until, until)
+            known.stated_at = max(known.stated_at, now)
         limit_malformed = notice.rate_limit is None and notice.malformed
         if not limit_malformed:
             changed |= self.apply_limit(run_id, notice.rate_limit, now)
@@ -158,6 +165,21 @@
         known.stated_at = stated_at
         return changed
 
+    def drop_ended(self, listed, now):
+        """Drop the runs that have not been listed or heard of for long.
+
+        Parameters
+        ----------
+        listed : set of (str, int)
+            Runs that the platform lists.
+        now : float
+            Seconds.
+        """
+        for run_id in self._runs.keys() - listed:
+            known = self._runs[run_id]
+            if max(known.stated_at, known.paused_until) < now - _ENDED_S:
+                del self._runs[run_id]
+
     def list_limits(self):
         """Return the limits in force.
 
--- a/sniperudder/fleet/_tables.py
+++ b/sniperudder/fleet/_tables.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from sniperudder import clocks
 from sniperudder import digests
 from sniperudder.fleet import _crossings
 from sniperudder.fleet import _endpoints
@@ -162,3 +163,4 @@
         if run_id not in listed and T.states[run_id].requests == 0:
             del T.states[run_id]
     T.speeds.keep_listed(listed)
+    T.notices.drop_ended(listed, clocks.read_clock())
--- a/sniperudder/fleet/tests/test_notices.py
+++ b/sniperudder/fleet/tests/test_notices.py
@@ -45,6 +45,18 @@
         self.assertTrue(self.table.get(_RUN).leaving)
         self.assertFalse(self.table.get(('gpu-1', 6)).leaving)
 
+    # Guards against: departures of ended runs are kept and told for ever.
+    def test_ended_runs_are_dropped_after_a_time(self):
+        self.table.record(_RUN, fleet.Notice(leaving=True), 1.0)
+        limited = 'gpu-2', 5
+        self.table.record(limited, fleet.Notice(False, 4.0), 1.0)
+        self.table.drop_ended({limited}, 30.0)
+        self.assertTrue(self.table.get(_RUN).leaving)
+        self.table.drop_ended({limited}, 90.0)
+        self.assertFalse(self.table.get(_RUN).leaving)
+        listed = [run_id for run_id, _ in self.table.list_statements(90.0, 9)]
+        self.assertEqual([limited], listed)
+
     def test_statements_are_listed_newest_first_and_bounded(self):
         for number in range(9):
             notice = fleet.Notice(False, 1.0 + number)
