--- a/sniperudder/entry/tests/test_feed.py
+++ b/sniperudder/entry/tests/test_feed.py
@@ -17,8 +17,8 @@
 _SEEDS = range(20)
 _DURATION_S = 60.0
 
-# Seeds that failed once, with the cause: 1025, a check of the store that learned
-# that the history is gone left reading the table to the next check.
+# Seeds that failed once, with the cause: 1025, a check of the store that
+# learned that the history is gone left reading the table to the next check.
 _REGRESSION_SEEDS = (1025,)
 
 
