--- a/sniperudder/fleet/_notices.py
+++ b/sniperudder/fleet/_notices.py
@@ -96,6 +96,13 @@
     def record(self, run_id, notice, now):
         """Record what a response says.
 
+        Parameters
+        ----------
+        run_id : (str, int)
+        notice : Notice
+        now : float
+            Seconds.
+
         Returns
         -------
         bool
--- a/sniperudder/routing/_quotas.py
+++ b/sniperudder/routing/_quotas.py
@@ -37,8 +37,7 @@
 _MIN_DEMAND_PER_S = 0.25
 
 # Time for which a holder may save up its part beyond one request, seconds.
-# Together, all holders may then send the limit of four seconds and less than
-# twice the limit of one second more within four seconds.
+# Without it, a large part would be lost to the variation of arrivals.
 _SAVED_S = 0.5
 
 
