Log and measure the era of the platform's store

The client reads the era from the headers of each response, also of one that breaks off. platform:era tells each change; table:old, table:gap, table:skipped, configuration:in force, configuration:not newer and lease:taken and lease:lost name it; store_era is a metric.

--- a/sniperudder/entry/_entry.py
+++ b/sniperudder/entry/_entry.py
@@ -82,6 +82,7 @@
             settings.platform_address,
             self._call_platform,
             self._record_store_call,
+            self._log_era,
         )
         self._metrics_port = metrics_port
         self._forwarder = forwarding.Forwarder(
@@ -231,11 +232,22 @@
             content_type='application/x-thrift',
         )
 
-    async def _call_platform(self, address, method, target, body, timeout_s):
+    async def _call_platform(
+        self, address, method, target, body, timeout_s, handle_headers
+    ):
         return await forwarding.request_json(
-            self._control_pool, address, method, target, body, timeout_s
+            self._control_pool,
+            address,
+            method,
+            target,
+            body,
+            timeout_s,
+            handle_head=lambda head: handle_headers(head.headers),
         )
 
+    def _log_era(self, before, era):
+        self._journal.write('platform:era', str(era), before=before)
+
     def _record_store_call(self, seconds):
         metrics.record_duration(
             self._metrics, metrics.Timing.STORE_CALL, '', '', seconds
@@ -256,6 +268,13 @@
                 continue
             known = self._T.configuration
             if known is not None and configuration.version <= known.version:
+                self._journal.write(
+                    'configuration:not newer',
+                    str(configuration.version),
+                    row_version=row.version,
+                    era=self._store.era,
+                    known=known.version,
+                )
                 continue
             self._T.configuration = configuration
             limits = configuration.limits
@@ -269,6 +288,7 @@
                 'configuration:in force',
                 str(configuration.version),
                 row_version=row.version,
+                era=self._store.era,
                 before=known.version if known else None,
             )
 
@@ -365,6 +385,7 @@
             'endpoints': len(self._T.endpoints),
             'instances': self._T.peers.count_alive(),
             'pressure': self._forwarder.load_shedder.shedding_level,
+            'store_era': self._store.era or 0,
             **self._forwarder.crash_monitor.get_gauges(),
             **self._T.notices.count_restricted(clocks.read_clock()),
         }
--- a/sniperudder/entry/_placer.py
+++ b/sniperudder/entry/_placer.py
@@ -158,14 +158,22 @@
             if not held:
                 self._orders.clear()
                 self._journal.write(
-                    'lease:taken', _LEASE_KEY, version=outcome.version
+                    'lease:taken',
+                    _LEASE_KEY,
+                    version=outcome.version,
+                    era=self._store.era,
                 )
             return
         if isinstance(outcome, platform.Conflict):
             version = max((row.version for row in outcome.rows), default=0)
             placement.observe_lease(self._lease, version, now)
             if held:
-                self._journal.write('lease:lost', _LEASE_KEY, version=version)
+                self._journal.write(
+                    'lease:lost',
+                    _LEASE_KEY,
+                    version=version,
+                    era=self._store.era,
+                )
             return
         self._log_lease_failure(outcome)
         if held and not placement.may_order(self._lease, _read_boot_time()):
--- a/sniperudder/entry/_watchers.py
+++ b/sniperudder/entry/_watchers.py
@@ -110,6 +110,7 @@
                 'table:old',
                 self._copy.table,
                 version=outcome.version,
+                era=self._store.era,
                 known=known_version,
             )
             return _MAX_BACKOFF_S
@@ -122,17 +123,36 @@
             self._copy.table, after, wait_s
         )
         if isinstance(outcome, platform.HistoryGone):
-            self._journal.write('table:gap', self._copy.table, known=after)
+            self._journal.write(
+                'table:gap',
+                self._copy.table,
+                known=after,
+                era=self._store.era,
+            )
             self._history_gone = True
             return await self._read_all()
         if isinstance(outcome, platform.Unavailable):
             return self._record_failure(outcome)
         self._record_success()
+        self._log_skipped(outcome, after)
         self._update(outcome, False)
         if outcome.rows and self._get_batch_delay_s is not None:
             return self._get_batch_delay_s()
         return 0.0
 
+    def _log_skipped(self, outcome, known_version):
+        """Log that the store gave rows that the copy takes for known."""
+        skipped = [r for r in outcome.rows if r.version <= known_version]
+        if skipped or outcome.version < known_version:
+            self._journal.write(
+                'table:skipped',
+                self._copy.table,
+                keys=[row.key for row in skipped],
+                version=outcome.version,
+                era=self._store.era,
+                known=known_version,
+            )
+
     def _update(self, outcome, is_snapshot):
         return self._copy.update(
             feeds.Changes(
--- a/sniperudder/entry/tests/_feed_networks.py
+++ b/sniperudder/entry/tests/_feed_networks.py
@@ -65,6 +65,8 @@
 class StoreClient:
     """The store as one instance sees it."""
 
+    era = None
+
     def __init__(self, store, instance):
         self._store = store
         self._instance = instance
--- a/sniperudder/entry/tests/test_watchers.py
+++ b/sniperudder/entry/tests/test_watchers.py
@@ -15,6 +15,8 @@
 class ScriptedStore:
     """Returns scripted outcomes in turn, then blocks."""
 
+    era = None
+
     def __init__(self, *outcomes):
         self._outcomes = list(outcomes)
         self.waits = []
--- a/sniperudder/platform/_store.py
+++ b/sniperudder/platform/_store.py
@@ -21,6 +21,10 @@
 _HISTORY_GONE = 410
 _OVERLOADED = (429, 503)
 
+# Header with a number that rises each time the store is restored from a copy.
+_ERA = b'store-era'
+_MAX_ERA_DIGITS = 18
+
 # Time allowed for a response in addition to a long poll's wait. In the users'
 # load scenarios, a store slowed down to 352 ms per call (88 x 4 ms) still
 # responds within it.
@@ -115,19 +119,36 @@
     address : str
         Address of the store; can be changed at any time.
     call : callable
-        Coroutine function of address, method, target, body and timeout
-        in seconds; returns a status and a body, or raises OSError.
+        Coroutine function of address, method, target, body, timeout in
+        seconds and a callable for the headers of the response, which is
+        called before its body is read; returns a status and a body, or
+        raises OSError.
     record_latency : callable, optional
         Called with the duration in seconds of each call that is not a long
         poll.
+    record_era : callable, optional
+        Called with the era of the store before and after each change.
+
+    Attributes
+    ----------
+    era : int or None
+        Era that the last response stated.
     """
 
-    __slots__ = ('_call', '_record_latency', 'address')
+    __slots__ = (
+        '_call',
+        '_record_era',
+        '_record_latency',
+        'address',
+        'era',
+    )
 
-    def __init__(self, address, call, record_latency=None):
+    def __init__(self, address, call, record_latency=None, record_era=None):
         self.address = address
+        self.era = None
         self._call = call
         self._record_latency = record_latency
+        self._record_era = record_era
 
     async def read_table(self, table):
         """Return all rows of a table.
@@ -238,11 +259,25 @@
                 target,
                 body,
                 wait_s + _RESPONSE_TIMEOUT_S,
+                self._handle_headers,
             )
         finally:
             if not wait_s and self._record_latency is not None:
                 self._record_latency(loop.time() - started_at)
 
+    def _handle_headers(self, headers):
+        before, self.era = self.era, _decode_era(headers)
+        if self.era != before and self._record_era is not None:
+            self._record_era(before, self.era)
+
+
+def _decode_era(headers):
+    """Return the era that a response states; None if it states none."""
+    for name, value in headers:
+        if name.lower() == _ERA and value.isdigit():
+            return int(value) if len(value) <= _MAX_ERA_DIGITS else None
+    return None
+
 
 def _decode_rows(reply):
     rows = [
--- a/sniperudder/platform/tests/test_store.py
+++ b/sniperudder/platform/tests/test_store.py
@@ -25,7 +25,9 @@
     """
     remaining = list(responses)
 
-    async def send_response(address, method, target, body, timeout_s):
+    async def send_response(
+        address, method, target, body, timeout_s, handle_headers
+    ):
         response = remaining.pop(0)
         if isinstance(response, OSError):
             raise response
@@ -118,3 +120,32 @@
         for status in (429, 503):
             outcome = run_call(write_row, (status, b'{}'))
             self.assertFalse(outcome.maybe_done)
+
+
+class EraTest(testtools.TestCase):
+    def read_eras(self, *values):
+        """Return the eras that are recorded for headers with these values."""
+        eras = []
+
+        async def call(address, method, target, body, timeout_s, handle):
+            handle([] if values[0] is None else [(b'store-era', values[0])])
+            raise OSError('reset')
+
+        async def run():
+            nonlocal values
+            store = platform.Store(
+                'h:1', call, None, lambda before, era: eras.append(era)
+            )
+            while values:
+                await read_table(store)
+                values = values[1:]
+
+        asyncio.run(run())
+        return eras
+
+    def test_era_is_read_also_if_the_response_breaks_off(self):
+        self.assertEqual([3, 4], self.read_eras(b'3', b'3', b'4'))
+
+    def test_malformed_era_is_none(self):
+        for value in (None, b'', b'x', b'-1', b'1.5', b'9' * 5_000):
+            self.assertEqual([3, None], self.read_eras(b'3', value), value)
