--- a/standins/fleet/_store.py
+++ b/standins/fleet/_store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import dataclasses
 import json
 import urllib.parse
 
@@ -9,6 +10,20 @@
 from standins.fleet import _servers
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """State of a store to which it can be restored.
+
+    Attributes
+    ----------
+    rows : dict of (str, str) to (bytes, int)
+    version : int
+    """
+
+    rows: dict
+    version: int
+
+
 class StoreStandin(_servers.Server):
     """The platform's store: rows under versions, and a feed of changes.
 
@@ -17,6 +32,9 @@
     rows : dict of (str, str) to (bytes, int)
         Value and version by table and key.
     version : int
+    era : int or None
+        Number of the store's life, which each response states; None for a
+        store that does not state it.
     forgotten_version : int
         Version of the last change that was forgotten.
     failure_status : int or None
@@ -27,17 +45,21 @@
         Whether calls are accepted but never receive a response.
     delay_s : float
         Time until the response to a call, seconds.
+    on_call : callable or None
+        Called with the path of each call before it is carried out.
     """
 
     def __init__(self):
         super().__init__()
         self.rows = {}
         self.version = 1
+        self.era = 1
         self.forgotten_version = 0
         self.failure_status = None
         self.silent = False
         self.delay_s = 0.0
         self.calls = []
+        self.on_call = None
         self._changes = []
         self._changed = asyncio.Event()
 
@@ -49,8 +71,7 @@
         else:
             self.rows[table, key] = value, self.version
         self._changes.append((self.version, table, key, value))
-        self._changed.set()
-        self._changed = asyncio.Event()
+        self.wake()
 
     def put_json(self, table, key, value):
         """Set a row to a value as JSON."""
@@ -62,8 +83,23 @@
         self.version += 1
         self.forgotten_version = self.version
         self._changes.clear()
-        self._changed.set()
-        self._changed = asyncio.Event()
+        self.wake()
+
+    def copy(self):
+        """Return a copy of the present state."""
+        return StoreCopy(dict(self.rows), self.version)
+
+    def restore(self, copy):
+        """Lose all changes since a copy and begin a new era.
+
+        Versions above that of the copy are given out again. Reads of changes
+        after a version that the store does not have get 410.
+        """
+        self.rows = dict(copy.rows)
+        self.version = self.forgotten_version = copy.version
+        self.era += 1
+        self._changes.clear()
+        self.wake()
 
     async def respond(self, request, body, http, writer):
         """See base class."""
@@ -73,6 +109,8 @@
         if self.silent:
             await asyncio.Event().wait()
         await asyncio.sleep(self.delay_s)
+        if self.on_call is not None:
+            self.on_call(path)
         if self.failure_status is not None:
             status, value = self.failure_status, {}
         elif path == '/rows-get':
@@ -82,8 +120,11 @@
         else:
             status, value = self._transact(json.loads(body))
         value = {'row_version': self.version, 'now_ms': 0, **value}
+        headers = []
+        if self.era is not None:
+            headers.append(('Store-Era', str(self.era)))
         _messages.write_response(
-            http, writer, status, json.dumps(value).encode(), []
+            http, writer, status, json.dumps(value).encode(), headers
         )
 
     def _get(self, parameters):
@@ -102,7 +143,9 @@
             + int(parameters['wait_ms']) / 1000
         )
         while True:
-            if after < self.forgotten_version:
+            if self.failure_status is not None:
+                return self.failure_status, {}
+            if not self.forgotten_version <= after <= self.version:
                 return 410, {}
             rows = [
                 _make_row(table, key, value, version)
@@ -117,6 +160,11 @@
             except TimeoutError:
                 continue
 
+    def wake(self):
+        """Have waiting calls look again."""
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     def _transact(self, call):
         for row in call['expected_rev']:
             _, version = self.rows.get((row['table'], row['key']), (b'', 0))
