--- a/sniperudder/digests/_codec.py
+++ b/sniperudder/digests/_codec.py
@@ -9,6 +9,7 @@
 from sniperudder.digests import _records
 from sniperudder.digests import _restrictions
 from sniperudder.digests.gen.wire import ttypes
+from sniperudder import revisions
 
 _MS_PER_S = 1000
 
@@ -48,7 +49,7 @@
             for fault in digest.faults
         ],
         crashes=[],
-        lease_version=digest.lease_version,
+        lease_version=digest.lease.version,
         events=digest.events,
         slow_events=digest.slow_events,
         crossings=[
@@ -59,7 +60,10 @@
         data_centre=digest.data_centre,
         instances=digest.instances,
         included=[ttypes.Included(*entry) for entry in digest.included],
-        table_versions=digest.table_versions,
+        table_versions={
+            table: revision.version
+            for table, revision in digest.table_revisions.items()
+        },
         crash_report=_encode_crash_report(digest.crash_report),
         restrictions=[
             ttypes.Restriction(
@@ -75,6 +79,12 @@
             service: int(rate * _MS_PER_S)
             for service, rate in digest.demands.items()
         },
+        lease_era=digest.lease.era,
+        table_eras={
+            table: revision.era
+            for table, revision in digest.table_revisions.items()
+        },
+        configuration_version=digest.configuration_version,
     )
     return TSerialization.serialize(message, _PROTOCOL_FACTORY)
 
@@ -121,7 +131,7 @@
             )
             for fault in message.faults
         ),
-        lease_version=message.lease_version,
+        lease=revisions.Revision(message.lease_era, message.lease_version),
         events=message.events,
         slow_events=message.slow_events,
         crossings={
@@ -135,16 +145,25 @@
             (entry.sender, entry.incarnation, entry.sequence)
             for entry in message.included or ()
         ),
-        table_versions=message.table_versions or {},
+        table_revisions=_decode_table_revisions(message),
         crash_report=crash_report,
         restrictions=restrictions,
         demands={
             service: rate / _MS_PER_S
             for service, rate in (message.demands or {}).items()
         },
+        configuration_version=message.configuration_version,
     )
 
 
+def _decode_table_revisions(message):
+    eras = message.table_eras or {}
+    return {
+        table: revisions.Revision(eras.get(table, 0), version)
+        for table, version in (message.table_versions or {}).items()
+    }
+
+
 def _encode_crash_report(report):
     if not (report.crashes or report.cleared or report.blocks):
         return None
--- a/sniperudder/digests/_records.py
+++ b/sniperudder/digests/_records.py
@@ -4,6 +4,7 @@
 import enum
 
 from sniperudder.digests import _crash_reports
+from sniperudder import revisions
 
 
 class Scope(enum.Enum):
@@ -64,9 +65,9 @@
     loads : dict of str to Load
         Loads by endpoint id; endpoints without requests are omitted.
     faults : tuple of Fault
-    lease_version : int
-        Version of the placement lease that the sender holds; 0 if it
-        holds none.
+    lease : sniperudder.revisions.Revision
+        Revision of the placement lease that the sender holds;
+        `revisions.UNKNOWN` if it holds none.
     events, slow_events : int
         Stream events that the sender forwarded in the last second, and the
         number of them that followed a long gap.
@@ -80,14 +81,17 @@
     included : tuple of (str, int, int)
         Sender, incarnation and sequence number of the digests of the sender's
         data centre that are part of a sum.
-    table_versions : dict of str to int
-        Store version of the last change of each table that the sender knows.
+    table_revisions : dict of str to sniperudder.revisions.Revision
+        State of the store at the last change of each table that the sender
+        knows.
     crash_report : CrashReport
     restrictions : dict of (str, int) to Restriction
         By run id; see `sniperudder.fleet.Endpoint`.
     demands : dict of str to float
         Requests per second that the sender receives, by service; empty in
         sums.
+    configuration_version : int
+        Operators' version of the configuration in force; 0 if there is none.
     """
 
     sender: str
@@ -95,7 +99,7 @@
     sequence: int
     loads: dict
     faults: tuple
-    lease_version: int = 0
+    lease: revisions.Revision = revisions.UNKNOWN
     events: int = 0
     slow_events: int = 0
     crossings: dict = dataclasses.field(default_factory=dict)
@@ -103,9 +107,10 @@
     data_centre: str = ''
     instances: int = 1
     included: tuple = ()
-    table_versions: dict = dataclasses.field(default_factory=dict)
+    table_revisions: dict = dataclasses.field(default_factory=dict)
     crash_report: _crash_reports.CrashReport = dataclasses.field(
         default_factory=_crash_reports.CrashReport
     )
     restrictions: dict = dataclasses.field(default_factory=dict)
     demands: dict = dataclasses.field(default_factory=dict)
+    configuration_version: int = 0
--- a/sniperudder/digests/_sums.py
+++ b/sniperudder/digests/_sums.py
@@ -12,6 +12,7 @@
 from sniperudder.digests import _crash_reports
 from sniperudder.digests import _records
 from sniperudder.digests import _restrictions
+from sniperudder import revisions
 
 # Largest number of loads in a sum, so that it fits in a datagram whatever the
 # size of the fleet. The largest ones are kept.
@@ -47,7 +48,7 @@
     token_layers = collections.Counter()
     crossings = collections.Counter()
     faults = {}
-    table_versions = {}
+    table_revisions = {}
     included = []
     for digest, age_s in zip(digests, ages_s):
         for name, load in digest.loads.items():
@@ -62,8 +63,9 @@
                 faults[fault.endpoint, fault.born_ms] = dataclasses.replace(
                     fault, left_s=left_s
                 )
-        for table, version in digest.table_versions.items():
-            table_versions[table] = max(version, table_versions.get(table, 0))
+        for table, revision in digest.table_revisions.items():
+            known = table_revisions.get(table, revision)
+            table_revisions[table] = max(revision, known)
         if digest.data_centre == header.data_centre:
             if digest.scope is _records.Scope.INSTANCE:
                 included.append(
@@ -81,13 +83,13 @@
             for name in busiest
         },
         faults=tuple(faults.values()),
-        lease_version=max((d.lease_version for d in digests), default=0),
+        lease=max((d.lease for d in digests), default=revisions.UNKNOWN),
         events=sum(digest.events for digest in digests),
         slow_events=sum(digest.slow_events for digest in digests),
         crossings=dict(crossings),
         instances=sum(digest.instances for digest in digests),
         included=tuple(included),
-        table_versions=table_versions,
+        table_revisions=table_revisions,
         crash_report=_crash_reports.merge_crash_reports(
             [digest.crash_report for digest in digests], ages_s
         ),
@@ -95,6 +97,9 @@
             [digest.restrictions for digest in digests], ages_s
         ),
         demands={},
+        configuration_version=max(
+            (d.configuration_version for d in digests), default=0
+        ),
     )
 
 
--- a/sniperudder/digests/digest.thrift
+++ b/sniperudder/digests/digest.thrift
@@ -94,4 +94,9 @@
   17: optional list<Restriction> restrictions;
   // Requests in 1000 s that the sender receives, by service.
   18: optional map<string, i32> demands;
+  // Era of the store to which the lease version and the table versions belong.
+  19: optional i64 lease_era = 0;
+  20: optional map<string, i64> table_eras;
+  // Operators' version of the configuration in force.
+  21: optional i64 configuration_version = 0;
 }
--- a/sniperudder/digests/gen/wire/ttypes.py
+++ b/sniperudder/digests/gen/wire/ttypes.py
@@ -990,6 +990,9 @@
      - crash_report
      - restrictions
      - demands
+     - lease_era
+     - table_eras
+     - configuration_version
 
     """
 
@@ -1012,10 +1015,13 @@
         'crash_report',
         'restrictions',
         'demands',
+        'lease_era',
+        'table_eras',
+        'configuration_version',
     )
 
 
-    def __init__(self, sender=None, incarnation=None, sequence=None, loads=None, faults=None, crashes=None, lease_version=None, events=None, slow_events=None, crossings=None, scope=0, data_centre="", instances=1, included=None, table_versions=None, crash_report=None, restrictions=None, demands=None,):
+    def __init__(self, sender=None, incarnation=None, sequence=None, loads=None, faults=None, crashes=None, lease_version=None, events=None, slow_events=None, crossings=None, scope=0, data_centre="", instances=1, included=None, table_versions=None, crash_report=None, restrictions=None, demands=None, lease_era=0, table_eras=None, configuration_version=0,):
         self.sender = sender
         self.incarnation = incarnation
         self.sequence = sequence
@@ -1034,6 +1040,9 @@
         self.crash_report = crash_report
         self.restrictions = restrictions
         self.demands = demands
+        self.lease_era = lease_era
+        self.table_eras = table_eras
+        self.configuration_version = configuration_version
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1183,6 +1192,27 @@
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 19:
+                if ftype == TType.I64:
+                    self.lease_era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 20:
+                if ftype == TType.MAP:
+                    self.table_eras = {}
+                    (_ktype90, _vtype91, _size89) = iprot.readMapBegin()
+                    for _i93 in range(_size89):
+                        _key94 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val95 = iprot.readI64()
+                        self.table_eras[_key94] = _val95
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 21:
+                if ftype == TType.I64:
+                    self.configuration_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1208,22 +1238,22 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter89 in self.loads:
-                iter89.write(oprot)
+            for iter96 in self.loads:
+                iter96.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.faults is not None:
             oprot.writeFieldBegin('faults', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.faults))
-            for iter90 in self.faults:
-                iter90.write(oprot)
+            for iter97 in self.faults:
+                iter97.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.crashes))
-            for iter91 in self.crashes:
-                iter91.write(oprot)
+            for iter98 in self.crashes:
+                iter98.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.lease_version is not None:
@@ -1241,8 +1271,8 @@
         if self.crossings is not None:
             oprot.writeFieldBegin('crossings', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.crossings))
-            for iter92 in self.crossings:
-                iter92.write(oprot)
+            for iter99 in self.crossings:
+                iter99.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.scope is not None:
@@ -1260,16 +1290,16 @@
         if self.included is not None:
             oprot.writeFieldBegin('included', TType.LIST, 14)
             oprot.writeListBegin(TType.STRUCT, len(self.included))
-            for iter93 in self.included:
-                iter93.write(oprot)
+            for iter100 in self.included:
+                iter100.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.table_versions is not None:
             oprot.writeFieldBegin('table_versions', TType.MAP, 15)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.table_versions))
-            for kiter94, viter95 in self.table_versions.items():
-                oprot.writeString(kiter94.encode('utf-8') if sys.version_info[0] == 2 else kiter94)
-                oprot.writeI64(viter95)
+            for kiter101, viter102 in self.table_versions.items():
+                oprot.writeString(kiter101.encode('utf-8') if sys.version_info[0] == 2 else kiter101)
+                oprot.writeI64(viter102)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.crash_report is not None:
@@ -1279,18 +1309,34 @@
         if self.restrictions is not None:
             oprot.writeFieldBegin('restrictions', TType.LIST, 17)
             oprot.writeListBegin(TType.STRUCT, len(self.restrictions))
-            for iter96 in self.restrictions:
-                iter96.write(oprot)
+            for iter103 in self.restrictions:
+                iter103.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.demands is not None:
             oprot.writeFieldBegin('demands', TType.MAP, 18)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.demands))
-            for kiter97, viter98 in self.demands.items():
-                oprot.writeString(kiter97.encode('utf-8') if sys.version_info[0] == 2 else kiter97)
-                oprot.writeI32(viter98)
+            for kiter104, viter105 in self.demands.items():
+                oprot.writeString(kiter104.encode('utf-8') if sys.version_info[0] == 2 else kiter104)
+                oprot.writeI32(viter105)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
+        if self.lease_era is not None:
+            oprot.writeFieldBegin('lease_era', TType.I64, 19)
+            oprot.writeI64(self.lease_era)
+            oprot.writeFieldEnd()
+        if self.table_eras is not None:
+            oprot.writeFieldBegin('table_eras', TType.MAP, 20)
+            oprot.writeMapBegin(TType.STRING, TType.I64, len(self.table_eras))
+            for kiter106, viter107 in self.table_eras.items():
+                oprot.writeString(kiter106.encode('utf-8') if sys.version_info[0] == 2 else kiter106)
+                oprot.writeI64(viter107)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
+        if self.configuration_version is not None:
+            oprot.writeFieldBegin('configuration_version', TType.I64, 21)
+            oprot.writeI64(self.configuration_version)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1420,6 +1466,9 @@
     (16, TType.STRUCT, 'crash_report', [CrashReport, None], None, ),  # 16
     (17, TType.LIST, 'restrictions', (TType.STRUCT, [Restriction, None], False), None, ),  # 17
     (18, TType.MAP, 'demands', (TType.STRING, 'UTF8', TType.I32, None, False), None, ),  # 18
+    (19, TType.I64, 'lease_era', None, 0, ),  # 19
+    (20, TType.MAP, 'table_eras', (TType.STRING, 'UTF8', TType.I64, None, False), None, ),  # 20
+    (21, TType.I64, 'configuration_version', None, 0, ),  # 21
 )
 fix_spec(all_structs)
 del all_structs
--- a/sniperudder/digests/tests/test_sums.py
+++ b/sniperudder/digests/tests/test_sums.py
@@ -12,6 +12,7 @@
 
 from sniperudder import digests
 from sniperudder.digests.gen.wire import ttypes
+from sniperudder import revisions
 
 # Largest payload of a datagram.
 _DATAGRAM_BYTES = 65_507
@@ -85,11 +86,36 @@
         fault = digests.Fault('gpu-1', 5, 1.0)
         rng = random.Random(1)
         own = make_digest('entry-1', rng)
-        part = digests.Digest('entry-2', 1, 1, {}, (fault,), {})
+        part = digests.Digest('entry-2', 1, 1, {}, (fault,))
         for age_s, left in ((0.25, [0.75]), (1.5, [])):
             total = digests.add_digests(own, [part], [age_s])
             self.assertEqual(left, [f.left_s for f in total.faults])
 
+    # Guards against: in a sum, the state of the store before its restoration
+    # hid the one behind it.
+    def test_sum_has_the_latest_revisions(self):
+        rng = random.Random(1)
+        before, after = revisions.Revision(1, 99), revisions.Revision(2, 92)
+        parts = [
+            make_digest(
+                f'entry-{number}',
+                rng,
+                lease=revision,
+                table_revisions={'op': revision},
+                configuration_version=version,
+            )
+            for number, revision, version in (
+                (1, before, 12),
+                (2, after, 9),
+                (3, before, 9),
+            )
+        ]
+        total = digests.add_digests(parts[0], parts, [0.0] * 3)
+        total = digests.decode_digest(digests.encode_digest(total))
+        self.assertEqual(after, total.lease)
+        self.assertEqual({'op': after}, total.table_revisions)
+        self.assertEqual(12, total.configuration_version)
+
     def test_crash_that_several_instances_saw_is_one_crash(self):
         own = make_digest('entry-1', random.Random(1))
         crash = digests.Crash(1.0, {'part:a': 1})
--- a/sniperudder/entry/_blocks.py
+++ b/sniperudder/entry/_blocks.py
@@ -9,6 +9,7 @@
 import json
 
 from sniperudder import platform
+from sniperudder import revisions
 
 _CHECK_INTERVAL_S = 1.0
 
@@ -36,22 +37,27 @@
         self._crash_monitor = crash_monitor
         self._holds_lease = holds_lease
         self._journal = journal
-        # Blocks of the row and its version; None before it has been read.
+        # Blocks of the row, None before it has been read; and its revision,
+        # None if there is no row.
         self._stored = None
-        self._row_version = 0
+        self._row_revision = None
 
-    def apply_row(self, row):
+    def apply_row(self, row, is_restored=False):
         """Apply the row as the store holds it now.
 
         Parameters
         ----------
         row : sniperudder.platform.StoredRow or None
             None, or without a value, if there is none.
+        is_restored : bool
+            Whether the store was restored from a copy. The row then tells
+            neither of new blocks nor of an operator who lifts them, but it
+            may have to be written again.
         """
         if row is None or row.value is None:
-            if self._stored:
+            if self._stored and not is_restored:
                 self._crash_monitor.lift_blocks('row deleted')
-            self._stored, self._row_version = frozenset(), 0
+            self._stored, self._row_revision = frozenset(), None
             return
         try:
             stored = frozenset(
@@ -61,8 +67,9 @@
         except (KeyError, TypeError, ValueError) as error:
             self._journal.write('blocks:unreadable', reason=str(error))
             stored = frozenset()
-        self._stored, self._row_version = stored, row.version
-        self._crash_monitor.add_blocks(stored)
+        self._stored, self._row_revision = stored, row.revision
+        if not is_restored:
+            self._crash_monitor.add_blocks(stored)
 
     async def maintain(self):
         """Write the row when the blocks have changed, until cancelled."""
@@ -81,7 +88,7 @@
             platform.INSTANCES_TABLE,
             platform.BLOCKS_KEY,
             json.dumps(value).encode() if blocks else None,
-            self._row_version,
+            self._row_revision or revisions.Revision(self._store.era, 0),
         )
         self._journal.write(
             'blocks:written', count=len(blocks), outcome=str(outcome)
@@ -89,5 +96,5 @@
         if not isinstance(outcome, platform.Written):
             return False
         self._stored = blocks
-        self._row_version = outcome.version if blocks else 0
+        self._row_revision = outcome.revision if blocks else None
         return True
--- a/sniperudder/entry/_entry.py
+++ b/sniperudder/entry/_entry.py
@@ -10,10 +10,12 @@
 
 from sniperudder import clocks
 from sniperudder.entry import _blocks
+from sniperudder.entry import _endpoint_list
 from sniperudder.entry import _feed
 from sniperudder.entry import _gossip
 from sniperudder.entry import _journal
 from sniperudder.entry import _placer
+from sniperudder.entry import _recovery
 from sniperudder.entry import _settings
 from sniperudder import feeds
 from sniperudder import fleet
@@ -21,7 +23,6 @@
 from sniperudder import logs
 from sniperudder import metrics
 from sniperudder import platform
-from sniperudder import routing
 
 # Time after SIGTERM during which new connections are still accepted. The load
 # balancer probes readiness every second and stops sending callers after two
@@ -82,7 +83,7 @@
             settings.platform_address,
             self._call_platform,
             self._record_store_call,
-            self._log_era,
+            self._handle_restored,
         )
         self._metrics_port = metrics_port
         self._forwarder = forwarding.Forwarder(
@@ -109,6 +110,21 @@
             settings.name,
             journal,
             lambda: self._feed.reads_store,
+            settings.is_first_start,
+        )
+        configurations = feeds.TableCopy(
+            platform.CONFIGURATION_TABLE,
+            self._apply_configuration,
+            platform.supersedes_configuration,
+        )
+        self._recovery = _recovery.ConfigurationRecovery(
+            self._T, configurations, self._call_peer, journal
+        )
+        self._endpoint_list = _endpoint_list.EndpointList(
+            self._T,
+            self._forwarder.crash_monitor,
+            journal,
+            settings.heartbeat_s,
         )
         self._gossip = _gossip.Gossip(
             self._T,
@@ -117,11 +133,12 @@
             journal,
             self._forwarder,
             self._placer,
+            self._recovery,
         )
         self._block_store = _blocks.BlockStore(
             self._store,
             self._forwarder.crash_monitor,
-            lambda: bool(self._placer.lease_version),
+            lambda: self._placer.lease_revision is not None,
             journal,
         )
         batch_delays_s = dict.fromkeys(
@@ -131,11 +148,9 @@
         self._feed = _feed.Feed(
             self._store,
             (
+                configurations,
                 feeds.TableCopy(
-                    platform.CONFIGURATION_TABLE, self._apply_configuration
-                ),
-                feeds.TableCopy(
-                    platform.ENDPOINTS_TABLE, self._apply_endpoints
+                    platform.ENDPOINTS_TABLE, self._endpoint_list.apply
                 ),
                 feeds.TableCopy(
                     platform.INSTANCES_TABLE, self._apply_instances
@@ -198,7 +213,8 @@
         )
         for coroutine in (
             self._feed.run(),
-            self._gossip.register(),
+            self._gossip.maintain_registration(),
+            self._recovery.run(),
             self._placer.maintain_lease(),
             self._placer.run_placement(),
             self._gossip.send_digests(),
@@ -245,15 +261,18 @@
             handle_head=lambda head: handle_headers(head.headers),
         )
 
-    def _log_era(self, before, era):
+    def _handle_restored(self, before, era):
         self._journal.write('platform:era', str(era), before=before)
+        if before:
+            self._placer.handle_restored(era)
+            self._feed.handle_restored()
 
     def _record_store_call(self, seconds):
         metrics.record_duration(
             self._metrics, metrics.Timing.STORE_CALL, '', '', seconds
         )
 
-    def _apply_configuration(self, rows, is_snapshot):
+    def _apply_configuration(self, rows, is_snapshot, is_restored):
         for row in rows:
             if row.key != platform.CONFIGURATION_KEY or row.value is None:
                 continue
@@ -262,7 +281,7 @@
             except platform.DocumentError as error:
                 self._journal.write(
                     'configuration:unreadable',
-                    str(row.version),
+                    str(row.revision),
                     reason=str(error),
                 )
                 continue
@@ -271,12 +290,12 @@
                 self._journal.write(
                     'configuration:not newer',
                     str(configuration.version),
-                    row_version=row.version,
-                    era=self._store.era,
+                    revision=str(row.revision),
                     known=known.version,
                 )
                 continue
             self._T.configuration = configuration
+            self._T.configuration_revision = row.revision
             limits = configuration.limits
             self._caller_server.limits = forwarding.CallerLimits(
                 limits.max_header_bytes,
@@ -287,47 +306,11 @@
             self._journal.write(
                 'configuration:in force',
                 str(configuration.version),
-                row_version=row.version,
-                era=self._store.era,
+                revision=str(row.revision),
                 before=known.version if known else None,
             )
 
-    def _apply_endpoints(self, rows, is_snapshot):
-        if is_snapshot:
-            listed = {row.key for row in rows}
-            for name in list(self._T.endpoints):
-                if name not in listed:
-                    self._remove_endpoint(name, None)
-            self._T.endpoints_known = True
-        self._T.endpoint_list_updates += 1
-        for row in rows:
-            if row.value is None:
-                self._remove_endpoint(row.key, row.version)
-                continue
-            try:
-                endpoint = platform.decode_endpoint(row.key, row.value)
-            except platform.DocumentError as error:
-                self._journal.write(
-                    'endpoint:unreadable', row.key, reason=str(error)
-                )
-                self._remove_endpoint(row.key, row.version)
-                continue
-            known = self._T.endpoints.get(row.key)
-            if known != endpoint:
-                if known is not None and known.born_ms != endpoint.born_ms:
-                    self._forwarder.crash_monitor.record_run_end(known)
-                elif known is not None and known.layers != endpoint.layers:
-                    # The endpoint may now hold the layers whose absence made
-                    # it reject requests.
-                    routing.record_layers_changed(
-                        fleet.get_state(self._T, endpoint)
-                    )
-                self._T.endpoints[row.key] = endpoint
-                self._log_endpoint(endpoint, row.version)
-        self._update_superseded()
-        fleet.drop_ended_states(self._T)
-
-    def _apply_instances(self, rows, is_snapshot):
+    def _apply_instances(self, rows, is_snapshot, is_restored):
         instances, blocks = [], None
         for row in rows:
             if row.key == platform.BLOCKS_KEY:
@@ -335,38 +318,11 @@
             else:
                 instances.append(row)
         if blocks is not None or is_snapshot:
-            self._block_store.apply_row(blocks)
-        self._gossip.apply_instances(instances, is_snapshot)
+            self._block_store.apply_row(blocks, is_restored)
+        self._gossip.apply_instances(instances, is_snapshot, is_restored)
         if is_snapshot:
             self._T.instances_known = True
 
-    def _update_superseded(self):
-        before = self._T.superseded
-        fleet.update_superseded(self._T)
-        for name in sorted(self._T.superseded - before):
-            self._journal.write(
-                'endpoint:superseded',
-                name,
-                address=self._T.endpoints[name].address,
-            )
-
-    def _log_endpoint(self, endpoint, version):
-        layers = endpoint.layers
-        self._journal.write(
-            'endpoint:listed',
-            endpoint.id,
-            address=endpoint.address,
-            leaving=endpoint.leaving,
-            layers=[layers.start, layers.end] if layers else None,
-            row_version=version,
-        )
-
-    def _remove_endpoint(self, name, version):
-        known = self._T.endpoints.pop(name, None)
-        if known is not None:
-            self._forwarder.crash_monitor.record_run_end(known)
-            self._journal.write('endpoint:gone', name, row_version=version)
-
     async def _send_readiness(self, request, caller):
         path_matches = request.target == platform.READY_TARGET.encode()
         ready = (
@@ -385,7 +341,7 @@
             'endpoints': len(self._T.endpoints),
             'instances': self._T.peers.count_alive(),
             'pressure': self._forwarder.load_shedder.shedding_level,
-            'store_era': self._store.era or 0,
+            'store_era': self._store.era,
             **self._forwarder.crash_monitor.get_gauges(),
             **self._T.notices.count_restricted(clocks.read_clock()),
         }
--- a/sniperudder/entry/_feed.py
+++ b/sniperudder/entry/_feed.py
@@ -10,6 +10,7 @@
 
 from sniperudder.entry import _watchers
 from sniperudder import feeds
+from sniperudder import revisions
 
 FEED_TARGET = '/feed'
 
@@ -130,8 +131,9 @@
         self._source_depth = 0
         self._exclusions_s = {}
         self._disconnected_at = {}
-        # Time since which a version of a table is known to others only.
+        # Time since which a revision of a table is known to others only.
         self._behind_since = {}
+        self._must_poll_at_once = False
         self._followers = set()
         self._reachable_changed = asyncio.Event()
         self._store_check = None
@@ -179,25 +181,30 @@
             1 if has_other_data_centres else _SINGLE_DATA_CENTRE_READERS
         )
 
-    def get_versions(self):
-        """Return the version of the last change of each known table."""
+    def get_revisions(self):
+        """Return the revision of the last change of each known table."""
         return {
-            table: copy.changed_version
+            table: copy.changed_revision
             for table, copy in self._copies.items()
             if copy.is_known
         }
 
-    def record_peer_versions(self, versions):
+    def record_peer_revisions(self, peer_revisions):
         """Note which changes another instance knows."""
         now = _read_loop_time()
-        for table, version in versions.items():
+        for table, revision in peer_revisions.items():
             copy = self._copies.get(table)
             if copy is None or not copy.is_known:
                 continue
-            if version <= copy.version:
+            if revision <= copy.revision:
                 self._behind_since.pop(table, None)
             else:
-                self._behind_since.setdefault(table, (now, version))
+                self._behind_since.setdefault(table, (now, revision))
+
+    def handle_restored(self):
+        """Read the tables again, also if long polls for changes hang."""
+        self._must_poll_at_once = True
+        self._reachable_changed.set()
 
     def stop(self):
         """Tell the followers to choose another source."""
@@ -252,6 +259,8 @@
             self._journal.write('feed:foreign', reason=str(error))
             caller.send_response(_BAD_REQUEST, [], b'')
             return
+        # A follower may have heard of a restored store first.
+        self.record_peer_revisions(feed_request.revisions)
         deadline = _read_loop_time() + feed_request.wait_s
         while self.depth and not self._list_changed(feed_request):
             remaining_s = deadline - _read_loop_time()
@@ -260,7 +269,7 @@
         reply = feeds.FeedReply(
             self.depth,
             tuple(
-                copy.collect_changes(feed_request.versions[copy.table])
+                copy.collect_changes(feed_request.revisions[copy.table])
                 for copy in self._list_requested(feed_request)
             ),
             _read_loop_time() - self._get_confirmed_at(),
@@ -271,14 +280,14 @@
         return [
             copy
             for table, copy in self._copies.items()
-            if copy.is_known and table in request.versions
+            if copy.is_known and table in request.revisions
         ]
 
     def _list_changed(self, request):
         return [
             copy
             for copy in self._list_requested(request)
-            if copy.has_changes(request.versions[copy.table])
+            if copy.has_changes(request.revisions[copy.table])
         ]
 
     async def _await_change(self, timeout_s):
@@ -354,8 +363,9 @@
     async def _read_store(self):
         """Watch the tables until another source is to be used."""
         # If others know more than this instance, its long polls may hang.
-        poll_at_once = bool(self._behind_since)
+        poll_at_once = bool(self._behind_since) or self._must_poll_at_once
         self._behind_since.clear()
+        self._must_poll_at_once = False
         tasks = [
             asyncio.create_task(watcher.run(poll_at_once))
             for watcher in self._watchers
@@ -367,7 +377,7 @@
                     if task.done():
                         task.result()
                 now = _read_loop_time()
-                if self._is_stale(now):
+                if self._must_poll_at_once or self._is_stale(now):
                     return
                 if not self._is_store_reachable():
                     self._choice.record_failure(
@@ -414,7 +424,7 @@
         """Call the source once."""
         request = feeds.FeedRequest(
             {
-                table: copy.version if copy.is_known else 0
+                table: copy.revision if copy.is_known else revisions.UNKNOWN
                 for table, copy in self._copies.items()
             },
             # The first call shows at once whether the source is connected.
@@ -460,16 +470,16 @@
         )
 
     def _is_stale(self, now):
-        """Return whether others have known a newer version for too long."""
-        for table, (since, version) in list(self._behind_since.items()):
-            if version <= self._copies[table].version:
+        """Return whether others have known a newer state for too long."""
+        for table, (since, revision) in list(self._behind_since.items()):
+            if revision <= self._copies[table].revision:
                 del self._behind_since[table]
             elif now - since > _STALE_AFTER_S:
                 self._journal.write(
                     'feed:stale',
                     table,
-                    known=self._copies[table].version,
-                    version=version,
+                    known=str(self._copies[table].revision),
+                    revision=str(revision),
                     source=self.source,
                 )
                 return True
--- a/sniperudder/entry/_gossip.py
+++ b/sniperudder/entry/_gossip.py
@@ -15,6 +15,7 @@
 from sniperudder import digests
 from sniperudder import feeds
 from sniperudder import platform
+from sniperudder import revisions
 from sniperudder import routing
 
 # Interval between digests, and largest number of peers to which an instance
@@ -40,6 +41,14 @@
 # Number of own digests that are kept to take them out of a sum.
 _SENT_DIGESTS = 8
 
+# Longest delay, drawn at random, after which an instance that is not listed
+# writes its row again, so that the instances of a large fleet do not all call
+# the store at once, seconds.
+_MAX_LISTING_DELAY_S = 2.0
+
+# Time after a failed attempt to write the own row, seconds.
+_LISTING_RETRY_S = 3.0
+
 # Interval at which rows of permanently gone instances are looked for.
 _CLEANUP_INTERVAL_S = 20.0
 
@@ -50,7 +59,8 @@
 
     Attributes
     ----------
-    row_version : int
+    revision : sniperudder.revisions.Revision or None
+        Revision of the row; None if the store has lost it.
     host : str
     port : int
         Port for messages between instances.
@@ -60,7 +70,7 @@
         Bandwidth of the instance's network link, Mbit/s; 0 if unknown.
     """
 
-    row_version: int
+    revision: revisions.Revision | None
     host: str
     port: int
     data_centre: str
@@ -78,19 +88,25 @@
     journal : Journal
     forwarder : sniperudder.forwarding.Forwarder
     placer : Placer
+    recovery : ConfigurationRecovery
     """
 
     # The feed is set after construction, since its tables include the list of
     # instances, which this object applies.
     feed = None
 
-    def __init__(self, T, store, settings, journal, forwarder, placer):
+    def __init__(
+        self, T, store, settings, journal, forwarder, placer, recovery
+    ):
         self._T = T
         self._store = store
         self._settings = settings
         self._journal = journal
         self._forwarder = forwarder
         self._placer = placer
+        self._recovery = recovery
+        # Set while the own row is not in the list.
+        self._unlisted = asyncio.Event()
         # The platform's list of instances, by name.
         self._members = {}
         self._summing = feeds.SourceChoice(settings.name)
@@ -239,8 +255,19 @@
             if member.data_centre == own
         }
 
-    async def register(self):
-        """Add this instance to the platform's list of instances."""
+    async def maintain_registration(self):
+        """Keep this instance in the platform's list until cancelled."""
+        await self._register()
+        while True:
+            await self._unlisted.wait()
+            delay_s = self._forwarder.rng.uniform(0.0, _MAX_LISTING_DELAY_S)
+            await asyncio.sleep(delay_s)
+            if self._unlisted.is_set() and not await self._register():
+                await asyncio.sleep(_LISTING_RETRY_S)
+
+    async def _register(self):
+        """Write the own row; return whether the store confirmed it."""
+        self._unlisted.clear()
         settings = self._settings
         value = {
             'host': settings.host,
@@ -258,8 +285,11 @@
             self._journal.write(
                 'instance:unlisted', settings.name, reason=str(outcome)
             )
+            self._unlisted.set()
+            return False
+        return True
 
-    def apply_instances(self, rows, is_snapshot):
+    def apply_instances(self, rows, is_snapshot, is_restored=False):
         """Apply changes of the platform's list of instances.
 
         Parameters
@@ -267,12 +297,20 @@
         rows : iterable of sniperudder.platform.StoredRow
         is_snapshot : bool
             Whether the rows are the whole list.
+        is_restored : bool
+            Whether the store was restored from a copy. Instances that are
+            missing are then kept, since they write their rows again.
         """
         now = _read_monotonic_time()
         if is_snapshot:
             listed = {row.key for row in rows}
             for name in self._members.keys() - listed:
-                self._remove_peer(name)
+                if is_restored:
+                    self._members[name] = dataclasses.replace(
+                        self._members[name], revision=None
+                    )
+                else:
+                    self._remove_peer(name)
         for row in rows:
             if row.value is None:
                 self._remove_peer(row.key)
@@ -280,7 +318,7 @@
             try:
                 value = json.loads(row.value)
                 member = _Member(
-                    row.version,
+                    row.revision,
                     str(value['host']),
                     int(value['port']),
                     str(value.get('data_centre', '')),
@@ -298,6 +336,20 @@
                     member.data_centre,
                 )
         self._set_members()
+        self._check_own_row()
+
+    def _check_own_row(self):
+        """Have the own row written again if it is missing or an old one."""
+        own = self._members.get(self._settings.name)
+        if (
+            own is None
+            or own.revision is None
+            or own.host != self._settings.host
+            or own.port != self._settings.peer_port
+        ):
+            self._unlisted.set()
+        else:
+            self._unlisted.clear()
 
     def _remove_peer(self, name):
         self._members.pop(name, None)
@@ -333,13 +385,14 @@
         """
         for name in sorted(self._T.peers.list_gone_peers(now)):
             member = self._members.get(name)
-            if member is None:
-                self._T.peers.remove_peer(name)
+            if member is None or member.revision is None:
+                self._remove_peer(name)
+                self._set_members()
                 continue
             if not self._may_delete(member, now):
                 continue
             outcome = await self._store.write_row(
-                platform.INSTANCES_TABLE, name, None, member.row_version
+                platform.INSTANCES_TABLE, name, None, member.revision
             )
             self._journal.write('instance:gone', name, outcome=str(outcome))
             if isinstance(outcome, platform.Written):
@@ -348,7 +401,7 @@
 
     def _may_delete(self, member, now):
         if not self._uses_sums():
-            return bool(self._placer.lease_version)
+            return self._placer.lease_revision is not None
         return (
             member.data_centre == self._settings.data_centre
             and self._summing_since is not None
@@ -368,17 +421,20 @@
             sequence=self._sequence,
             loads=loads,
             faults=self._forwarder.list_fault_notices(),
-            lease_version=self._placer.lease_version,
+            lease=self._placer.lease_revision or revisions.UNKNOWN,
             events=events,
             slow_events=slow_events,
             crossings=self._T.crossings.list_rates(
                 asyncio.get_running_loop().time()
             ),
             data_centre=self._settings.data_centre,
-            table_versions=self.feed.get_versions(),
+            table_revisions=self.feed.get_revisions(),
             crash_report=self._forwarder.crash_monitor.make_report(),
             restrictions=self._forwarder.list_restrictions(),
             demands=self._demands,
+            configuration_version=(
+                self._T.configuration.version if self._T.configuration else 0
+            ),
         )
 
     def _handle_digest(self, digest, address):
@@ -395,9 +451,12 @@
         )
         self._forwarder.apply_fault_notices(digest.sender, digest.faults)
         self._forwarder.apply_restrictions(digest.sender, digest.restrictions)
-        if digest.lease_version:
-            self._placer.record_peer_lease(digest.lease_version)
-        self.feed.record_peer_versions(digest.table_versions)
+        if digest.lease.version:
+            self._placer.record_peer_lease(digest.lease)
+        self.feed.record_peer_revisions(digest.table_revisions)
+        self._recovery.record_peer(
+            f'{address[0]}:{address[1]}', digest.configuration_version
+        )
 
     def _record_summary(self, total, now):
         """Store a sum of all digests; return whether it was accepted."""
--- a/sniperudder/entry/_placer.py
+++ b/sniperudder/entry/_placer.py
@@ -8,6 +8,7 @@
 from sniperudder import forwarding
 from sniperudder import placement
 from sniperudder import platform
+from sniperudder import revisions
 
 _LEASE_KEY = 'placement'
 
@@ -66,10 +67,19 @@
     journal : Journal
     may_compete : callable
         Returns whether this instance should take over an expired lease.
+    is_first_start : bool
+        Whether the whole deployment starts for the first time.
     """
 
     def __init__(
-        self, T, store, pool, name, journal, may_compete=lambda: True
+        self,
+        T,
+        store,
+        pool,
+        name,
+        journal,
+        may_compete=lambda: True,
+        is_first_start=False,
     ):
         self._T = T
         self._store = store
@@ -79,6 +89,7 @@
         self._name = name
         self._journal = journal
         self._may_compete = may_compete
+        self._is_first_start = is_first_start
         self._lease_taken = asyncio.Event()
         self._lease = placement.LeaseView()
         self._orders = {}
@@ -89,16 +100,22 @@
         self._settling_since = None
 
     @property
-    def lease_version(self):
-        """Version of the lease, or 0 if this instance may not send orders."""
+    def lease_revision(self):
+        """Revision of the lease; None if this instance may send no orders."""
         if placement.may_order(self._lease, _read_boot_time()):
-            return self._lease.version
-        return 0
-
-    def record_peer_lease(self, version):
-        """Record a lease version held by another instance."""
-        if version > self._lease.version:
-            placement.observe_lease(self._lease, version, _read_boot_time())
+            return self._lease.revision
+        return None
+
+    def record_peer_lease(self, revision):
+        """Record the revision of a lease held by another instance."""
+        if revision > self._lease.revision:
+            self._log_loss(revision)
+            placement.observe_lease(self._lease, revision, _read_boot_time())
+
+    def handle_restored(self, era):
+        """Give up the lease, which the store may have given to another."""
+        self._log_loss(revisions.Revision(era, 0))
+        self._lease = placement.LeaseView()
 
     async def maintain_lease(self):
         """Renew the lease or try to acquire it until cancelled."""
@@ -108,20 +125,26 @@
             if not holds and not self._may_compete():
                 await asyncio.sleep(_COMPETE_INTERVAL_S)
                 continue
-            if holds or (
-                placement.may_acquire(self._lease, now) and self._lease.seen_at
-            ):
+            if holds or self._may_acquire(now):
                 await self._write_lease(now)
             elif now - self._lease.seen_at > placement.LEASE_POLL_INTERVAL_S:
                 # No peer has reported a renewal recently.
                 await self._read_lease(now)
             if self._lease.renewal_requested_at is not None:
                 await asyncio.sleep(placement.LEASE_RENEWAL_INTERVAL_S)
-            elif not placement.may_acquire(self._lease, _read_boot_time()):
+            elif self._lease.seen_at and not self._may_acquire(
+                _read_boot_time()
+            ):
                 await asyncio.sleep(placement.LEASE_POLL_INTERVAL_S)
             else:
                 await asyncio.sleep(_CHECK_INTERVAL_S)
 
+    def _may_acquire(self, now):
+        is_first_era = self._lease.revision.era == self._store.first_era
+        return placement.may_acquire(
+            self._lease, now, self._is_first_start and is_first_era
+        )
+
     async def run_placement(self):
         """Place layers whenever this instance holds the lease."""
         while True:
@@ -137,10 +160,8 @@
         if isinstance(outcome, platform.Unavailable):
             self._log_lease_failure(outcome)
             return
-        versions = [
-            row.version for row in outcome.rows if row.key == _LEASE_KEY
-        ]
-        placement.observe_lease(self._lease, max(versions, default=0), now)
+        found = [row for row in outcome.rows if row.key == _LEASE_KEY]
+        self._observe_rows(found, outcome.revision.era, now)
         # A read that found no row also counts as an observation.
         self._lease.seen_at = self._lease.seen_at or now
 
@@ -150,33 +171,25 @@
             platform.LEASES_TABLE,
             _LEASE_KEY,
             json.dumps({'holder': self._name}).encode(),
-            self._lease.version,
+            self._lease.revision,
         )
         if isinstance(outcome, platform.Written):
-            placement.record_renewal(self._lease, outcome.version, now)
+            placement.record_renewal(self._lease, outcome.revision, now)
             self._lease_taken.set()
             if not held:
                 self._orders.clear()
                 self._journal.write(
-                    'lease:taken',
-                    _LEASE_KEY,
-                    version=outcome.version,
-                    era=self._store.era,
+                    'lease:taken', _LEASE_KEY, revision=str(outcome.revision)
                 )
             return
         if isinstance(outcome, platform.Conflict):
-            version = max((row.version for row in outcome.rows), default=0)
-            placement.observe_lease(self._lease, version, now)
-            if held:
-                self._journal.write(
-                    'lease:lost',
-                    _LEASE_KEY,
-                    version=version,
-                    era=self._store.era,
-                )
+            self._observe_rows(outcome.rows, self._store.era, now)
             return
         self._log_lease_failure(outcome)
-        if held and not placement.may_order(self._lease, _read_boot_time()):
+        if (
+            self._lease.renewal_requested_at is not None
+            and not placement.may_order(self._lease, _read_boot_time())
+        ):
             # The renewal may have been applied; read the lease before the
             # next attempt.
             self._lease.renewal_requested_at = None
@@ -189,8 +202,23 @@
             'lease:unread',
             _LEASE_KEY,
             reason=outcome.reason,
-            version=self._lease.version,
+            revision=str(self._lease.revision),
+        )
+
+    def _observe_rows(self, rows, era, now):
+        """Observe the row of the lease; there are no rows if it is missing."""
+        revision = max(
+            (row.revision for row in rows), default=revisions.Revision(era, 0)
         )
+        if revision > self._lease.revision:
+            self._log_loss(revision)
+        placement.observe_lease(self._lease, revision, now)
+
+    def _log_loss(self, revision):
+        if self._lease.renewal_requested_at is not None:
+            self._journal.write(
+                'lease:lost', _LEASE_KEY, revision=str(revision)
+            )
 
     def _place_layers(self):
         configuration = self._T.configuration
@@ -340,7 +368,7 @@
             address=endpoint.address,
             layers=[order.layers.start, order.layers.end],
             orders_begun=order.orders_begun,
-            lease=self._lease.version,
+            lease=str(self._lease.revision),
             outcome=outcome,
         )
 
--- a/sniperudder/entry/_watchers.py
+++ b/sniperudder/entry/_watchers.py
@@ -103,36 +103,39 @@
         if isinstance(outcome, platform.Unavailable):
             return self._record_failure(outcome)
         self._record_success()
-        known_version = self._copy.version
+        known = self._copy.revision
         if not self._update(outcome, True):
             # The store returned a stale snapshot; the local copy is newer.
             self._journal.write(
                 'table:old',
                 self._copy.table,
-                version=outcome.version,
-                era=self._store.era,
-                known=known_version,
+                revision=str(outcome.revision),
+                known=str(known),
             )
             return _MAX_BACKOFF_S
         self._history_gone = False
         return 0.0
 
     async def _poll_changes(self, wait_s):
-        after = self._copy.version
+        after = self._copy.revision
         outcome = await self._store.read_changes(
-            self._copy.table, after, wait_s
+            self._copy.table, after.version, wait_s
         )
-        if isinstance(outcome, platform.HistoryGone):
+        if isinstance(outcome, platform.Unavailable):
+            return self._record_failure(outcome)
+        if (
+            isinstance(outcome, platform.HistoryGone)
+            # Changes after the same version of another era.
+            or outcome.revision.era != after.era
+        ):
             self._journal.write(
                 'table:gap',
                 self._copy.table,
-                known=after,
+                known=str(after),
                 era=self._store.era,
             )
             self._history_gone = True
             return await self._read_all()
-        if isinstance(outcome, platform.Unavailable):
-            return self._record_failure(outcome)
         self._record_success()
         self._log_skipped(outcome, after)
         self._update(outcome, False)
@@ -140,23 +143,22 @@
             return self._get_batch_delay_s()
         return 0.0
 
-    def _log_skipped(self, outcome, known_version):
+    def _log_skipped(self, outcome, known):
         """Log that the store gave rows that the copy takes for known."""
-        skipped = [r for r in outcome.rows if r.version <= known_version]
-        if skipped or outcome.version < known_version:
+        skipped = [row for row in outcome.rows if row.revision <= known]
+        if skipped or outcome.revision < known:
             self._journal.write(
                 'table:skipped',
                 self._copy.table,
                 keys=[row.key for row in skipped],
-                version=outcome.version,
-                era=self._store.era,
-                known=known_version,
+                revision=str(outcome.revision),
+                known=str(known),
             )
 
     def _update(self, outcome, is_snapshot):
         return self._copy.update(
             feeds.Changes(
-                self._copy.table, outcome.version, is_snapshot, outcome.rows
+                self._copy.table, outcome.revision, is_snapshot, outcome.rows
             )
         )
 
@@ -167,7 +169,7 @@
                 'platform:lost',
                 self._copy.table,
                 reason=outcome.reason,
-                version=self._copy.version,
+                revision=str(self._copy.revision),
             )
             self._notify()
         backoff_s = self._backoff_s
@@ -182,7 +184,7 @@
             self._journal.write(
                 'platform:regained',
                 self._copy.table,
-                version=self._copy.version,
+                revision=str(self._copy.revision),
             )
             self._notify()
 
--- a/sniperudder/entry/tests/_feed_networks.py
+++ b/sniperudder/entry/tests/_feed_networks.py
@@ -8,6 +8,7 @@
 from sniperudder.entry.tests import _fleets
 from sniperudder import feeds
 from sniperudder import platform
+from sniperudder import revisions
 from sniperudder.testing import VirtualTimeLoop
 
 TABLE = 'op'
@@ -33,20 +34,50 @@
     """The platform's store with one table."""
 
     def __init__(self):
+        self.era = 1
         self.version = 10
-        self.row = platform.StoredRow(KEY, b'10', 10)
+        self.row = platform.StoredRow(KEY, b'10', self.revision)
         self.forgotten_version = 0
+        self.copies = []
         self.calls = 0
         self.mode = SERVE
         self.disturbed_at = -CONTACT_S
         self.written = [(10, -CONFIG_S)]
         self.changed = asyncio.Event()
 
+    @property
+    def revision(self):
+        """State of the store."""
+        return revisions.Revision(self.era, self.version)
+
     def write(self):
-        """Write a new configuration; its value is its version."""
+        """Write a new configuration; its value is the operators' version."""
+        self.copies.append((read_time(), self.version, self.row))
         self.version += 3
-        self.row = platform.StoredRow(KEY, b'%d' % self.version, self.version)
-        self.written.append((self.version, read_time()))
+        number = self.written[-1][0] + 3
+        self.row = platform.StoredRow(KEY, b'%d' % number, self.revision)
+        self.written.append((number, read_time()))
+        self.wake()
+
+    def restore(self, age_s):
+        """Return to the state of some seconds ago, in a new era.
+
+        The operators write the last configuration again a moment later.
+        """
+        lost = [copy for copy in self.copies if copy[0] > read_time() - age_s]
+        if lost:
+            _, self.version, self.row = lost[0]
+        self.copies.clear()
+        self.era += 1
+        self.forgotten_version = self.version
+        self.disturbed_at = read_time()
+        self.wake()
+
+    def write_again(self):
+        """Write the last configuration again, which may have been lost."""
+        self.version += 1
+        number = self.written[-1][0]
+        self.row = platform.StoredRow(KEY, b'%d' % number, self.revision)
         self.wake()
 
     def forget_history(self):
@@ -65,17 +96,16 @@
 class StoreClient:
     """The store as one instance sees it."""
 
-    era = None
-
     def __init__(self, store, instance):
         self._store = store
         self._instance = instance
+        self.era = store.era
 
     async def read_table(self, table):
         """See `sniperudder.platform.Store`."""
         failure = await self._start_call(0.0)
         store = self._store
-        return failure or platform.Rows((store.row,), store.version)
+        return failure or self._read(store.row)
 
     async def read_changes(self, table, after, wait_s):
         """See `sniperudder.platform.Store`."""
@@ -89,19 +119,27 @@
                 left_s = started_at + wait_s + _STORE_TIMEOUT_S - read_time()
                 await asyncio.sleep(max(left_s, 0.0))
                 return platform.Unavailable('timeout', False)
-            if after < store.forgotten_version:
+            if not store.forgotten_version <= after <= store.version:
+                self._read()
                 return platform.HistoryGone()
-            if store.row.version > after:
-                return platform.Rows((store.row,), store.version)
+            if store.row.revision.version > after:
+                return self._read(store.row)
             left_s = started_at + wait_s - read_time()
             if left_s <= 0:
-                return platform.Rows((), store.version)
+                return self._read()
             try:
                 async with asyncio.timeout(left_s):
                     await store.changed.wait()
             except TimeoutError:
                 continue
 
+    def _read(self, *rows):
+        """Return rows, and report a new era as `platform.Store` does."""
+        if self._store.era > self.era:
+            self.era = self._store.era
+            self._instance.feed.handle_restored()
+        return platform.Rows(rows, self._store.revision)
+
     def _get_mode(self):
         if self._store.mode != SERVE:
             return self._store.mode
@@ -141,7 +179,7 @@
     def start(self):
         """Start a process that knows nothing."""
         self.applied = []
-        copy = feeds.TableCopy(TABLE, self._apply)
+        copy = feeds.TableCopy(TABLE, self._apply, _supersedes)
         self.feed = _feed.Feed(
             StoreClient(self.network.store, self),
             (copy,),
@@ -170,8 +208,11 @@
         """Return whether messages pass between two instances."""
         return other.is_alive and not self.is_isolated | other.is_isolated
 
-    def _apply(self, rows, is_snapshot):
-        self.applied.extend(int(row.value) for row in rows)
+    def _apply(self, rows, is_snapshot, is_restored):
+        # As an instance does, which keeps the latest of the operators.
+        for row in rows:
+            if int(row.value) > max(self.applied, default=0):
+                self.applied.append(int(row.value))
 
     async def _call_peer(self, address, target, body, timeout_s):
         peer = self.network.instances[address]
@@ -261,8 +302,8 @@
                         and sender.is_alive
                         and sender.reaches(receiver)
                     ):
-                        receiver.feed.record_peer_versions(
-                            sender.feed.get_versions()
+                        receiver.feed.record_peer_revisions(
+                            sender.feed.get_revisions()
                         )
 
     async def _check(self):
@@ -290,12 +331,22 @@
             self.violations.append((now, instance.name, 'late', due))
 
 
+_KINDS = ('kill', 'isolate', 'reject', 'ignore', 'store', 'forget')
+
+
+def _supersedes(row, known):
+    return int(row.value) >= int(known.value)
+
+
 class FaultPlan:
     """Random faults, one after the other and overlapping."""
 
-    def __init__(self, network, seed):
+    def __init__(self, network, seed, restores=False):
         self._network = network
         self._rng = random.Random(seed)
+        self._kinds = list(_KINDS)
+        if restores:
+            self._kinds.append('restore')
 
     async def run(self, duration_s):
         """Cause faults and write configurations for some time."""
@@ -310,12 +361,12 @@
         await asyncio.sleep(CONTACT_S + CONFIG_S)
 
     async def _cause_fault(self):
-        kind = self._rng.choice(
-            ('kill', 'isolate', 'reject', 'ignore', 'store', 'forget')
-        )
+        kind = self._rng.choice(self._kinds)
         duration_s = self._rng.uniform(0.2, 8.0)
         if kind == 'forget':
             self._network.store.forget_history()
+        elif kind == 'restore':
+            await self._restore_store()
         elif kind == 'store':
             await self._disturb_store(duration_s)
         else:
@@ -329,6 +380,16 @@
         store.mode = SERVE
         store.wake()
 
+    async def _restore_store(self):
+        store = self._network.store
+        store.mode = self._rng.choice((SERVE, REJECT, IGNORE))
+        await self._keep_disturbed(store, self._rng.uniform(0.0, 2.0))
+        store.restore(self._rng.uniform(0.0, 10.0))
+        store.mode = SERVE
+        store.wake()
+        await self._keep_disturbed(store, self._rng.uniform(0.0, 2.0))
+        store.write_again()
+
     async def _disturb_instance(self, instance, kind, duration_s):
         if kind == 'kill' and instance.is_alive:
             await instance.kill()
--- a/sniperudder/entry/tests/_fleets.py
+++ b/sniperudder/entry/tests/_fleets.py
@@ -27,6 +27,7 @@
         'peer_port': 3,
         'platform_address': '127.0.0.1:4',
         'bounds': fleet.Bounds(2.0, 4.0, 2.0, 0.2, 10.0, 200.0),
+        'is_first_start': True,
         **changes,
     }
     return fleet.InstanceSettings(**values)
--- a/sniperudder/entry/tests/test_blocks.py
+++ b/sniperudder/entry/tests/test_blocks.py
@@ -11,6 +11,7 @@
 from sniperudder.entry.tests import _fleets
 from sniperudder.entry.tests import _members
 from sniperudder import platform
+from sniperudder import revisions
 
 # The users' bound for the time until an instance counts as in contact.
 _CONTACT_S = 3.0
@@ -64,7 +65,7 @@
             return outcome
 
         block_store = _blocks.BlockStore(
-            types.SimpleNamespace(write_row=write_row),
+            types.SimpleNamespace(write_row=write_row, era=3),
             types.SimpleNamespace(list_blocks=lambda: list(blocks)),
             lambda: holds_lease,
             _fleets.RecordingJournal(),
@@ -75,14 +76,14 @@
         return calls
 
     def test_only_the_lease_holder_writes(self):
-        written = platform.Written(7)
+        written = platform.Written(revisions.Revision(3, 7))
         self.assertEqual(
             [], self.run_writer(_BAD, outcome=written, holds_lease=False)
         )
         (call,) = self.run_writer(_BAD, outcome=written)
-        table, key, value, expected_version = call
+        table, key, value, expected = call
         self.assertEqual([['part:bad']], json.loads(value)['blocks'])
-        self.assertEqual(0, expected_version)
+        self.assertEqual(revisions.Revision(3, 0), expected)
 
     def test_failed_write_is_repeated(self):
         for outcome in (
@@ -93,7 +94,8 @@
             self.assertEqual(2, len(calls))
 
     def test_nothing_is_written_without_blocks(self):
-        self.assertEqual([], self.run_writer(outcome=platform.Written(7)))
+        written = platform.Written(revisions.Revision(3, 7))
+        self.assertEqual([], self.run_writer(outcome=written))
 
     def test_unreadable_row_blocks_nothing(self):
         journal = _fleets.RecordingJournal()
@@ -105,7 +107,9 @@
             journal,
         )
         for value in (b'\xff', b'[]', b'{"blocks": 5}', b'{}'):
-            row = platform.StoredRow(platform.BLOCKS_KEY, value, 5)
+            row = platform.StoredRow(
+                platform.BLOCKS_KEY, value, revisions.Revision(3, 5)
+            )
             block_store.apply_row(row)
         self.assertEqual([], added)
         self.assertEqual(4, len(journal.list_events('blocks:unreadable')))
--- a/sniperudder/entry/tests/test_gossip.py
+++ b/sniperudder/entry/tests/test_gossip.py
@@ -12,6 +12,7 @@
 from sniperudder.entry.tests import _fleets
 from sniperudder import fleet
 from sniperudder import platform
+from sniperudder import revisions
 
 _SETTINGS = _fleets.make_settings()
 
@@ -22,21 +23,24 @@
     def __init__(self, *names):
         value = json.dumps({'host': 'h', 'port': 1}).encode()
         self.rows = {
-            name: platform.StoredRow(name, value, number)
+            name: platform.StoredRow(
+                name, value, revisions.Revision(1, number)
+            )
             for number, name in enumerate(names, 1)
         }
 
     async def read_table(self, table):
         """Return all rows."""
-        return platform.Rows(tuple(self.rows.values()), 9)
+        revision = revisions.Revision(1, 9)
+        return platform.Rows(tuple(self.rows.values()), revision)
 
-    async def write_row(self, table, key, value, expected_version=None):
-        """Delete a row if its version matches."""
+    async def write_row(self, table, key, value, expected=None):
+        """Delete a row if its revision matches."""
         assert value is None
-        if self.rows[key].version != expected_version:
+        if self.rows[key].revision != expected:
             return platform.Conflict(())
         del self.rows[key]
-        return platform.Written(10)
+        return platform.Written(revisions.Revision(1, 10))
 
 
 class GoneInstanceTest(testtools.TestCase):
@@ -45,7 +49,7 @@
     Each replacement has a new address and a new row.
     """
 
-    def run_cleanup(self, lease_version):
+    def run_cleanup(self, lease_revision):
         """Apply a list with two gone peers and a live one, and clean up."""
         T = fleet.FleetTables()
         T.peers.add_peer('entry-2', ('h', 1), -10_000.0)
@@ -60,7 +64,8 @@
             _SETTINGS,
             _fleets.RecordingJournal(),
             None,
-            types.SimpleNamespace(lease_version=lease_version),
+            types.SimpleNamespace(lease_revision=lease_revision),
+            None,
         )
         gossip.feed = members
         gossip.apply_instances(store.rows.values(), True)
@@ -68,11 +73,11 @@
         return sorted(store.rows), sorted(T.peers.peers)
 
     def test_lease_holder_deletes_row_of_gone_peer(self):
-        rows, peers = self.run_cleanup(lease_version=7)
+        rows, peers = self.run_cleanup(revisions.Revision(1, 7))
         self.assertEqual(['entry-1', 'entry-3'], rows)
         self.assertEqual(['entry-3'], peers)
 
     def test_other_instances_wait_until_row_is_deleted(self):
-        rows, peers = self.run_cleanup(lease_version=0)
+        rows, peers = self.run_cleanup(None)
         self.assertEqual(['entry-1', 'entry-2', 'entry-3'], rows)
         self.assertEqual(['entry-2', 'entry-3'], peers)
--- a/sniperudder/entry/tests/test_watchers.py
+++ b/sniperudder/entry/tests/test_watchers.py
@@ -8,6 +8,7 @@
 from sniperudder.entry.tests import _fleets
 from sniperudder import feeds
 from sniperudder import platform
+from sniperudder import revisions
 
 _READ_S = 2.0
 
@@ -36,10 +37,11 @@
         return self._outcomes.pop(0)
 
 
-def make_rows(version, *keys):
+def make_rows(version, *keys, era=1):
     """Return table rows with the given keys."""
-    rows = tuple(platform.StoredRow(key, b'1', version) for key in keys)
-    return platform.Rows(rows, version)
+    revision = revisions.Revision(era, version)
+    rows = tuple(platform.StoredRow(key, b'1', revision) for key in keys)
+    return platform.Rows(rows, revision)
 
 
 class WatcherTest(testtools.TestCase):
@@ -49,7 +51,7 @@
         journal = _fleets.RecordingJournal()
         store = ScriptedStore(*outcomes)
 
-        def apply(rows, is_snapshot):
+        def apply(rows, is_snapshot, is_restored):
             applied.append(([row.key for row in rows], is_snapshot))
 
         async def run():
@@ -74,7 +76,35 @@
             make_rows(11, 'c'),
         )
         self.assertEqual([(['a'], True), (['c'], True)], applied)
-        self.assertEqual(7, journal.list_events('table:old')[0]['version'])
+        (line,) = journal.list_events('table:old')
+        self.assertEqual('1/7', line['revision'])
+
+    # Guards against: after the store had been restored from a copy, its state
+    # was taken for an old one until its versions had passed those known.
+    def test_snapshot_of_a_later_era_is_applied(self):
+        applied, _, _ = self.watch(
+            make_rows(10, 'a'),
+            platform.HistoryGone(),
+            make_rows(7, 'b', era=2),
+            make_rows(8, 'c', era=2),
+        )
+        self.assertEqual(
+            [(['a'], True), (['b'], True), (['c'], False)], applied
+        )
+
+    # Guards against: changes after a version that had been given out again
+    # were taken for all changes since.
+    def test_changes_of_a_later_era_are_followed_by_a_snapshot(self):
+        applied, journal, _ = self.watch(
+            make_rows(10, 'a'),
+            make_rows(12, 'b', era=2),
+            make_rows(13, 'a', 'b', era=2),
+            make_rows(14, 'c', era=2),
+        )
+        self.assertEqual(
+            [(['a'], True), (['a', 'b'], True), (['c'], False)], applied
+        )
+        self.assertEqual(1, len(journal.list_events('table:gap')))
 
     def test_failing_store_is_polled_without_waiting(self):
         failed = platform.Unavailable('down', False)
--- a/sniperudder/feeds/_codec.py
+++ b/sniperudder/feeds/_codec.py
@@ -9,6 +9,7 @@
 from sniperudder.feeds import _records
 from sniperudder.feeds.gen.wire import ttypes
 from sniperudder import platform
+from sniperudder import revisions
 
 _MS_PER_S = 1000
 _PROTOCOL_FACTORY = TCompactProtocol.TCompactProtocolAcceleratedFactory()
@@ -38,13 +39,14 @@
 
     Examples
     --------
-    >>> request = _records.FeedRequest({'op': 3}, 1.5)
+    >>> position = revisions.Revision(1, 3)
+    >>> request = _records.FeedRequest({'op': position}, 1.5)
     >>> decode_request(encode_request(request)) == request
     True
     """
     positions = [
-        ttypes.Position(table, version)
-        for table, version in request.versions.items()
+        ttypes.Position(table, revision.version, revision.era)
+        for table, revision in request.revisions.items()
     ]
     message = ttypes.FeedRequest(positions, int(request.wait_s * _MS_PER_S))
     return TSerialization.serialize(message, _PROTOCOL_FACTORY)
@@ -64,7 +66,10 @@
     for position in message.positions:
         _validate(position)
     return _records.FeedRequest(
-        {position.table: position.version for position in message.positions},
+        {
+            position.table: revisions.Revision(position.era, position.version)
+            for position in message.positions
+        },
         message.wait_ms / _MS_PER_S,
     )
 
@@ -74,8 +79,9 @@
 
     Examples
     --------
-    >>> rows = (platform.StoredRow('config', b'{}' * 400, 5),)
-    >>> changes = _records.Changes('op', 7, True, rows)
+    >>> written, read = revisions.Revision(1, 5), revisions.Revision(1, 7)
+    >>> rows = (platform.StoredRow('config', b'{}' * 400, written),)
+    >>> changes = _records.Changes('op', read, True, rows)
     >>> reply = _records.FeedReply(1, (changes,), 0.5)
     >>> decode_reply(encode_reply(reply)) == reply
     True
@@ -85,9 +91,10 @@
         [
             ttypes.Changes(
                 changes.table,
-                changes.version,
+                changes.revision.version,
                 changes.is_snapshot,
                 [_encode_row(row) for row in changes.rows],
+                changes.revision.era,
             )
             for changes in reply.changes
         ],
@@ -130,18 +137,18 @@
 
 
 def _encode_row(row):
+    version, era = row.revision.version, row.revision.era
     if row.value is None or len(row.value) < _MIN_COMPRESSED_BYTES:
-        return ttypes.Row(row.key, row.version, row.value)
+        return ttypes.Row(row.key, version, row.value, era=era)
     value = zlib.compress(row.value, _COMPRESSION_LEVEL)
-    return ttypes.Row(row.key, row.version, value, True)
+    return ttypes.Row(row.key, version, value, True, era)
 
 
 def _decode_changes(changes):
     _validate(changes)
     rows = tuple(_decode_row(row) for row in changes.rows)
-    return _records.Changes(
-        changes.table, changes.version, changes.is_snapshot, rows
-    )
+    revision = revisions.Revision(changes.era, changes.version)
+    return _records.Changes(changes.table, revision, changes.is_snapshot, rows)
 
 
 def _decode_row(row):
@@ -155,4 +162,5 @@
             raise FeedError(f'row {row.key}: {error}') from error
         if not decompressor.eof:
             raise FeedError(f'row {row.key}: value too long or truncated')
-    return platform.StoredRow(row.key, value, row.version)
+    revision = revisions.Revision(row.era, row.version)
+    return platform.StoredRow(row.key, value, revision)
--- a/sniperudder/feeds/_copies.py
+++ b/sniperudder/feeds/_copies.py
@@ -2,10 +2,13 @@
 
 The store numbers all changes of all tables. Several sources may report the
 same changes to a copy, in any order: only what is newer than the copy is
-applied, so a copy never reverts to an older state.
+applied, so a copy never reverts to an older state. After the store has been
+restored from a copy of its own, its state is the newer one, although it may
+lack what was known.
 """
 
 from sniperudder.feeds import _records
+from sniperudder import revisions
 
 # Number of deleted rows that a copy remembers. An instance whose copy is older
 # than the oldest of them is sent the whole table.
@@ -19,16 +22,21 @@
     ----------
     table : str
     apply : callable
-        Called with the changed rows and with whether they are a snapshot of
-        the whole table.
+        Called with the changed rows, with whether they are a snapshot of the
+        whole table, and with whether this is the first snapshot after the
+        store was restored.
+    supersedes : callable, optional
+        Tells from two rows with the same key whether the first one replaces
+        the second one. Given for a table whose rows state their own order:
+        the newest of them is kept whatever the store has lost.
 
     Attributes
     ----------
     table : str
-    version : int
-        Store version up to which the copy is complete; never decreases.
-    changed_version : int
-        Store version of the last change of the table itself.
+    revision : sniperudder.revisions.Revision
+        State of the store up to which the copy is complete; never decreases.
+    changed_revision : sniperudder.revisions.Revision
+        State of the store at the last change of the table itself.
     is_known : bool
         Whether the table has been read since the start.
     on_applied : callable or None
@@ -37,42 +45,47 @@
     Examples
     --------
     >>> from sniperudder import platform
-    >>> copy = TableCopy('servers', lambda rows, is_snapshot: None)
-    >>> row = platform.StoredRow('gpu-1', b'{}', 5)
-    >>> copy.update(_records.Changes('servers', 7, True, (row,)))
+    >>> from sniperudder.revisions import Revision
+    >>> copy = TableCopy('servers', lambda *_: None)
+    >>> row = platform.StoredRow('gpu-1', b'{}', Revision(1, 5))
+    >>> copy.update(_records.Changes('servers', Revision(1, 7), True, (row,)))
     True
-    >>> copy.update(_records.Changes('servers', 6, True, ()))
+    >>> copy.update(_records.Changes('servers', Revision(1, 6), True, ()))
     False
-    >>> copy.collect_changes(7).rows
+    >>> copy.collect_changes(Revision(1, 7)).rows
     ()
-    >>> [row.key for row in copy.collect_changes(0).rows]
+    >>> [row.key for row in copy.collect_changes(Revision(0, 0)).rows]
     ['gpu-1']
+    >>> copy.update(_records.Changes('servers', Revision(2, 6), True, ()))
+    True
     """
 
     __slots__ = (
         '_apply',
-        '_oldest_version',
+        '_oldest_revision',
         '_rows',
+        '_supersedes',
         '_tombstones',
-        'changed_version',
+        'changed_revision',
         'is_known',
         'on_applied',
+        'revision',
         'table',
-        'version',
     )
 
-    def __init__(self, table, apply):
+    def __init__(self, table, apply, supersedes=None):
         self.table = table
-        self.version = 0
-        self.changed_version = 0
+        self.revision = revisions.UNKNOWN
+        self.changed_revision = revisions.UNKNOWN
         self.is_known = False
         self.on_applied = None
         self._apply = apply
+        self._supersedes = supersedes
         # By key, in the order of their last change; including deleted rows.
         self._rows = {}
         self._tombstones = 0
-        # Changes before this version are not known one by one.
-        self._oldest_version = 0
+        # Changes before this revision are not known one by one.
+        self._oldest_revision = revisions.UNKNOWN
 
     def update(self, changes):
         """Apply changes that are newer than the copy.
@@ -80,104 +93,163 @@
         Parameters
         ----------
         changes : Changes
-            Changes since a version that is at most that of the copy, or a
+            Changes since a revision that is at most that of the copy, or a
             snapshot.
 
         Returns
         -------
         bool
-            Whether the changes were current; a snapshot that is older than
-            the copy is ignored.
+            Whether the changes were current. Those older than the copy are
+            not, nor are changes of a later era that are not a snapshot.
         """
-        if changes.version < self.version:
+        is_later_era = changes.revision.era > self.revision.era
+        is_gap = is_later_era and self.is_known and not changes.is_snapshot
+        if changes.revision < self.revision or is_gap:
+            self.keep_newer_rows(changes.rows)
             return False
         if changes.is_snapshot:
-            if self.is_known and changes.version == self.version:
+            if self.is_known and changes.revision == self.revision:
                 return True
-            self._replace_rows(changes)
+            is_restored = is_later_era and self.is_known
+            self._replace_rows(changes, is_restored)
             rows = changes.rows
         else:
+            is_restored = False
             rows = tuple(
-                row for row in changes.rows if row.version > self.version
+                row for row in changes.rows if row.revision > self.revision
             )
             for row in rows:
                 self._store_row(row)
-        self.version = changes.version
+        self.revision = changes.revision
         if changes.is_snapshot or rows:
-            self._apply(rows, changes.is_snapshot)
-            if self.on_applied is not None:
-                self.on_applied()
+            self._notify(rows, changes.is_snapshot, is_restored)
         return True
 
     def collect_changes(self, after):
-        """Return what changed after a version, or a snapshot.
+        """Return what changed after a revision, or a snapshot.
 
         Parameters
         ----------
-        after : int
-            Store version.
+        after : sniperudder.revisions.Revision
 
         Returns
         -------
         Changes
+            Without rows if the revision is later than that of the copy.
         """
-        if after < self._oldest_version:
-            rows = tuple(
-                row for row in self._rows.values() if row.value is not None
+        if after > self.revision:
+            return _records.Changes(self.table, self.revision, False, ())
+        if self._must_send_all(after):
+            return _records.Changes(
+                self.table, self.revision, True, tuple(self.list_rows())
             )
-            return _records.Changes(self.table, self.version, True, rows)
         rows = []
         for row in reversed(self._rows.values()):
-            if row.version <= after:
+            if row.revision <= after:
                 break
             rows.append(row)
         rows.reverse()
-        return _records.Changes(self.table, self.version, False, tuple(rows))
+        return _records.Changes(self.table, self.revision, False, tuple(rows))
 
     def has_changes(self, after):
-        """Return whether the table is known to have changed after a version.
+        """Return whether the table is known to have changed after a revision.
 
         Parameters
         ----------
-        after : int
-            Store version; 0 if the asking instance does not know the table.
+        after : sniperudder.revisions.Revision
+            `revisions.UNKNOWN` if the asking instance does not know the table.
         """
-        return self.is_known and (
-            after < self._oldest_version or after < self.changed_version
+        return (
+            self.is_known
+            and after <= self.revision
+            and (self._must_send_all(after) or after < self.changed_revision)
         )
 
     def list_rows(self):
         """Return the rows of the table."""
         return [row for row in self._rows.values() if row.value is not None]
 
-    def _replace_rows(self, changes):
-        ordered = sorted(changes.rows, key=lambda row: row.version)
-        deleted = self._rows.keys() - {row.key for row in ordered}
+    def _must_send_all(self, after):
+        return after.era != self.revision.era or after < self._oldest_revision
+
+    def _notify(self, rows, is_snapshot, is_restored=False):
+        self._apply(rows, is_snapshot, is_restored)
+        if self.on_applied is not None:
+            self.on_applied()
+
+    def _replace_rows(self, changes, is_restored):
+        known_rows = self._rows
+        ordered = sorted(changes.rows, key=lambda row: row.revision)
+        deleted = known_rows.keys() - {row.key for row in ordered}
         self._rows = {row.key: row for row in ordered}
         self._tombstones = 0
-        self._oldest_version = changes.version
+        self._oldest_revision = changes.revision
         self.is_known = True
-        newest = ordered[-1].version if ordered else 0
-        # The version of a deletion that the snapshot reveals is not known.
-        self.changed_version = max(
-            self.changed_version, changes.version if deleted else newest
+        newest = ordered[-1].revision if ordered else revisions.UNKNOWN
+        # The revision of a deletion that the snapshot reveals is not known,
+        # nor is what the store has lost.
+        self.changed_revision = max(
+            self.changed_revision,
+            changes.revision if deleted or is_restored else newest,
         )
+        if self._supersedes is not None:
+            for key, known in known_rows.items():
+                row = self._rows.get(key)
+                if row is None or not self._supersedes(row, known):
+                    self._rows[key] = known
 
     def _store_row(self, row):
-        known = self._rows.pop(row.key, None)
-        if known is not None and known.value is None:
-            self._tombstones -= 1
+        known = self._rows.get(row.key)
+        self.changed_revision = max(self.changed_revision, row.revision)
+        if (
+            known is not None
+            and self._supersedes is not None
+            and not self._supersedes(row, known)
+        ):
+            return
+        if known is not None:
+            del self._rows[row.key]
+            if known.value is None:
+                self._tombstones -= 1
         self._rows[row.key] = row
-        self.changed_version = max(self.changed_version, row.version)
         if row.value is None:
             self._tombstones += 1
             if self._tombstones > _MAX_TOMBSTONES:
                 self._drop_oldest_tombstone()
 
+    def keep_newer_rows(self, rows):
+        """Keep rows that are newer by their own order than those known.
+
+        Their revisions don't matter. Does nothing for a table whose rows state
+        no order.
+
+        Parameters
+        ----------
+        rows : iterable of sniperudder.platform.StoredRow
+        """
+        if self._supersedes is None:
+            return
+        newer = {
+            row.key: row
+            for row in rows
+            if row.value is not None
+            and (
+                row.key not in self._rows
+                or not self._supersedes(self._rows[row.key], row)
+            )
+        }
+        if newer:
+            # The rows are in the order of their revisions.
+            others = {k: r for k, r in self._rows.items() if k not in newer}
+            self._rows = {**newer, **others}
+            self._notify(tuple(newer.values()), False)
+
     def _drop_oldest_tombstone(self):
         for key, row in self._rows.items():
             if row.value is None:
                 del self._rows[key]
                 self._tombstones -= 1
-                self._oldest_version = max(self._oldest_version, row.version)
+                self._oldest_revision = max(
+                    self._oldest_revision, row.revision
+                )
                 return
--- a/sniperudder/feeds/_records.py
+++ b/sniperudder/feeds/_records.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from sniperudder import revisions
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Changes:
@@ -10,15 +12,15 @@
     Attributes
     ----------
     table : str
-    version : int
-        Store version up to which the changes are complete.
+    revision : sniperudder.revisions.Revision
+        State of the store up to which the changes are complete.
     is_snapshot : bool
         Whether the rows are the whole table and not only changes.
     rows : tuple of sniperudder.platform.StoredRow
     """
 
     table: str
-    version: int
+    revision: revisions.Revision
     is_snapshot: bool
     rows: tuple
 
@@ -29,13 +31,13 @@
 
     Attributes
     ----------
-    versions : dict of str to int
-        Store version up to which the sender knows each table.
+    revisions : dict of str to sniperudder.revisions.Revision
+        State of the store up to which the sender knows each table.
     wait_s : float
         Longest time to wait for a change, seconds.
     """
 
-    versions: dict
+    revisions: dict
     wait_s: float
 
 
--- a/sniperudder/feeds/feeds.thrift
+++ b/sniperudder/feeds/feeds.thrift
@@ -2,10 +2,12 @@
 
 namespace py wire
 
-// Store version up to which the sender of a request knows a table.
+// State of the store up to which the sender of a request knows a table. Versions
+// order the states of one era of the store.
 struct Position {
   1: required string table;
   2: required i64 version;
+  3: required i64 era;
 }
 
 struct FeedRequest {
@@ -19,14 +21,16 @@
   2: required i64 version;
   3: optional binary value;
   4: optional bool compressed;
+  5: required i64 era;
 }
 
-// Changes up to a store version, or the whole table as of that version.
+// Changes up to a state of the store, or the whole table as of that state.
 struct Changes {
   1: required string table;
   2: required i64 version;
   3: required bool is_snapshot;
   4: required list<Row> rows;
+  5: required i64 era;
 }
 
 // Depth 1 is an instance that reads the store itself, and 0 one without a
--- a/sniperudder/feeds/gen/wire/ttypes.py
+++ b/sniperudder/feeds/gen/wire/ttypes.py
@@ -22,18 +22,21 @@
     Attributes:
      - table
      - version
+     - era
 
     """
 
     __slots__ = (
         'table',
         'version',
+        'era',
     )
 
 
-    def __init__(self, table=None, version=None,):
+    def __init__(self, table=None, version=None, era=None,):
         self.table = table
         self.version = version
+        self.era = era
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -54,6 +57,11 @@
                     self.version = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -72,6 +80,10 @@
             oprot.writeFieldBegin('version', TType.I64, 2)
             oprot.writeI64(self.version)
             oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I64, 3)
+            oprot.writeI64(self.era)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -80,6 +92,8 @@
             raise TProtocolException(message='Required field table is unset!')
         if self.version is None:
             raise TProtocolException(message='Required field version is unset!')
+        if self.era is None:
+            raise TProtocolException(message='Required field era is unset!')
         return
 
     def __repr__(self):
@@ -201,6 +215,7 @@
      - version
      - value
      - compressed
+     - era
 
     """
 
@@ -209,14 +224,16 @@
         'version',
         'value',
         'compressed',
+        'era',
     )
 
 
-    def __init__(self, key=None, version=None, value=None, compressed=None,):
+    def __init__(self, key=None, version=None, value=None, compressed=None, era=None,):
         self.key = key
         self.version = version
         self.value = value
         self.compressed = compressed
+        self.era = era
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -247,6 +264,11 @@
                     self.compressed = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -273,6 +295,10 @@
             oprot.writeFieldBegin('compressed', TType.BOOL, 4)
             oprot.writeBool(self.compressed)
             oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I64, 5)
+            oprot.writeI64(self.era)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -281,6 +307,8 @@
             raise TProtocolException(message='Required field key is unset!')
         if self.version is None:
             raise TProtocolException(message='Required field version is unset!')
+        if self.era is None:
+            raise TProtocolException(message='Required field era is unset!')
         return
 
     def __repr__(self):
@@ -309,6 +337,7 @@
      - version
      - is_snapshot
      - rows
+     - era
 
     """
 
@@ -317,14 +346,16 @@
         'version',
         'is_snapshot',
         'rows',
+        'era',
     )
 
 
-    def __init__(self, table=None, version=None, is_snapshot=None, rows=None,):
+    def __init__(self, table=None, version=None, is_snapshot=None, rows=None, era=None,):
         self.table = table
         self.version = version
         self.is_snapshot = is_snapshot
         self.rows = rows
+        self.era = era
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -361,6 +392,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -390,6 +426,10 @@
                 iter13.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I64, 5)
+            oprot.writeI64(self.era)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -402,6 +442,8 @@
             raise TProtocolException(message='Required field is_snapshot is unset!')
         if self.rows is None:
             raise TProtocolException(message='Required field rows is unset!')
+        if self.era is None:
+            raise TProtocolException(message='Required field era is unset!')
         return
 
     def __repr__(self):
@@ -533,6 +575,7 @@
     None,  # 0
     (1, TType.STRING, 'table', 'UTF8', None, ),  # 1
     (2, TType.I64, 'version', None, None, ),  # 2
+    (3, TType.I64, 'era', None, None, ),  # 3
 )
 all_structs.append(FeedRequest)
 FeedRequest.thrift_spec = (
@@ -547,6 +590,7 @@
     (2, TType.I64, 'version', None, None, ),  # 2
     (3, TType.STRING, 'value', 'BINARY', None, ),  # 3
     (4, TType.BOOL, 'compressed', None, None, ),  # 4
+    (5, TType.I64, 'era', None, None, ),  # 5
 )
 all_structs.append(Changes)
 Changes.thrift_spec = (
@@ -555,6 +599,7 @@
     (2, TType.I64, 'version', None, None, ),  # 2
     (3, TType.BOOL, 'is_snapshot', None, None, ),  # 3
     (4, TType.LIST, 'rows', (TType.STRUCT, [Row, None], False), None, ),  # 4
+    (5, TType.I64, 'era', None, None, ),  # 5
 )
 all_structs.append(FeedReply)
 FeedReply.thrift_spec = (
--- a/sniperudder/feeds/tests/test_copies.py
+++ b/sniperudder/feeds/tests/test_copies.py
@@ -6,27 +6,38 @@
 
 from sniperudder import feeds
 from sniperudder import platform
+from sniperudder import revisions
 
 
-def make_changes(version, rows, is_snapshot=False):
+def at(version, era=1):
+    """Return a revision."""
+    return revisions.Revision(era, version)
+
+
+def make_changes(version, rows, is_snapshot=False, era=1):
     """Return changes; rows are (key, row version, value)."""
     return feeds.Changes(
         't',
-        version,
+        at(version, era),
         is_snapshot,
         tuple(
-            platform.StoredRow(key, value, row_version)
+            platform.StoredRow(key, value, at(row_version, era))
             for key, row_version, value in rows
         ),
     )
 
 
+def get_position(copy):
+    """Return the revision after which a copy needs the changes."""
+    return copy.revision if copy.is_known else revisions.UNKNOWN
+
+
 class TableCopyTest(testtools.TestCase):
     def setUp(self):
         super().setUp()
         self.applied = []
         self.copy = feeds.TableCopy(
-            't', lambda rows, is_snapshot: self.applied.extend(rows)
+            't', lambda rows, *_: self.applied.extend(rows)
         )
         self.copy.update(make_changes(5, [('a', 5, b'1')], True))
 
@@ -34,7 +45,7 @@
         changes = make_changes(4, [('a', 3, b'0')], True)
         self.assertFalse(self.copy.update(changes))
         self.assertEqual([b'1'], [row.value for row in self.applied])
-        self.assertEqual(5, self.copy.version)
+        self.assertEqual(at(5), self.copy.revision)
 
     def test_changes_known_already_are_not_applied_again(self):
         changes = make_changes(7, [('a', 5, b'1'), ('b', 7, b'2')])
@@ -48,14 +59,14 @@
 
     def test_deleted_row_is_passed_on(self):
         self.copy.update(make_changes(8, [('a', 8, None)]))
-        changes = self.copy.collect_changes(5)
+        changes = self.copy.collect_changes(at(5))
         self.assertFalse(changes.is_snapshot)
         self.assertEqual([None], [row.value for row in changes.rows])
         self.assertEqual([], self.copy.list_rows())
 
     def test_gap_is_answered_with_snapshot(self):
         self.copy.update(make_changes(8, [('b', 8, b'2')]))
-        changes = self.copy.collect_changes(4)
+        changes = self.copy.collect_changes(at(4))
         self.assertTrue(changes.is_snapshot)
         self.assertEqual(['a', 'b'], [row.key for row in changes.rows])
 
@@ -63,9 +74,9 @@
         for version in range(6, 3_006):
             key = f'k{version}'
             self.copy.update(make_changes(version, [(key, version, None)]))
-        self.assertLessEqual(len(self.copy.collect_changes(0).rows), 1_001)
-        self.assertTrue(self.copy.collect_changes(6).is_snapshot)
-        self.assertFalse(self.copy.collect_changes(3_000).is_snapshot)
+        self.assertLessEqual(len(self.copy.collect_changes(at(0)).rows), 1_001)
+        self.assertTrue(self.copy.collect_changes(at(6)).is_snapshot)
+        self.assertFalse(self.copy.collect_changes(at(3_000)).is_snapshot)
 
     def test_random_chains_of_copies_agree_with_the_table(self):
         # Three copies in a row; each asks the one before it, with lost and
@@ -88,18 +99,18 @@
                 chain[place] = feeds.TableCopy('t', lambda *_: None)
             source = chain[place - 1] if place else table
             if source.is_known:
-                after = chain[place].version if chain[place].is_known else 0
+                after = get_position(chain[place])
                 answer = chain[place], after, source.collect_changes(after)
                 answers.append(answer)
             if answers:
                 copy, after, changes = rng.choice(answers)
-                before = copy.version
+                before = copy.revision
                 if after <= before and (copy.is_known or changes.is_snapshot):
                     copy.update(changes)
-                self.assertGreaterEqual(copy.version, before, f'seed {seed}')
+                self.assertGreaterEqual(copy.revision, before, f'seed {seed}')
         for place, copy in enumerate(chain):
             source = chain[place - 1] if place else table
-            after = copy.version if copy.is_known else 0
+            after = get_position(copy)
             copy.update(source.collect_changes(after))
             self.assertEqual(
                 {row.key: row for row in table.list_rows()},
--- a/sniperudder/fleet/__init__.py
+++ b/sniperudder/fleet/__init__.py
@@ -10,6 +10,7 @@
 from sniperudder.fleet._configuration import Target
 from sniperudder.fleet._crossings import CrossingCounter
 from sniperudder.fleet._crossings import list_crossings
+from sniperudder.fleet._departures import DepartureTable
 from sniperudder.fleet._endpoints import Endpoint
 from sniperudder.fleet._endpoints import EndpointState
 from sniperudder.fleet._endpoints import Layers
@@ -35,6 +36,7 @@
     'Bounds',
     'Configuration',
     'CrossingCounter',
+    'DepartureTable',
     'Endpoint',
     'EndpointState',
     'EngineProfile',
--- a/sniperudder/fleet/_endpoints.py
+++ b/sniperudder/fleet/_endpoints.py
@@ -44,6 +44,9 @@
         Layers that it holds.
     born_ms : int
         Wall-clock time of its start, ms; distinguishes runs with the same id.
+    report_number : int
+        Number of the liveness report from which the entry is; rises within a
+        run. Not compared.
     """
 
     id: str
@@ -55,6 +58,7 @@
     accelerator: str
     layers: Layers | None
     born_ms: int
+    report_number: int = dataclasses.field(default=0, compare=False)
 
 
 @dataclasses.dataclass(slots=True)
--- a/sniperudder/fleet/_settings.py
+++ b/sniperudder/fleet/_settings.py
@@ -55,6 +55,10 @@
     bounds : Bounds
     link_mbps : float
         Bandwidth of the instance's network link, Mbit/s; 0 if unknown.
+    is_first_start : bool
+        Whether the whole deployment starts for the first time.
+    heartbeat_s : float
+        Interval at which endpoints write their entries, seconds.
     """
 
     name: str
@@ -66,3 +70,5 @@
     platform_address: str
     bounds: Bounds
     link_mbps: float = 0.0
+    is_first_start: bool = False
+    heartbeat_s: float = 1.2
--- a/sniperudder/fleet/_tables.py
+++ b/sniperudder/fleet/_tables.py
@@ -9,6 +9,7 @@
 from sniperudder.fleet import _notices
 from sniperudder.fleet import _quotas
 from sniperudder.fleet import _speeds
+from sniperudder import revisions
 
 
 @dataclasses.dataclass(slots=True)
@@ -19,6 +20,8 @@
     ----------
     configuration : Configuration or None
         None until one has been read.
+    configuration_revision : sniperudder.revisions.Revision
+        State of the store at which the configuration was written.
     endpoints : dict of str to Endpoint
         Endpoints listed by the platform, by id.
     states : dict of (str, int) to EndpointState
@@ -42,6 +45,7 @@
     """
 
     configuration: object = None
+    configuration_revision: revisions.Revision = revisions.UNKNOWN
     endpoints: dict = dataclasses.field(default_factory=dict)
     states: dict = dataclasses.field(default_factory=dict)
     endpoints_known: bool = False
--- a/sniperudder/forwarding/_forwarder.py
+++ b/sniperudder/forwarding/_forwarder.py
@@ -440,6 +440,7 @@
             rank=job.rank,
             organisation=organisation,
             version=self.T.configuration.version,
+            revision=str(self.T.configuration_revision),
             sends=job.send_outcomes,
             **fields,
             duration_ms=round(elapsed_s * 1000),
@@ -505,6 +506,7 @@
             rejection.request_id,
             code=int(code),
             version=version,
+            revision=str(self.T.configuration_revision),
         )
 
     async def _forward_buffered(self, job, caller):
--- a/sniperudder/placement/tests/test_layout.py
+++ b/sniperudder/placement/tests/test_layout.py
@@ -7,6 +7,7 @@
 
 from sniperudder import fleet
 from sniperudder import placement
+from sniperudder import revisions
 from sniperudder.routing.tests import _fleets
 
 _DATA_CENTRES = ('milano', 'como', 'bergamo')
@@ -150,27 +151,57 @@
         self.assertEqual((None, None), move)
 
 
+def at(version, era=1):
+    """Return a revision of the lease's row."""
+    return revisions.Revision(era, version)
+
+
 class LeaseTest(testtools.TestCase):
     def test_expired_lease_may_be_taken(self):
         view = placement.LeaseView()
-        placement.observe_lease(view, 5, 10.0)
+        placement.observe_lease(view, at(5), 10.0)
         self.assertFalse(placement.may_acquire(view, 13.9))
         self.assertTrue(placement.may_acquire(view, 14.1))
 
     def test_renewed_lease_may_not_be_taken(self):
         view = placement.LeaseView()
         for version, now in ((5, 10.0), (6, 12.0), (7, 14.0)):
-            placement.observe_lease(view, version, now)
+            placement.observe_lease(view, at(version), now)
         self.assertFalse(placement.may_acquire(view, 15.0))
 
     def test_holder_without_recent_renewal_may_not_order(self):
         view = placement.LeaseView()
-        placement.record_renewal(view, 5, 10.0)
+        placement.record_renewal(view, at(5), 10.0)
         self.assertTrue(placement.may_order(view, 12.0))
         self.assertFalse(placement.may_order(view, 13.1))
 
     def test_holder_that_sees_another_version_may_not_order(self):
         view = placement.LeaseView()
-        placement.record_renewal(view, 5, 10.0)
-        placement.observe_lease(view, 6, 10.5)
+        placement.record_renewal(view, at(5), 10.0)
+        placement.observe_lease(view, at(6), 10.5)
         self.assertFalse(placement.may_order(view, 10.6))
+
+    # Guards against: two holders gave orders after the store had been restored
+    # to a state in which nobody held the lease.
+    def test_lease_that_the_store_has_lost_may_not_be_taken_at_once(self):
+        view = placement.LeaseView()
+        placement.observe_lease(view, at(5), 10.0)
+        placement.observe_lease(view, at(0, era=2), 11.0)
+        self.assertFalse(placement.may_acquire(view, 11.1))
+        self.assertTrue(placement.may_acquire(view, 15.1))
+
+    def test_lease_that_was_never_held_may_be_taken_at_once(self):
+        view = placement.LeaseView()
+        self.assertFalse(placement.may_acquire(view, 10.0, True))
+        placement.observe_lease(view, at(0), 10.0)
+        self.assertTrue(placement.may_acquire(view, 10.1, True))
+        placement.observe_lease(view, at(3), 10.2)
+        self.assertFalse(placement.may_acquire(view, 10.3, True))
+
+    def test_revision_of_an_earlier_era_is_ignored(self):
+        view = placement.LeaseView()
+        placement.record_renewal(view, at(5, era=2), 10.0)
+        placement.observe_lease(view, at(99), 10.5)
+        self.assertTrue(placement.may_order(view, 10.6))
+        placement.observe_lease(view, at(5, era=3), 10.7)
+        self.assertFalse(placement.may_order(view, 10.8))
--- a/sniperudder/platform/__init__.py
+++ b/sniperudder/platform/__init__.py
@@ -1,9 +1,11 @@
 """Client of the platform: metadata store, documents, headers and orders."""
 
+from sniperudder.platform._documents import CONFIGURATION_KEY
 from sniperudder.platform._documents import decode_configuration
 from sniperudder.platform._documents import decode_endpoint
 from sniperudder.platform._documents import decode_settings
 from sniperudder.platform._documents import DocumentError
+from sniperudder.platform._documents import supersedes_configuration
 from sniperudder.platform._headers import decode_request_head
 from sniperudder.platform._headers import decode_response_head
 from sniperudder.platform._headers import filter_request_headers
@@ -23,7 +25,6 @@
 from sniperudder.platform._orders import REPORT_TARGET
 from sniperudder.platform._orders import StalledRequest
 from sniperudder.platform._store import BLOCKS_KEY
-from sniperudder.platform._store import CONFIGURATION_KEY
 from sniperudder.platform._store import CONFIGURATION_TABLE
 from sniperudder.platform._store import Conflict
 from sniperudder.platform._store import ENDPOINTS_TABLE
@@ -77,4 +78,5 @@
     'make_place_order',
     'make_request_headers',
     'make_reroute_order',
+    'supersedes_configuration',
 ]
--- a/sniperudder/platform/_documents.py
+++ b/sniperudder/platform/_documents.py
@@ -23,6 +23,13 @@
     """Raised for a document that is malformed or lacks a required field."""
 
 
+# Used if the settings do not state it, ms.
+_DEFAULT_HEARTBEAT_MS = 1_200.0
+
+# Key of the row of the configurations' table that is in force.
+CONFIGURATION_KEY = 'config'
+
+
 def decode_settings(data):
     """Decode the settings of an instance.
 
@@ -65,6 +72,8 @@
         link_mbps=get_field(
             get_field(value, 'limits', dict, {}), 'link_mbps', float, 0.0
         ),
+        is_first_start=get_field(value, 'first_start', bool, False),
+        heartbeat_s=get_seconds(value, 'heartbeat_ms', _DEFAULT_HEARTBEAT_MS),
     )
 
 
@@ -102,6 +111,41 @@
     )
 
 
+def supersedes_configuration(row, known):
+    """Return whether a row of the configurations' table replaces another one.
+
+    The operators' version of a configuration decides, and not the state of the
+    store at which it was written: a configuration that was confirmed stays in
+    force if the store has lost it.
+
+    Parameters
+    ----------
+    row, known : StoredRow
+        Rows with the same key.
+
+    Returns
+    -------
+    bool
+    """
+    if row.key != CONFIGURATION_KEY:
+        return row.revision >= known.revision
+    known_version = _get_configuration_version(known)
+    if known_version is None:
+        return True
+    version = _get_configuration_version(row)
+    return version is not None and version >= known_version
+
+
+def _get_configuration_version(row):
+    """Return the operators' version; None if there is none to be read."""
+    if row.value is None:
+        return None
+    try:
+        return get_field(parse_object(row.value), 'version', int)
+    except DocumentError:
+        return None
+
+
 def decode_endpoint(name, data):
     """Decode an endpoint from its row.
 
@@ -140,6 +184,7 @@
         accelerator=get_field(value, 'kind', str, ''),
         layers=decode_layers(value),
         born_ms=get_field(value, 'born', int, 0),
+        report_number=get_field(value, 'sequence', int, 0),
     )
 
 
--- a/sniperudder/platform/_store.py
+++ b/sniperudder/platform/_store.py
@@ -7,9 +7,9 @@
 import urllib.parse
 
 from sniperudder.platform import _documents
+from sniperudder import revisions
 
 CONFIGURATION_TABLE = 'op'
-CONFIGURATION_KEY = 'config'
 ENDPOINTS_TABLE = 'servers'
 INSTANCES_TABLE = 'instances'
 # Key of the row of that table that is no instance but holds blocked requests.
@@ -40,28 +40,29 @@
     key : str
     value : bytes or None
         None for a deleted row.
-    version : int
+    revision : sniperudder.revisions.Revision
+        State of the store at which it was written.
     """
 
     key: str
     value: bytes | None
-    version: int
+    revision: revisions.Revision
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Rows:
-    """Rows and the store version at which they were read.
+    """Rows and the state of the store at which they were read.
 
     Attributes
     ----------
     rows : tuple of StoredRow
-    version : int
+    revision : sniperudder.revisions.Revision
     more : bool
         Whether the response is one page and further rows follow.
     """
 
     rows: tuple
-    version: int
+    revision: revisions.Revision
     more: bool = False
 
 
@@ -76,16 +77,16 @@
 
     Attributes
     ----------
-    version : int
-        Version of the written row.
+    revision : sniperudder.revisions.Revision
+        Revision of the written row.
     """
 
-    version: int
+    revision: revisions.Revision
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Conflict:
-    """A write was rejected because the expected version did not match.
+    """A write was rejected because the expected revision did not match.
 
     Attributes
     ----------
@@ -126,29 +127,34 @@
     record_latency : callable, optional
         Called with the duration in seconds of each call that is not a long
         poll.
-    record_era : callable, optional
-        Called with the era of the store before and after each change.
+    handle_restored : callable, optional
+        Called with the era of the store before and after each rise.
 
     Attributes
     ----------
-    era : int or None
-        Era that the last response stated.
+    era : int
+        Latest era that a response of any kind stated; 0 if none did.
+    first_era : int
+        Era that was stated first.
     """
 
     __slots__ = (
         '_call',
-        '_record_era',
+        '_handle_restored',
         '_record_latency',
         'address',
         'era',
+        'first_era',
     )
 
-    def __init__(self, address, call, record_latency=None, record_era=None):
+    def __init__(
+        self, address, call, record_latency=None, handle_restored=None
+    ):
         self.address = address
-        self.era = None
+        self.era = self.first_era = 0
         self._call = call
         self._record_latency = record_latency
-        self._record_era = record_era
+        self._handle_restored = handle_restored
 
     async def read_table(self, table):
         """Return all rows of a table.
@@ -157,7 +163,7 @@
         -------
         Rows or Unavailable
         """
-        rows, start_key = [], None
+        rows, start_key, era = [], None, None
         while True:
             query = {'table': table, 'part': ''}
             if start_key is not None:
@@ -167,9 +173,12 @@
                 return Unavailable('change history not available', False)
             if isinstance(page, Unavailable):
                 return page
+            if era not in (None, page.revision.era):
+                return Unavailable('restored between two pages', False)
+            era = page.revision.era
             rows.extend(page.rows)
             if not page.more or not page.rows:
-                return Rows(tuple(rows), page.version)
+                return Rows(tuple(rows), page.revision)
             # The start of a range is inclusive; the smallest key after the
             # last one read is that key followed by a NUL character.
             start_key = page.rows[-1].key + '\0'
@@ -177,6 +186,9 @@
     async def read_changes(self, table, after, wait_s):
         """Return changes of a table, waiting until there are any.
 
+        The era of the result may be a later one than that of the version. The
+        rows are then not all that has changed.
+
         Parameters
         ----------
         table : str
@@ -196,15 +208,20 @@
         }
         return await self._read('/rows-feed', query, wait_s)
 
-    async def write_row(self, table, key, value, expected_version=None):
+    async def write_row(self, table, key, value, expected=None):
         """Write a row, or delete it if the value is None.
 
+        The store compares versions only, and gives them out again after a
+        restoration. A condition that held in a later era than its own is
+        therefore reported as `Unavailable`: it held by coincidence.
+
         Parameters
         ----------
         table, key : str
         value : bytes or None
-        expected_version : int, optional
-            Version that the row must have; 0 if it must not exist.
+        expected : sniperudder.revisions.Revision, optional
+            Revision that the row must have; with version 0 if it must not
+            exist.
 
         Returns
         -------
@@ -212,9 +229,11 @@
         """
         row = {'table': table, 'part': '', 'key': key}
         transaction = {'expected_rev': [], 'set_keys': [], 'remove': []}
-        if expected_version is not None:
+        if expected is not None:
+            if expected.era < self.era:
+                return Unavailable(f'condition of era {expected.era}', False)
             transaction['expected_rev'] = [
-                {**row, 'row_version': expected_version}
+                {**row, 'row_version': expected.version}
             ]
         if value is None:
             transaction['remove'] = [row]
@@ -222,53 +241,84 @@
             text = base64.b64encode(value).decode()
             transaction['set_keys'] = [{**row, 'value': text}]
         try:
-            status, body = await self._time_call(
+            status, body, era = await self._time_call(
                 'POST', '/rows-tx', json.dumps(transaction).encode()
             )
             if status == _OK:
+                self._check_era(era)
+                if expected is not None and expected.era != era:
+                    return Unavailable(f'applied in era {era}', True)
                 reply = _documents.parse_object(body)
                 version = _documents.get_field(reply, 'row_version', int)
-                return Written(version)
+                return Written(revisions.Revision(era, version))
             if status == _PRECONDITION_FAILED:
+                self._check_era(era)
                 return Conflict(
-                    _decode_rows(_documents.parse_object(body)).rows
+                    _decode_rows(_documents.parse_object(body), era).rows
                 )
-        except (OSError, _documents.DocumentError) as error:
+        except (OSError, _documents.DocumentError, _EraError) as error:
             return Unavailable(f'{type(error).__name__}: {error}', True)
         return Unavailable(f'status {status}', status not in _OVERLOADED)
 
     async def _read(self, path, query, wait_s=0.0):
         target = f'{path}?{urllib.parse.urlencode(query)}'
         try:
-            status, body = await self._time_call('GET', target, None, wait_s)
+            status, body, era = await self._time_call(
+                'GET', target, None, wait_s
+            )
             if status == _HISTORY_GONE:
+                self._check_era(era)
                 return HistoryGone()
             if status == _OK:
-                return _decode_rows(_documents.parse_object(body))
-        except (OSError, _documents.DocumentError) as error:
+                self._check_era(era)
+                return _decode_rows(_documents.parse_object(body), era)
+        except (OSError, _documents.DocumentError, _EraError) as error:
             return Unavailable(f'{type(error).__name__}: {error}', False)
         return Unavailable(f'status {status}', False)
 
     async def _time_call(self, method, target, body, wait_s=0.0):
         loop = asyncio.get_running_loop()
         started_at = loop.time()
+        era = None
+
+        def handle_headers(headers):
+            nonlocal era
+            era = _decode_era(headers)
+            self._observe_era(era)
+
         try:
-            return await self._call(
+            status, response_body = await self._call(
                 self.address,
                 method,
                 target,
                 body,
                 wait_s + _RESPONSE_TIMEOUT_S,
-                self._handle_headers,
+                handle_headers,
             )
+            # A store that has never stated its era has one era only.
+            return status, response_body, era if self.era else 0
         finally:
             if not wait_s and self._record_latency is not None:
                 self._record_latency(loop.time() - started_at)
 
-    def _handle_headers(self, headers):
-        before, self.era = self.era, _decode_era(headers)
-        if self.era != before and self._record_era is not None:
-            self._record_era(before, self.era)
+    def _observe_era(self, era):
+        if era is None or era <= self.era:
+            return
+        before, self.era = self.era, era
+        self.first_era = self.first_era or era
+        if self._handle_restored is not None:
+            self._handle_restored(before, era)
+
+    def _check_era(self, era):
+        """Raise `_EraError` unless a response is of the latest era."""
+        if era is None:
+            raise _EraError(f'no era stated after era {self.era}')
+        if era < self.era:
+            raise _EraError(f'response of era {era} after era {self.era}')
+
+
+class _EraError(Exception):
+    """Raised for a response that can't be ordered or is of an earlier era."""
 
 
 def _decode_era(headers):
@@ -279,20 +329,22 @@
     return None
 
 
-def _decode_rows(reply):
+def _decode_rows(reply, era):
     rows = [
-        _decode_row(row) for row in _documents.get_field(reply, 'rows', list)
+        _decode_row(row, era)
+        for row in _documents.get_field(reply, 'rows', list)
     ]
     version = _documents.get_field(reply, 'row_version', int)
     more = _documents.get_field(reply, 'more_pages', bool, False)
-    return Rows(tuple(rows), version, more)
+    return Rows(tuple(rows), revisions.Revision(era, version), more)
 
 
-def _decode_row(row):
+def _decode_row(row, era):
     key = _documents.get_field(row, 'key', str)
     version = _documents.get_field(row, 'row_version', int)
+    revision = revisions.Revision(era, version)
     if row.get('tombstone') or 'value' not in row:
-        return StoredRow(key, None, version)
+        return StoredRow(key, None, revision)
     text = _documents.get_field(row, 'value', str)
     try:
         value = base64.b64decode(text, validate=True)
@@ -300,4 +352,4 @@
         raise _documents.DocumentError(
             f'row value is not valid Base64: {error}'
         ) from error
-    return StoredRow(key, value, version)
+    return StoredRow(key, value, revision)
--- a/standins/fleet/_store.py
+++ b/standins/fleet/_store.py
@@ -166,10 +166,21 @@
         self._changed = asyncio.Event()
 
     def _transact(self, call):
-        for row in call['expected_rev']:
-            _, version = self.rows.get((row['table'], row['key']), (b'', 0))
-            if version != row['row_version']:
-                return 412, {'rows': []}
+        conditions = [
+            (row['table'], row['key'], row['row_version'])
+            for row in call['expected_rev']
+        ]
+        found = {
+            (table, key): self.rows[table, key]
+            for table, key, _ in conditions
+            if (table, key) in self.rows
+        }
+        if any(
+            found.get((table, key), (b'', 0))[1] != version
+            for table, key, version in conditions
+        ):
+            rows = [_make_row(*name, *row) for name, row in found.items()]
+            return 412, {'rows': rows}
         for row in call['set_keys']:
             value = base64.b64decode(row['value'])
             self.put(row['table'], row['key'], value)
