--- a/sniperudder/entry/tests/test_blocks.py
+++ b/sniperudder/entry/tests/test_blocks.py
@@ -97,6 +97,57 @@
         written = platform.Written(revisions.Revision(3, 7))
         self.assertEqual([], self.run_writer(outcome=written))
 
+    def run_restored(self, known, row_blocks):
+        """Apply a restored row; return calls of the monitor and the writes."""
+        monitor_calls, writes = [], []
+        blocks = list(known)
+
+        async def write_row(table, key, value, expected):
+            writes.append((value and json.loads(value)['blocks'], expected))
+            return platform.Written(revisions.Revision(2, 96))
+
+        block_store = _blocks.BlockStore(
+            types.SimpleNamespace(write_row=write_row, era=2),
+            types.SimpleNamespace(
+                list_blocks=lambda: blocks,
+                add_blocks=lambda found: monitor_calls.append('add'),
+                lift_blocks=lambda reason: monitor_calls.append('lift'),
+            ),
+            lambda: True,
+            _fleets.RecordingJournal(),
+        )
+
+        def make_row(found, revision):
+            value = {'blocks': [sorted(keys) for keys in found]}
+            return platform.StoredRow(
+                platform.BLOCKS_KEY, json.dumps(value).encode(), revision
+            )
+
+        before = make_row(known, revisions.Revision(1, 99)) if known else None
+        block_store.apply_row(before)
+        monitor_calls.clear()
+        after = None
+        if row_blocks:
+            after = make_row(row_blocks, revisions.Revision(2, 90))
+        block_store.apply_row(after, is_restored=True)
+        asyncio.run(block_store._write_changes())
+        return monitor_calls, writes
+
+    # Guards against: a row that the copy lacks was taken for an operator who
+    # lifts all blocks, and requests crashed engines again.
+    def test_lost_row_lifts_no_blocks_and_is_written_again(self):
+        monitor_calls, writes = self.run_restored([_BAD], [])
+        self.assertEqual([], monitor_calls)
+        missing = revisions.Revision(2, 0)
+        self.assertEqual([([['part:bad']], missing)], writes)
+
+    # Guards against: blocks that an operator had lifted were back with the
+    # row of the copy.
+    def test_row_of_lifted_blocks_is_deleted_again(self):
+        monitor_calls, writes = self.run_restored([], [_BAD])
+        self.assertEqual([], monitor_calls)
+        self.assertEqual([(None, revisions.Revision(2, 90))], writes)
+
     def test_unreadable_row_blocks_nothing(self):
         journal = _fleets.RecordingJournal()
         added = []
--- a/sniperudder/entry/tests/test_feed.py
+++ b/sniperudder/entry/tests/test_feed.py
@@ -15,6 +15,7 @@
 
 _SIZES = {'north': 4, 'south': 2}
 _SEEDS = range(20)
+_RESTORED_SEEDS = range(10)
 _DURATION_S = 60.0
 
 # Seeds that failed once, with the cause: 1025, a check of the store that
@@ -157,11 +158,15 @@
     store that have worked for 3 s, each version is applied within 2 s.
     """
 
-    def run_seed(self, seed):
-        """Return the violations in a run with random faults."""
+    def run_seed(self, seed, restores=False):
+        """Return the violations in a run with random faults.
+
+        With `restores`, the store is restored from copies as well.
+        """
 
         async def case(network):
-            await _feed_networks.FaultPlan(network, seed).run(_DURATION_S)
+            plan = _feed_networks.FaultPlan(network, seed, restores)
+            await plan.run(_DURATION_S)
 
         return _feed_networks.run_network(_SIZES, case).violations
 
@@ -169,6 +174,28 @@
         for seed in (*_SEEDS, *_REGRESSION_SEEDS):
             self.assertEqual([], self.run_seed(seed)[:3], f'seed {seed}')
 
+    # Guards against: after a restoration, instances waited until the store's
+    # versions had passed those known, or missed what lies between.
+    def test_random_faults_of_a_store_that_is_restored(self):
+        for seed in _RESTORED_SEEDS:
+            found = self.run_seed(seed, restores=True)
+            self.assertEqual([], found[:3], f'seed {seed}')
+
+    def test_plain_versions_would_be_noticed(self):
+        # Copies that compare versions whatever the era.
+        def update(copy, changes):
+            is_old = changes.revision.version < copy.revision.version
+            return not is_old and original(copy, changes)
+
+        original = feeds.TableCopy.update
+        with unittest.mock.patch.object(feeds.TableCopy, 'update', update):
+            found = [
+                violation
+                for seed in range(3)
+                for violation in self.run_seed(seed, restores=True)
+            ]
+        self.assertIn('late', {violation[2] for violation in found})
+
     def test_late_state_would_be_noticed(self):
         # Waits too long for a source that has stopped.
         with unittest.mock.patch.object(_feed, '_FOLLOW_TIMEOUT_S', 10.0):
--- a/sniperudder/feeds/tests/test_copies.py
+++ b/sniperudder/feeds/tests/test_copies.py
@@ -117,3 +117,110 @@
                 {row.key: row for row in copy.list_rows()},
                 f'seed {seed}',
             )
+
+
+def create_known_copy(supersedes=None):
+    """Return a copy at 1/99 with a row, and the calls of `apply`."""
+    applied = []
+    copy = feeds.TableCopy(
+        't',
+        lambda rows, is_snapshot, is_restored: applied.append(
+            ([row.value for row in rows], is_snapshot, is_restored)
+        ),
+        supersedes,
+    )
+    copy.update(make_changes(99, [('a', 97, b'12')], True))
+    applied.clear()
+    return copy, applied
+
+
+def is_newer(row, known):
+    """Order rows by their values."""
+    return int(row.value) >= int(known.value)
+
+
+class RestoredTableTest(testtools.TestCase):
+    """The store was restored from a copy that lacks what was known."""
+
+    def test_snapshot_of_later_era_is_reported_as_restored_once(self):
+        copy, applied = create_known_copy()
+        for version in (92, 93):
+            rows = [('a', version - 2, b'9')]
+            self.assertTrue(copy.update(make_changes(version, rows, True, 2)))
+        self.assertEqual(
+            [([b'9'], True, True), ([b'9'], True, False)], applied
+        )
+
+    def test_snapshot_of_earlier_era_is_ignored(self):
+        copy, applied = create_known_copy()
+        copy.update(make_changes(92, [('a', 90, b'9')], True, 3))
+        for era in (1, 2):
+            changes = make_changes(500, [('a', 500, b'15')], True, era)
+            self.assertFalse(copy.update(changes))
+        self.assertEqual(1, len(applied))
+
+    def test_changes_of_later_era_need_a_snapshot_first(self):
+        # The version has been passed again, so that only the era differs.
+        copy, applied = create_known_copy()
+        changes = make_changes(120, [('b', 110, b'1')], False, 2)
+        self.assertFalse(copy.update(changes))
+        self.assertEqual((at(99), []), (copy.revision, applied))
+
+    # Guards against: a source that had read the restored store sent its
+    # followers changes after a version of the earlier era only.
+    def test_follower_of_earlier_era_is_sent_all_rows(self):
+        copy, _ = create_known_copy()
+        rows = [('a', 90, b'9'), ('b', 120, b'1')]
+        copy.update(make_changes(120, rows, True, 2))
+        for after in (at(99), at(120), at(500)):
+            self.assertTrue(copy.has_changes(after))
+            changes = copy.collect_changes(after)
+            self.assertTrue(changes.is_snapshot)
+            self.assertEqual(2, len(changes.rows))
+
+    def test_follower_of_later_era_is_sent_nothing(self):
+        copy, _ = create_known_copy()
+        self.assertFalse(copy.has_changes(at(3, era=2)))
+        changes = copy.collect_changes(at(3, era=2))
+        self.assertEqual((False, ()), (changes.is_snapshot, changes.rows))
+
+    def test_change_behind_the_restoration_is_told_to_peers(self):
+        copy, _ = create_known_copy()
+        copy.update(make_changes(92, [('a', 90, b'9')], True, 2))
+        self.assertGreater(copy.changed_revision, at(99))
+
+
+class OwnOrderTest(testtools.TestCase):
+    """The rows of a table state their own order."""
+
+    def get_values(self, copy):
+        """Return the values of all rows."""
+        return [row.value for row in copy.list_rows()]
+
+    # Guards against: followers were sent the row that the store had gone back
+    # to, and not the one in force.
+    def test_newest_row_is_kept_and_passed_on(self):
+        for rows in ([('a', 90, b'9')], []):
+            copy, _ = create_known_copy(is_newer)
+            copy.update(make_changes(92, rows, True, 2))
+            self.assertEqual([b'12'], self.get_values(copy))
+            sent = copy.collect_changes(revisions.UNKNOWN).rows
+            self.assertEqual([b'12'], [row.value for row in sent])
+            # The operators write an older one first.
+            copy.update(make_changes(94, [('a', 94, b'11')], False, 2))
+            self.assertEqual([b'12'], self.get_values(copy))
+            copy.update(make_changes(96, [('a', 96, b'13')], False, 2))
+            self.assertEqual([b'13'], self.get_values(copy))
+
+    def test_newer_row_is_taken_from_a_copy_of_an_earlier_era(self):
+        copy, applied = create_known_copy(is_newer)
+        copy.update(make_changes(92, [('b', 91, b'1')], True, 2))
+        applied.clear()
+        changes = make_changes(120, [('a', 119, b'15'), ('b', 3, b'0')], True)
+        self.assertFalse(copy.update(changes))
+        self.assertEqual([([b'15'], False, False)], applied)
+        self.assertEqual({b'15', b'1'}, set(self.get_values(copy)))
+        # Rows written later are still found behind it.
+        copy.update(make_changes(95, [('c', 95, b'3')], False, 2))
+        rows = copy.collect_changes(at(93, era=2)).rows
+        self.assertEqual([b'3'], [row.value for row in rows])
