Read the list of instances at once unless the deployment starts first

An instance that starts again while the store is behind knew no peers for a second, and so served the configuration of the copy for as long. The delay is there for instances that start together for the first time; later the others are listed already.

The new test fails without the change (1.0 s, 0.9 s allowed).

--- a/sniperudder/entry/_entry.py
+++ b/sniperudder/entry/_entry.py
@@ -40,8 +40,8 @@
 _BATCH_DELAY_PER_DATA_CENTRE_S = 0.05
 _BATCH_DELAY_DRAIN_FRACTION = 0.4
 
-# Time after the start at which the list of instances is first read. Instances
-# that start together are listed by then.
+# Time after the first start of the deployment at which the list of instances
+# is first read. Instances that start together are listed by then.
 _FIRST_LIST_READ_S = 1.0
 
 # Longest wait of a long poll for the list of instances, which changes rarely
@@ -160,7 +160,11 @@
             settings.name,
             journal,
             batch_delays_s,
-            {platform.INSTANCES_TABLE: _FIRST_LIST_READ_S},
+            # Later, the others are listed already, and may know more than the
+            # store.
+            {platform.INSTANCES_TABLE: _FIRST_LIST_READ_S}
+            if settings.is_first_start
+            else {},
             {
                 platform.CONFIGURATION_TABLE: (
                     settings.bounds.config_s
--- a/sniperudder/entry/tests/_members.py
+++ b/sniperudder/entry/tests/_members.py
@@ -15,7 +15,7 @@
 class Member:
     """A real instance on loopback addresses of its own."""
 
-    def __init__(self, name, store_address):
+    def __init__(self, name, store_address, is_first_start=True):
         callers, ready, peers = _processes.find_addresses(3)
         self.journal = _fleets.RecordingJournal()
         self.settings = _fleets.make_settings(
@@ -24,6 +24,7 @@
             ready_address=ready,
             peer_port=int(peers.rpartition(':')[2]),
             platform_address=store_address,
+            is_first_start=is_first_start,
         )
         self.instance = entry.Entry(
             self.settings, lambda: self.settings, self.journal
--- a/sniperudder/entry/tests/test_restored_store.py
+++ b/sniperudder/entry/tests/test_restored_store.py
@@ -178,7 +178,7 @@
                 )
                 await lose_store(store, copy)
                 for name in ('entry-7', 'entry-8', 'entry-9'):
-                    later = _members.Member(name, store.address)
+                    later = _members.Member(name, store.address, False)
                     await later.instance.start()
                     try:
                         await _members.wait_until(
@@ -189,6 +189,22 @@
 
         asyncio.run(run())
 
+    # Guards against: an instance that starts again knew no peers for a second,
+    # which may know more than the store.
+    def test_instance_that_starts_again_reads_the_list_at_once(self):
+        async def run():
+            async with _members.run_members(1) as (store, _):
+                later = _members.Member('entry-7', store.address, False)
+                await later.instance.start()
+                try:
+                    await _members.wait_until(
+                        lambda: later.instance._T.instances_known, 0.9
+                    )
+                finally:
+                    await later.instance.close()
+
+        asyncio.run(run())
+
 
 class EndpointTest(testtools.TestCase):
     # Guards against: departures after a restoration were not heeded.
