Keep the evidence that other instances know a newer state

A reader that missed the store's restoration heard of the new era from another data centre and, in the same quarter of a second, of the old one from its own followers, which cleared the evidence. So it was never behind for the second after which it calls the store again; only its own time-outs were left. The same held for plain versions.

What peers know less is no longer evidence; catching up ends it, as before.

--- a/sniperudder/entry/_feed.py
+++ b/sniperudder/entry/_feed.py
@@ -196,9 +196,7 @@
             copy = self._copies.get(table)
             if copy is None or not copy.is_known:
                 continue
-            if revision <= copy.revision:
-                self._behind_since.pop(table, None)
-            else:
+            if revision > copy.revision:
                 self._behind_since.setdefault(table, (now, revision))
 
     def handle_restored(self):
--- a/sniperudder/entry/tests/test_feed.py
+++ b/sniperudder/entry/tests/test_feed.py
@@ -12,6 +12,7 @@
 from sniperudder.entry import _feed
 from sniperudder.entry.tests import _feed_networks
 from sniperudder import feeds
+from sniperudder import revisions
 
 _SIZES = {'north': 4, 'south': 2}
 _SEEDS = range(20)
@@ -136,6 +137,24 @@
         sizes = {'north': size // 2, 'south': size // 2}
         _feed_networks.run_network(sizes, case)
 
+    # Guards against: instances that were behind as well hid from a reader that
+    # others had a newer state, so that it did not call the store again.
+    def test_reader_is_behind_also_if_its_followers_are(self):
+        async def case(network):
+            await asyncio.sleep(5.0)
+            feed = network.get_reader('north').feed
+            (revision,) = feed.get_revisions().values()
+            later = revisions.Revision(revision.era + 1, 1)
+            table = _feed_networks.TABLE
+            for _ in range(6):
+                feed.record_peer_revisions({table: later})
+                feed.record_peer_revisions({table: revision})
+                await asyncio.sleep(0.25)
+            stale = network.journal.list_events('feed:stale')
+            self.assertEqual([str(later)], [s['revision'] for s in stale])
+
+        _feed_networks.run_network(_SIZES, case)
+
     def test_followers_leave_stopping_reader_at_once(self):
         async def case(network):
             await asyncio.sleep(5.0)
