Agree on the last change of a restored table

Each reader told the others that a restored table had changed at the state at which it had happened to read it, so that those who had read it a moment earlier took themselves for behind and called the store again, as would their followers. The newest row counts, as otherwise; what a restored store lacks was not deleted.

--- a/sniperudder/feeds/_copies.py
+++ b/sniperudder/feeds/_copies.py
@@ -185,12 +185,15 @@
         self._tombstones = 0
         self._oldest_revision = changes.revision
         self.is_known = True
-        newest = ordered[-1].revision if ordered else revisions.UNKNOWN
-        # The revision of a deletion that the snapshot reveals is not known,
-        # nor is what the store has lost.
+        newest = revisions.Revision(
+            changes.revision.era,
+            ordered[-1].revision.version if ordered else 0,
+        )
+        # The revision of a deletion that the snapshot reveals is not known.
+        # What a restored store lacks was not deleted.
+        is_deletion = deleted and not is_restored
         self.changed_revision = max(
-            self.changed_revision,
-            changes.revision if deleted or is_restored else newest,
+            self.changed_revision, changes.revision if is_deletion else newest
         )
         if self._supersedes is not None:
             for key, known in known_rows.items():
--- a/sniperudder/feeds/tests/test_copies.py
+++ b/sniperudder/feeds/tests/test_copies.py
@@ -184,10 +184,15 @@
         changes = copy.collect_changes(at(3, era=2))
         self.assertEqual((False, ()), (changes.is_snapshot, changes.rows))
 
-    def test_change_behind_the_restoration_is_told_to_peers(self):
-        copy, _ = create_known_copy()
-        copy.update(make_changes(92, [('a', 90, b'9')], True, 2))
-        self.assertGreater(copy.changed_revision, at(99))
+    # Guards against: two copies of the same restored table told each other of
+    # changes behind what they had read, and called the store again.
+    def test_copies_of_a_restored_table_agree_on_its_last_change(self):
+        for rows, last in (([('b', 90, b'9')], 90), ([], 0)):
+            for version in (92, 95):
+                copy, _ = create_known_copy()
+                copy.update(make_changes(version, rows, True, 2))
+                self.assertEqual(at(last, era=2), copy.changed_revision)
+                self.assertGreater(copy.changed_revision, at(99))
 
 
 class OwnOrderTest(testtools.TestCase):
