--- a/sniperudder/entry/tests/test_feed.py
+++ b/sniperudder/entry/tests/test_feed.py
@@ -137,6 +137,23 @@
         sizes = {'north': size // 2, 'south': size // 2}
         _feed_networks.run_network(sizes, case)
 
+    # Guards against: a reader that had learnt of a restoration from another
+    # call waited for its long polls, which hung.
+    def test_reader_calls_at_once_after_a_restoration(self):
+        async def case(network):
+            await asyncio.sleep(5.0)
+            reader = network.get_reader('north')
+            reader.store_mode = _feed_networks.IGNORE
+            await asyncio.sleep(1.0)
+            reader.store_mode = _feed_networks.SERVE
+            network.store.restore(0.0)
+            reader.feed.handle_restored()
+            await asyncio.sleep(0.1)
+            (revision,) = reader.feed.get_revisions().values()
+            self.assertEqual(2, revision.era)
+
+        _feed_networks.run_network(_SIZES, case)
+
     # Guards against: instances that were behind as well hid from a reader that
     # others had a newer state, so that it did not call the store again.
     def test_reader_is_behind_also_if_its_followers_are(self):
--- a/sniperudder/entry/tests/test_lease.py
+++ b/sniperudder/entry/tests/test_lease.py
@@ -214,3 +214,52 @@
                 shares.append(share)
             self.assertGreater(max(shares), 0.5)
             self.assertGreater(min(shares), 0.0)
+
+
+class LostLeaseTest(testtools.TestCase):
+    """The store was restored to a state without a holder of the lease."""
+
+    def run_case(self, case):
+        """Run a case with two instances, one of which holds the lease."""
+
+        async def run():
+            self.patch(_placer, '_read_boot_time', read_time)
+            row = SharedRow()
+            members = [Member(row, f'entry-{n}', True) for n in range(2)]
+            tasks = [
+                asyncio.create_task(member.placer.maintain_lease())
+                for member in members
+            ]
+            await asyncio.sleep(3.0)
+            holder, other = sorted(members, key=lambda m: not m.may_order())
+            await case(row, holder, other)
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+        with asyncio.Runner(loop_factory=VirtualTimeLoop) as runner:
+            runner.run(run())
+
+    # Guards against: an instance took a lease that nobody seemed to hold while
+    # its holder still gave orders.
+    def test_lost_lease_is_not_taken_at_once(self):
+        async def case(row, holder, other):
+            held_until = read_time() + 3.0
+            holder.competes = False
+            row.restore(100.0)
+            self.assertEqual(0, row.row_version)
+            while read_time() < held_until:
+                await asyncio.sleep(_CHECK_INTERVAL_S)
+                self.assertFalse(other.may_order())
+            await asyncio.sleep(5.0)
+            self.assertTrue(other.may_order())
+
+        self.run_case(case)
+
+    def test_holder_that_learns_of_the_restoration_gives_no_more_orders(self):
+        async def case(row, holder, other):
+            self.assertTrue(holder.may_order())
+            holder.placer.handle_restored(2)
+            self.assertFalse(holder.may_order())
+
+        self.run_case(case)
