Survive a restored platform on the step-driven path

After a restoration of the platform, an order whose claim or result was gone was run again by the next entry that was asked; each operator's command failed until as many others had been given; an instance that started had the configuration of the copy for good.

Change: answers state the platform's era; those of an earlier one count as lost. Entries remember the order rows that they wrote, write them again, and make no call on a new claim until all have had time to; the lost changes of the configuration are written again, as they are the same everywhere.

The tests of the client expect the era in each outcome now.

--- a/sniperudder/core/_core.py
+++ b/sniperudder/core/_core.py
@@ -9,6 +9,7 @@
 from sniperudder.systems import orders
 from sniperudder.systems import refusals
 from sniperudder.systems import requests
+from sniperudder.systems import restoration
 
 _SYSTEMS = (
     configuration,
@@ -64,9 +65,11 @@
 
 
 def _dispatch_input(T, inp, now):
-    if isinstance(inp, inputs.TransactReturned | inputs.ScanReturned):
-        return _PURPOSES[type(inp.purpose)](T, inp, now)
     result = []
+    if isinstance(inp, inputs.TransactReturned):
+        inp, result = restoration.receive_result(T, inp, now)
+    if isinstance(inp, inputs.TransactReturned | inputs.ScanReturned):
+        return result + _PURPOSES[type(inp.purpose)](T, inp, now)
     for handler in _HANDLERS[type(inp)]:
         result.extend(handler(T, inp, now))
     return result
--- a/sniperudder/inputs/_platform.py
+++ b/sniperudder/inputs/_platform.py
@@ -12,9 +12,12 @@
     ----------
     rows : tuple of Row
         Existing rows among its reads, as they are after its writes.
+    era : int
+        Number that rises each time the platform is restored from a copy.
     """
 
     rows: tuple = ()
+    era: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -25,9 +28,12 @@
     ----------
     rows : tuple of Row
         Existing rows among its conditions and reads.
+    era : int
+        Number that rises each time the platform is restored from a copy.
     """
 
     rows: tuple = ()
+    era: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/sniperudder/systems/configuration/__init__.py
+++ b/sniperudder/systems/configuration/__init__.py
@@ -42,6 +42,8 @@
 from sniperudder.systems.configuration._members import remove_ended_member
 from sniperudder.systems.configuration._members import request_leave
 from sniperudder.systems.configuration import _purposes
+from sniperudder.systems.configuration import _restoration
+from sniperudder.systems.configuration._restoration import handle_restored
 from sniperudder.systems.configuration._rows import decode_change
 from sniperudder.systems.configuration import _snapshots
 from sniperudder.systems.configuration._snapshots import encode_snapshot
@@ -62,6 +64,7 @@
     'find_exceeded_limits',
     'get_accepted_version',
     'get_changes',
+    'handle_restored',
     'has_ended',
     'install_snapshot',
     'is_fresh',
@@ -83,6 +86,7 @@
     _purposes.WriteSnapshot: _snapshots.handle_snapshot_written,
     _purposes.PollHead: _freshness.handle_head,
     _purposes.RecordOutcome: _commands.handle_record_result,
+    _purposes.RestoreChange: _restoration.handle_change_restored,
 }
 
 _MAJORITY_AGE_SHARE = 0.6
@@ -117,5 +121,6 @@
         confirm_by_majority(T, now)
     _acceptance.update_acceptance(T, now)
     effects += _members.request_join(T, now)
+    effects += _restoration.restore_changes(T, now)
     effects += _commands.run_commands(T, now)
     return effects
--- a/sniperudder/systems/configuration/_purposes.py
+++ b/sniperudder/systems/configuration/_purposes.py
@@ -52,3 +52,15 @@
 @dataclasses.dataclass(frozen=True, slots=True)
 class WriteSnapshot:
     """Store a snapshot."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RestoreChange:
+    """Write a change again that the platform has lost.
+
+    Attributes
+    ----------
+    version : int
+    """
+
+    version: int
--- a/sniperudder/systems/orders/_claims.py
+++ b/sniperudder/systems/orders/_claims.py
@@ -5,6 +5,7 @@
 from sniperudder import outcomes
 from sniperudder.systems.orders import _completion
 from sniperudder.systems.orders import _purposes
+from sniperudder.systems.orders import _restoration
 from sniperudder.systems.orders import _rows
 from sniperudder.systems.orders import _timing
 from sniperudder.tables import OrderState
@@ -98,7 +99,7 @@
         return _completion.end_in_doubt(T, order, now)
     if content.nonce == order.nonce:
         if content.state is _rows.RowState.CLAIMED:
-            return _accept_claim(order, row, now)
+            return _accept_claim(T, order, row, content, now)
     # The row has changed, so a claim still in flight cannot take effect.
     order.claim_possible = False
     order.takes_over = False
@@ -113,7 +114,12 @@
     return _await_other_claim(T, order, row, now)
 
 
-def _accept_claim(order, row, now):
+def _accept_claim(T, order, row, content, now):
+    if not _restoration.is_claimable(T, row.key, now):
+        # The key may have been claimed before the platform was restored.
+        _timing.schedule_poll(T, order, now)
+        return []
+    _restoration.remember_claim(T, row.key, content, now)
     order.owns_claim = True
     order.row_version = row.version
     _completion.enter_state(order, OrderState.CALLING, now)
--- a/sniperudder/systems/orders/_completion.py
+++ b/sniperudder/systems/orders/_completion.py
@@ -5,6 +5,7 @@
 from sniperudder import inputs
 from sniperudder import outcomes
 from sniperudder.systems.orders import _purposes
+from sniperudder.systems.orders import _restoration
 from sniperudder.systems.orders import _rows
 from sniperudder.systems.orders import _timing
 from sniperudder.tables import OrderState
@@ -205,6 +206,7 @@
     if not (order.owns_claim or order.repeated):
         version = order.base_version
     key = _rows.format_row_key(order.organisation, order.service, order.key)
+    _restoration.remember_end(T, key, row, now)
     serial = _timing.expect_platform_reply(T, order, now)
     return [
         effects.Transact(
--- a/sniperudder/systems/orders/_purposes.py
+++ b/sniperudder/systems/orders/_purposes.py
@@ -48,3 +48,18 @@
 
     order: str
     serial: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CheckOrder:
+    """Check or write again a row that the platform may have lost.
+
+    Attributes
+    ----------
+    key : str
+        Key of the row.
+    is_write : bool
+    """
+
+    key: str
+    is_write: bool = False
--- a/sniperudder/systems/orders/_state_machine.py
+++ b/sniperudder/systems/orders/_state_machine.py
@@ -9,6 +9,7 @@
 from sniperudder.systems.orders import _claims
 from sniperudder.systems.orders import _completion
 from sniperudder.systems.orders import _purposes
+from sniperudder.systems.orders import _restoration
 from sniperudder.systems.orders import _rows
 from sniperudder.systems.orders import _timing
 from sniperudder import tables
@@ -117,7 +118,7 @@
 
 def run_orders(T, now):
     """Run the due actions of all orders."""
-    out = []
+    out = _restoration.check_rows(T, now)
     for order in list(T.orders.values()):
         out += _advance(T, order, now)
     return out + _begin_orders(T, now)
@@ -220,4 +221,7 @@
     inputs.KeyLookupReturned: handle_lookup,
 }
 
-PURPOSES = {purpose: handle_transaction for purpose in _PLATFORM_HANDLERS}
+PURPOSES = {
+    **dict.fromkeys(_PLATFORM_HANDLERS, handle_transaction),
+    _purposes.CheckOrder: _restoration.handle_checked,
+}
--- a/sniperudder/systems/orders/tests/test_guarantees.py
+++ b/sniperudder/systems/orders/tests/test_guarantees.py
@@ -34,7 +34,7 @@
 )
 _FAULTS = st.builds(
     _orders.Fault,
-    kind=st.sampled_from(list(_orders.FaultKind)),
+    kind=st.sampled_from(_orders.DEFAULT_FAULTS),
     at=_draw_times(10.0),
     duration_s=_draw_times(12.0),
     entry=st.integers(0, _ENTRIES - 1),
--- a/sniperudder/tables/__init__.py
+++ b/sniperudder/tables/__init__.py
@@ -14,6 +14,7 @@
 from sniperudder.tables._instances import InstanceState
 from sniperudder.tables._orders import Order
 from sniperudder.tables._orders import OrderState
+from sniperudder.tables._orders import WrittenOrder
 from sniperudder.tables._organisations import Organisation
 from sniperudder.tables._ranks import Rank
 from sniperudder.tables._ranks import RankPolicy
@@ -59,5 +60,6 @@
     'GrantRate',
     'Ticket',
     'Tables',
+    'WrittenOrder',
     'create_tables',
 ]
--- a/sniperudder/tables/_orders.py
+++ b/sniperudder/tables/_orders.py
@@ -156,3 +156,23 @@
     left: bool = False
     background_deadline: float = float('inf')
     next_action_at: float = float('inf')
+
+
+@dataclasses.dataclass(slots=True)
+class WrittenOrder:
+    """A row of an order that this instance wrote.
+
+    Attributes
+    ----------
+    value : str
+        Encoded content of the row.
+    written_at : float
+        When it was written, seconds.
+    check_at : float or None
+        When to check that the platform still has it, seconds; None if it
+        need not be checked.
+    """
+
+    value: str
+    written_at: float
+    check_at: float | None = None
--- a/sniperudder/tables/_tables.py
+++ b/sniperudder/tables/_tables.py
@@ -117,6 +117,22 @@
         of the platform's list of instances are due, seconds.
     poll_pending : bool
         Whether a poll of the head is unanswered.
+    platform_era : int
+        Latest era of the platform that is known; 0 for none. It rises each
+        time the platform is restored from a copy.
+    era_seen_at : float
+        When an answer last stated an era, seconds.
+    restored_at : float
+        When this instance learnt of the latest restoration, or the platform
+        answered again after it, seconds.
+    lost_version : int
+        Version that was in force here at the latest restoration.
+    restoring_change : bool
+        Whether a change is being written again.
+    next_restore_at : float
+        When the next change may be written again, seconds.
+    written_orders : dict of str to WrittenOrder
+        Rows of orders that this instance wrote lately, by key, oldest first.
     stopping : bool
         Whether this instance is stopping.
     refuse_at : float
@@ -218,6 +234,13 @@
     next_poll_at: float = float('-inf')
     poll_pending: bool = False
     next_list_at: float = float('-inf')
+    platform_era: int = 0
+    era_seen_at: float = float('-inf')
+    restored_at: float = float('-inf')
+    lost_version: int = 0
+    restoring_change: bool = False
+    next_restore_at: float = float('-inf')
+    written_orders: dict = dataclasses.field(default_factory=dict)
     stopping: bool = False
     refuse_at: float = float('inf')
     started_at: float | None = None
--- a/sniperudder/tableservice/_http.py
+++ b/sniperudder/tableservice/_http.py
@@ -11,6 +11,9 @@
 _OK = 200
 _HEADERS = {'Content-Type': 'application/json'}
 
+# Header with a number that rises each time the platform is restored.
+_ERA_HEADER = 'X-Platform-Era'
+
 
 class HttpPlatformClient(_client.PlatformClient):
     """Calls the platform over HTTP.
@@ -38,7 +41,7 @@
             return inputs.NotSent()
         value = _decode(response)
         try:
-            return _read_outcome(call, value)
+            return _read_outcome(call, value, _read_era(response))
         except (KeyError, TypeError, ValueError):
             return inputs.Unknown()
 
@@ -119,16 +122,24 @@
         return None
 
 
-def _read_outcome(call, value):
+def _read_era(response):
+    """Return the era that an answer states; 0 if it states none."""
+    era = int(response.headers.get(_ERA_HEADER, 0))
+    if era < 0:
+        raise ValueError(f'era {era}')
+    return era
+
+
+def _read_outcome(call, value, era):
     rows = _read_rows(value['rows'])
     requested_keys = set(call.reads)
     requested_keys.update(condition.key for condition in call.conditions)
     if not requested_keys.issuperset(row.key for row in rows):
         raise ValueError('row was not requested')
     if value['committed'] is True:
-        return inputs.Committed(rows)
+        return inputs.Committed(rows, era)
     if value['committed'] is False:
-        return inputs.Conflicted(rows)
+        return inputs.Conflicted(rows, era)
     raise ValueError('committed is not a boolean')
 
 
--- a/sniperudder/tableservice/tests/test_http.py
+++ b/sniperudder/tableservice/tests/test_http.py
@@ -53,11 +53,11 @@
 
     def test_commit_and_conflict(self):
         row = effects.Row('a', '1', 1)
-        self.assertEqual(inputs.Committed(()), self.transact())
-        self.assertEqual(inputs.Conflicted((row,)), self.transact())
+        self.assertEqual(inputs.Committed((), 1), self.transact())
+        self.assertEqual(inputs.Conflicted((row,), 1), self.transact())
         done = self.transact('a', 1, '2', ('a', 'none'))
         row = effects.Row('a', '2', 2)
-        self.assertEqual(inputs.Committed((row,)), done)
+        self.assertEqual(inputs.Committed((row,), 1), done)
 
     def test_conflict_writes_nothing(self):
         call = effects.Transact(
@@ -66,7 +66,7 @@
             writes=(effects.Write('a', '1'), effects.Write('b', '1')),
         )
         done = self.client.transact(call, _TIMEOUT_S)
-        self.assertEqual(inputs.Conflicted(()), done)
+        self.assertEqual(inputs.Conflicted((), 1), done)
         self.assertEqual((), self.scan())
 
     def test_versions_increase_across_deletion(self):
@@ -86,7 +86,7 @@
             thread.start()
         for thread in threads:
             thread.join()
-        self.assertEqual(1, outcomes.count(inputs.Committed(())))
+        self.assertEqual(1, outcomes.count(inputs.Committed((), 1)))
 
     def test_scan_in_pages(self):
         for key in ('b/1', 'a/é', 'a/1', 'a/&', 'a'):
@@ -148,9 +148,9 @@
         link = relay.create_relay(self.address)
         self.addCleanup(link.close)
         for refused, expected in (
-            (False, inputs.Committed(())),
+            (False, inputs.Committed((), 1)),
             (True, inputs.NotSent()),
-            (False, inputs.Committed(())),
+            (False, inputs.Committed((), 1)),
         ):
             link.update(relay.Link(refused=refused))
             relayed = tableservice.create_platform_client(link.address)
@@ -208,3 +208,26 @@
         for fixed.value in values:
             self.assertIsNone(client.scan(_make_scan('a/'), _TIMEOUT_S))
             self.assertIsNone(client.list_instances(_TIMEOUT_S))
+
+
+class TestEra(testtools.TestCase):
+    # Guards against: after a restoration, answers could not be told from those
+    # of the platform before it.
+    def test_outcomes_state_the_era(self):
+        platform = standin.Platform()
+        server = serving.create_server(platform)
+        self.addCleanup(server.stop)
+        client = tableservice.create_platform_client(server.address)
+        outcomes = [client.transact(_make_call(), _TIMEOUT_S)]
+        transport = transports.create_transport()
+        transport.exchange(
+            'POST', server.address, '/restore', _TIMEOUT_S, b'{"age_s": 60}'
+        )
+        # The row is gone, so that the same condition holds again.
+        outcomes.append(client.transact(_make_call(), _TIMEOUT_S))
+        outcomes.append(client.transact(_make_call(), _TIMEOUT_S))
+        self.assertEqual([1, 2, 2], [outcome.era for outcome in outcomes])
+        self.assertEqual(
+            [inputs.Committed, inputs.Committed, inputs.Conflicted],
+            [type(outcome) for outcome in outcomes],
+        )
--- a/sniperudder/testing/_fleet.py
+++ b/sniperudder/testing/_fleet.py
@@ -19,6 +19,7 @@
 from sniperudder.inputs import Unknown
 from sniperudder.systems import configuration
 from sniperudder.systems import membership
+from sniperudder.systems import restoration
 from sniperudder.tables import create_tables
 from sniperudder.testing._platform import FakePlatform
 from sniperudder.testing._virtual_time import VirtualTime
@@ -192,11 +193,14 @@
             return []
         now = self.read_clock(node)
         key = type(inp)
+        effects = []
+        if key is TransactReturned:
+            inp, effects = restoration.receive_result(node.T, inp, now)
         if key in (TransactReturned, ScanReturned):
             handler = self.purposes[type(inp.purpose)]
         else:
             handler = self.handlers[key]
-        effects = handler(node.T, inp, now)
+        effects = effects + handler(node.T, inp, now)
         for run in self.run_functions:
             effects = effects + run(node.T, now)
         self.perform_effects(node, effects)
--- a/sniperudder/testing/_orders.py
+++ b/sniperudder/testing/_orders.py
@@ -14,6 +14,7 @@
 from sniperudder import effects
 from sniperudder import inputs
 from sniperudder.systems import orders
+from sniperudder.systems import restoration
 from sniperudder import tables
 from sniperudder.testing import _rowstore
 from sniperudder.testing import _services
@@ -63,8 +64,14 @@
     SERVICE_CRASHES = 'service crashes before the run'
     SERVICE_LATE = 'service runs late'
     SERVICE_SLOW = 'service runs for a long time'
+    PLATFORM_RESTORED = 'platform restored from a copy'
 
 
+# Faults after which no promise is void. Drawn by default.
+DEFAULT_FAULTS = tuple(
+    kind for kind in FaultKind if kind is not FaultKind.PLATFORM_RESTORED
+)
+
 SERVICE_FAULTS = frozenset(
     {
         FaultKind.SERVICE_LOSES,
@@ -83,7 +90,8 @@
     ----------
     kind : FaultKind
     at, duration_s : float
-        Start and duration, seconds.
+        Start and duration, seconds; the age of the copy for a platform that
+        is restored.
     entry : int
         Index of the entry, for kinds that affect one entry.
     """
@@ -188,6 +196,7 @@
     frozen_until: float = 0.0
     stale_until: float = 0.0
     dead: bool = False
+    polled_at: float = float('-inf')
     backlog: list = dataclasses.field(default_factory=list)
 
 
@@ -216,6 +225,11 @@
         self.events = []
         self.event_number = 0
         self.store = _rowstore.RowStore()
+        self.copies = []
+        self.restores = any(
+            fault.kind is FaultKind.PLATFORM_RESTORED
+            for fault in scenario.faults
+        )
         self.services = {
             kind: _services.FakeService(_create_service(kind))
             for kind in KINDS
@@ -312,6 +326,23 @@
                 self._schedule(at, self._replace_stopped, entry)
             case FaultKind.STALE:
                 entry.stale_until = self.now + fault.duration_s
+            case FaultKind.PLATFORM_RESTORED:
+                self._restore_store(self.now - fault.duration_s)
+
+    def _restore_store(self, copied_at):
+        rows = {}
+        for at, copy in self.copies:
+            if at <= copied_at:
+                rows = copy
+        self.store.restore(rows)
+
+    def _poll_era(self, entry):
+        """Have an entry learn the platform's era, as its polls do."""
+        due = self.now >= entry.polled_at + entry.T.policy.poll_s
+        if due and not self.has_fault(FaultKind.PLATFORM_DOWN):
+            entry.polled_at = self.now
+            now = self.now + entry.clock_offset_s
+            restoration.record_era(entry.T, self.store.era, now)
 
     def _kill(self, entry):
         if entry.dead:
@@ -358,16 +389,23 @@
 
     def _handle(self, entry, inp):
         self._refresh(entry)
+        now = self.now + entry.clock_offset_s
         if isinstance(inp, inputs.TransactReturned):
+            inp, _ = restoration.receive_result(entry.T, inp, now)
             handler = orders.PURPOSES[type(inp.purpose)]
         else:
             handler = orders.HANDLERS[type(inp)]
-        now = self.now + entry.clock_offset_s
         self._perform(entry, handler(entry.T, inp, now))
 
     def _tick(self):
+        if self.restores:
+            self.copies.append((self.now, dict(self.store.rows)))
         for entry in self.entries:
-            if entry.T.orders and self.now >= entry.frozen_until:
+            if self.now < entry.frozen_until:
+                continue
+            if self.restores:
+                self._poll_era(entry)
+            if entry.T.orders or self.restores:
                 self._refresh(entry)
                 now = self.now + entry.clock_offset_s
                 self._perform(entry, orders.run_orders(entry.T, now))
--- a/sniperudder/testing/_orderscenarios.py
+++ b/sniperudder/testing/_orderscenarios.py
@@ -29,7 +29,7 @@
     rng = random.Random(seed)
     span_s = rng.choice(_SPANS_S)
     services = services or rng.sample(_orders.KINDS, rng.randint(1, 2))
-    kinds = kinds or rng.sample(list(_orders.FaultKind), rng.randint(1, 4))
+    kinds = kinds or rng.sample(_orders.DEFAULT_FAULTS, rng.randint(1, 4))
     plans = tuple(
         _draw_plan(rng, entries, span_s, services)
         for _ in range(rng.randint(1, 8))
--- a/sniperudder/testing/_platform.py
+++ b/sniperudder/testing/_platform.py
@@ -15,6 +15,8 @@
     ----------
     up : bool
         Whether it is available.
+    era : int
+        Rises with each restoration.
     lose_request, lose_answer : float
         Probability that a request or its answer is lost.
     delay_s : float
@@ -28,6 +30,7 @@
 
     def __init__(self):
         self.up = True
+        self.era = 1
         self.lose_request = 0.0
         self.lose_answer = 0.0
         self.delay_s = 0.005
@@ -46,10 +49,20 @@
         """
         keys = [*call.reads, *(condition.key for condition in call.conditions)]
         if not all(self._is_met(condition) for condition in call.conditions):
-            return Conflicted(self._read_rows(keys))
+            return Conflicted(self._read_rows(keys), self.era)
         for write in call.writes:
             self._write(write, now)
-        return Committed(self._read_rows(call.reads))
+        return Committed(self._read_rows(call.reads), self.era)
+
+    def restore(self, copied_at):
+        """Return to the rows of an earlier time, in a new era."""
+        for key, states in list(self._states.items()):
+            kept = [state for state in states if state[0] <= copied_at]
+            if kept:
+                self._states[key] = kept
+            else:
+                del self._states[key]
+        self.era += 1
 
     def read(self, key):
         """Return the current state of a row, or None."""
--- a/sniperudder/testing/_rowstore.py
+++ b/sniperudder/testing/_rowstore.py
@@ -10,15 +10,18 @@
     Attributes
     ----------
     rows : dict of str to Row
+    era : int
+        Rises with each restoration.
     counts : dict of str to int
         Numbers of transactions with writes, of rows written, of
         transactions without writes, of rows returned, and of conflicts.
     """
 
-    __slots__ = ('rows', 'counts')
+    __slots__ = ('counts', 'era', 'rows')
 
     def __init__(self):
         self.rows = {}
+        self.era = 1
         self.counts = {
             'write_transactions': 0,
             'rows_written': 0,
@@ -36,10 +39,16 @@
             version = 0 if row is None else row.version
             if version != condition.version:
                 self.counts['conflicts'] += 1
-                return inputs.Conflicted(self._return_rows(_list_keys(call)))
+                rows = self._return_rows(_list_keys(call))
+                return inputs.Conflicted(rows, self.era)
         for write in call.writes:
             self._write(write)
-        return inputs.Committed(self._return_rows(call.reads))
+        return inputs.Committed(self._return_rows(call.reads), self.era)
+
+    def restore(self, rows):
+        """Return to earlier rows, in a new era."""
+        self.rows = dict(rows)
+        self.era += 1
 
     def _write(self, write):
         self.counts['rows_written'] += 1
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -50,11 +50,19 @@
         self._instances = _History()
         self._objects = {}
         self._log = []
+        self._era = 1
 
     def answer(self, call):
         """See base class."""
+        answer = self._answer(call)
+        answer.headers['X-Platform-Era'] = str(self._era)
+        return answer
+
+    def _answer(self, call):
         if call.path == '/transactions':
             return self._transact(call)
+        if call.path == '/restore':
+            return self._restore(json.loads(call.body)['age_s'])
         if call.path == '/rows':
             return self._scan(call.query)
         if call.path.startswith('/objects/'):
@@ -98,6 +106,13 @@
             }
         )
 
+    def _restore(self, age_s):
+        """Return to the rows of some seconds ago, in a new era."""
+        with self._lock:
+            self._rows.restore(time.monotonic() - age_s)
+            self._era += 1
+        return serving.answer_json({'era': self._era})
+
     def _scan(self, query):
         prefix, after = query.get('prefix', ''), query.get('after', '')
         limit = int(query['limit'])
@@ -207,6 +222,16 @@
         while len(states) > 1 and states[1][0] < now - _HISTORY_S:
             del states[0]
 
+    def restore(self, copied_at):
+        """Lose all states since a time; their versions are used again."""
+        for key, states in list(self._states.items()):
+            kept = [state for state in states if state[0] <= copied_at]
+            if kept:
+                self._states[key] = kept
+            else:
+                del self._states[key]
+                self._keys.remove(key)
+
     def scan(self, prefix, after, limit, lag_s):
         """Return the rows as of ``lag_s`` seconds ago."""
         until = time.monotonic() - lag_s
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -28,7 +28,7 @@
 _IDLE_TIMEOUT_S = 300
 _SHUTDOWN_TIMEOUT_S = 1
 _TICK_S = 0.1
-_CONTROL_PATHS = ('/faults', '/healthz', '/v1/log', '/log')
+_CONTROL_PATHS = ('/faults', '/healthz', '/v1/log', '/log', '/restore')
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -67,6 +67,8 @@
         Idempotency key to echo.
     call : str
         Identifier of the call to echo.
+    headers : dict of str to str
+        Further headers.
     """
 
     status: int
@@ -74,6 +76,7 @@
     not_run: bool = False
     key: str = ''
     call: str = ''
+    headers: dict = dataclasses.field(default_factory=dict)
 
 
 def answer_json(value, status=200, not_run=False):
@@ -154,6 +157,7 @@
         for name, value in (
             (b'X-Call-Id', answer.call),
             (b'Idempotency-Key', answer.key),
+            *((name.encode(), text) for name, text in answer.headers.items()),
         ):
             if value:
                 req.outheaders.append((name, value.encode()))
