--- a/sniperudder/entry/tests/test_restored_store.py
+++ b/sniperudder/entry/tests/test_restored_store.py
@@ -166,6 +166,34 @@
 
         asyncio.run(run())
 
+    # Guards against: a refusal did not tell which configuration of which era
+    # of the store was behind it.
+    def test_refusal_leads_to_the_configuration_and_its_era(self):
+        async def run():
+            async with run_desks(1) as (test_fleet, _):
+                copy = test_fleet.store.copy()
+                write_version(test_fleet.store, 2, 'new')
+                await asyncio.sleep(0.2)
+                await lose_store(test_fleet.store, copy)
+                await test_fleet.await_event('configuration:not newer')
+                self.assertEqual(404, (await test_fleet.send('/nowhere/a'))[0])
+                journal = test_fleet.journal
+                (line,) = journal.list_events('request:rejected')
+                in_force = journal.list_events('configuration:in force')[-1]
+                self.assertEqual(2, line['version'])
+                self.assertEqual(in_force['revision'], line['revision'])
+                self.assertTrue(line['revision'].startswith('1/'))
+                eras = journal.list_events('platform:era')
+                self.assertEqual([0, 1], [era['before'] for era in eras])
+                _, _, body = await standins.send_request(
+                    test_fleet.metrics, '/metrics', 'GET', b''
+                )
+                self.assertIn(
+                    'sniperudder_level{subject="store_era"} 2', body.decode()
+                )
+
+        asyncio.run(run())
+
     # Guards against: an instance that started before the operator had written
     # again served the configuration of the copy.
     def test_started_instance_gets_confirmed_version_from_peers(self):
