--- a/sniperudder/entry/tests/test_feed.py
+++ b/sniperudder/entry/tests/test_feed.py
@@ -137,6 +137,33 @@
         sizes = {'north': size // 2, 'south': size // 2}
         _feed_networks.run_network(sizes, case)
 
+    # Guards against: in a large fleet, instances called the store all at once
+    # after a restoration, or learnt of it late.
+    def test_large_fleet_learns_of_a_restoration_by_few_calls(self):
+        size = 60
+
+        async def case(network):
+            await asyncio.sleep(5.0)
+            for _ in range(3):
+                network.store.write()
+                await asyncio.sleep(0.5)
+            network.store.calls = 0
+            network.store.restore(9.0)
+            network.store.write_again()
+            await asyncio.sleep(_feed_networks.CONFIG_S)
+            eras = {
+                revision.era
+                for instance in network.instances.values()
+                for revision in instance.feed.get_revisions().values()
+            }
+            self.assertEqual({2}, eras)
+            self.assertLess(network.store.calls, size)
+            network.store.write()
+            await asyncio.sleep(10.0)
+
+        third = size // 3
+        self.run_case(case, {'north': third, 'south': third, 'west': third})
+
     # Guards against: a reader that had learnt of a restoration from another
     # call waited for its long polls, which hung.
     def test_reader_calls_at_once_after_a_restoration(self):
