--- a/review/lib/platform_standins.py
+++ b/review/lib/platform_standins.py
@@ -607,16 +607,51 @@
         self._reader = self._writer = None
 
     async def ask(
-        self, method, target, headers, body=b'', wait_s=1.5, on_data=None
+        self,
+        method,
+        target,
+        headers,
+        body=b'',
+        wait_s=1.5,
+        gap_s=None,
     ):
-        """Send a request; return the answer, or None if there is none."""
-        try:
-            return await asyncio.wait_for(
-                self._ask(method, target, headers, body, on_data), wait_s
+        """Send a request; return the answer, or None if there is none.
+
+        Parameters
+        ----------
+        wait_s : float
+            Time budget, seconds.
+        gap_s : float, optional
+            Longest time without data until the client leaves, seconds.
+        """
+        arrived = asyncio.Event()
+        task = asyncio.create_task(
+            self._ask(method, target, headers, body, lambda _: arrived.set())
+        )
+        end = time.monotonic() + wait_s
+        while not task.done():
+            left = end - time.monotonic()
+            if gap_s is not None:
+                left = min(left, gap_s)
+            waiting = asyncio.create_task(arrived.wait())
+            await asyncio.wait(
+                (task, waiting),
+                timeout=max(left, 0.0),
+                return_when=asyncio.FIRST_COMPLETED,
             )
-        except TimeoutError:
-            self.close()
-            return None
+            waiting.cancel()
+            if not task.done() and not arrived.is_set():
+                break
+            arrived.clear()
+            if gap_s is None and not task.done():
+                await asyncio.wait((task,), timeout=end - time.monotonic())
+                break
+        if task.done():
+            return task.result()
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        self.close()
+        return None
 
     async def _ask(self, method, target, headers, body, on_data):
         if self._writer is None:
