Show that one foreign entry ends all entry instances again and again

review/3: an entry of another writer has a number of 96 bits for `born`. Each instance ends by itself soon after each start.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""Streams of an engine that is taken away end as complete in the middle."""
+"""One entry of another writer ends all entry instances, again and again."""
 
 import asyncio
 import pathlib
@@ -9,143 +9,137 @@
 
 import platform_standins as standins  # noqa: E402
 
-_STREAMS = 20
-_WAIT_S = 20.0
-
-# 79 events of 3 tokens, at 20 ms a token.
-_EVENTS = 79
-_EVENT_S = 0.06
-
-# The engine is gone so long after the notice (scale_in, spot: x = 2).
-_SPOT_S = 2.0
-
-
-class EngineProcess:
-    """An engine that runs as a process, and its entry in the list."""
-
-    def __init__(self, name, layers, record):
-        self.id = name
-        self.layers = layers
-        self._record = record
-        self._process = None
-        self._reading = None
-        self._entry = standins.Worker(name, 'tessitore-llm', record, 96)
-        self._entry.kind = 'a100'
-        self._entry.layers = layers
-
-    async def start(self):
-        self._process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            '-B',
-            str(FOLDER / 'engine.py'),
-            self.id,
-            *(str(layer) for layer in self.layers),
-            str(_EVENTS),
-            str(_EVENT_S),
-            stdout=asyncio.subprocess.PIPE,
-        )
-        address = (await self._process.stdout.readline()).decode().strip()
-        host, _, port = address.rpartition(':')
-        self._entry.ip, self._entry.port = host, int(port)
-        self._reading = asyncio.create_task(self._read())
-
-    async def _read(self):
-        async for line in self._process.stdout:
-            self._record.write(line.decode().strip())
-
-    def list_in(self, store, leaving=False):
-        self._entry.leaving = leaving
-        store.put('servers', self.id, self._entry.make_entry())
-
-    async def kill(self):
-        if self._process is not None and self._process.returncode is None:
-            self._process.kill()
-            await self._process.wait()
+_RUN_S = 45.0
+_INSTANCES = 2
+_WAIT_S = 1.5
+_INTERVAL_S = 0.05
+
+# The platform starts a process that has ended again after a short delay.
+_RESTART_S = 0.5
+_POLL_S = 0.05
+_MAX_ENDS = 3
+
+# A number of 96 bits in place of the Unix millisecond of the start.
+_FOREIGN_BORN = 0x66F2A1C45D0E8B7A91C3D5E7
+
+
+class OrderWorker(standins.Worker):
+    """A healthy worker of the ordering application."""
+
+    async def run(self, message, writer, channel):
+        self.count_run(message)
+        await asyncio.sleep(0.0225)
+        headers = [*self.make_headers(message), (standins.SEAL, 'c9f2a4d1')]
+        writer.write(standins.make_response(200, headers, b'confirmed'))
+        return True
+
+
+def make_foreign_entry(record):
+    """Return an entry of another writer, at whose address nothing listens."""
+    foreign = standins.Worker('i-foreign', 'ordini-app', record)
+    foreign.ip = standins.make_loopback_ip()
+    foreign.port = standins.find_port(foreign.ip)
+    foreign.born = _FOREIGN_BORN
+    return foreign.make_entry()
+
+
+async def keep_running(entry, record, ends):
+    """Start a process again whenever it has ended, as the platform does."""
+    while True:
+        await asyncio.sleep(_POLL_S)
+        if entry.returncode is None:
+            continue
+        faults = [
+            line['subject'] for line in entry.list_events('instance:fault')
+        ]
+        ends[entry.name] += 1
+        record.write('ended', entry.name, 'status', entry.returncode, faults)
+        await asyncio.sleep(_RESTART_S)
+        entry.start()
+        record.write('started', entry.name)
+
+
+async def send_orders(entry, record, statuses):
+    """Send orders, one after another, on a channel that is kept."""
+    channel = standins.Channel(entry.front)
+    number = 0
+    try:
+        while True:
+            request_id = standins.make_id()
+            try:
+                answer = await channel.ask(
+                    'POST',
+                    f'/order-confirm/{number}',
+                    standins.make_headers(request_id, _WAIT_S),
+                    b'order',
+                    _WAIT_S,
+                )
+                status = answer and answer.status
+            except OSError:
+                status = None
+            statuses.append(status)
+            record.write('order', request_id, entry.name, status)
+            number += 1
+            await asyncio.sleep(_INTERVAL_S)
+    finally:
+        channel.close()
 
 
 async def main(record):
     store = standins.Store()
     await store.start()
-    engines = [
-        EngineProcess(f'i-{number:010x}', layers, record)
-        for number, layers in enumerate(
-            [(0, 40), (0, 40), (40, 80), (40, 80)], 1
-        )
+    workers = [
+        OrderWorker(f'i-{number:010x}', 'ordini-app', record)
+        for number in (1, 2, 3)
     ]
-    entry = standins.Entry(store)
-    answers = {}
-
-    async def send_stream(number):
-        request_id = standins.make_id()
-        target = f'/weave-advice/{number}'
-        record.write('sent', request_id, target)
-        answer = await standins.Channel(entry.front).ask(
-            'POST',
-            target,
-            standins.make_headers(
-                request_id,
-                _WAIT_S,
-                **{
-                    'X-Sniperudder-Model': 'daka510000',
-                    'X-Sniperudder-Token-Count': '40,40',
-                    'X-Sniperudder-Prefix-Hash': f'5c1e07a2:20,{number:x}:20',
-                },
-            ),
-            b'x' * 100,
-            _WAIT_S,
-        )
-        answers[request_id] = answer
-        record.write(
-            'answered',
-            request_id,
-            answer and (answer.status, answer.complete),
-            answer and standins.list_ids(answer.body)[-1:],
-        )
-
+    for worker in workers:
+        await worker.start()
+        store.put('servers', worker.id, worker.make_entry())
+    store.put('op', 'config', standins.make_configuration())
+    entries = [
+        standins.Entry(store, f'front-milano-a-{number}')
+        for number in range(1, _INSTANCES + 1)
+    ]
+    ends = {entry.name: 0 for entry in entries}
+    statuses = []
+    tasks = []
     try:
-        for engine in engines:
-            await engine.start()
-            engine.list_in(store)
-        store.put('op', 'config', standins.make_configuration())
-        entry.start()
-        await entry.wait_ready()
+        for entry in entries:
+            entry.start()
+        for entry in entries:
+            await entry.wait_ready()
         await asyncio.sleep(3.5)
-        streams = [
-            asyncio.create_task(send_stream(n)) for n in range(_STREAMS)
-        ]
+        for entry in entries:
+            tasks += [
+                asyncio.create_task(keep_running(entry, record, ends)),
+                asyncio.create_task(send_orders(entry, record, statuses)),
+            ]
         await asyncio.sleep(1.0)
         if standins.is_troubled():
-            record.write('draining', engines[0].id)
-            engines[0].list_in(store, leaving=True)
-            await asyncio.sleep(_SPOT_S)
-            record.write('gone', engines[0].id)
-            await engines[0].kill()
-            store.put('servers', engines[0].id, None)
-        await asyncio.gather(*streams)
+            entry = make_foreign_entry(record)
+            store.put('servers', 'i-foreign', entry)
+            record.write('foreign entry', entry)
+        await asyncio.sleep(_RUN_S)
     finally:
-        entry.close()
-        for engine in engines:
-            await engine.kill()
-        store.close()
-    breaks = []
-    whole = b''.join(standins.make_event(n) for n in range(1, _EVENTS + 1))
-    served = 0
-    for request_id, answer in answers.items():
-        if answer is None or answer.status != 200 or not answer.complete:
-            # Failed, or broken off visibly.
-            continue
-        if answer.body == whole:
-            served += 1
-            continue
-        ids = standins.list_ids(answer.body)
-        breaks.append(
-            f'ORDER: stream {request_id} ended as complete after '
-            f'{len(ids)} of {_EVENTS} events, the last one {ids[-1:]}'
-        )
-    record.write(served, 'of', _STREAMS, 'streams whole')
-    if not served and not breaks:
-        raise standins.Broken('no stream served')
-    return breaks
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        for entry in entries:
+            entry.close()
+        for server in (store, *workers):
+            server.close()
+    served = statuses.count(200)
+    record.write(served, 'of', len(statuses), 'orders answered with 200')
+    record.write('ends by themselves', ends)
+    if not served:
+        raise standins.Broken('no order served')
+    ended = [name for name, count in ends.items() if count >= _MAX_ENDS]
+    if len(ended) >= 2:
+        return [
+            f'Fault: the processes of {len(ended)} of {_INSTANCES} machines '
+            f'ended by themselves three times or more: {ends}'
+        ]
+    return []
 
 
 standins.run_case(FOLDER, main)
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,140 +1,154 @@
-"""A worker's leaving is missed while a long list is read in two pages."""
+"""A stream ends as complete without its last event after a second answer."""
 
 import asyncio
 import pathlib
 import sys
-import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / 'lib'))
 
 import platform_standins as standins  # noqa: E402
 
-# Entries of workers of another service, which gets no requests here.
-_OTHER_WORKERS = 520
-_WORKERS = 8
-# share = 0.25 of the service's workers.
-_LEAVING = 2
+_STREAMS = 160
+_AT_ONCE = 4
+_WAIT_S = 20.0
 
-# The store is slow: 4 ms x 60 an answer, for 4.5 s at most.
-_SLOW_S = 0.24
-_SLOW_FOR_S = 4.5
-_USUAL_S = 0.004
+_EVENTS = 12
+_EVENT_S = 0.02
 
-_DRAIN_S = 2.0
-_CONTACT_S = 3.0
-_WAIT_S = 1.5
-_REQUESTS = 100
-_INTERVAL_S = 0.03
+# A garbled worker spoils at most one answer in so many: x = 0.05.
+_ANSWERS_PER_EXTRA = 20
 
 
-class OrderWorker(standins.Worker):
-    """A worker of the ordering application."""
+class Engine(standins.Worker):
+    """An engine whose streams have no length and end with the channel.
 
-    drained_at = None
+    If garbled, it sends a second copy of some answers right after them.
+    """
 
-    def __init__(self, *arguments):
-        super().__init__(*arguments)
-        self.arrivals = []
+    garbled = False
+    answers = 0
+    extras = 0
+
+    def __init__(self, name, layers, record):
+        super().__init__(name, 'tessitore-llm', record, slots=96)
+        self.kind = 'a100'
+        self.layers = layers
 
     async def run(self, message, writer, channel):
         self.count_run(message)
-        self.arrivals.append((time.monotonic(), message.id))
-        await asyncio.sleep(0.0225)
-        headers = [*self.make_headers(message), (standins.SEAL, 'c9f2a4d1')]
-        writer.write(standins.make_response(200, headers, b'confirmed'))
-        return not self.leaving
+        self.answers += 1
+        is_extra = (
+            self.garbled and self.extras < self.answers // _ANSWERS_PER_EXTRA
+        )
+        headers = [
+            *self.make_headers(message),
+            (standins.SEAL, 'c9f2a4d1'),
+            ('Content-Type', 'text/event-stream'),
+            ('Connection', 'close'),
+        ]
+        head = standins.make_response(200, headers, framed=False)
+        first = int(message.headers.get(standins.LAST_EVENT, 0)) + 1
+        events = [standins.make_event(n) for n in range(first, _EVENTS + 1)]
+        writer.write(head)
+        for event in events[:-1]:
+            await asyncio.sleep(_EVENT_S)
+            writer.write(event)
+            await writer.drain()
+        if events:
+            await asyncio.sleep(_EVENT_S)
+            writer.write(events[-1])
+        if is_extra and events:
+            self.extras += 1
+            self.record.write('second answer after', message.id, self.id)
+            writer.write(head + b''.join(events))
+        return False
 
 
 async def main(record):
     store = standins.Store()
     await store.start()
-    workers = [
-        OrderWorker(f'i-{number:010x}', 'ordini-app', record)
-        for number in range(_WORKERS)
-    ]
-    for worker in workers:
-        await worker.start()
-        store.put('servers', worker.id, worker.make_entry())
-    for number in range(_OTHER_WORKERS):
-        other = standins.Worker(f'j-{number:010x}', 'archivio-app', record)
-        other.port = 1
-        store.put('servers', other.id, other.make_entry())
-    configuration = standins.make_configuration()
-    configuration['services'].append(
-        {**configuration['services'][1], 'name': 'archivio-app'}
-    )
-    store.put('op', 'config', configuration)
-    store.delay_s = _SLOW_S
-    slow_since = time.monotonic()
-    pages = []
-
-    def drain():
-        for worker in workers[:_LEAVING]:
-            worker.leaving = True
-            worker.drained_at = time.monotonic()
-            version = store.put('servers', worker.id, worker.make_entry())
-            record.write('draining', worker.id, 'version', version)
-
-    def handle_page(query, reply):
-        if query['table'] != 'servers':
-            return
-        pages.append(query)
-        record.write(
-            'page', query.get('from', ''), 'version', reply['row_version']
+    engines = [
+        Engine(f'i-{number:010x}', layers, record)
+        for number, layers in enumerate(
+            [(0, 40), (0, 40), (40, 80), (40, 80)], 1
         )
-        if len(pages) == 1 and standins.is_troubled():
-            # Between the moments of which the two pages are.
-            asyncio.get_running_loop().call_later(_SLOW_S / 4, drain)
-
-    store.on_page = handle_page
+    ]
+    for engine in engines:
+        await engine.start()
+        store.put('servers', engine.id, engine.make_entry())
+    if standins.is_troubled():
+        # share = 0.5 of the engines.
+        engines[0].garbled = engines[2].garbled = True
+    store.put('op', 'config', standins.make_configuration())
     entry = standins.Entry(store)
-    channel = standins.Channel(entry.front)
-    statuses = []
+    answers = {}
+
+    async def send_streams(channel, numbers):
+        for number in numbers:
+            request_id = standins.make_id()
+            target = f'/weave-advice/{number}'
+            record.write('sent', request_id, target)
+            headers = standins.make_headers(
+                request_id,
+                _WAIT_S,
+                **{
+                    'X-Sniperudder-Model': 'daka510000',
+                    'X-Sniperudder-Token-Count': '100,36',
+                    'X-Sniperudder-Prefix-Hash': f'5c1e07a2:40,{number:x}:60',
+                },
+            )
+            answer = await channel.ask(
+                'POST', target, headers, b'x' * 100, _WAIT_S
+            )
+            answers[request_id] = answer
+            record.write(
+                'answered',
+                request_id,
+                answer and (answer.status, answer.complete),
+                answer and standins.list_ids(answer.body)[-1:],
+            )
+
+    channels = [standins.Channel(entry.front) for _ in range(_AT_ONCE)]
     try:
         entry.start()
         await entry.wait_ready()
-        if not standins.is_troubled():
-            # The same workers leave, but not while the list is read.
-            drain()
-        await asyncio.sleep(
-            max(0.0, slow_since + _SLOW_FOR_S - time.monotonic())
-        )
-        store.delay_s = _USUAL_S
-        record.write('the store is no longer slow')
-        await asyncio.sleep(_CONTACT_S + 0.3)
-        in_touch_at = time.monotonic()
-        record.write('in touch')
-        for number in range(_REQUESTS):
-            request_id = standins.make_id()
-            record.write('sent', request_id)
-            answer = await channel.ask(
-                'POST',
-                f'/order-confirm/{number}',
-                standins.make_headers(request_id, _WAIT_S),
-                b'order',
-                _WAIT_S,
+        await asyncio.sleep(3.5)
+        await asyncio.gather(
+            *(
+                send_streams(channel, range(number, _STREAMS, _AT_ONCE))
+                for number, channel in enumerate(channels)
             )
-            statuses.append(answer and answer.status)
-            record.write('answered', request_id, statuses[-1])
-            await asyncio.sleep(_INTERVAL_S)
+        )
     finally:
-        channel.close()
+        for channel in channels:
+            channel.close()
         entry.close()
-        for server in (store, *workers):
+        for server in (store, *engines):
             server.close()
-    if statuses.count(200) < _REQUESTS // 2:
-        raise standins.Broken(f'only {statuses.count(200)} orders served')
-    if len(pages) < 2:
-        raise standins.Broken('the list was read in one page')
-    return [
-        f'DRAIN: order {request_id} reached {worker.id} '
-        f'{at - worker.drained_at:.2f} s after the store had acknowledged '
-        f'that it is draining'
-        for worker in workers[:_LEAVING]
-        for at, request_id in worker.arrivals
-        if at >= in_touch_at and at - worker.drained_at > _DRAIN_S
-    ]
+    breaks = []
+    whole = b''.join(standins.make_event(n) for n in range(1, _EVENTS + 1))
+    for request_id, answer in answers.items():
+        if answer is None or answer.status != 200 or not answer.complete:
+            # Failed, or broken off visibly.
+            continue
+        if answer.body != whole:
+            breaks.append(
+                f'ORDER: stream {request_id} ended as complete with events '
+                f'{standins.list_ids(answer.body)} of 1 to {_EVENTS}'
+            )
+    served = sum(
+        answer is not None and answer.status == 200 and answer.complete
+        for answer in answers.values()
+    )
+    for engine in engines:
+        record.write(
+            engine.id, engine.answers, 'answers,', engine.extras, 'garbled'
+        )
+    record.write(served, 'of', _STREAMS, 'streams ended as complete')
+    if served < _STREAMS // 2:
+        raise standins.Broken(f'only {served} streams served')
+    return breaks
 
 
 standins.run_case(FOLDER, main)
