--- a/review/3/case.py
+++ b/review/3/case.py
@@ -35,12 +35,18 @@
 
 
 def make_foreign_entry(record):
-    """Return an entry of another writer, at whose address nothing listens."""
+    """Return an entry of another writer, at whose address nothing listens.
+
+    Some fields are missing, and one is of another type.
+    """
     foreign = standins.Worker('i-foreign', 'ordini-app', record)
     foreign.ip = standins.make_loopback_ip()
     foreign.port = standins.find_port(foreign.ip)
     foreign.born = _FOREIGN_BORN
-    return foreign.make_entry()
+    entry = foreign.make_entry()
+    for field in ('version', 'cold_left_ms', 'sequence'):
+        del entry[field]
+    return entry
 
 
 async def keep_running(entry, record, ends):
