--- a/review/1/case.py
+++ b/review/1/case.py
@@ -9,11 +9,12 @@
 
 import platform_standins as standins  # noqa: E402
 
-_ORDERS = 1000
+_RUN_S = 65.0
+_INSTANCES = 2
 _INTERVAL_S = 0.035
 
-# The workers are full at each so many-th order.
-_BURST_EVERY = 18
+# The workers are full at each so many-th order of an instance.
+_BURST_EVERY = 30
 _WAIT_S = 1.5
 _WORK_S = 0.0225
 
@@ -64,6 +65,34 @@
         return True
 
 
+async def send_orders(entry, workers, record, answers):
+    """Send orders, one after another, on a channel that is kept."""
+    loop = asyncio.get_running_loop()
+    end = loop.time() + _RUN_S
+    channel = standins.Channel(entry.front)
+    number = 0
+    try:
+        while loop.time() < end:
+            number += 1
+            request_id = standins.make_id()
+            if number % _BURST_EVERY == 0:
+                for worker in workers:
+                    worker.full_until = loop.time() + _FULL_S
+            record.write('sent', request_id, entry.name)
+            answer = await channel.ask(
+                'POST',
+                f'/order-confirm/{number}',
+                standins.make_headers(request_id, _WAIT_S),
+                b'order %d' % number,
+                _WAIT_S,
+            )
+            answers[request_id] = answer and answer.status
+            record.write('answered', request_id, answer and answer.status)
+            await asyncio.sleep(_INTERVAL_S)
+    finally:
+        channel.close()
+
+
 async def main(record):
     store = standins.Store()
     await store.start()
@@ -77,34 +106,27 @@
         # One of three workers; share is at most 0.6.
         workers[0].garbled = True
     store.put('op', 'config', standins.make_configuration())
-    entry = standins.Entry(store)
-    channel = standins.Channel(entry.front)
+    entries = [
+        standins.Entry(store, f'front-milano-a-{number}')
+        for number in range(1, _INSTANCES + 1)
+    ]
+    answers = {}
     try:
-        entry.start()
-        await entry.wait_ready()
+        for entry in entries:
+            entry.start()
+        for entry in entries:
+            await entry.wait_ready()
         await asyncio.sleep(3.5)
-        answers = {}
-        for number in range(_ORDERS):
-            request_id = standins.make_id()
-            full_until = asyncio.get_running_loop().time() + _FULL_S
-            if number % _BURST_EVERY == _BURST_EVERY - 1:
-                for worker in workers:
-                    worker.full_until = full_until
-            record.write('sent', request_id, f'/order-confirm/{number}')
-            answer = await channel.ask(
-                'POST',
-                f'/order-confirm/{number}',
-                standins.make_headers(request_id, _WAIT_S),
-                b'order %d' % number,
-                _WAIT_S,
+        await asyncio.gather(
+            *(
+                send_orders(entry, workers, record, answers)
+                for entry in entries
             )
-            answers[request_id] = answer and answer.status
-            record.write('answered', request_id, answer and answer.status)
-            await asyncio.sleep(_INTERVAL_S)
+        )
         await asyncio.sleep(1.0)
     finally:
-        channel.close()
-        entry.close()
+        for entry in entries:
+            entry.close()
         for server in (store, *workers):
             server.close()
     breaks = []
@@ -124,8 +146,8 @@
         record.write(
             worker.id, worker.answers, 'answers,', worker.extras, 'garbled'
         )
-    record.write(served, 'of', _ORDERS, 'orders answered with 200')
-    if served < _ORDERS // 2:
+    record.write(served, 'of', len(answers), 'orders answered with 200')
+    if served < len(answers) // 2:
         raise standins.Broken(f'only {served} orders served')
     return breaks
 
