--- a/sniperudder/digests/_codec.py
+++ b/sniperudder/digests/_codec.py
@@ -16,6 +16,10 @@
 # Largest age of a restriction that is told, seconds.
 _MAX_AGE_S = 86_400.0
 
+# Largest values of the integer types of Thrift.
+_MAX_I32 = 2**31 - 1
+_MAX_I64 = 2**63 - 1
+
 _PROTOCOL_FACTORY = TCompactProtocol.TCompactProtocolAcceleratedFactory()
 
 
@@ -39,26 +43,30 @@
         incarnation=digest.incarnation,
         sequence=digest.sequence,
         loads=[
-            ttypes.Load(name, load.requests, int(load.token_layers))
+            ttypes.Load(
+                name,
+                _limit(load.requests),
+                _limit(load.token_layers, _MAX_I64),
+            )
             for name, load in digest.loads.items()
         ],
         faults=[
             ttypes.Fault(
-                fault.endpoint, fault.born_ms, int(fault.left_s * _MS_PER_S)
+                fault.endpoint, fault.born_ms, _limit(fault.left_s * _MS_PER_S)
             )
             for fault in digest.faults
         ],
         crashes=[],
         lease_version=digest.lease.version,
-        events=digest.events,
-        slow_events=digest.slow_events,
+        events=_limit(digest.events),
+        slow_events=_limit(digest.slow_events),
         crossings=[
-            ttypes.Crossing(left, right, int(rate))
+            ttypes.Crossing(left, right, _limit(rate))
             for (left, right), rate in digest.crossings.items()
         ],
         scope=digest.scope.value,
         data_centre=digest.data_centre,
-        instances=digest.instances,
+        instances=_limit(digest.instances),
         included=[ttypes.Included(*entry) for entry in digest.included],
         table_versions={
             table: revision.version
@@ -71,12 +79,12 @@
                 born_ms,
                 told.leaving,
                 told.rate_limit,
-                int(min(told.age_s, _MAX_AGE_S) * _MS_PER_S),
+                _limit(min(told.age_s, _MAX_AGE_S) * _MS_PER_S),
             )
             for (endpoint, born_ms), told in digest.restrictions.items()
         ],
         demands={
-            service: int(rate * _MS_PER_S)
+            service: _limit(rate * _MS_PER_S)
             for service, rate in digest.demands.items()
         },
         lease_era=digest.lease.era,
@@ -156,6 +164,15 @@
     )
 
 
+def _limit(number, maximum=_MAX_I32):
+    """Return a quantity as a whole number from 0 to a maximum.
+
+    Sums over many instances, and what was computed from odd values, may
+    exceed the type of a field. NaN becomes 0.
+    """
+    return int(min(number, maximum)) if number > 0 else 0
+
+
 def _decode_table_revisions(message):
     eras = message.table_eras or {}
     return {
@@ -172,17 +189,17 @@
             ttypes.EndpointCrash(
                 endpoint,
                 born_ms,
-                int(crash.age_s * _MS_PER_S),
-                crash.suspects,
+                _limit(crash.age_s * _MS_PER_S),
+                {key: _limit(n) for key, n in crash.suspects.items()},
             )
             for (endpoint, born_ms), crash in report.crashes.items()
         ],
         cleared_ms={
-            key: int(age_s * _MS_PER_S)
+            key: _limit(age_s * _MS_PER_S)
             for key, age_s in report.cleared.items()
         },
         blocks=[
-            ttypes.Block(sorted(keys), int(age_s * _MS_PER_S))
+            ttypes.Block(sorted(keys), _limit(age_s * _MS_PER_S))
             for keys, age_s in report.blocks.items()
         ],
     )
@@ -194,21 +211,25 @@
     return _crash_reports.CrashReport(
         {
             (crash.endpoint, crash.born_ms): _crash_reports.Crash(
-                crash.age_ms / _MS_PER_S, crash.suspects
+                _decode_age_s(crash.age_ms), crash.suspects
             )
             for crash in message.crashes
         },
         {
-            key: age_ms / _MS_PER_S
+            key: _decode_age_s(age_ms)
             for key, age_ms in message.cleared_ms.items()
         },
         {
-            frozenset(block.keys): block.age_ms / _MS_PER_S
+            frozenset(block.keys): _decode_age_s(block.age_ms)
             for block in message.blocks
         },
     )
 
 
+def _decode_age_s(age_ms):
+    return max(age_ms, 0) / _MS_PER_S
+
+
 def _decode_restrictions(messages):
     restrictions = {}
     for message in messages or ():
@@ -217,7 +238,9 @@
             raise TypeError(f'rate limit {rate_limit}')
         restrictions[message.endpoint, message.born_ms] = (
             _restrictions.Restriction(
-                bool(message.leaving), rate_limit, message.age_ms / _MS_PER_S
+                bool(message.leaving),
+                rate_limit,
+                _decode_age_s(message.age_ms),
             )
         )
     return restrictions
--- a/sniperudder/digests/_exchange.py
+++ b/sniperudder/digests/_exchange.py
@@ -52,7 +52,13 @@
         except _codec.DigestError as error:
             self._report_invalid(f'{addr[0]}: {error}')
             return
-        self._handle_digest(digest, addr)
+        try:
+            self._handle_digest(digest, addr)
+        except Exception as error:
+            # Costs this digest only, not the socket or other peers' digests.
+            self._report_invalid(
+                f'{addr[0]}: not applied: {type(error).__name__}: {error}'
+            )
 
     def error_received(self, exc):
         """Ignore errors; unreachable peers are detected by their silence."""
--- a/sniperudder/entry/_endpoint_list.py
+++ b/sniperudder/entry/_endpoint_list.py
@@ -66,7 +66,15 @@
             self._T.endpoints_known = True
         self._T.endpoint_list_updates += 1
         for row in rows:
-            self._apply_row(row, is_snapshot, is_restored, now)
+            try:
+                self._apply_row(row, is_snapshot, is_restored, now)
+            except Exception as error:
+                # The other rows of the update must still be applied.
+                self._journal.write(
+                    'endpoint:not applied',
+                    row.key,
+                    reason=f'{type(error).__name__}: {error}',
+                )
         self._finish_update()
 
     def _finish_update(self):
--- a/sniperudder/entry/_entry.py
+++ b/sniperudder/entry/_entry.py
@@ -17,6 +17,7 @@
 from sniperudder.entry import _placer
 from sniperudder.entry import _recovery
 from sniperudder.entry import _settings
+from sniperudder.entry import _tasks
 from sniperudder import feeds
 from sniperudder import fleet
 from sniperudder import forwarding
@@ -179,7 +180,7 @@
             self._feed.handle_request, self._log_exception, self._log_rejection
         )
         self._stopping = asyncio.Event()
-        self._tasks = []
+        self._supervisor = _tasks.TaskSupervisor(self._log_exception)
 
     async def run(self):
         """Serve until SIGTERM or SIGINT, then stop gracefully."""
@@ -215,20 +216,18 @@
             callers=self._settings.callers_address,
             process=os.getpid(),
         )
-        for coroutine in (
-            self._feed.run(),
-            self._gossip.maintain_registration(),
-            self._recovery.run(),
-            self._placer.maintain_lease(),
-            self._placer.run_placement(),
-            self._gossip.send_digests(),
-            self._gossip.remove_gone_peers(),
-            self._block_store.maintain(),
-            self._run_maintenance(),
+        for run in (
+            self._feed.run,
+            self._gossip.maintain_registration,
+            self._recovery.run,
+            self._placer.maintain_lease,
+            self._placer.run_placement,
+            self._gossip.send_digests,
+            self._gossip.remove_gone_peers,
+            self._block_store.maintain,
+            self._run_maintenance,
         ):
-            task = asyncio.create_task(coroutine)
-            task.add_done_callback(self._handle_task_end)
-            self._tasks.append(task)
+            self._supervisor.start(run)
 
     def _get_batch_delay_s(self):
         data_centres = {e.data_centre for e in self._T.endpoints.values()}
@@ -334,6 +333,8 @@
             and self._T.configuration is not None
             and self._T.endpoints_known
             and not self._stopping.is_set()
+            # Its tables may be outdated.
+            and not self._supervisor.is_failing()
         )
         status = _STATUS_OK if ready else _STATUS_UNAVAILABLE
         caller.send_response(status, [], b'')
@@ -397,8 +398,7 @@
 
     async def close(self):
         """Close immediately, aborting open requests."""
-        for task in self._tasks:
-            task.cancel()
+        self._supervisor.cancel()
         self._caller_server.close()
         self._readiness_server.close()
         self._peer_server.close()
@@ -412,13 +412,6 @@
             trace=''.join(traceback.format_exception(error)),
         )
 
-    def _handle_task_end(self, task):
-        if not task.cancelled() and task.exception() is not None:
-            # Without its background tasks, the instance would serve from
-            # outdated tables; it stops instead.
-            self._log_exception(task.exception())
-            self._stopping.set()
-
     def _log_rejection(self, status):
         self._journal.write('request:unread', status=status)
 
--- a/sniperudder/entry/_feed.py
+++ b/sniperudder/entry/_feed.py
@@ -217,11 +217,12 @@
         finally:
             if self._store_check is not None:
                 self._store_check.cancel()
+                self._store_check = None
 
     async def _run_once(self):
         if self._store_check is not None and self._store_check.done():
-            self._store_check.result()
-            self._store_check = None
+            check, self._store_check = self._store_check, None
+            check.result()
         source = self._choose_source()
         if source == self._own_name and not self._is_store_reachable():
             # Other sources, if any, are used until the store answers.
--- a/sniperudder/entry/_gossip.py
+++ b/sniperudder/entry/_gossip.py
@@ -316,16 +316,19 @@
                 self._remove_peer(row.key)
                 continue
             try:
-                value = json.loads(row.value)
+                value = platform.parse_object(row.value)
                 member = _Member(
                     row.revision,
-                    str(value['host']),
-                    int(value['port']),
-                    str(value.get('data_centre', '')),
-                    float(value.get('link_mbps', 0.0)),
+                    platform.decode_host(value),
+                    platform.decode_port(value),
+                    platform.get_field(value, 'data_centre', str, ''),
+                    platform.get_field(value, 'link_mbps', float, 0.0),
                 )
-            except (AttributeError, KeyError, TypeError, ValueError) as error:
+            except platform.DocumentError as error:
                 self._log_invalid_data(f'row {row.key}: {error}')
+                if row.key == self._settings.name:
+                    # To be written again.
+                    self._members.pop(row.key, None)
                 continue
             self._members[row.key] = member
             if row.key != self._settings.name:
--- a/sniperudder/entry/tests/test_gossip.py
+++ b/sniperudder/entry/tests/test_gossip.py
@@ -23,7 +23,7 @@
     """Holds the rows of one table."""
 
     def __init__(self, *names):
-        value = json.dumps({'host': 'h', 'port': 1}).encode()
+        value = json.dumps({'host': '127.0.0.2', 'port': 1}).encode()
         self.rows = {
             name: platform.StoredRow(
                 name, value, revisions.Revision(1, number)
@@ -162,10 +162,10 @@
     def run_cleanup(self, lease_revision):
         """Apply a list with two gone peers and a live one, and clean up."""
         T = fleet.FleetTables()
-        T.peers.add_peer('entry-2', ('h', 1), -10_000.0)
-        T.peers.add_peer('entry-4', ('h', 1), -10_000.0)
+        T.peers.add_peer('entry-2', ('127.0.0.2', 1), -10_000.0)
+        T.peers.add_peer('entry-4', ('127.0.0.2', 1), -10_000.0)
         digest = digests.Digest('entry-3', 1, 1, {}, ())
-        T.peers.record_digest(digest, ('h', 1), 1e12)
+        T.peers.record_digest(digest, ('127.0.0.2', 1), 1e12)
         store = StubStore('entry-1', 'entry-2', 'entry-3')
         members = types.SimpleNamespace(set_members=lambda *_: None)
         gossip = _gossip.Gossip(
--- a/sniperudder/forwarding/_events.py
+++ b/sniperudder/forwarding/_events.py
@@ -5,6 +5,9 @@
 _SEPARATOR = b'\n\n'
 _ID_FIELD = b'id:'
 
+# Limit for the digits of an id, which are converted to a number.
+_MAX_ID_DIGITS = 18
+
 # Limit for the buffer of an incomplete event; the events of engines take
 # less than 1 KB.
 _MAX_EVENT_BYTES = 1_048_576
@@ -83,6 +86,23 @@
     """Return the numeric value of an event's ``id`` field, or None."""
     for line in block.split(b'\n'):
         if line.startswith(_ID_FIELD):
-            value = line[len(_ID_FIELD) :].strip()
-            return int(value) if value.isdigit() else None
+            return parse_event_id(line[len(_ID_FIELD) :])
     return None
+
+
+def parse_event_id(value):
+    """Return an event id as a number, or None if it is none.
+
+    Parameters
+    ----------
+    value : bytes
+
+    Examples
+    --------
+    >>> [parse_event_id(value) for value in (b' 12 ', b'a', b'1' * 99)]
+    [12, None, None]
+    """
+    value = value.strip()
+    if not value.isdigit() or len(value) > _MAX_ID_DIGITS:
+        return None
+    return int(value)
--- a/sniperudder/forwarding/_streams.py
+++ b/sniperudder/forwarding/_streams.py
@@ -2,6 +2,7 @@
 
 from sniperudder import fleet
 from sniperudder.forwarding import _attempts
+from sniperudder.forwarding import _events
 from sniperudder.forwarding import _exchanges
 from sniperudder.forwarding import _jobs
 from sniperudder.forwarding import _progress
@@ -23,9 +24,9 @@
     """
     resumed_from = job.head.last_event_id
     stream = _progress.StreamProgress(
-        int(resumed_from)
-        if resumed_from is not None and resumed_from.isdecimal()
-        else None
+        None
+        if resumed_from is None
+        else _events.parse_event_id(resumed_from.encode('latin-1'))
     )
     code = _Code.NO_ENDPOINT
     while True:
@@ -144,10 +145,11 @@
     endpoints = fleet.list_endpoints(forwarder.T, job.service.name)
     if engine is None or not engine.layer_count:
         return _Code.SHED if endpoints else _Code.NO_ENDPOINT
-    covered = set()
-    for endpoint in endpoints:
-        if endpoint.layers is not None:
-            layers = endpoint.layers
-            covered.update(range(layers.start, layers.end))
-    fully_covered = len(covered) >= engine.layer_count
+    covered_up_to = 0
+    ranges = [e.layers for e in endpoints if e.layers is not None]
+    for layers in sorted(ranges, key=lambda layers: layers.start):
+        if layers.start > covered_up_to:
+            break
+        covered_up_to = max(covered_up_to, layers.end)
+    fully_covered = covered_up_to >= engine.layer_count
     return _Code.SHED if fully_covered else _Code.NO_ENDPOINT
--- a/sniperudder/platform/__init__.py
+++ b/sniperudder/platform/__init__.py
@@ -3,8 +3,12 @@
 from sniperudder.platform._documents import CONFIGURATION_KEY
 from sniperudder.platform._documents import decode_configuration
 from sniperudder.platform._documents import decode_endpoint
+from sniperudder.platform._documents import decode_host
+from sniperudder.platform._documents import decode_port
 from sniperudder.platform._documents import decode_settings
 from sniperudder.platform._documents import DocumentError
+from sniperudder.platform._documents import get_field
+from sniperudder.platform._documents import parse_object
 from sniperudder.platform._documents import supersedes_configuration
 from sniperudder.platform._headers import decode_request_head
 from sniperudder.platform._headers import decode_response_head
@@ -66,7 +70,9 @@
     'decode_configuration',
     'decode_endpoint',
     'decode_fault_address',
+    'decode_host',
     'decode_notice',
+    'decode_port',
     'decode_report',
     'decode_request_head',
     'decode_response_head',
@@ -74,9 +80,11 @@
     'filter_request_headers',
     'filter_response_headers',
     'format_path',
+    'get_field',
     'make_control_headers',
     'make_place_order',
     'make_request_headers',
     'make_reroute_order',
+    'parse_object',
     'supersedes_configuration',
 ]
--- a/sniperudder/platform/_documents.py
+++ b/sniperudder/platform/_documents.py
@@ -1,11 +1,19 @@
 """Decoding of the platform's JSON documents into records."""
 
+import ipaddress
 import json
+import math
 
 from sniperudder import fleet
 
 _MS_PER_S = 1000.0
 
+# Range of whole numbers: they are passed on as signed 64-bit integers.
+_MIN_INT = -(2**63)
+_MAX_INT = 2**63 - 1
+
+_MAX_PORT = 65_535
+
 # Default for deployments without engines, in which no stage can stall.
 _NO_STALL_MS = 0.0
 
@@ -56,7 +64,7 @@
         host=get_field(value, 'ip', str),
         callers_address=get_field(listen, 'front', str),
         ready_address=get_field(listen, 'ready', str),
-        peer_port=get_field(value, 'port_range', list)[0],
+        peer_port=_decode_first_port(value),
         platform_address=get_field(
             get_field(value, 'platform', dict), 'address', str
         ),
@@ -170,14 +178,13 @@
     state = get_field(value, 'state', str)
     if state not in _KNOWN_STATES:
         raise DocumentError(f'state: unknown value: {state!r}')
-    address = get_field(value, 'address', str)
-    host, _, port = address.rpartition(':')
-    if not host or not port.isdigit():
-        raise DocumentError(f'address: expected host:port, got {address!r}')
+    if not _is_visible_ascii(name):
+        # The id is sent to the endpoint in a header.
+        raise DocumentError(f'id: invalid characters: {name!r}')
     return fleet.Endpoint(
         id=name,
         service=get_field(value, 'service', str),
-        address=address,
+        address=_decode_address(value),
         data_centre=get_field(value, 'zone', str),
         slots=get_field(value, 'slots', int),
         leaving=state != _READY_STATE,
@@ -188,6 +195,52 @@
     )
 
 
+def decode_host(value):
+    """Return the ``host`` of an object, which must be an IPv4 address.
+
+    Host names are not accepted, since looking one up would block.
+    """
+    host = get_field(value, 'host', str)
+    _check_ip_address('host', host)
+    return host
+
+
+def decode_port(value):
+    """Return the ``port`` of an object."""
+    port = get_field(value, 'port', int)
+    if not 0 < port <= _MAX_PORT:
+        raise DocumentError(f'port: out of range: {port}')
+    return port
+
+
+def _decode_first_port(value):
+    ports = get_field(value, 'port_range', list)
+    if not ports:
+        raise DocumentError('port_range: empty')
+    return decode_port({'port': ports[0]})
+
+
+def _decode_address(value):
+    address = get_field(value, 'address', str)
+    host, _, port = address.rpartition(':')
+    _check_ip_address('address', host)
+    is_number = port.isascii() and port.isdigit() and len(port) <= 5
+    if not is_number or not 0 < int(port) <= _MAX_PORT:
+        raise DocumentError(f'address: expected host:port, got {address!r}')
+    return address
+
+
+def _check_ip_address(field, host):
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError as error:
+        raise DocumentError(f'{field}: {error}') from error
+
+
+def _is_visible_ascii(text):
+    return bool(text) and all('!' <= character <= '~' for character in text)
+
+
 def decode_layers(value):
     """Return the layers that an endpoint reports, or None."""
     layers = value.get('layers')
@@ -217,19 +270,28 @@
 
 
 def get_field(value, field, expected_type, default=None):
-    """Return a field of an object after checking its type.
+    """Return a field of an object after checking its type and range.
+
+    Whole numbers have at most 64 bits, other numbers are finite, and texts can
+    be encoded, so that each value can be passed on.
 
     Raises
     ------
     DocumentError
-        If the field has another type, or is missing and has no default; the
-        message names the field.
+        If the field has another type or is out of range, or is missing and
+        has no default; the message names the field.
     """
     if not isinstance(value, dict):
         raise DocumentError(f'{field}: parent is not a JSON object')
     field_value = value.get(field, default)
+    if type(field_value) is int and not _MIN_INT <= field_value <= _MAX_INT:
+        raise DocumentError(f'{field}: more than 64 bits')
     if expected_type is float and type(field_value) is int:
         field_value = float(field_value)
+    if type(field_value) is float and not math.isfinite(field_value):
+        raise DocumentError(f'{field}: not finite: {field_value!r}')
+    if isinstance(field_value, str) and not _is_encodable(field_value):
+        raise DocumentError(f'{field}: not valid Unicode: {field_value!r}')
     # bool is a subclass of int but is not accepted as a number.
     if not isinstance(field_value, expected_type) or (
         isinstance(field_value, bool) and expected_type is not bool
@@ -240,6 +302,15 @@
     return field_value
 
 
+def _is_encodable(text):
+    """Return whether a text has no lone surrogates, which JSON allows."""
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
 def get_seconds(value, field, default=None):
     """Return a field in milliseconds as seconds; see `get_field`."""
     return get_field(value, field, float, default) / _MS_PER_S
--- a/sniperudder/platform/_headers.py
+++ b/sniperudder/platform/_headers.py
@@ -1,9 +1,15 @@
 """Parsing and generation of the platform's HTTP headers."""
 
 import dataclasses
+import math
 
 _MS_PER_S = 1000.0
 
+# Largest number of tokens and largest event id that are accepted. Sums and
+# products of them fit in 64 bits.
+_MAX_COUNT = 10**9
+_MAX_ID_DIGITS = 18
+
 _REQUEST_ID = b'x-sniperudder-request-id'
 _DEADLINE = b'x-sniperudder-request-deadline'
 _TOKEN_COUNT = b'x-sniperudder-token-count'
@@ -281,10 +287,11 @@
 def _decode_wait_s(values):
     text = _decode_text(values, _DEADLINE)
     try:
-        return None if text is None else float(text) / _MS_PER_S
+        wait_s = math.nan if text is None else float(text) / _MS_PER_S
     except ValueError:
-        # A malformed deadline is treated as no deadline.
-        return None
+        wait_s = math.nan
+    # A malformed deadline is treated as no deadline.
+    return wait_s if math.isfinite(wait_s) else None
 
 
 def _decode_key(values):
@@ -310,7 +317,12 @@
 
 
 def _decode_count(text):
-    return int(text) if text.strip().isdecimal() else 0
+    text = text.strip()
+    if not text.isdecimal():
+        return 0
+    if len(text) > _MAX_ID_DIGITS:
+        return _MAX_COUNT
+    return min(int(text), _MAX_COUNT)
 
 
 def _list_connection_options(headers):
--- a/sniperudder/platform/tests/test_invalid_documents.py
+++ b/sniperudder/platform/tests/test_invalid_documents.py
@@ -5,11 +5,15 @@
 
 import copy
 import json
+import math
+import socket
 
+import h11
 import hypothesis
 from hypothesis import strategies
 import testtools
 
+from sniperudder import digests
 from sniperudder import fleet
 from sniperudder import platform
 from sniperudder.platform.tests import _documents
@@ -28,7 +32,25 @@
     | strategies.floats(allow_nan=False)
     | strategies.text(max_size=8)
 )
-_VALUES = strategies.recursive(
+# Values at and beyond the limits of what can be passed on.
+_ODD_SCALARS = strategies.sampled_from(
+    (
+        2**31,
+        2**63 - 1,
+        2**63,
+        -(2**63) - 1,
+        10**400,
+        1e300,
+        math.inf,
+        -math.inf,
+        math.nan,
+        '\ud800',
+        'a\nb',
+        '127.0.0.1:70000',
+        '127.0.0.1:\u0661',
+    )
+)
+_VALUES = _ODD_SCALARS | strategies.recursive(
     _SCALARS,
     lambda inner: (
         strategies.lists(inner, max_size=3)
@@ -82,6 +104,77 @@
         )
         if decoded is not None and decoded.layers is not None:
             self.assertTrue(0 <= decoded.layers.start < decoded.layers.end)
+        if decoded is not None:
+            self.pass_on(decoded)
+
+    # Guards against: a value that was accepted could not be passed on in
+    # digests, feeds or requests to endpoints.
+    def pass_on(self, endpoint):
+        """Name an endpoint in all messages in which one can occur."""
+        run_id = endpoint.id, endpoint.born_ms
+        load = digests.Load(endpoint.slots, float(endpoint.report_number))
+        digest = digests.Digest(
+            'entry-1',
+            5,
+            1,
+            {endpoint.id: load},
+            (digests.Fault(endpoint.id, endpoint.born_ms, 1.0),),
+            crossings={(endpoint.data_centre, endpoint.data_centre): 1.0},
+            crash_report=digests.CrashReport(
+                {run_id: digests.Crash(1.0, {endpoint.service: 1})}
+            ),
+            restrictions={run_id: digests.Restriction(True, 1.0, 0.0)},
+            demands={endpoint.service: 1.0},
+        )
+        decoded = digests.decode_digest(digests.encode_digest(digest))
+        self.assertEqual(run_id, next(iter(decoded.restrictions)))
+        stage = fleet.Stage(endpoint, endpoint.layers)
+        headers = platform.make_request_headers([stage], 1.0, 1, 'org', None)
+        h11.Request(
+            method='POST', target='/', headers=[('Host', 'h'), *headers]
+        )
+        if endpoint.layers is not None:
+            platform.make_place_order(endpoint.layers, endpoint.report_number)
+        host, _, port = endpoint.address.rpartition(':')
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+            sender.connect((host, int(port)))
+
+    @hypothesis.given(strategies.data())
+    @hypothesis.settings(max_examples=300, derandomize=True, deadline=None)
+    def test_row_of_an_instance(self, data):
+        row = {'host': '10.1.0.1', 'port': 80}
+
+        def decode(text):
+            value = platform.parse_object(text)
+            return platform.decode_host(value), platform.decode_port(value)
+
+        address = self.check(decode, row, data)
+        if address is not None:
+            with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+                sender.connect(address)
+
+    def test_settings_without_ports_are_invalid(self):
+        settings = {
+            'node': 'entry-1',
+            'zone': 'north',
+            'ip': '127.0.0.1',
+            'listen': {'front': '127.0.0.1:1', 'ready': '127.0.0.1:2'},
+            'port_range': [],
+            'platform': {'address': '127.0.0.1:3'},
+            'bounds': {
+                'drain_ms': 2_000,
+                'grace_s': 8,
+                'budget_ratio': 0.2,
+                'budget_window_s': 10,
+                'budget_slack': 200,
+            },
+        }
+        for ports in ([], ['a'], [0], [70_000]):
+            settings['port_range'] = ports
+            with testtools.ExpectedException(
+                platform.DocumentError, '.*port.*'
+            ):
+                platform.decode_settings(json.dumps(settings).encode())
 
     @hypothesis.given(strategies.data())
     @hypothesis.settings(max_examples=300, derandomize=True, deadline=None)
