--- a/sniperudder/entry/tests/test_streams.py
+++ b/sniperudder/entry/tests/test_streams.py
@@ -325,15 +325,15 @@
         """Send two events and a rest without framing, then end."""
 
         async def serve(request, http, writer):
+            for engine in engines:
+                # The other engine resumes the stream as usual.
+                engine.script.clear()
             seal = standins.make_seal(request)
             head = ''.join(f'{name}: {value}\r\n' for name, value in seal)
             writer.write(f'HTTP/1.1 200 OK\r\n{head}\r\n'.encode())
             writer.write(b'id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n' + rest)
             await writer.drain()
             await asyncio.sleep(0.05)
-            for engine in engines:
-                # The other engine resumes the stream as usual.
-                engine.script.clear()
             await end(writer)
             raise OSError('end of the script')
 
@@ -362,6 +362,25 @@
 
         self.run_engines(case)
 
+    # Guards against: a stream with a second answer behind it ended as complete
+    # without its last event.
+    def test_second_answer_in_the_same_read_takes_no_event_away(self):
+        head = b'HTTP/1.1 200 OK\r\nX-Sniperudder-Request-Id: r-1\r\n\r\n'
+        event = b'id: 3\ndata: 3\n\n'
+        extra = event + head + b'id: 1\ndata: 1\n\n' + event
+
+        async def case(test_fleet, engines):
+            self.script(engines, extra, self.close)
+            status, _, body = await test_fleet.send('/stream/a')
+            self.assertEqual(
+                (200, [1, 2, 3]), (status, _fleets.list_ids(body))
+            )
+            self.script(engines, extra, self.close)
+            with testtools.ExpectedException(h11.RemoteProtocolError):
+                await test_fleet.send('/once/a')
+
+        self.run_engines(case)
+
     def test_stream_that_ends_within_an_event_is_resumed(self):
         async def case(test_fleet, engines):
             self.script(engines, b'id: 3\nda', self.close)
--- a/sniperudder/forwarding/_attempts.py
+++ b/sniperudder/forwarding/_attempts.py
@@ -154,7 +154,7 @@
             except (_events.EventTooLong, OSError) as error:
                 return _exchanges.Interrupted(_exchanges.describe_error(error))
             if complete_events:
-                interrupted = _progress.forward_events(
+                sent, interrupted = _progress.forward_events(
                     self._forwarder,
                     caller,
                     stream,
@@ -162,10 +162,11 @@
                     complete_events,
                     self._job.route.gap_target_s,
                 )
+                if sent:
+                    self._monitor.record_progress(sent)
+                    self._check_survival()
                 if interrupted is not None:
                     return interrupted
-                self._monitor.record_progress(len(complete_events))
-                self._check_survival()
                 await caller.drain()
                 self._monitor.reroute_around_leaving()
         if splitter.remainder:
--- a/sniperudder/forwarding/_progress.py
+++ b/sniperudder/forwarding/_progress.py
@@ -74,7 +74,7 @@
 
 
 def forward_events(forwarder, caller, stream, headers, events, gap_target_s):
-    """Send events to the caller.
+    """Send events to the caller, as far as they continue the stream.
 
     Parameters
     ----------
@@ -89,23 +89,34 @@
 
     Returns
     -------
-    Interrupted or None
-        Interrupted if the event ids do not increase; no event is sent then.
+    count : int
+        Number of events sent.
+    interrupted : Interrupted or None
+        Set if the other events do not continue the stream: their ids do not
+        increase, or are missing after an event that has one.
     """
-    chunks = []
+    chunks, last_id, interrupted = [], stream.last_id, None
     for event in events:
-        if event.id is not None and stream.last_id is not None:
-            if event.id <= stream.last_id:
-                return _exchanges.Interrupted(
-                    f'event {event.id} after {stream.last_id}'
-                )
-        if event.id is not None:
-            stream.last_id = event.id
+        if last_id is not None and (event.id is None or event.id <= last_id):
+            name = 'without an id' if event.id is None else event.id
+            interrupted = _exchanges.Interrupted(
+                f'event {name} after {last_id}'
+            )
+            break
+        last_id = event.id
         chunks.append(event.data)
+    if chunks:
+        _send(forwarder, caller, stream, headers, chunks, gap_target_s)
+        # What was read but not sent must not count: the stream is resumed
+        # after the last event that the caller has got.
+        stream.last_id = last_id
+    return len(chunks), interrupted
+
+
+def _send(forwarder, caller, stream, headers, chunks, gap_target_s):
     if not stream.started:
         caller.start_response(200, headers)
         stream.started = True
+    caller.send_data(b''.join(chunks))
     gap_s = stream.record_events(len(chunks), forwarder.now())
     forwarder.load_shedder.record_event(gap_s, gap_target_s)
-    caller.send_data(b''.join(chunks))
-    return None
