--- a/sniperudder/forwarding/_connections.py
+++ b/sniperudder/forwarding/_connections.py
@@ -29,6 +29,10 @@
 # The server starts its timer earlier, by the transit time of the response.
 _IDLE_TIMEOUT_FRACTION = 0.7
 
+# Number of forwarded requests after which a connection is not used again,
+# since their ids are kept.
+_MAX_FORWARDED = 500
+
 # Maximum number of idle connections per address.
 _MAX_IDLE_PER_ADDRESS = 64
 
@@ -47,11 +51,15 @@
         Whether the connection has carried a request before.
     idle_until : float
         Loop time until which the connection may be reused, seconds.
+    request_ids : set of str
+        Ids of the forwarded requests that it has carried. A response is
+        recognised by the id, which therefore must not occur twice.
     """
 
     def __init__(self, address):
         self.address = address
         self.used = False
+        self.request_ids = set()
         self.idle_until = 0.0
         self._http = self._create_parser()
         self._transport = None
@@ -190,6 +198,8 @@
         """Prepare for another request; return whether that is possible."""
         if self._ended or not self.is_flushed():
             return False
+        if len(self.request_ids) >= _MAX_FORWARDED:
+            return False
         if self._http.our_state is h11.IDLE:
             return not self._has_stray_data
         remainder, _ = self._http.trailing_data
@@ -257,7 +267,9 @@
         self._idle = {}
         self.opened = 0
 
-    async def acquire(self, address, timeout_s=_CONNECT_TIMEOUT_S):
+    async def acquire(
+        self, address, timeout_s=_CONNECT_TIMEOUT_S, request_id=None
+    ):
         """Return an idle connection, or open one.
 
         Parameters
@@ -266,6 +278,9 @@
             ``host:port``.
         timeout_s : float
             Timeout for opening a connection, seconds.
+        request_id : str, optional
+            Id of the request to forward. Connections that have carried it
+            are left out.
 
         Returns
         -------
@@ -276,14 +291,25 @@
         OSError
             If no connection could be opened in time; nothing was sent.
         """
-        loop = asyncio.get_running_loop()
-        idle = self._idle.get(address)
-        while idle:
-            connection = idle.pop()
-            if connection.is_usable(loop.time()):
+        connection = self._take_idle(address, request_id)
+        if connection is None:
+            connection = await self.open(address, timeout_s)
+        if request_id is not None:
+            connection.request_ids.add(request_id)
+        return connection
+
+    def _take_idle(self, address, request_id):
+        now = asyncio.get_running_loop().time()
+        idle = self._idle.get(address, ())
+        for index in reversed(range(len(idle))):
+            connection = idle[index]
+            if request_id in connection.request_ids:
+                continue
+            del idle[index]
+            if connection.is_usable(now):
                 return connection
             connection.close()
-        return await self.open(address, timeout_s)
+        return None
 
     async def open(self, address, timeout_s=_CONNECT_TIMEOUT_S):
         """Open a connection, even if there is an idle one.
--- a/sniperudder/forwarding/_engines.py
+++ b/sniperudder/forwarding/_engines.py
@@ -1,7 +1,7 @@
 """Client for the control interface of engines: reports and orders."""
 
 import dataclasses
-import functools
+import uuid
 
 from sniperudder.forwarding import _connections
 from sniperudder import platform
@@ -47,9 +47,8 @@
     Parameters
     ----------
     pool : ConnectionPool
-        Must not be shared with forwarded requests. A late response to a
-        forwarded request is recognised by its request id, but responses to
-        control calls carry no id.
+        Must not be shared with forwarded requests. Each call has an id of its
+        own, but endpoints need not state it in responses to control calls.
     timeout_s : float
         Timeout of a call, seconds.
     notice_recorder : NoticeRecorder
@@ -101,6 +100,17 @@
         return await self._call(endpoint, 'POST', platform.ORDER_TARGET, body)
 
     async def _call(self, endpoint, method, target, body):
+        call_id = uuid.uuid4().hex
+
+        def handle_head(head):
+            response_head = platform.decode_response_head(
+                head.status_code, head.headers
+            )
+            if response_head.request_id not in ('', call_id):
+                # A second copy of the response to an earlier call.
+                raise _connections.ConnectionBroken('answer to another call')
+            self._notice_recorder.record_head(endpoint, head)
+
         try:
             status, response_body = await _connections.request_json(
                 self._pool,
@@ -109,10 +119,8 @@
                 target,
                 body,
                 self._timeout_s,
-                platform.make_control_headers(endpoint),
-                handle_head=functools.partial(
-                    self._notice_recorder.record_head, endpoint
-                ),
+                platform.make_control_headers(endpoint, call_id),
+                handle_head=handle_head,
             )
         except OSError as error:
             return NoResponse(f'{type(error).__name__}: {error}')
--- a/sniperudder/forwarding/_exchanges.py
+++ b/sniperudder/forwarding/_exchanges.py
@@ -119,7 +119,9 @@
         outgoing = self._outgoing
         sent = False
         try:
-            self._connection = await self._pool.acquire(self._address)
+            self._connection = await self._pool.acquire(
+                self._address, request_id=outgoing.request_id
+            )
             if self._guard is not None and not self._guard.may_send():
                 self.release()
                 return NotRun('restricted by the endpoint', restricted=True)
@@ -168,12 +170,12 @@
                 raise
             except OSError as error:
                 return Interrupted(describe_error(error))
-            if self._guard is not None:
-                self._guard.record_head(head)
             response_head = platform.decode_response_head(
                 head.status_code, head.headers
             )
             if response_head.request_id == self._outgoing.request_id:
+                if self._guard is not None:
+                    self._guard.record_head(head)
                 self._idle_timeout_s = _connections.decode_idle_timeout_s(
                     head.headers
                 )
--- a/sniperudder/platform/_headers.py
+++ b/sniperudder/platform/_headers.py
@@ -259,14 +259,23 @@
     return headers
 
 
-def make_control_headers(endpoint):
+def make_control_headers(endpoint, call_id):
     """Return the headers of a report or order request to an endpoint.
 
+    Parameters
+    ----------
+    endpoint : sniperudder.fleet.Endpoint
+    call_id : str
+        Id of the call, which its response may state.
+
     Returns
     -------
     list of (bytes, bytes)
     """
-    return [(_EXPECTED_ENDPOINT, endpoint.id.encode())]
+    return [
+        (_EXPECTED_ENDPOINT, endpoint.id.encode()),
+        (_REQUEST_ID, call_id.encode()),
+    ]
 
 
 def format_path(stages):
