--- a/sniperudder/forwarding/_caller_server.py
+++ b/sniperudder/forwarding/_caller_server.py
@@ -7,6 +7,7 @@
 import h11
 
 from sniperudder.forwarding import _sockets
+from sniperudder.forwarding import _turns
 
 # Number of bytes received from a caller during a response at which reading
 # pauses. Callers normally send nothing then.
@@ -240,7 +241,12 @@
             self.close()
 
     def _process_events(self):
+        turn_ends_at = _turns.begin_turn()
         while self._phase in (_Phase.HEAD, _Phase.BODY):
+            if _turns.read_clock() >= turn_ends_at:
+                self._transport.pause_reading()
+                self._loop.call_soon(self._resume_processing)
+                return
             try:
                 event = self._http.next_event()
             except h11.RemoteProtocolError as error:
@@ -254,6 +260,11 @@
                 return
             self._handle_event(event)
 
+    def _resume_processing(self):
+        if not self._transport.is_closing():
+            self._transport.resume_reading()
+            self._process_events()
+
     def _handle_event(self, event):
         if isinstance(event, h11.Request):
             self._request = event
--- a/sniperudder/forwarding/_connections.py
+++ b/sniperudder/forwarding/_connections.py
@@ -6,6 +6,7 @@
 import h11
 
 from sniperudder.forwarding import _sockets
+from sniperudder.forwarding import _turns
 
 # Limit for the response headers; endpoints send a few hundred bytes.
 _MAX_HEADER_BYTES = 65_536
@@ -18,6 +19,9 @@
 _READ_PAUSE_BYTES = 262_144
 _READ_RESUME_BYTES = 65_536
 
+# Maximum number of interim responses before a response.
+_MAX_INTERIM_RESPONSES = 10
+
 # Timeout for establishing a connection. A round trip takes a few ms, and a
 # lost SYN is retransmitted only after 1 s.
 _CONNECT_TIMEOUT_S = 0.5
@@ -70,8 +74,10 @@
         self._ended = False
         self._has_stray_data = False
         self._unread_bytes = 0
+        self._paused = False
         self._request = None
         self._body = None
+        self._turn_ends_at = _turns.begin_turn()
 
     @staticmethod
     def _create_parser():
@@ -92,6 +98,7 @@
             return
         self._unread_bytes += len(data)
         if self._unread_bytes > _READ_PAUSE_BYTES:
+            self._paused = True
             self._transport.pause_reading()
         self._http.receive_data(data)
         self._wake_receiver()
@@ -170,6 +177,9 @@
         while True:
             event = self._parse()
             if event is not h11.NEED_DATA:
+                if _turns.read_clock() >= self._turn_ends_at:
+                    await asyncio.sleep(0)
+                    self._turn_ends_at = _turns.begin_turn()
                 return event
             if self._error is not None:
                 raise ConnectionBroken(f'reset: {self._error}')
@@ -182,6 +192,7 @@
                     raise ConnectionBroken('closed')
                 return event
             await self._wait(timeout_s)
+            self._turn_ends_at = _turns.begin_turn()
 
     def discard_response(self):
         """Discard a late response to an earlier request.
@@ -226,14 +237,17 @@
     def _parse(self):
         try:
             event = self._http.next_event()
-        except h11.RemoteProtocolError as error:
+        except (h11.RemoteProtocolError, ValueError) as error:
+            # ValueError: a length of thousands of digits.
             raise ConnectionBroken(f'no HTTP: {error}') from error
         if isinstance(event, h11.Data):
             self._unread_bytes = max(0, self._unread_bytes - len(event.data))
-            if self._unread_bytes < _READ_RESUME_BYTES:
-                self._transport.resume_reading()
-        elif isinstance(event, h11.EndOfMessage):
+        elif event is h11.NEED_DATA or isinstance(event, h11.EndOfMessage):
+            # The framing of chunks is read as well but occurs in no event.
             self._unread_bytes = 0
+        if self._paused and self._unread_bytes < _READ_RESUME_BYTES:
+            self._paused = False
+            self._transport.resume_reading()
         return event
 
     async def _wait(self, timeout_s):
@@ -463,12 +477,13 @@
     -------
     h11.Response
     """
-    while True:
+    for _ in range(_MAX_INTERIM_RESPONSES + 1):
         event = await connection.receive(timeout_s)
         if isinstance(event, h11.Response):
             return event
         if not isinstance(event, h11.InformationalResponse):
             raise ConnectionBroken(f'no answer: {type(event).__name__}')
+    raise ConnectionBroken('too many interim responses')
 
 
 async def receive_body(connection):
--- a/sniperudder/forwarding/_events.py
+++ b/sniperudder/forwarding/_events.py
@@ -10,7 +10,7 @@
 
 # Limit for the buffer of an incomplete event; the events of engines take
 # less than 1 KB.
-_MAX_EVENT_BYTES = 1_048_576
+_MAX_EVENT_BYTES = 65_536
 
 
 class EventTooLong(ValueError):
@@ -36,10 +36,7 @@
 class EventSplitter:
     """Buffers bytes and splits them into complete events.
 
-    Attributes
-    ----------
-    remainder : bytes
-        Received part of the event that is not complete yet.
+    Takes linear time, however many pieces the bytes arrive in.
 
     Examples
     --------
@@ -50,10 +47,15 @@
     b'id: 2\\nda'
     """
 
-    __slots__ = ('remainder',)
+    __slots__ = ('_buffer',)
 
     def __init__(self):
-        self.remainder = b''
+        self._buffer = bytearray()
+
+    @property
+    def remainder(self):
+        """Received part of the event that is not complete yet."""
+        return bytes(self._buffer)
 
     def feed(self, data):
         """Add received bytes and return the events that they complete.
@@ -71,11 +73,20 @@
         EventTooLong
             If the incomplete event exceeds the buffer limit.
         """
-        *complete, self.remainder = (self.remainder + bytes(data)).split(
-            _SEPARATOR
-        )
-        if len(self.remainder) > _MAX_EVENT_BYTES:
-            raise EventTooLong(f'{len(self.remainder)} bytes')
+        buffer = self._buffer
+        if buffer:
+            # A separator may begin with the last byte that is known.
+            unsearched = len(buffer) - 1
+            buffer += data
+            if buffer.find(_SEPARATOR, unsearched) < 0:
+                _check_length(buffer)
+                return []
+            data = bytes(buffer)
+            buffer.clear()
+        *complete, rest = bytes(data).split(_SEPARATOR)
+        if rest:
+            buffer += rest
+            _check_length(buffer)
         return [
             Event(block + _SEPARATOR, read_event_id(block))
             for block in complete
@@ -106,3 +117,8 @@
     if not value.isdigit() or len(value) > _MAX_ID_DIGITS:
         return None
     return int(value)
+
+
+def _check_length(buffer):
+    if len(buffer) > _MAX_EVENT_BYTES:
+        raise EventTooLong(f'{len(buffer)} bytes')
--- a/sniperudder/forwarding/_progress.py
+++ b/sniperudder/forwarding/_progress.py
@@ -97,13 +97,14 @@
     """
     chunks, last_id, interrupted = [], stream.last_id, None
     for event in events:
-        if last_id is not None and (event.id is None or event.id <= last_id):
-            name = 'without an id' if event.id is None else event.id
+        event_id = event.id
+        if last_id is not None and (event_id is None or event_id <= last_id):
+            name = 'without an id' if event_id is None else event_id
             interrupted = _exchanges.Interrupted(
                 f'event {name} after {last_id}'
             )
             break
-        last_id = event.id
+        last_id = event_id
         chunks.append(event.data)
     if chunks:
         _send(forwarder, caller, stream, headers, chunks, gap_target_s)
