--- a/sniperudder/forwarding/_forwarder.py
+++ b/sniperudder/forwarding/_forwarder.py
@@ -14,6 +14,7 @@
 from sniperudder.forwarding import _notices
 from sniperudder.forwarding import _rerouting
 from sniperudder.forwarding import _reservations
+from sniperudder.forwarding import _selection
 from sniperudder.forwarding import _shedding
 from sniperudder.forwarding import _streams
 from sniperudder import metrics
@@ -276,12 +277,34 @@
             and self._spend_retry(job)
         )
 
+    def can_retry_elsewhere(self, job, stages):
+        """Return whether a retry is allowed and finds another chain now.
+
+        Parameters
+        ----------
+        job : Job
+        stages : sequence of sniperudder.fleet.Stage
+            The present chain, whose first stage is left out.
+        """
+        budget = self.get_budget(job.service.name)
+        return (
+            self.has_attempts_left(job)
+            and not self.crash_monitor.is_blocked(job)
+            and budget.has_left(self.now(), self._get_slack())
+            and bool(
+                _selection.choose_stages(self, job, [stages[0].endpoint.id])
+            )
+        )
+
     def _spend_retry(self, job):
-        slack = routing.get_slack_share(
+        budget = self.get_budget(job.service.name)
+        return budget.spend(self.now(), self._get_slack())
+
+    def _get_slack(self):
+        return routing.get_slack_share(
             self.settings.bounds.retry_slack,
             1 + len(self.T.peers.peers) if self.T.instances_known else None,
         )
-        return self.get_budget(job.service.name).spend(self.now(), slack)
 
     def create_outgoing_request(self, job, stages, last_event_id):
         """Return the request to send to the first endpoint of a chain.
--- a/sniperudder/forwarding/_monitors.py
+++ b/sniperudder/forwarding/_monitors.py
@@ -174,14 +174,15 @@
     def _should_keep_waiting(self):
         """Return whether to keep waiting for a first stage that sends nothing.
 
-        This is the case if the stream cannot be resumed at another chain,
-        or if the first stage is leaving: it refuses new connections but
-        completes the streams that it has started.
+        This is the case if the stream cannot be resumed at another chain now,
+        since a sound endpoint may be silent for a while and go on, or if the
+        first stage is leaving: it refuses new connections but completes the
+        streams that it has started.
         """
         return (
-            not self._job.route.resumable
+            not self._stream.can_resume(self._job)
             or not fleet.is_serving(self._forwarder.T, self.stages[0])
-            or not self._forwarder.has_attempts_left(self._job)
+            or not self._forwarder.can_retry_elsewhere(self._job, self.stages)
         )
 
     def _is_first_stage_without_progress(self):
--- a/sniperudder/forwarding/_streams.py
+++ b/sniperudder/forwarding/_streams.py
@@ -1,14 +1,13 @@
 """Forwarding of event streams, resumed at other chains after failures."""
 
-from sniperudder import fleet
 from sniperudder.forwarding import _attempts
 from sniperudder.forwarding import _events
 from sniperudder.forwarding import _exchanges
 from sniperudder.forwarding import _jobs
 from sniperudder.forwarding import _progress
+from sniperudder.forwarding import _selection
 from sniperudder import metrics
 from sniperudder import outcomes
-from sniperudder import routing
 
 _Code = outcomes.Code
 
@@ -30,10 +29,10 @@
     )
     code = _Code.NO_ENDPOINT
     while True:
-        stages = _choose_stages(forwarder, job)
+        stages = _selection.choose_stages(forwarder, job)
         if not stages:
             if not job.send_outcomes:
-                code = _classify_shortage(forwarder, job)
+                code = _selection.classify_shortage(forwarder, job)
             break
         attempt = _attempts.Attempt(forwarder, job, caller, stream, stages)
         sent_at = forwarder.now()
@@ -98,58 +97,3 @@
         first_ms=round(first_event_s * 1000),
         pause_ms=round(max(stream.gaps_s, default=0.0) * 1000),
     )
-
-
-def _choose_stages(forwarder, job):
-    endpoints = fleet.list_endpoints(forwarder.T, job.service.name)
-    engine = job.service.engine
-    now = forwarder.now()
-    data_centre = forwarder.settings.data_centre
-    if engine is None or not engine.layer_count:
-        endpoint = routing.choose_endpoint(
-            forwarder.T,
-            endpoints,
-            data_centre,
-            now,
-            forwarder.rng,
-            job.failed_ids,
-            forwarder.list_restricted(endpoints),
-        )
-        return () if endpoint is None else (fleet.Stage(endpoint, None),)
-    stages = routing.choose_chain(
-        forwarder.T,
-        [e for e in endpoints if e.id not in job.failed_ids],
-        engine,
-        _jobs.get_request_size(job),
-        data_centre,
-        now,
-        forwarder.rng,
-        # A less urgent rank must not prevent the retry of a sent request.
-        1.0
-        if job.attempts
-        else forwarder.load_shedder.get_relative_urgency(job.rank),
-        forwarder.list_restricted(endpoints),
-    )
-    if stages:
-        routing.check_chain(stages, engine.layer_count)
-    return stages
-
-
-def _classify_shortage(forwarder, job):
-    """Return the code for a missing chain.
-
-    SHED if the endpoints hold all layers but lack capacity; NO_ENDPOINT if
-    no endpoint holds one of the layers.
-    """
-    engine = job.service.engine
-    endpoints = fleet.list_endpoints(forwarder.T, job.service.name)
-    if engine is None or not engine.layer_count:
-        return _Code.SHED if endpoints else _Code.NO_ENDPOINT
-    covered_up_to = 0
-    ranges = [e.layers for e in endpoints if e.layers is not None]
-    for layers in sorted(ranges, key=lambda layers: layers.start):
-        if layers.start > covered_up_to:
-            break
-        covered_up_to = max(covered_up_to, layers.end)
-    fully_covered = covered_up_to >= engine.layer_count
-    return _Code.SHED if fully_covered else _Code.NO_ENDPOINT
--- a/sniperudder/routing/_budgets.py
+++ b/sniperudder/routing/_budgets.py
@@ -113,13 +113,17 @@
         bool
             Whether the retry is allowed.
         """
-        self._trim(now)
-        allowed = self._ratio * len(self._requests) + slack
-        if len(self._retries) + 1 > allowed * _SAFETY_FACTOR:
+        if not self.has_left(now, slack):
             return False
         self._retries.append(now)
         return True
 
+    def has_left(self, now, slack):
+        """Return whether `spend` would allow a retry."""
+        self._trim(now)
+        allowed = self._ratio * len(self._requests) + slack
+        return len(self._retries) + 1 <= allowed * _SAFETY_FACTOR
+
     def _trim(self, now):
         for times in (self._requests, self._retries):
             while times and times[0] <= now - self._window_s:
