--- a/sniperudder/entry/tests/test_streams.py
+++ b/sniperudder/entry/tests/test_streams.py
@@ -303,8 +303,8 @@
         self.run_engines(case)
 
 
-class UnframedStreamTest(testtools.TestCase):
-    """A stream with neither a length nor chunks ends with its connection."""
+class _UnframedStreams(testtools.TestCase):
+    """Two engines that send streams with neither a length nor chunks."""
 
     def run_engines(self, case):
         async def run():
@@ -352,6 +352,10 @@
         )
         writer.transport.abort()
 
+
+class UnframedStreamTest(_UnframedStreams):
+    """A stream with neither a length nor chunks ends with its connection."""
+
     def test_stream_that_ends_with_its_connection_is_complete(self):
         async def case(test_fleet, engines):
             self.script(engines, b'id: 3\ndata: 3\n\n', self.close)
@@ -427,3 +431,69 @@
             self.assertIn('crashed', line['reason'])
 
         self.run_engines(case)
+
+
+class LeavingUnframedStreamTest(_UnframedStreams):
+    """The engine of a stream without a length leaves while it sends."""
+
+    def leave(self, test_fleet, engines, refuses, is_removed=False):
+        """Return an end of the script: leave, and refuse connections."""
+
+        async def end(writer):
+            (engine,) = [engine for engine in engines if engine.requests]
+            if is_removed:
+                test_fleet.store.put('servers', engine.id, None)
+            else:
+                engine.list_in(test_fleet.store, 'draining')
+            await asyncio.sleep(0.4)
+            if refuses:
+                engine.refuse_connections()
+            await self.close(writer)
+
+        return end
+
+    # Guards against: a stream of an engine that had announced its leaving and
+    # was then gone ended as complete midway.
+    def test_stream_is_resumed_if_the_engine_is_gone(self):
+        async def case(test_fleet, engines):
+            end = self.leave(test_fleet, engines, refuses=True)
+            self.script(engines, b'', end)
+            status, _, body = await test_fleet.send('/stream/a')
+            self.assertEqual(
+                (200, [1, 2, 3]), (status, _fleets.list_ids(body))
+            )
+            crashes = test_fleet.journal.list_events('endpoint:crashed')
+            self.assertEqual([], crashes)
+
+        self.run_engines(case)
+
+    def test_stream_that_cannot_be_resumed_does_not_look_complete(self):
+        async def case(test_fleet, engines):
+            end = self.leave(test_fleet, engines, refuses=True)
+            self.script(engines, b'', end)
+            with testtools.ExpectedException(h11.RemoteProtocolError):
+                await test_fleet.send('/once/a')
+
+        self.run_engines(case)
+
+    def test_stream_is_resumed_if_the_engine_is_no_longer_listed(self):
+        async def case(test_fleet, engines):
+            end = self.leave(test_fleet, engines, False, is_removed=True)
+            self.script(engines, b'', end)
+            status, _, body = await test_fleet.send('/stream/a')
+            self.assertEqual(
+                (200, [1, 2, 3]), (status, _fleets.list_ids(body))
+            )
+
+        self.run_engines(case)
+
+    def test_stream_is_complete_if_the_engine_still_runs(self):
+        async def case(test_fleet, engines):
+            end = self.leave(test_fleet, engines, refuses=False)
+            self.script(engines, b'id: 3\ndata: 3\n\n', end)
+            status, _, body = await test_fleet.send('/once/a')
+            self.assertEqual(
+                (200, [1, 2, 3]), (status, _fleets.list_ids(body))
+            )
+
+        self.run_engines(case)
--- a/sniperudder/forwarding/_attempts.py
+++ b/sniperudder/forwarding/_attempts.py
@@ -117,8 +117,8 @@
             return outcome
         if _exchanges.ends_with_connection(head):
             monitor = self._forwarder.crash_monitor
-            if await monitor.has_crashed(self._stages[0]):
-                return _exchanges.Interrupted('crashed at the end')
+            if not await monitor.has_ended_response(self._stages[0]):
+                return _exchanges.Interrupted('crashed or left at the end')
         self._finish(head)
         return None
 
--- a/sniperudder/forwarding/_crash_monitor.py
+++ b/sniperudder/forwarding/_crash_monitor.py
@@ -96,8 +96,11 @@
         if stages[0].endpoint in serving:
             self._start_check(stages[0].endpoint)
 
-    async def has_crashed(self, stage):
-        """Find out whether a serving endpoint takes no connections any more.
+    async def has_ended_response(self, stage):
+        """Find out whether an endpoint ended a response without a length.
+
+        Only the end of the connection shows the end of such a response, and
+        the end of the endpoint's process ends the connection as well.
 
         Parameters
         ----------
@@ -106,16 +109,28 @@
         Returns
         -------
         bool
-            False for an endpoint that leaves, which refuses connections as
-            well but completes its answers.
+            Whether the run of the endpoint that sent it still accepts
+            connections. An endpoint that leaves may refuse them although it
+            completed the response; that can't be told apart.
         """
-        if not fleet.is_serving(self._T, stage):
-            return False
         run_id = _get_run_id(stage.endpoint)
-        self._start_check(stage.endpoint)
-        if run_id in self._checks:
-            await asyncio.shield(self._checks[run_id])
-        return run_id in self._refusing
+        if fleet.is_serving(self._T, stage):
+            self._start_check(stage.endpoint)
+            if run_id in self._checks:
+                await asyncio.shield(self._checks[run_id])
+            return run_id not in self._refusing
+        listed = self._T.endpoints.get(stage.endpoint.id)
+        if listed is None or _get_run_id(listed) != run_id:
+            return False
+        # A refusal is no crash: the endpoint is expected to end.
+        return await self._accepts_connections(listed)
+
+    async def _accepts_connections(self, endpoint):
+        try:
+            self._pool.release(await self._pool.open(endpoint.address))
+        except OSError:
+            return False
+        return True
 
     def record_survival(self, job):
         """Record that an endpoint runs on although it began a request."""
--- a/sniperudder/forwarding/_forwarder.py
+++ b/sniperudder/forwarding/_forwarder.py
@@ -607,9 +607,9 @@
             if (
                 isinstance(outcome, _exchanges.Answered)
                 and outcome.ends_with_connection
-                and await self.crash_monitor.has_crashed(stages[0])
+                and not await self.crash_monitor.has_ended_response(stages[0])
             ):
-                outcome = _exchanges.Interrupted('crashed at the end')
+                outcome = _exchanges.Interrupted('crashed or left at the end')
         finally:
             reservation.clear()
         if isinstance(outcome, _exchanges.NotRun):
