--- a/sniperudder/entry/tests/test_watchers.py
+++ b/sniperudder/entry/tests/test_watchers.py
@@ -1,6 +1,9 @@
 """Tests of watching a table of the store."""
 
 import asyncio
+import base64
+import json
+import urllib.parse
 
 import testtools
 
@@ -117,3 +120,97 @@
         self.assertEqual(1, len(journal.list_events('platform:lost')))
         self.assertEqual(1, len(journal.list_events('platform:regained')))
         self.assertEqual((['a'], False), applied[-1])
+
+
+class PagedTable:
+    """A table that is read in pages of two rows and changes between them.
+
+    Attributes
+    ----------
+    rows : dict of str to (bytes or None, int)
+        Value and version by key.
+    changes : list of (str, bytes or None)
+        Changes that are made one by one after each page.
+    """
+
+    def __init__(self, changes):
+        self.rows = {key: (b'1', 5) for key in 'abcdef'}
+        self.changes = list(changes)
+        self._version = 10
+
+    async def call(self, address, method, target, body, timeout_s, handle):
+        """Respond as the store does; passed to `platform.Store`."""
+        path, _, query = target.partition('?')
+        query = dict(urllib.parse.parse_qsl(query))
+        if path == '/rows-get':
+            keys = [
+                key
+                for key, (value, _) in sorted(self.rows.items())
+                if value is not None and key >= query.get('from', '')
+            ]
+            reply = self._make_reply(keys[:2], len(keys) > 2)
+            if self.changes:
+                key, value = self.changes.pop(0)
+                self._version += 1
+                self.rows[key] = value, self._version
+            return reply
+        after = int(query['after'])
+        changed = [key for key in self.rows if self.rows[key][1] > after]
+        if not changed:
+            await asyncio.sleep(60)
+        changed.sort(key=lambda key: self.rows[key][1])
+        return self._make_reply(changed, False)
+
+    def _make_reply(self, keys, more):
+        rows = []
+        for key in keys:
+            value, version = self.rows[key]
+            row = {'key': key, 'row_version': version}
+            if value is None:
+                row['tombstone'] = True
+            else:
+                row['value'] = base64.b64encode(value).decode()
+            rows.append(row)
+        reply = {
+            'rows': rows,
+            'row_version': self._version,
+            'more_pages': more,
+        }
+        return 200, json.dumps(reply).encode()
+
+
+class PagedTableTest(testtools.TestCase):
+    def read(self, *changes):
+        """Watch a table that changes between pages; return the copy's rows."""
+        table = PagedTable(changes)
+
+        async def run():
+            copy = feeds.TableCopy('t', lambda *_: None)
+            store = platform.Store('h:1', table.call)
+            watcher = _watchers.TableWatcher(
+                store, copy, _fleets.RecordingJournal()
+            )
+            task = asyncio.create_task(watcher.run())
+            await asyncio.sleep(0.1)
+            task.cancel()
+            return {row.key: row.value for row in copy.list_rows()}
+
+        copied = asyncio.run(run())
+        expected = {
+            key: value
+            for key, (value, _) in table.rows.items()
+            if value is not None
+        }
+        self.assertEqual(expected, copied)
+
+    # Guards against: a change to a row of an earlier page, such as an
+    # endpoint's leaving, was never learnt.
+    def test_change_of_an_earlier_page_is_learnt(self):
+        self.read(('a', b'2'))
+        self.read(('a', b'2'), ('c', b'2'))
+
+    def test_deletion_of_an_earlier_page_is_learnt(self):
+        self.read(('b', None), ('a', None))
+
+    def test_changes_of_later_pages_are_learnt(self):
+        self.read(('e', b'2'), ('f', None), ('g', b'1'))
--- a/sniperudder/platform/_store.py
+++ b/sniperudder/platform/_store.py
@@ -159,11 +159,15 @@
     async def read_table(self, table):
         """Return all rows of a table.
 
+        A long table is read in pages, which are of different moments. The
+        revision of the result is that of the first page, so that a change to
+        its rows meanwhile is among the changes after that revision.
+
         Returns
         -------
         Rows or Unavailable
         """
-        rows, start_key, era = [], None, None
+        rows, start_key, revision = [], None, None
         while True:
             query = {'table': table, 'part': ''}
             if start_key is not None:
@@ -173,12 +177,13 @@
                 return Unavailable('change history not available', False)
             if isinstance(page, Unavailable):
                 return page
-            if era not in (None, page.revision.era):
+            if revision is None:
+                revision = page.revision
+            elif page.revision.era != revision.era:
                 return Unavailable('restored between two pages', False)
-            era = page.revision.era
             rows.extend(page.rows)
             if not page.more or not page.rows:
-                return Rows(tuple(rows), page.revision)
+                return Rows(tuple(rows), revision)
             # The start of a range is inclusive; the smallest key after the
             # last one read is that key followed by a NUL character.
             start_key = page.rows[-1].key + '\0'
