--- a/sniperudder/forwarding/_caller_server.py
+++ b/sniperudder/forwarding/_caller_server.py
@@ -91,6 +91,7 @@
         self._transport = None
         self._http = None
         self._limits = server.limits
+        self._idle_since = 0.0
         self._phase = _Phase.IDLE
         self._request = None
         self._body_chunks = []
@@ -105,10 +106,8 @@
         """See base class."""
         self._transport = transport
         self._limits = self._server.limits
-        self._http = h11.Connection(
-            h11.SERVER,
-            max_incomplete_event_size=self._limits.max_header_bytes,
-        )
+        self._http = self._create_parser()
+        self._idle_since = self._loop.time()
         _sockets.enable_keepalive(transport.get_extra_info('socket'))
         self._server.connections.add(self)
         self._enter_phase(_Phase.IDLE)
@@ -117,6 +116,8 @@
         """See base class."""
         if self._phase is _Phase.CLOSING:
             return
+        if self._phase is _Phase.IDLE:
+            self._apply_limits()
         self._http.receive_data(data)
         if self._phase is _Phase.RESPONSE:
             pending, _ = self._http.trailing_data
@@ -129,6 +130,21 @@
             self._enter_phase(_Phase.BODY)
         self._process_events()
 
+    def _create_parser(self):
+        return h11.Connection(
+            h11.SERVER,
+            max_incomplete_event_size=self._limits.max_header_bytes,
+        )
+
+    def _apply_limits(self):
+        """Apply the present limits to the next request of a kept connection.
+
+        They may have changed since the last response.
+        """
+        if self._limits != self._server.limits:
+            self._limits = self._server.limits
+            self._http = self._create_parser()
+
     def eof_received(self):
         """See base class."""
         self._cancel_handler()
@@ -218,6 +234,8 @@
             self._task.cancel()
 
     def _enter_phase(self, phase):
+        if phase is _Phase.IDLE:
+            self._idle_since = self._loop.time()
         self._phase = phase
         limits = self._limits
         if phase is _Phase.HEAD:
@@ -237,6 +255,13 @@
     def _handle_timeout(self):
         if self._phase in (_Phase.HEAD, _Phase.BODY):
             self._reject(408)
+            return
+        # A caller may use the connection for as long as the present limits
+        # allow, if they are longer than those that held before.
+        idle_timeout_s = self._server.limits.idle_timeout_s
+        remaining_s = self._idle_since + idle_timeout_s - self._loop.time()
+        if remaining_s > 0:
+            self._set_timer(remaining_s)
         else:
             self.close()
 
@@ -260,6 +285,12 @@
                 return
             self._handle_event(event)
 
+    def _get_max_body_bytes(self):
+        """Return the limit for a body, which may rise while it is read."""
+        return max(
+            self._limits.max_body_bytes, self._server.limits.max_body_bytes
+        )
+
     def _resume_processing(self):
         if not self._transport.is_closing():
             self._transport.resume_reading()
@@ -272,14 +303,14 @@
             self._body_size = 0
             if _compute_head_size(event) > self._limits.max_header_bytes:
                 self._reject(431)
-            elif _get_content_length(event) > self._limits.max_body_bytes:
+            elif _get_content_length(event) > self._get_max_body_bytes():
                 self._reject(413)
             else:
                 self._enter_phase(_Phase.BODY)
         elif isinstance(event, h11.Data):
             self._body_chunks.append(bytes(event.data))
             self._body_size += len(event.data)
-            if self._body_size > self._limits.max_body_bytes:
+            if self._body_size > self._get_max_body_bytes():
                 self._reject(413)
         elif isinstance(event, h11.EndOfMessage):
             self._start_handler()
--- a/sniperudder/forwarding/tests/test_caller_server.py
+++ b/sniperudder/forwarding/tests/test_caller_server.py
@@ -1,7 +1,9 @@
 """Tests of the server for callers, including slow and hostile requests."""
 
 import asyncio
+import dataclasses
 import random
+import re
 
 import testtools
 
@@ -214,6 +216,66 @@
 
         self.run_server(case)
 
+    def exchange_beside_change(self, changes, pieces, pause_s):
+        """Send bytes on a kept connection while the limits change.
+
+        Returns
+        -------
+        list of int
+            Statuses of the responses.
+        """
+        statuses = []
+
+        async def case(server):
+            loop = asyncio.get_running_loop()
+            limits = dataclasses.replace(_LIMITS, **changes)
+            loop.call_later(
+                pause_s / 2, setattr, server.server, 'limits', limits
+            )
+            received = await server.exchange(*pieces, pause_s=pause_s)
+            found = re.findall(rb'HTTP/1.1 (\d+)', received)
+            statuses.extend(int(status) for status in found)
+
+        self.run_server(case)
+        return statuses
+
+    # Guards against: a kept connection applied the limits that held when its
+    # last response ended, and rejected what the present ones allow.
+    def test_kept_connection_applies_the_present_limits(self):
+        small = b'POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx'
+        body = b'x' * 5_000
+        large = small.replace(b': 1', b': 5000')[:-1] + body
+        long_head = small.replace(b'Host', b'X: ' + body + b'\r\nHost')
+        for changes, second, status in (
+            ({'max_body_bytes': 5_000}, large, 200),
+            ({'max_header_bytes': 8_000}, long_head, 200),
+            ({'max_body_bytes': 0}, small, 413),
+        ):
+            statuses = self.exchange_beside_change(
+                changes, (small, second), 0.1
+            )
+            self.assertEqual([200, status], statuses, changes)
+
+    def test_body_is_allowed_by_limits_that_rise_while_it_is_read(self):
+        head = (
+            b'POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n'
+        )
+        chunk = b'200\r\n' + b'x' * 512 + b'\r\n'
+        pieces = (head + chunk, chunk * 3 + b'0\r\n\r\n')
+        statuses = self.exchange_beside_change(
+            {'max_body_bytes': 5_000}, pieces, 0.1
+        )
+        self.assertEqual([200], statuses)
+
+    # Guards against: a kept connection was closed after the idle timeout of an
+    # older configuration, when its caller used it again.
+    def test_idle_timeout_that_rises_holds_for_kept_connections(self):
+        small = b'POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx'
+        statuses = self.exchange_beside_change(
+            {'idle_timeout_s': 2.0}, (small, small), 0.7
+        )
+        self.assertEqual([200, 200], statuses)
+
     def test_handler_error_is_reported_and_answered_with_502(self):
         server, response = self.exchange(
             b'GET /fault HTTP/1.1\r\nHost: h\r\n\r\n'
