--- a/sniperudder/entry/tests/test_stages.py
+++ b/sniperudder/entry/tests/test_stages.py
@@ -53,6 +53,47 @@
         self.assertLess(rerouted_at[0], 1.0)
 
 
+class DrippingStreamTest(testtools.TestCase):
+    # Guards against: each byte of an incomplete event postponed the check of
+    # the stages, so a stalled stream that sent some was never rerouted.
+    def test_stalled_stream_that_sends_bytes_is_rerouted(self):
+        first = _fleets.create_engine('gpu-1', 'half', (0, 4))
+        others = [
+            _fleets.create_engine(name, 'half', (4, 8))
+            for name in ('gpu-2', 'gpu-3')
+        ]
+        rerouted_at = []
+
+        async def stall(request, http, writer):
+            path = standins.read_header(request, 'x-sniperudder-hop-count')
+            address = path.split(',')[1].partition('=')[0]
+            first.stalled = [{'id': 'r-1', 'address': address}]
+            await first.send_stream(request, http, writer, upto=1)
+            loop = asyncio.get_running_loop()
+            began = loop.time()
+            while loop.time() < began + 2.0 and not any(
+                order['operation'] == 'repath' for order in first.orders
+            ):
+                writer.write(http.send(h11.Data(data=b':')))
+                await asyncio.sleep(0.1)
+            rerouted_at.append(loop.time() - began)
+            data = b'\nid: 2\ndata: 2\n\n'
+            writer.write(http.send(h11.Data(data=data)))
+            writer.write(http.send(h11.EndOfMessage()))
+
+        async def run():
+            profile = standins.make_engine(accelerators=_fleets.ACCELERATORS)
+            async with _fleets.run_fleet(
+                first, *others, engine=profile
+            ) as test_fleet:
+                first.script.append(stall)
+                return await test_fleet.send('/stream/a', wait_ms=5_000)
+
+        status, _, body = asyncio.run(run())
+        self.assertEqual((200, [1, 2]), (status, _fleets.list_ids(body)))
+        self.assertLess(rerouted_at[0], 1.0)
+
+
 class LeavingFirstStageTest(testtools.TestCase):
     def test_stream_continues_when_leaving_stage_refuses_reports(self):
         # A first stage that leaves refuses new connections but finishes its
--- a/sniperudder/forwarding/_attempts.py
+++ b/sniperudder/forwarding/_attempts.py
@@ -103,6 +103,7 @@
             return _FIRST_STAGE_FAILED
         if not isinstance(head, h11.Response):
             return head
+        self._monitor.postpone_checks()
         if head.status_code != 200:
             return await self._exchange.receive_rest(head)
         response_head = platform.decode_response_head(
--- a/sniperudder/forwarding/_connections.py
+++ b/sniperudder/forwarding/_connections.py
@@ -172,8 +172,9 @@
         ConnectionBroken
             If the response ends early or is not valid HTTP.
         TimeoutError
-            If nothing arrived in time; the connection remains usable.
+            If no event was complete in time; the connection remains usable.
         """
+        deadline = None
         while True:
             event = self._parse()
             if event is not h11.NEED_DATA:
@@ -191,7 +192,9 @@
                 if event is h11.NEED_DATA:
                     raise ConnectionBroken('closed')
                 return event
-            await self._wait(timeout_s)
+            if timeout_s is not None and deadline is None:
+                deadline = asyncio.get_running_loop().time() + timeout_s
+            await self._wait(deadline)
             self._turn_ends_at = _turns.begin_turn()
 
     def discard_response(self):
@@ -250,14 +253,11 @@
             self._transport.resume_reading()
         return event
 
-    async def _wait(self, timeout_s):
+    async def _wait(self, deadline):
         self._waiter = asyncio.get_running_loop().create_future()
         try:
-            if timeout_s is None:
+            async with asyncio.timeout_at(deadline):
                 await self._waiter
-            else:
-                async with asyncio.timeout(timeout_s):
-                    await self._waiter
         finally:
             self._waiter = None
 
--- a/sniperudder/forwarding/_monitors.py
+++ b/sniperudder/forwarding/_monitors.py
@@ -62,42 +62,56 @@
         self._reroute_at = None
         self._began_at = forwarder.now()
         self._reroute_task = None
+        # Loop time of the next check; None while the stream makes progress.
+        self._check_at = None
+        self._checks = 0
+        self._check_interval_s = _CHECK_INTERVAL_S
         self._speed_sampler = _speed_sampling.SpeedSampler(forwarder.T, job)
         self.stages = stages
 
     async def receive(self, receive_next, check_after_s):
-        """Receive, and check the stages whenever nothing arrives in time.
+        """Receive, and check the stages whenever there is no progress in time.
+
+        Bytes alone are no progress: a stalled endpoint may send some now and
+        then.
 
         Parameters
         ----------
         receive_next : callable
             Coroutine function that takes a timeout in seconds.
         check_after_s : float
-            Time without data until the first check, seconds.
+            Time without progress until the first check, seconds.
 
         Returns
         -------
         object or None
             The result of `receive_next`; None if the attempt should end.
         """
-        checks = 0
+        if self._check_at is None:
+            self._check_at = self._forwarder.now() + check_after_s
+            self._checks = 0
+            self._check_interval_s = _CHECK_INTERVAL_S
         while True:
+            wait_s = max(self._check_at - self._forwarder.now(), 0.0)
             try:
-                return await receive_next(check_after_s)
+                return await receive_next(wait_s)
             except TimeoutError:
                 if not await self._check_stages():
                     return None
             # Check a stream that is merely slow less and less often.
-            checks += 1
-            check_after_s = (
-                _CHECK_INTERVAL_S
-                if checks < _FREQUENT_CHECKS
-                else check_after_s * 2
-            )
+            self._checks += 1
+            if self._checks >= _FREQUENT_CHECKS:
+                self._check_interval_s *= 2
+            self._check_at = self._forwarder.now() + self._check_interval_s
+
+    def postpone_checks(self):
+        """Begin to wait for progress anew."""
+        self._check_at = None
 
     def record_progress(self, events):
         """Record that a number of events arrived through all stages."""
         now = self._forwarder.now()
+        self.postpone_checks()
         self._speed_sampler.record(self.stages, events, now)
         for stage in self.stages:
             self._get_state(stage).progress_at = now
