--- a/sniperudder/entry/_tasks.py
+++ b/sniperudder/entry/_tasks.py
@@ -67,6 +67,11 @@
             )
             try:
                 await run()
+            except asyncio.CancelledError as error:
+                if asyncio.current_task().cancelling():
+                    raise
+                # Something that the task awaited was cancelled.
+                self._report_error(error)
             except Exception as error:
                 self._report_error(error)
             finally:
--- a/sniperudder/entry/tests/test_tasks.py
+++ b/sniperudder/entry/tests/test_tasks.py
@@ -43,6 +43,21 @@
         self.assertEqual(2, len(starts))
         self.assertFalse(failing)
 
+    # Guards against: a task that awaited something cancelled ended silently.
+    def test_task_is_started_again_after_a_foreign_cancellation(self):
+        starts = []
+
+        async def await_cancelled():
+            starts.append(None)
+            inner = asyncio.create_task(asyncio.sleep(60.0))
+            if len(starts) == 1:
+                inner.cancel()
+            await inner
+
+        errors, _ = self.run_task(await_cancelled, 30.0)
+        self.assertEqual(1, len(errors))
+        self.assertEqual(2, len(starts))
+
     def test_restarts_of_a_task_that_keeps_failing_become_rare(self):
         async def fail():
             raise ValueError('always')
