--- a/sniperudder/forwarding/_connections.py
+++ b/sniperudder/forwarding/_connections.py
@@ -146,11 +146,11 @@
         ConnectionBroken
             If the request is not valid HTTP.
         """
-        self._request = h11.Request(
-            method=method, target=target, headers=headers
-        )
         self._body = body
         try:
+            self._request = h11.Request(
+                method=method, target=target, headers=headers
+            )
             self._transport.write(self._encode_request())
         except h11.LocalProtocolError as error:
             raise ConnectionBroken(f'not sendable: {error}') from error
--- a/sniperudder/forwarding/tests/test_connections.py
+++ b/sniperudder/forwarding/tests/test_connections.py
@@ -51,6 +51,20 @@
 
         self.run_endpoint(case)
 
+    # Guards against: a header that can't be sent raised an error of the parser
+    # through all layers.
+    def test_request_that_cannot_be_sent_is_not_run(self):
+        async def case(endpoint, pool):
+            outgoing = create_outgoing_request()
+            outgoing.headers.append((b'X-Odd', b'a\nb'))
+            outcome = await _exchanges.run_exchange(
+                pool, endpoint.address, outgoing
+            )
+            self.assertIsInstance(outcome, _exchanges.NotRun)
+            self.assertEqual([], endpoint.requests)
+
+        self.run_endpoint(case)
+
     def test_connection_with_stray_data_is_not_reused(self):
         async def case(endpoint, pool):
             async def respond_twice(request, http, writer):
