--- a/sniperudder/entry/tests/test_notices.py
+++ b/sniperudder/entry/tests/test_notices.py
@@ -365,12 +365,12 @@
         async def case(test_fleet):
             notices = test_fleet.instance._T.notices
 
-            async def acquire_late(pool, address, *args):
+            async def acquire_late(pool, address, *args, **options):
                 for desk in desks:
                     if desk.address == address:
                         run_id = desk.id, desk.born
                         notices.apply_leaving(run_id, clocks.read_clock())
-                return await acquire(pool, address, *args)
+                return await acquire(pool, address, *args, **options)
 
             with unittest.mock.patch.object(
                 forwarding.ConnectionPool, 'acquire', acquire_late
