--- a/sniperudder/entry/tests/test_streams.py
+++ b/sniperudder/entry/tests/test_streams.py
@@ -436,8 +436,8 @@
 class LeavingUnframedStreamTest(_UnframedStreams):
     """The engine of a stream without a length leaves while it sends."""
 
-    def leave(self, test_fleet, engines, refuses, is_removed=False):
-        """Return an end of the script: leave, and refuse connections."""
+    def leave(self, test_fleet, engines, ends, is_removed=False):
+        """Return an end of the script: leave, and end the process or not."""
 
         async def end(writer):
             (engine,) = [engine for engine in engines if engine.requests]
@@ -446,8 +446,11 @@
             else:
                 engine.list_in(test_fleet.store, 'draining')
             await asyncio.sleep(0.4)
-            if refuses:
+            if ends:
                 engine.refuse_connections()
+                for other in list(engine._readers):
+                    if other is not writer:
+                        other.transport.abort()
             await self.close(writer)
 
         return end
@@ -456,7 +459,7 @@
     # was then gone ended as complete midway.
     def test_stream_is_resumed_if_the_engine_is_gone(self):
         async def case(test_fleet, engines):
-            end = self.leave(test_fleet, engines, refuses=True)
+            end = self.leave(test_fleet, engines, ends=True)
             self.script(engines, b'', end)
             status, _, body = await test_fleet.send('/stream/a')
             self.assertEqual(
@@ -469,7 +472,7 @@
 
     def test_stream_that_cannot_be_resumed_does_not_look_complete(self):
         async def case(test_fleet, engines):
-            end = self.leave(test_fleet, engines, refuses=True)
+            end = self.leave(test_fleet, engines, ends=True)
             self.script(engines, b'', end)
             with testtools.ExpectedException(h11.RemoteProtocolError):
                 await test_fleet.send('/once/a')
@@ -487,9 +490,33 @@
 
         self.run_engines(case)
 
+    # Guards against: the kernel accepted a connection for a process that had
+    # ended, which was taken for a sign of life.
+    def test_accepted_connection_is_no_sign_of_life(self):
+        async def case(test_fleet, engines):
+            async def end(writer):
+                (engine,) = [engine for engine in engines if engine.requests]
+                engine.list_in(test_fleet.store, 'draining')
+                await asyncio.sleep(0.4)
+
+                async def reset(request, body, http, writer):
+                    writer.transport.abort()
+                    raise OSError('reset by the script')
+
+                engine.respond = reset
+                await self.close(writer)
+
+            self.script(engines, b'', end)
+            status, _, body = await test_fleet.send('/stream/a')
+            self.assertEqual(
+                (200, [1, 2, 3]), (status, _fleets.list_ids(body))
+            )
+
+        self.run_engines(case)
+
     def test_stream_is_complete_if_the_engine_still_runs(self):
         async def case(test_fleet, engines):
-            end = self.leave(test_fleet, engines, refuses=False)
+            end = self.leave(test_fleet, engines, ends=False)
             self.script(engines, b'id: 3\ndata: 3\n\n', end)
             status, _, body = await test_fleet.send('/once/a')
             self.assertEqual(
--- a/sniperudder/forwarding/_connections.py
+++ b/sniperudder/forwarding/_connections.py
@@ -155,6 +155,10 @@
         except h11.LocalProtocolError as error:
             raise ConnectionBroken(f'not sendable: {error}') from error
 
+    def has_ended(self):
+        """Return whether the server has closed or reset the connection."""
+        return self._ended
+
     def is_flushed(self):
         """Return whether the write buffer is empty."""
         return self._transport.get_write_buffer_size() == 0
--- a/sniperudder/forwarding/_crash_monitor.py
+++ b/sniperudder/forwarding/_crash_monitor.py
@@ -8,6 +8,10 @@
 
 __all__ = ['CrashMonitor']
 
+# Time for which a new connection must last to show that the endpoint runs,
+# seconds. The kernel ends those that a process has not accepted at its end.
+_ACCEPTED_S = 0.05
+
 
 class CrashMonitor:
     """Finds out whether an endpoint that interrupted a request has crashed.
@@ -21,10 +25,13 @@
     pool : ConnectionPool
     journal : object
         Event log; see `Forwarder`.
+    responds : callable
+        Coroutine function that returns whether an engine responds to a call.
     """
 
-    def __init__(self, T, pool, journal):
+    def __init__(self, T, pool, journal, responds):
         self._T = T
+        self._responds = responds
         self._pool = pool
         self._journal = journal
         self._table = routing.CrashTable()
@@ -109,28 +116,42 @@
         Returns
         -------
         bool
-            Whether the run of the endpoint that sent it still accepts
-            connections. An endpoint that leaves may refuse them although it
-            completed the response; that can't be told apart.
+            Whether the endpoint still runs. One that leaves may refuse to
+            tell although it completed the response, and counts as ended.
+        """
+        endpoint = stage.endpoint
+        if stage.layers is not None:
+            # The kernel accepts connections for a while after the process has
+            # ended, so only a response is evidence.
+            runs = await self._responds(endpoint)
+        else:
+            runs = await self._keeps_connection(endpoint)
+        runs = runs and self._is_listed_run(endpoint)
+        if not runs and fleet.is_serving(self._T, stage):
+            # For the record of crashes.
+            self._start_check(endpoint)
+            if _get_run_id(endpoint) in self._checks:
+                await asyncio.shield(self._checks[_get_run_id(endpoint)])
+        return runs
+
+    async def _keeps_connection(self, endpoint):
+        """Return whether a plain endpoint accepts a connection and keeps it.
+
+        Such an endpoint has no call that runs nothing.
         """
-        run_id = _get_run_id(stage.endpoint)
-        if fleet.is_serving(self._T, stage):
-            self._start_check(stage.endpoint)
-            if run_id in self._checks:
-                await asyncio.shield(self._checks[run_id])
-            return run_id not in self._refusing
-        listed = self._T.endpoints.get(stage.endpoint.id)
-        if listed is None or _get_run_id(listed) != run_id:
-            return False
-        # A refusal is no crash: the endpoint is expected to end.
-        return await self._accepts_connections(listed)
-
-    async def _accepts_connections(self, endpoint):
         try:
-            self._pool.release(await self._pool.open(endpoint.address))
+            connection = await self._pool.open(endpoint.address)
         except OSError:
             return False
-        return True
+        await asyncio.sleep(_ACCEPTED_S)
+        self._pool.release(connection)
+        return not connection.has_ended()
+
+    def _is_listed_run(self, endpoint):
+        listed = self._T.endpoints.get(endpoint.id)
+        return listed is not None and (
+            _get_run_id(listed) == _get_run_id(endpoint)
+        )
 
     def record_survival(self, job):
         """Record that an endpoint runs on although it began a request."""
--- a/sniperudder/forwarding/_forwarder.py
+++ b/sniperudder/forwarding/_forwarder.py
@@ -65,12 +65,14 @@
         self.journal = journal
         self.request_metrics = request_metrics
         self.rng = rng or random.Random()
-        self.crash_monitor = _crash_monitor.CrashMonitor(T, pool, journal)
         self.load_shedder = _shedding.LoadShedder(T, self.rng, journal)
         self.notice_recorder = _notices.NoticeRecorder(T, journal)
         self.rerouter = _rerouting.StreamRerouter(
             T, self.rng, journal, self.notice_recorder
         )
+        self.crash_monitor = _crash_monitor.CrashMonitor(
+            T, pool, journal, self.rerouter.responds
+        )
         self._budgets = {}
         self._rank_counters = collections.defaultdict(routing.RankCounter)
         self._slow_run_ids = set()
--- a/sniperudder/forwarding/_rerouting.py
+++ b/sniperudder/forwarding/_rerouting.py
@@ -54,6 +54,11 @@
         )
         self._reports = {}
 
+    async def responds(self, endpoint):
+        """Return whether an engine responds to a report request now."""
+        report = await self._engine_client.fetch_report(endpoint)
+        return not isinstance(report, _engines.NoResponse)
+
     async def find_stalling_stage(self, endpoint, request_id):
         """Return the stage that a request is waiting for.
 
