--- a/sniperudder/entry/_tasks.py
+++ b/sniperudder/entry/_tasks.py
@@ -60,6 +60,7 @@
 
     async def _supervise(self, run):
         loop = asyncio.get_running_loop()
+        delay_s = _MIN_RESTART_DELAY_S
         while True:
             started_at = loop.time()
             recovery = loop.call_later(
@@ -79,9 +80,7 @@
             if loop.time() - started_at > _RECOVERED_AFTER_S:
                 self._failures.pop(run, None)
             failures = self._failures[run] = self._failures.get(run, 0) + 1
-            await asyncio.sleep(
-                min(
-                    _MIN_RESTART_DELAY_S * 2 ** (failures - 1),
-                    _MAX_RESTART_DELAY_S,
-                )
-            )
+            if failures == 1:
+                delay_s = _MIN_RESTART_DELAY_S
+            await asyncio.sleep(delay_s)
+            delay_s = min(2 * delay_s, _MAX_RESTART_DELAY_S)
--- a/sniperudder/entry/tests/test_tasks.py
+++ b/sniperudder/entry/tests/test_tasks.py
@@ -66,6 +66,18 @@
         self.assertTrue(failing)
         self.assertTrue(15 <= len(errors) <= 30, len(errors))
 
+    # Guards against: the delay of a task that had failed for an hour could not
+    # be computed, so it was never started again.
+    def test_task_that_has_failed_for_hours_is_still_started(self):
+        starts = []
+
+        async def fail():
+            starts.append(asyncio.get_running_loop().time())
+            raise ValueError('always')
+
+        self.run_task(fail, 7_200.0)
+        self.assertGreater(starts[-1] - starts[0], 7_190.0)
+
     def test_task_that_fails_now_and_then_does_not_count_as_failing(self):
         async def fail_later():
             await asyncio.sleep(20.0)
--- a/sniperudder/forwarding/_crash_monitor.py
+++ b/sniperudder/forwarding/_crash_monitor.py
@@ -143,8 +143,10 @@
             connection = await self._pool.open(endpoint.address)
         except OSError:
             return False
-        await asyncio.sleep(_ACCEPTED_S)
-        self._pool.release(connection)
+        try:
+            await asyncio.sleep(_ACCEPTED_S)
+        finally:
+            self._pool.release(connection)
         return not connection.has_ended()
 
     def _is_listed_run(self, endpoint):
