--- a/sniperudder/systems/membership/_suspicions.py
+++ b/sniperudder/systems/membership/_suspicions.py
@@ -3,14 +3,38 @@
 Merging only adds crashes: each set becomes the union of both sides.
 """
 
+from sniperudder.systems import suspicion as suspicion_system
 from sniperudder.tables import Suspicion
 
 _MAX_SUSPICIONS = 16
+_MAX_PART_SUSPICIONS = 16
 _RECENT_AGE_S = 10.0
 
 
 def select_suspicions(T, now):
-    """Return recently updated suspicions and a random sample of others."""
+    """Return the suspicions to send to a peer.
+
+    Returns
+    -------
+    tuple of Suspicion
+        Of contents, those updated recently and a random sample of others. Of
+        parts, those with most crashes and a random sample of others.
+    """
+    return _select_contents(T, now) + _select_parts(T)
+
+
+def _select_parts(T):
+    parts = sorted(
+        T.part_suspicions.values(),
+        key=lambda suspicion: (-len(suspicion.crashes), suspicion.fingerprint),
+    )
+    if len(parts) <= _MAX_PART_SUSPICIONS:
+        return tuple(parts)
+    half = _MAX_PART_SUSPICIONS // 2
+    return tuple(parts[:half] + T.rng.sample(parts[half:], half))
+
+
+def _select_contents(T, now):
     suspicions = list(T.suspicions.values())
     if len(suspicions) <= _MAX_SUSPICIONS:
         return tuple(suspicions)
@@ -33,10 +57,15 @@
 def merge_suspicions(T, suspicions, now):
     """Merge the suspicions of a peer into this instance's."""
     for suspicion in suspicions:
-        known = T.suspicions.get(suspicion.fingerprint)
+        own = (
+            T.part_suspicions
+            if suspicion_system.is_part_key(suspicion.fingerprint)
+            else T.suspicions
+        )
+        known = own.get(suspicion.fingerprint)
         if known is None:
             known = Suspicion(suspicion.fingerprint)
-            T.suspicions[suspicion.fingerprint] = known
+            own[suspicion.fingerprint] = known
         if not suspicion.crashes <= known.crashes:
             known.crashes = known.crashes | suspicion.crashes
             known.updated_at = now
--- a/sniperudder/systems/requests/_admission.py
+++ b/sniperudder/systems/requests/_admission.py
@@ -67,6 +67,7 @@
         arrived_at=now,
         deadline=now + deadline_s,
         fingerprint=fingerprint,
+        part_keys=suspicion.make_part_keys(inp.model, inp.prompt),
     )
 
 
@@ -77,7 +78,7 @@
         return _refuse(outcomes.Code.UNKNOWN_MODEL, None)
     if not configuration.is_fresh(T, now):
         return _refuse(outcomes.Code.NOT_FRESH, _MIN_RETRY_AFTER_S)
-    if suspicion.is_condemned(T, req.fingerprint, now):
+    if suspicion.is_request_condemned(T, req, now):
         return _refuse(outcomes.Code.CONTENT_CONDEMNED, None)
     if T.rng.random() < _find_shed_share(T, req):
         return _refuse(outcomes.Code.SHED, _MIN_RETRY_AFTER_S)
--- a/sniperudder/systems/requests/_execution.py
+++ b/sniperudder/systems/requests/_execution.py
@@ -68,7 +68,7 @@
     req.tokens.append(inp.output)
     if not inp.finished and len(req.tokens) < req.max_tokens:
         return [emit, _steps.make_step(T, req, 0, now, inp.output)]
-    suspicion.clear_suspicion(T, req.fingerprint, now)
+    suspicion.clear_request(T, req, now)
     return [emit, *_finish.finish_request(T, req, outcomes.Answered(), now)]
 
 
@@ -85,7 +85,7 @@
             inp.endpoint, failed=True, crashed=inp.crashed, boot=boot
         )
     if inp.delivery is inputs.Delivery.LOST:
-        _record_possible_crash(T, req.fingerprint, inp, boot, now)
+        _record_possible_crash(T, req, inp, boot, now)
     if _may_resend(ep, req, inp):
         req.resent = True
         req.in_flight = True
@@ -93,13 +93,13 @@
     return _end_attempt(T, req, inp, now)
 
 
-def _record_possible_crash(T, fingerprint, inp, boot, now):
+def _record_possible_crash(T, req, inp, boot, now):
     # A crash may appear as a broken connection or just as a timeout; the
     # next load report of the engine shows whether it crashed. After a
     # timeout the step may still be running, so reports count only later.
     crash_id = suspicion.make_crash_id(inp.endpoint, boot)
     settle_s = 0.0 if inp.crashed else T.policy.step_timeout_s
-    suspicion.record_crash(T, fingerprint, crash_id, now, settle_s)
+    suspicion.record_request_crash(T, req, crash_id, now, settle_s)
 
 
 def _handle_abandoned_failure(T, inp, now):
@@ -107,7 +107,7 @@
     # preempted or its caller left.
     step = T.abandoned.pop((inp.request, inp.attempt), None)
     if step is not None and inp.delivery is inputs.Delivery.LOST:
-        _record_possible_crash(T, step.fingerprint, inp, step.boot, now)
+        _record_possible_crash(T, step, inp, step.boot, now)
     return []
 
 
@@ -120,7 +120,7 @@
 def _end_attempt(T, req, inp, now):
     lost = inp.delivery is inputs.Delivery.LOST
     req.may_have_run = req.may_have_run or lost
-    if suspicion.is_condemned(T, req.fingerprint, now):
+    if suspicion.is_request_condemned(T, req, now):
         return _finish.end_condemned(T, req, now)
     if lost and not _consume_retry(T, req):
         failure = outcomes.Failed(outcomes.Code.RETRIES_EXHAUSTED)
--- a/sniperudder/systems/requests/_finish.py
+++ b/sniperudder/systems/requests/_finish.py
@@ -51,7 +51,7 @@
     # The step may still run and may still crash its engine.
     endpoint = req.chain[req.stage].endpoint
     T.abandoned[(req.name, req.attempt)] = tables.AbandonedStep(
-        req.fingerprint, req.boots.get(endpoint, '')
+        req.fingerprint, req.boots.get(endpoint, ''), req.part_keys
     )
     req.in_flight = False
     req.may_have_run = True
--- a/sniperudder/systems/requests/_slots.py
+++ b/sniperudder/systems/requests/_slots.py
@@ -40,9 +40,9 @@
     now : float
         Seconds.
     """
-    if suspicion.is_condemned(T, req.fingerprint, now):
+    if suspicion.is_request_condemned(T, req, now):
         return _finish.end_condemned(T, req, now)
-    if suspicion.is_awaiting_confirmation(T, req.fingerprint, now):
+    if suspicion.is_request_awaiting(T, req, now):
         ask_later(T, req, _CONFIRMATION_POLL_S, now)
         return []
     placement = dispatch.get_placement(T)
@@ -103,7 +103,7 @@
 def _is_grant_valid(T, req, grant, now):
     if not configuration.is_fresh(T, now) or now >= req.deadline:
         return False
-    if suspicion.is_awaiting_confirmation(T, req.fingerprint, now):
+    if suspicion.is_request_awaiting(T, req, now):
         return False
     # Without the boot identifier of an engine, a crash could not be
     # distinguished from a broken connection.
--- a/sniperudder/systems/requests/tests/_mutants.py
+++ b/sniperudder/systems/requests/tests/_mutants.py
@@ -130,10 +130,10 @@
 
 def grant_unconfirmed_contents():
     """Run request content while its crashes await confirmation."""
-    return mock.patch.object(
+    return mock.patch.multiple(
         suspicion,
-        'is_awaiting_confirmation',
-        lambda T, fingerprint, now: False,
+        is_awaiting_confirmation=lambda T, fingerprint, now: False,
+        is_request_awaiting=lambda T, req, now: False,
     )
 
 
--- a/sniperudder/systems/suspicion/_suspicion.py
+++ b/sniperudder/systems/suspicion/_suspicion.py
@@ -45,8 +45,7 @@
     record = T.suspicions.get(fingerprint)
     if record is None or len(record.crashes) < _CRASH_THRESHOLD:
         return False
-    confirmed = [c for c in record.crashes if _is_confirmed(T, record, c, now)]
-    return len(confirmed) >= _CRASH_THRESHOLD
+    return count_confirmed(T, record, now) >= _CRASH_THRESHOLD
 
 
 def is_awaiting_confirmation(T, fingerprint, now):
@@ -60,6 +59,11 @@
     return not is_condemned(T, fingerprint, now)
 
 
+def count_confirmed(T, record, now):
+    """Return the number of confirmed crashes of a suspicion."""
+    return sum(_is_confirmed(T, record, c, now) for c in record.crashes)
+
+
 def _is_confirmed(T, record, crash_id, now):
     endpoint, _, boot = crash_id.rpartition(':')
     ep = T.endpoints.get(endpoint)
@@ -113,11 +117,12 @@
     O(n) in the number of suspicions.
     """
     crash_id = make_crash_id(endpoint, boot)
-    for record in list(T.suspicions.values()):
-        if crash_id in record.crashes and sent_at > record.settled_at:
-            record.crashes = record.crashes - {crash_id}
-            if not record.crashes:
-                del T.suspicions[record.fingerprint]
+    for suspicions in (T.suspicions, T.part_suspicions):
+        for record in list(suspicions.values()):
+            if crash_id in record.crashes and sent_at > record.settled_at:
+                record.crashes = record.crashes - {crash_id}
+                if not record.crashes:
+                    del suspicions[record.fingerprint]
 
 
 def clear_suspicion(T, fingerprint, now):
--- a/sniperudder/tables/_requests.py
+++ b/sniperudder/tables/_requests.py
@@ -40,10 +40,13 @@
         Digest of organisation and content.
     boot : str
         Boot identifier of the engine process that it was sent to.
+    part_keys : frozenset of str
+        Keys of parts of the prompt.
     """
 
     fingerprint: str
     boot: str
+    part_keys: frozenset = frozenset()
 
 
 @dataclasses.dataclass(slots=True)
@@ -63,6 +66,8 @@
         Seconds on the instance's clock.
     fingerprint : str
         Digest of organisation and content.
+    part_keys : frozenset of str
+        Keys of parts of the prompt.
     state : RequestState
     attempt : int
         Number of the current attempt, from 1; 0 before the first.
@@ -113,6 +118,7 @@
     arrived_at: float
     deadline: float
     fingerprint: str = ''
+    part_keys: frozenset = frozenset()
     state: RequestState = RequestState.WAITING
     attempt: int = 0
     chain: tuple = ()
--- a/sniperudder/tables/_tables.py
+++ b/sniperudder/tables/_tables.py
@@ -108,6 +108,8 @@
         Requests of queued tickets by rank and organisation.
     suspicions : dict of str to Suspicion
         By fingerprint.
+    part_suspicions : dict of str to Suspicion
+        By the key of a part of prompts.
     confirmed_at : float
         Latest time at which the configuration was certainly current.
     platform_at : float
@@ -229,6 +231,7 @@
     orders: dict = dataclasses.field(default_factory=dict)
     queues: dict = dataclasses.field(default_factory=dict)
     suspicions: dict = dataclasses.field(default_factory=dict)
+    part_suspicions: dict = dataclasses.field(default_factory=dict)
     confirmed_at: float = float('-inf')
     platform_at: float = float('-inf')
     next_poll_at: float = float('-inf')
