--- a/sniperudder/entry/tests/test_silences.py
+++ b/sniperudder/entry/tests/test_silences.py
@@ -128,6 +128,34 @@
         outcome = self.run_streams([engine], case)
         self.assertEqual((200, [1, 2, 3]), outcome)
 
+    # Guards against: a stream whose chain had failed was broken off because
+    # all others were full at that moment.
+    def test_stream_waits_for_a_chain_to_be_resumed(self):
+        engines = [SilentEngine('gpu-1'), SilentEngine('gpu-2')]
+
+        async def case(test_fleet):
+            for engine in engines:
+                engine.script.append(break_off(engine))
+            sending = asyncio.create_task(self.send(test_fleet))
+            while not any(engine.requests for engine in engines):
+                await asyncio.sleep(0.001)
+            for engine in engines:
+                engine.script.clear()
+                engine.script.extend(engine.refuse() for _ in range(2))
+            return await sending
+
+        def break_off(engine):
+            async def serve(request, http, writer):
+                await engine.send_stream(request, http, writer, upto=1)
+                await asyncio.sleep(0.05)
+                writer.transport.abort()
+                raise OSError('reset by the script')
+
+            return serve
+
+        outcome = self.run_streams(engines, case)
+        self.assertEqual((200, [1, 2, 3]), outcome)
+
     def test_stream_is_resumed_where_another_chain_is_free(self):
         engines = [SilentEngine('gpu-1'), SilentEngine('gpu-2')]
         for engine in engines:
--- a/sniperudder/forwarding/_streams.py
+++ b/sniperudder/forwarding/_streams.py
@@ -1,5 +1,7 @@
 """Forwarding of event streams, resumed at other chains after failures."""
 
+import asyncio
+
 from sniperudder.forwarding import _attempts
 from sniperudder.forwarding import _events
 from sniperudder.forwarding import _exchanges
@@ -11,6 +13,11 @@
 
 _Code = outcomes.Code
 
+# Time since the last event for which a chain is sought to resume a stream, and
+# the interval of the attempts, seconds. Callers leave after a gap of 2 s.
+_MAX_RESUME_WAIT_S = 1.5
+_RESUME_INTERVAL_S = 0.1
+
 
 async def forward_stream(forwarder, job, caller):
     """Forward a stream, resuming it at other chains after failures.
@@ -31,6 +38,8 @@
     while True:
         stages = _selection.choose_stages(forwarder, job)
         if not stages:
+            if await _await_chain(forwarder, job, stream):
+                continue
             if not job.send_outcomes:
                 code = _selection.classify_shortage(forwarder, job)
             break
@@ -60,6 +69,26 @@
     _fail_stream(forwarder, job, caller, stream, code)
 
 
+async def _await_chain(forwarder, job, stream):
+    """Wait before a chain is sought again to resume a stream.
+
+    Breaking the stream off at once would lose what a chain that is full, or
+    a stage that was silent, could serve a moment later.
+
+    Returns
+    -------
+    bool
+        False if there is nothing to resume or the caller is about to leave.
+    """
+    if not stream.started or not stream.can_resume(job):
+        return False
+    if forwarder.now() - stream.last_event_at > _MAX_RESUME_WAIT_S:
+        return False
+    await asyncio.sleep(_RESUME_INTERVAL_S)
+    job.failed_ids.clear()
+    return True
+
+
 def _fail_stream(forwarder, job, caller, stream, code):
     reason = ''.join(job.send_outcomes[-1:])
     if stream.started:
