Reproduce streams that are cut though their engine would have gone on

Two engines, of which the one that serves a stream is silent for 1.3 s. The other refuses the stream, or falls silent for good:

Callers got 502 where nothing had been relayed (one refusal is enough), and a connection closed midway after one or more events.

--- a/sniperudder/entry/tests/test_silences.py
+++ b/sniperudder/entry/tests/test_silences.py
@@ -43,6 +43,14 @@
         now = asyncio.get_running_loop().time()
         self.silent_until = now + _SILENCE_S
 
+    def hang(self):
+        """Return a script entry: never respond."""
+
+        async def serve(request, http, writer):
+            await asyncio.Event().wait()
+
+        return serve
+
     def fall_silent_after(self, events):
         """Return a script entry: pause a stream after some events."""
 
@@ -156,6 +164,51 @@
         outcome = self.run_streams(engines, case)
         self.assertEqual((200, [1, 2, 3]), outcome)
 
+    # Guards against: the run at a silent engine was given up for another chain,
+    # which then refused the stream, so that the stream was broken off although
+    # its first engine would have gone on.
+    def test_stream_goes_on_at_its_engine_if_others_refuse_it(self):
+        for events in (0, 1, 2):
+            for refusals in (1, 3, 9):
+                engines = [SilentEngine('gpu-1'), SilentEngine('gpu-2')]
+                case = self.send_while_others_refuse(engines, events, refusals)
+                outcome = self.run_streams(engines, case)
+                self.assertEqual((200, [1, 2, 3]), outcome, (events, refusals))
+
+    def send_while_others_refuse(self, engines, events, refusals):
+        """Return a case: one engine falls silent, and the other refuses."""
+
+        async def case(test_fleet):
+            for engine in engines:
+                engine.script.append(engine.fall_silent_after(events))
+            sending = asyncio.create_task(self.send(test_fleet))
+            while not any(engine.requests for engine in engines):
+                await asyncio.sleep(0.001)
+            for engine in engines:
+                engine.script.clear()
+                engine.script.extend(engine.refuse() for _ in range(refusals))
+            return await sending
+
+        return case
+
+    # Guards against: the same where the other engine fell silent as well.
+    def test_stream_goes_on_at_the_engine_that_ends_its_silence_first(self):
+        engines = [SilentEngine('gpu-1'), SilentEngine('gpu-2')]
+
+        async def case(test_fleet):
+            for engine in engines:
+                engine.script.append(engine.fall_silent_after(1))
+            sending = asyncio.create_task(self.send(test_fleet))
+            while not any(engine.requests for engine in engines):
+                await asyncio.sleep(0.001)
+            first, second = sorted(engines, key=lambda e: not e.requests)
+            second.script.clear()
+            second.script.append(second.hang())
+            return await sending
+
+        outcome = self.run_streams(engines, case)
+        self.assertEqual((200, [1, 2, 3]), outcome)
+
     def test_stream_is_resumed_where_another_chain_is_free(self):
         engines = [SilentEngine('gpu-1'), SilentEngine('gpu-2')]
         for engine in engines:
