Keep a silent attempt until another one delivers an event

Callers saw streams cut midway, or 502, although the engine that served them was sound and would have gone on after a second of silence.

Cause: the run at a silent first stage was cancelled before another chain had accepted the stream. If that chain refused, was silent as well, or the budget ended meanwhile, nothing was left. Asking for a free chain beforehand doesn't help, since it may refuse a moment later.

Now the silent attempt stays open beside the one elsewhere. The first event decides which is relayed, and the other is ended only then. A refusal elsewhere costs a retry, not the stream. A stream that has begun and is served by no attempt waits for the retry budget as long as its caller does, instead of ending at the first refusal of a retry. Whether an endpoint may have run a request is counted by sends, since two may be under way.

--- a/sniperudder/entry/tests/test_silences.py
+++ b/sniperudder/entry/tests/test_silences.py
@@ -164,9 +164,9 @@
         outcome = self.run_streams(engines, case)
         self.assertEqual((200, [1, 2, 3]), outcome)
 
-    # Guards against: the run of a silent engine was given up for another chain,
-    # which then refused the stream, so that the stream was broken off although
-    # its first engine would have gone on.
+    # Guards against: the run at a silent engine was given up for a chain that
+    # then refused the stream, which was broken off although the first engine
+    # would have gone on.
     def test_stream_goes_on_at_its_engine_if_others_refuse_it(self):
         for events in (0, 1, 2):
             for refusals in (1, 3, 9):
--- a/sniperudder/forwarding/_attempts.py
+++ b/sniperudder/forwarding/_attempts.py
@@ -1,17 +1,18 @@
 """One attempt to serve a stream from a chain of endpoints."""
 
+import enum
+
 import h11
 
 from sniperudder.forwarding import _events
 from sniperudder.forwarding import _exchanges
 from sniperudder.forwarding import _jobs
 from sniperudder.forwarding import _monitors
-from sniperudder.forwarding import _progress
 from sniperudder.forwarding import _reservations
 from sniperudder import platform
 from sniperudder import routing
 
-__all__ = ['Attempt']
+__all__ = ['Attempt', 'Signal']
 
 # Time without the first event, and without a further event, after which
 # the stages are checked, seconds. These are half of the time that callers
@@ -19,31 +20,53 @@
 _FIRST_EVENT_STALL_S = 0.4
 _STALL_S = 0.4
 
-# Nothing arrived from the first stage, and it either did not respond to a
-# report request or its report named no stage that stalls the stream.
-_FIRST_STAGE_FAILED = _exchanges.Interrupted('first stage silent')
+
+class Signal(enum.Enum):
+    """What an attempt reports beside events and outcomes.
+
+    SILENT: nothing arrives from the first stage, and it either does not
+    respond to a report request or reports no stage that stalls the stream.
+    The attempt goes on.
+
+    COMPLETE: the stream has ended as it should.
+    """
+
+    SILENT = 'silent'
+    COMPLETE = 'complete'
 
 
 class Attempt:
-    """Sends a streaming request to a chain and relays the events.
+    """Sends a streaming request to a chain and receives its events.
 
     Parameters
     ----------
     forwarder : Forwarder
     job : Job
-    caller : CallerConnection
     stream : StreamProgress
     stages : tuple of sniperudder.fleet.Stage
+
+    Attributes
+    ----------
+    number : int
+        Number of this attempt of the request.
+    sent_at : float
+        Loop time at which it began, seconds.
+    suspected : bool
+        Whether the first stage has been silent.
+    headers : list of (bytes, bytes) or None
+        Headers for the caller, once the head of the response has arrived.
     """
 
-    def __init__(self, forwarder, job, caller, stream, stages):
+    def __init__(self, forwarder, job, stream, stages):
         self._forwarder = forwarder
         self._job = job
-        self._caller = caller
         self._stream = stream
         self._stages = stages
         self._began_at = None
         self._survived = False
+        self._sent = False
+        self._head = None
+        self._splitter = _events.EventSplitter()
         self._reservation = _reservations.Reservation(
             forwarder.T, _jobs.get_request_size(job).total
         )
@@ -58,49 +81,98 @@
             ),
             forwarder.create_guard(stages[0].endpoint),
         )
+        self.number = 0
+        self.sent_at = forwarder.now()
+        self.suspected = False
+        self.headers = None
+
+    @property
+    def stages(self):
+        """The chain that the request was sent to."""
+        return self._stages
+
+    @property
+    def first_endpoint(self):
+        """The endpoint that the request was sent to."""
+        return self._stages[0].endpoint
+
+    def begin(self):
+        """Count the attempt; the request is sent by `receive`."""
+        job = self._job
+        job.attempts += 1
+        job.possible_runs += 1
+        job.endpoint = self.first_endpoint
+        self.number = job.attempts
+        self._reservation.reserve(self._stages, self._forwarder.now())
+        self._forwarder.log_send(job, self._stages, after=self._stream.last_id)
 
-    async def run(self):
-        """Send the request and relay its events to the caller.
+    async def receive(self):
+        """Receive what comes next of the response.
 
         Returns
         -------
-        Answered, NotRun, Interrupted or None
-            None if the stream was relayed to its end.
+        list of Event, Signal, Answered, NotRun or Interrupted
+            The attempt goes on after events and `Signal.SILENT`.
         """
-        job, forwarder = self._job, self._forwarder
-        may_have_run_before = job.may_have_run
-        job.attempts += 1
-        job.endpoint = self._stages[0].endpoint
-        job.may_have_run = True
-        self._reservation.reserve(self._stages, forwarder.now())
-        forwarder.log_send(job, self._stages, after=self._stream.last_id)
-        try:
-            outcome = await self._exchange.open()
-            if outcome is None:
-                outcome = await self._receive_response()
-        finally:
-            self._monitor.close()
-            self._exchange.close()
-            self._reservation.clear()
-        if isinstance(outcome, _exchanges.NotRun):
-            job.may_have_run = may_have_run_before
+        if not self._sent:
+            self._sent = True
+            failure = await self._exchange.open()
+            if failure is not None:
+                return failure
+        if self._head is None:
+            outcome = await self._receive_head()
+            if outcome is not None:
+                return outcome
+        return await self._receive_events()
+
+    def record_progress(self, events):
+        """Record that a number of events were passed on to the caller."""
+        self._monitor.record_progress(events)
+        now = self._forwarder.now()
+        if self._began_at is None:
+            self._began_at = now
+        elif now - self._began_at > routing.SURVIVAL_S:
+            self._record_survival()
+
+    def reroute_around_leaving(self):
+        """See `StreamMonitor.reroute_around_leaving`."""
+        self._monitor.reroute_around_leaving()
+
+    def end(self, outcome):
+        """End the attempt with an outcome.
+
+        Parameters
+        ----------
+        outcome : Signal, Answered, NotRun or Interrupted
+        """
+        if outcome is Signal.COMPLETE:
+            self._exchange.release()
+            self._record_survival()
+        elif isinstance(outcome, _exchanges.NotRun):
+            self._job.possible_runs -= 1
         elif isinstance(outcome, _exchanges.Interrupted):
-            forwarder.crash_monitor.record_interruption(
-                job, self._monitor.stages, outcome.reason, self._survived
+            self._forwarder.crash_monitor.record_interruption(
+                self._job, self._monitor.stages, outcome.reason, self._survived
             )
-        return outcome
+        self.close()
+
+    def close(self):
+        """Release everything, so that the endpoints cancel the request."""
+        self._monitor.close()
+        self._exchange.close()
+        self._reservation.clear()
 
     def _get_last_event_id(self):
         if self._stream.started and self._stream.last_id is not None:
             return str(self._stream.last_id)
         return self._job.head.last_event_id
 
-    async def _receive_response(self):
+    async def _receive_head(self):
         head = await self._monitor.receive(
             self._exchange.receive_head, _FIRST_EVENT_STALL_S
         )
         if head is None:
-            return _FIRST_STAGE_FAILED
+            return Signal.SILENT
         if not isinstance(head, h11.Response):
             return head
         self._monitor.postpone_checks()
@@ -111,75 +183,42 @@
         )
         if not response_head.has_seal:
             return _exchanges.Interrupted('stream without a digest')
-        outcome = await self._relay_events(
-            platform.filter_response_headers(_exchanges.list_headers(head))
+        self._head = head
+        self.headers = platform.filter_response_headers(
+            _exchanges.list_headers(head)
         )
-        if outcome is not None:
-            return outcome
-        if _exchanges.ends_with_connection(head):
-            monitor = self._forwarder.crash_monitor
-            if not await monitor.has_ended_response(self._stages[0]):
-                return _exchanges.Interrupted('crashed or left at the end')
-        self._finish(head)
         return None
 
-    def _finish(self, head):
-        if not self._stream.started:
-            headers = _exchanges.list_headers(head)
-            self._caller.start_response(
-                200, platform.filter_response_headers(headers)
-            )
-            self._stream.started = True
-        self._exchange.release()
-        self._record_survival()
-        self._caller.end_response()
-
-    async def _relay_events(self, headers):
-        stream, caller = self._stream, self._caller
-        splitter = _events.EventSplitter()
+    async def _receive_events(self):
+        check_after_s = (
+            _STALL_S if self._stream.started else _FIRST_EVENT_STALL_S
+        )
         while True:
-            check_after_s = (
-                _STALL_S if stream.started else _FIRST_EVENT_STALL_S
-            )
             try:
                 event = await self._monitor.receive(
                     self._exchange.receive, check_after_s
                 )
                 if event is None:
-                    return _FIRST_STAGE_FAILED
+                    return Signal.SILENT
                 if isinstance(event, h11.EndOfMessage):
-                    break
+                    return await self._check_end()
                 if not isinstance(event, h11.Data):
                     return _exchanges.Interrupted('closed within a stream')
-                complete_events = splitter.feed(event.data)
+                events = self._splitter.feed(event.data)
             except (_events.EventTooLong, OSError) as error:
                 return _exchanges.Interrupted(_exchanges.describe_error(error))
-            if complete_events:
-                sent, interrupted = _progress.forward_events(
-                    self._forwarder,
-                    caller,
-                    stream,
-                    headers,
-                    complete_events,
-                    self._job.route.gap_target_s,
-                )
-                if sent:
-                    self._monitor.record_progress(sent)
-                    self._check_survival()
-                if interrupted is not None:
-                    return interrupted
-                await caller.drain()
-                self._monitor.reroute_around_leaving()
-        if splitter.remainder:
-            return _exchanges.Interrupted('ended within an event')
-        return None
+            if events:
+                return events
 
-    def _check_survival(self):
-        now = self._forwarder.now()
-        if self._began_at is None:
-            self._began_at = now
-        elif now - self._began_at > routing.SURVIVAL_S:
-            self._record_survival()
+    async def _check_end(self):
+        """Return whether the end of the response is the end of the stream."""
+        if self._splitter.remainder:
+            return _exchanges.Interrupted('ended within an event')
+        if _exchanges.ends_with_connection(self._head):
+            monitor = self._forwarder.crash_monitor
+            if not await monitor.has_ended_response(self._stages[0]):
+                return _exchanges.Interrupted('crashed or left at the end')
+        return Signal.COMPLETE
 
     def _record_survival(self):
         if not self._survived:
--- a/sniperudder/forwarding/_exchanges.py
+++ b/sniperudder/forwarding/_exchanges.py
@@ -107,6 +107,7 @@
         self._guard = guard
         self._connection = None
         self._idle_timeout_s = None
+        self._opened = False
 
     async def open(self):
         """Connect and send the request.
@@ -116,6 +117,7 @@
         NotRun or None
             NotRun if the request could not be sent.
         """
+        self._opened = True
         outgoing = self._outgoing
         sent = False
         try:
@@ -233,6 +235,8 @@
 
     def close(self):
         """Close the connection, so that the endpoint cancels the request."""
+        if not self._opened and self._guard is not None:
+            self._guard.give_back()
         if self._connection is not None:
             self._connection.close()
             self._connection = None
--- a/sniperudder/forwarding/_forwarder.py
+++ b/sniperudder/forwarding/_forwarder.py
@@ -14,7 +14,6 @@
 from sniperudder.forwarding import _notices
 from sniperudder.forwarding import _rerouting
 from sniperudder.forwarding import _reservations
-from sniperudder.forwarding import _selection
 from sniperudder.forwarding import _shedding
 from sniperudder.forwarding import _streams
 from sniperudder import metrics
@@ -23,11 +22,8 @@
 from sniperudder import routing
 
 # Maximum number of sends of a request that are retried because no endpoint
-# ran them, and the delay before the first retry, seconds. The delay doubles
-# each time; the total of four delays is shorter than callers wait for a first
-# event.
+# ran them.
 _MAX_SENDS_NOT_RUN = 4
-_NOT_RUN_BACKOFF_S = 0.02
 
 # Fraction of the engines' stall timeout after which a refusal indicates that
 # a stage is dead rather than out of capacity.
@@ -243,9 +239,8 @@
     async def take_retry_after_not_run(self, job, outcome):
         """Take a retry after a send that was not run, if it is allowed.
 
-        The failed send does not count as an attempt, because the endpoint
-        did not run the request. If the send reached an endpoint, waits
-        for the backoff and takes the retry from the budget.
+        If the send reached an endpoint, waits for the backoff and takes the
+        retry from the budget.
 
         Parameters
         ----------
@@ -257,46 +252,26 @@
         bool
             Whether to retry.
         """
-        job.attempts -= 1
-        job.sends_not_run += 1
         if job.sends_not_run > _MAX_SENDS_NOT_RUN:
             return False
         if outcome.reached_endpoint:
-            delay_s = _NOT_RUN_BACKOFF_S * 2 ** (job.sends_not_run - 1)
-            await asyncio.sleep(delay_s)
+            await asyncio.sleep(_jobs.get_not_run_backoff_s(job))
         if self.crash_monitor.is_blocked(job):
             return False
         return not outcome.reached_endpoint or self._spend_retry(job)
 
+    def may_retry(self, job):
+        """Return whether the route allows an attempt that crashes nothing."""
+        return self.has_attempts_left(
+            job
+        ) and not self.crash_monitor.is_blocked(job)
+
     def take_retry(self, job):
         """Take a retry from the budget, if the route allows one.
 
         Returns whether to send the request to another endpoint.
         """
-        return (
-            self.has_attempts_left(job)
-            and not self.crash_monitor.is_blocked(job)
-            and self._spend_retry(job)
-        )
-
-    def can_retry_elsewhere(self, job, stages):
-        """Return whether a retry is allowed and finds another chain now.
-
-        Parameters
-        ----------
-        job : Job
-        stages : sequence of sniperudder.fleet.Stage
-            The present chain, whose first stage is left out.
-        """
-        budget = self.get_budget(job.service.name)
-        return (
-            self.has_attempts_left(job)
-            and not self.crash_monitor.is_blocked(job)
-            and budget.has_left(self.now(), self._get_slack())
-            and bool(
-                _selection.choose_stages(self, job, [stages[0].endpoint.id])
-            )
-        )
+        return self.may_retry(job) and self._spend_retry(job)
 
     def _spend_retry(self, job):
         budget = self.get_budget(job.service.name)
@@ -382,6 +357,8 @@
     def record_outcome(self, job, stages, outcome, sent_at):
         """Update the endpoint states and the job after a send.
 
+        A send that was not run does not count as an attempt.
+
         Parameters
         ----------
         job : Job
@@ -393,6 +370,9 @@
         now = self.now()
         elapsed_s = now - sent_at
         endpoint = stages[0].endpoint
+        if isinstance(outcome, _exchanges.NotRun):
+            job.attempts -= 1
+            job.sends_not_run += 1
         if isinstance(outcome, _exchanges.Answered):
             routing.record_success(fleet.get_state(self.T, endpoint), now)
             job.send_outcomes.append(f'{endpoint.id}: {outcome.status}')
@@ -595,10 +575,9 @@
         reservation = _reservations.Reservation(self.T, 0.0)
         reservation.reserve(stages, self.now())
         self.log_send(job, stages)
-        may_have_run_before = job.may_have_run
-        # Set before the exchange: if it is interrupted, the endpoint may have
-        # run the request.
-        job.may_have_run = True
+        # Counted before the exchange: if it is interrupted, the endpoint may
+        # have run the request.
+        job.possible_runs += 1
         try:
             outcome = await _exchanges.run_exchange(
                 self.pool,
@@ -615,7 +594,7 @@
         finally:
             reservation.clear()
         if isinstance(outcome, _exchanges.NotRun):
-            job.may_have_run = may_have_run_before
+            job.possible_runs -= 1
         elif isinstance(outcome, _exchanges.Interrupted):
             self.crash_monitor.record_interruption(
                 job, stages, outcome.reason, survived=False
--- a/sniperudder/forwarding/_jobs.py
+++ b/sniperudder/forwarding/_jobs.py
@@ -13,6 +13,11 @@
 # seconds; covers sending it and the one-way delay to the caller.
 _RESPONSE_MARGIN_S = 0.02
 
+# Delay before the first retry of a request that was not run, seconds. It
+# doubles each time; the total of four delays is shorter than callers wait for
+# a first event.
+_NOT_RUN_BACKOFF_S = 0.02
+
 # Values of Retry-After, seconds: short where the cause may be transient;
 # when load is shed, between one and two durations of a stream, randomized
 # so that the retries of callers do not arrive at the same time.
@@ -63,8 +68,8 @@
         Number of sends that no endpoint ran.
     failed_ids : set of str
         Ids of the endpoints that failed to serve the request.
-    may_have_run : bool
-        Whether an endpoint may have run the request.
+    possible_runs : int
+        Number of sends that an endpoint may have run, or may yet run.
     send_outcomes : list of str
         Outcome of each send, for the log.
     endpoint : sniperudder.fleet.Endpoint or None
@@ -85,11 +90,16 @@
     attempts: int = 0
     sends_not_run: int = 0
     failed_ids: set = dataclasses.field(default_factory=set)
-    may_have_run: bool = False
+    possible_runs: int = 0
     send_outcomes: list = dataclasses.field(default_factory=list)
     endpoint: fleet.Endpoint | None = None
     crash_keys: frozenset = frozenset()
 
+    @property
+    def may_have_run(self):
+        """Whether an endpoint may have run the request."""
+        return self.possible_runs > 0
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Rejection:
@@ -187,6 +197,21 @@
     )
 
 
+def get_not_run_backoff_s(job):
+    """Return the delay before a request that was not run is sent again.
+
+    Parameters
+    ----------
+    job : Job
+
+    Returns
+    -------
+    float
+        Seconds; doubles with each such send.
+    """
+    return _NOT_RUN_BACKOFF_S * 2 ** (max(job.sends_not_run, 1) - 1)
+
+
 def send_error_response(caller, code, reason, retry_after_s=None):
     """Send an error response of the router itself.
 
--- a/sniperudder/forwarding/_monitors.py
+++ b/sniperudder/forwarding/_monitors.py
@@ -2,8 +2,7 @@
 
 A stage may die, stop making progress or leave while a stream runs through it.
 The stream is then rerouted to another chain before its caller times out.
-If the first stage has failed, the attempt ends and the stream is resumed
-by a new attempt.
+If the first stage is silent, another attempt is begun beside this one.
 """
 
 import asyncio
@@ -85,7 +84,8 @@
         Returns
         -------
         object or None
-            The result of `receive_next`; None if the attempt should end.
+            The result of `receive_next`; None if the first stage is silent
+            and the stream may be served elsewhere. May be called again then.
         """
         if self._check_at is None:
             self._check_at = self._forwarder.now() + check_after_s
@@ -96,13 +96,14 @@
             try:
                 return await receive_next(wait_s)
             except TimeoutError:
-                if not await self._check_stages():
-                    return None
+                is_silent = await self._check_stages()
             # Check a stream that is merely slow less and less often.
             self._checks += 1
             if self._checks >= _FREQUENT_CHECKS:
                 self._check_interval_s *= 2
             self._check_at = self._forwarder.now() + self._check_interval_s
+            if is_silent:
+                return None
 
     def postpone_checks(self):
         """Begin to wait for progress anew."""
@@ -136,22 +137,22 @@
                 self._start_reroute(leaving)
 
     async def _check_stages(self):
-        """Reroute the stream if a stage stalls it.
+        """Reroute the stream if a later stage stalls it.
 
-        Returns False if the attempt should be ended.
+        Returns whether the first stage is silent; see `receive`.
         """
         rerouter, job = self._forwarder.rerouter, self._job
         self._speed_sampler.restart()
         first = self.stages[0]
         if first.layers is None:
-            return True
+            return False
         reached, address = await rerouter.find_stalling_stage(
             first.endpoint, job.head.request_id
         )
-        if not reached:
-            return self._should_keep_waiting()
-        if address is None and self._is_first_stage_without_progress():
-            return self._should_keep_waiting()
+        if not reached or (
+            address is None and self._is_first_stage_without_progress()
+        ):
+            return self._may_leave_first_stage()
         # Reports lag behind; leaving stages are known without a report.
         excluded = self._list_leaving()
         if address is not None:
@@ -160,7 +161,7 @@
             excluded = self._find_stage_without_progress()
         if excluded:
             self._start_reroute(excluded)
-        return True
+        return False
 
     def _find_stage_without_progress(self):
         """Return the only stage without progress, as a set of one address.
@@ -185,18 +186,14 @@
     def _get_state(self, stage):
         return fleet.get_state(self._forwarder.T, stage.endpoint)
 
-    def _should_keep_waiting(self):
-        """Return whether to keep waiting for a first stage that sends nothing.
+    def _may_leave_first_stage(self):
+        """Return whether the stream may be served by another first stage.
 
-        This is the case if the stream cannot be resumed at another chain now,
-        since a sound endpoint may be silent for a while and go on, or if the
-        first stage is leaving: it refuses new connections but completes the
-        streams that it has started.
+        One that is leaving refuses new connections but completes the streams
+        that it has started.
         """
-        return (
-            not self._stream.can_resume(self._job)
-            or not fleet.is_serving(self._forwarder.T, self.stages[0])
-            or not self._forwarder.can_retry_elsewhere(self._job, self.stages)
+        return self._stream.can_resume(self._job) and fleet.is_serving(
+            self._forwarder.T, self.stages[0]
         )
 
     def _is_first_stage_without_progress(self):
--- a/sniperudder/forwarding/_streams.py
+++ b/sniperudder/forwarding/_streams.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from sniperudder import fleet
 from sniperudder.forwarding import _attempts
 from sniperudder.forwarding import _events
 from sniperudder.forwarding import _exchanges
@@ -10,14 +11,24 @@
 from sniperudder.forwarding import _selection
 from sniperudder import metrics
 from sniperudder import outcomes
+from sniperudder import routing
 
 _Code = outcomes.Code
+_Signal = _attempts.Signal
 
 # Time since the last event for which a chain is sought to resume a stream, and
 # the interval of the attempts, seconds. Callers leave after a gap of 2 s.
 _MAX_RESUME_WAIT_S = 1.5
 _RESUME_INTERVAL_S = 0.1
 
+# Interval at which a stream that was refused too often is sent again, seconds.
+_REFUSED_INTERVAL_S = 0.2
+
+# Number of attempts of one stream that may run at the same time.
+_MAX_CONCURRENT_ATTEMPTS = 2
+
+_FIRST_STAGE_FAILED = _exchanges.Interrupted('first stage silent')
+
 
 async def forward_stream(forwarder, job, caller):
     """Forward a stream, resuming it at other chains after failures.
@@ -28,101 +39,317 @@
     job : Job
     caller : CallerConnection
     """
-    resumed_from = job.head.last_event_id
-    stream = _progress.StreamProgress(
-        None
-        if resumed_from is None
-        else _events.parse_event_id(resumed_from.encode('latin-1'))
-    )
-    code = _Code.NO_ENDPOINT
-    while True:
-        stages = _selection.choose_stages(forwarder, job)
+    relay = _StreamRelay(forwarder, job, caller)
+    try:
+        await relay.run()
+    finally:
+        relay.close()
+
+
+class _StreamRelay:
+    """Relays one stream from the attempt that makes progress.
+
+    If the first stage of an attempt is silent, another attempt is begun at
+    another chain. The silent one is kept, because it may go on and the other
+    chain may refuse the stream: whichever delivers an event first is relayed,
+    and only then is the other one ended.
+    """
+
+    def __init__(self, forwarder, job, caller):
+        self._forwarder = forwarder
+        self._job = job
+        self._caller = caller
+        resumed_from = job.head.last_event_id
+        self._stream = _progress.StreamProgress(
+            None
+            if resumed_from is None
+            else _events.parse_event_id(resumed_from.encode('latin-1'))
+        )
+        # Attempts in progress, the oldest first, and the tasks that receive
+        # from them. A single attempt needs no task.
+        self._attempts = {}
+        # Loop time of the next attempt beside a silent one, or None.
+        self._begin_elsewhere_at = None
+        self._answer = None
+        self._code = _Code.NO_ENDPOINT
+
+    async def run(self):
+        """Forward the stream, or fail it."""
+        while await self._begin_attempt():
+            outcome = await self._relay()
+            if outcome is _Signal.COMPLETE:
+                self._finish()
+                return
+            if not await self._take_retry(outcome):
+                break
+        self._fail()
+
+    def close(self):
+        """End all attempts."""
+        for attempt in list(self._attempts):
+            self._remove(attempt).close()
+
+    async def _begin_attempt(self):
+        """Begin an attempt at a chain; return False if there is none."""
+        stages = _selection.choose_stages(self._forwarder, self._job)
+        while not stages and self._may_wait():
+            # A chain that is full now, or a stage that was silent, may serve
+            # the stream a moment later.
+            await asyncio.sleep(_RESUME_INTERVAL_S)
+            self._job.failed_ids.clear()
+            stages = _selection.choose_stages(self._forwarder, self._job)
         if not stages:
-            if await _await_chain(forwarder, job, stream):
+            if not self._job.send_outcomes:
+                self._code = _selection.classify_shortage(
+                    self._forwarder, self._job
+                )
+            return False
+        self._add_attempt(stages)
+        return True
+
+    def _add_attempt(self, stages):
+        attempt = _attempts.Attempt(
+            self._forwarder, self._job, self._stream, stages
+        )
+        self._attempts[attempt] = None
+        attempt.begin()
+
+    async def _relay(self):
+        """Relay events until all attempts have ended.
+
+        Returns
+        -------
+        Signal, Answered, NotRun or Interrupted
+            `Signal.COMPLETE`, or the outcome of the last attempt.
+        """
+        while True:
+            attempt, received = await self._receive()
+            if received is _Signal.SILENT:
+                self._begin_elsewhere(attempt)
                 continue
-            if not job.send_outcomes:
-                code = _selection.classify_shortage(forwarder, job)
-            break
-        attempt = _attempts.Attempt(forwarder, job, caller, stream, stages)
-        sent_at = forwarder.now()
-        outcome = await attempt.run()
-        if outcome is None:
-            _record_completion(forwarder, job, stream)
+            if isinstance(received, list):
+                self._end_others(attempt)
+                self._clear_suspicion(attempt)
+                self._begin_elsewhere_at = None
+                received = await self._send_events(attempt, received)
+                if received is None:
+                    continue
+            elif received is _Signal.COMPLETE:
+                self._end_others(attempt)
+                self._send_end(attempt)
+            self._end(attempt, received)
+            if not self._attempts or self._is_response(received):
+                return received
+            (remaining,) = self._attempts
+            if isinstance(received, _exchanges.NotRun) and remaining.suspected:
+                self._begin_elsewhere_at = (
+                    self._forwarder.now()
+                    + _jobs.get_not_run_backoff_s(self._job)
+                )
+
+    async def _receive(self):
+        """Return the first attempt that receives something, and what."""
+        if len(self._attempts) == 1:
+            ((attempt, task),) = self._attempts.items()
+            if task is None and self._begin_elsewhere_at is None:
+                return attempt, await attempt.receive()
+        for attempt, task in self._attempts.items():
+            if task is None:
+                self._attempts[attempt] = asyncio.create_task(
+                    attempt.receive()
+                )
+        wait_s = None
+        if self._begin_elsewhere_at is not None:
+            wait_s = max(self._begin_elsewhere_at - self._forwarder.now(), 0.0)
+        done, _ = await asyncio.wait(
+            self._attempts.values(),
+            timeout=wait_s,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        for attempt, task in self._attempts.items():
+            if task in done:
+                self._attempts[attempt] = None
+                return attempt, task.result()
+        return next(iter(self._attempts)), _Signal.SILENT
+
+    def _begin_elsewhere(self, silent):
+        """Begin another attempt beside one whose first stage is silent."""
+        self._begin_elsewhere_at = None
+        if len(self._attempts) >= _MAX_CONCURRENT_ATTEMPTS:
+            return
+        forwarder, job = self._forwarder, self._job
+        excluded = [silent.first_endpoint.id]
+        stages = _selection.choose_stages(forwarder, job, excluded)
+        if not stages and job.failed_ids:
+            # Those that refused it may have room by now.
+            job.failed_ids.clear()
+            stages = _selection.choose_stages(forwarder, job, excluded)
+        if not stages or not forwarder.take_retry(job):
             return
-        forwarder.record_outcome(job, stages, outcome, sent_at)
+        if not silent.suspected:
+            silent.suspected = True
+            forwarder.record_outcome(
+                job, silent.stages, _FIRST_STAGE_FAILED, silent.sent_at
+            )
+        self._add_attempt(stages)
+
+    async def _send_events(self, attempt, events):
+        """Send events to the caller; return an outcome if that ends them."""
+        sent, interrupted = _progress.forward_events(
+            self._forwarder,
+            self._caller,
+            self._stream,
+            attempt.headers,
+            events,
+            self._job.route.gap_target_s,
+        )
+        if sent:
+            attempt.record_progress(sent)
+        if interrupted is None:
+            await self._caller.drain()
+            attempt.reroute_around_leaving()
+        return interrupted
+
+    def _send_end(self, attempt):
+        if not self._stream.started:
+            self._caller.start_response(200, attempt.headers)
+            self._stream.started = True
+        self._caller.end_response()
+
+    def _end(self, attempt, outcome):
+        """End an attempt that has an outcome, and record the outcome."""
+        self._remove(attempt).end(outcome)
+        if outcome is _Signal.COMPLETE:
+            return
+        forwarder, job = self._forwarder, self._job
+        forwarder.record_outcome(job, attempt.stages, outcome, attempt.sent_at)
         if isinstance(outcome, _exchanges.NotRun):
-            code = _Code.TARGET_UNREACHABLE
-            if not await forwarder.take_retry_after_not_run(job, outcome):
-                break
-            continue
-        failed = not isinstance(outcome, _exchanges.Answered)
-        if failed or outcome.status >= _jobs.MIN_SERVER_ERROR_STATUS:
-            job.failed_ids.add(stages[0].endpoint.id)
-            if stream.can_resume(job) and forwarder.take_retry(job):
-                continue
-        if failed or stream.started:
-            break
-        caller.send_response(outcome.status, outcome.headers, outcome.body)
-        reason = f'status {outcome.status}'
-        forwarder.record_end(job, _Code.ANSWERED, reason)
-        return
-    _fail_stream(forwarder, job, caller, stream, code)
+            self._code = _Code.TARGET_UNREACHABLE
+        elif isinstance(outcome, _exchanges.Answered):
+            self._answer = outcome
+            if outcome.status >= _jobs.MIN_SERVER_ERROR_STATUS:
+                job.failed_ids.add(attempt.first_endpoint.id)
+        else:
+            job.failed_ids.add(attempt.first_endpoint.id)
 
+    def _end_others(self, relayed):
+        """End the other attempts, since one of them makes progress."""
+        for attempt in [a for a in self._attempts if a is not relayed]:
+            self._remove(attempt)
+            if attempt.suspected:
+                attempt.end(_FIRST_STAGE_FAILED)
+            else:
+                attempt.close()
+            self._forwarder.journal.write(
+                'request:superseded',
+                self._job.head.request_id,
+                attempt=attempt.number,
+                endpoint=attempt.first_endpoint.id,
+                by=relayed.first_endpoint.id,
+            )
 
-async def _await_chain(forwarder, job, stream):
-    """Wait before a chain is sought again to resume a stream.
+    def _clear_suspicion(self, attempt):
+        """Record that an attempt whose first stage was silent goes on."""
+        if attempt.suspected:
+            attempt.suspected = False
+            routing.record_success(
+                fleet.get_state(self._forwarder.T, attempt.first_endpoint),
+                self._forwarder.now(),
+            )
 
-    Breaking the stream off at once would lose what a chain that is full, or
-    a stage that was silent, could serve a moment later.
+    def _remove(self, attempt):
+        task = self._attempts.pop(attempt)
+        if task is not None:
+            task.cancel()
+            # It may hold a connection that was just opened.
+            task.add_done_callback(lambda _: attempt.close())
+        return attempt
 
-    Returns
-    -------
-    bool
-        False if there is nothing to resume or the caller is about to leave.
-    """
-    if not stream.started or not stream.can_resume(job):
-        return False
-    if forwarder.now() - stream.last_event_at > _MAX_RESUME_WAIT_S:
+    def _is_response(self, outcome):
+        """Return whether an outcome is the final response to the caller."""
+        return outcome is _Signal.COMPLETE or (
+            _is_accepted(outcome) and not self._stream.started
+        )
+
+    async def _take_retry(self, outcome):
+        """Take a retry after the last attempt has ended, if it is allowed.
+
+        A stream that has begun waits for it as long as its caller does.
+        """
+        forwarder, job = self._forwarder, self._job
+        if isinstance(outcome, _exchanges.NotRun):
+            if await forwarder.take_retry_after_not_run(job, outcome):
+                return True
+        elif _is_accepted(outcome) or not self._stream.can_resume(job):
+            return False
+        elif forwarder.take_retry(job):
+            return True
+        while self._may_wait() and forwarder.may_retry(job):
+            await asyncio.sleep(_REFUSED_INTERVAL_S)
+            if forwarder.take_retry(job):
+                return True
         return False
-    await asyncio.sleep(_RESUME_INTERVAL_S)
-    job.failed_ids.clear()
-    return True
-
-
-def _fail_stream(forwarder, job, caller, stream, code):
-    reason = ''.join(job.send_outcomes[-1:])
-    if stream.started:
-        # Omit the end of the body, so that it does not look complete.
-        caller.abort()
-        reason = f'{stream.events} events, then {reason}'
-        forwarder.record_end(job, _Code.RETRIES_EXHAUSTED, reason)
-    elif job.may_have_run:
-        forwarder.end_with_error(job, caller, _Code.RETRIES_EXHAUSTED, reason)
-    else:
-        forwarder.end_with_error(job, caller, code, reason)
-
-
-def _record_completion(forwarder, job, stream):
-    first_event_at = stream.first_event_at or forwarder.now()
-    first_event_s = first_event_at - job.request.arrived_at
-    metrics.record_duration(
-        forwarder.request_metrics,
-        metrics.Timing.FIRST_TOKEN,
-        job.rank,
-        job.organisation.name if job.organisation else '',
-        first_event_s,
-    )
-    metrics.record_durations(
-        forwarder.request_metrics,
-        metrics.Timing.BETWEEN_TOKENS,
-        job.rank,
-        '',
-        stream.gaps_s,
-    )
-    forwarder.record_end(
-        job,
-        _Code.ANSWERED,
-        f'{stream.events} events',
-        first_ms=round(first_event_s * 1000),
-        pause_ms=round(max(stream.gaps_s, default=0.0) * 1000),
+
+    def _may_wait(self):
+        """Return whether a stream that has begun can be resumed later."""
+        stream = self._stream
+        if not stream.started or not stream.can_resume(self._job):
+            return False
+        elapsed_s = self._forwarder.now() - stream.last_event_at
+        return elapsed_s <= _MAX_RESUME_WAIT_S
+
+    def _finish(self):
+        """Record the end of a stream that was relayed to its end."""
+        forwarder, job, stream = self._forwarder, self._job, self._stream
+        first_event_at = stream.first_event_at or forwarder.now()
+        first_event_s = first_event_at - job.request.arrived_at
+        metrics.record_duration(
+            forwarder.request_metrics,
+            metrics.Timing.FIRST_TOKEN,
+            job.rank,
+            job.organisation.name if job.organisation else '',
+            first_event_s,
+        )
+        metrics.record_durations(
+            forwarder.request_metrics,
+            metrics.Timing.BETWEEN_TOKENS,
+            job.rank,
+            '',
+            stream.gaps_s,
+        )
+        forwarder.record_end(
+            job,
+            _Code.ANSWERED,
+            f'{stream.events} events',
+            first_ms=round(first_event_s * 1000),
+            pause_ms=round(max(stream.gaps_s, default=0.0) * 1000),
+        )
+
+    def _fail(self):
+        """End the request of a stream that no chain serves."""
+        forwarder, job, caller = self._forwarder, self._job, self._caller
+        reason = ''.join(job.send_outcomes[-1:])
+        if self._stream.started:
+            # Omit the end of the body, so that it does not look complete.
+            caller.abort()
+            reason = f'{self._stream.events} events, then {reason}'
+            forwarder.record_end(job, _Code.RETRIES_EXHAUSTED, reason)
+        elif self._answer is not None:
+            answer = self._answer
+            caller.send_response(answer.status, answer.headers, answer.body)
+            reason = f'status {answer.status}'
+            forwarder.record_end(job, _Code.ANSWERED, reason)
+        elif job.may_have_run:
+            forwarder.end_with_error(
+                job, caller, _Code.RETRIES_EXHAUSTED, reason
+            )
+        else:
+            forwarder.end_with_error(job, caller, self._code, reason)
+
+
+def _is_accepted(outcome):
+    """Return whether an endpoint responded without a failure of its own."""
+    return (
+        isinstance(outcome, _exchanges.Answered)
+        and outcome.status < _jobs.MIN_SERVER_ERROR_STATUS
     )
