Answer or report each request that was read

Callers got a closed connection and no answer if the handler ended without a response, if something else than their leaving cancelled it, or if the head of the response could not be encoded. Logs and metrics could not tell cuts apart: a request under way at the end of the grace period was logged as one whose caller left.

One place ends the response to a request, in whichever state the handler leaves it: 502 as long as no byte of a head was sent, else a cut. A cut has a reason (broken off, out of time, caller left, stopped, fault), counted as cut:REASON and logged as request:cut with the request's id. The connections of callers move to a module of their own.

--- a/sniperudder/entry/_entry.py
+++ b/sniperudder/entry/_entry.py
@@ -96,7 +96,10 @@
             random.Random(),
         )
         self._caller_server = forwarding.CallerServer(
-            self._forwarder.handle, self._log_exception, self._log_rejection
+            self._forwarder.handle,
+            self._log_exception,
+            self._log_rejection,
+            self._forwarder.record_cut,
         )
         self._readiness_server = forwarding.CallerServer(
             self._send_readiness, self._log_exception, self._log_rejection
--- /dev/null
+++ b/sniperudder/entry/tests/test_request_ends.py
@@ -0,0 +1,82 @@
+"""Tests of how requests end: whole, or cut for a reason that is recorded."""
+
+import asyncio
+
+import h11
+import testtools
+
+from sniperudder.entry.tests import _fleets
+from standins import fleet as standins
+
+
+class CutRecordTest(testtools.TestCase):
+    """The id of a cut request leads to its reason, in log and metrics."""
+
+    def run_case(self, case):
+        async def run():
+            engine = _fleets.create_engine('gpu-1', layers=(0, 8))
+            engine.script.append(self.hang_after_event(engine))
+            profile = standins.make_engine(accelerators=_fleets.ACCELERATORS)
+            async with _fleets.run_fleet(engine, engine=profile) as test_fleet:
+                await case(test_fleet, engine)
+                await test_fleet.await_event('request:cut')
+                cuts = test_fleet.journal.list_events('request:cut')
+                ends = test_fleet.journal.list_events('request:end')
+                _, _, text = await standins.send_request(
+                    test_fleet.metrics, '/metrics', 'GET', b''
+                )
+                return cuts, ends[-1]['code'], text.decode()
+
+        return asyncio.run(run())
+
+    def hang_after_event(self, engine):
+        async def serve(request, http, writer):
+            await engine.send_stream(request, http, writer, upto=1)
+            await asyncio.Event().wait()
+
+        return serve
+
+    async def send_and_expect_cut(self, test_fleet, **options):
+        try:
+            await test_fleet.send('/stream/a', **options)
+        except (h11.RemoteProtocolError, ConnectionResetError):
+            return
+        self.fail('the response was complete')
+
+    def assert_recorded(self, outcome, reason, code):
+        cuts, end_code, text = outcome
+        self.assertEqual([{'reason': reason}], cuts)
+        self.assertEqual(code, end_code)
+        self.assertIn(f'cut:{reason}', text)
+
+    def test_time_of_the_request_ends(self):
+        async def case(test_fleet, engine):
+            await self.send_and_expect_cut(test_fleet, wait_ms=600)
+
+        self.assert_recorded(self.run_case(case), 'out of time', 303)
+
+    def test_instance_stops(self):
+        async def case(test_fleet, engine):
+            sending = asyncio.create_task(
+                self.send_and_expect_cut(test_fleet, wait_ms=9_000)
+            )
+            while not engine.requests:
+                await asyncio.sleep(0.01)
+            await asyncio.sleep(0.1)
+            test_fleet.instance._caller_server.close()
+            await sending
+
+        self.assert_recorded(self.run_case(case), 'stopped', 307)
+
+    def test_endpoint_breaks_off(self):
+        async def case(test_fleet, engine):
+            sending = asyncio.create_task(
+                self.send_and_expect_cut(test_fleet, wait_ms=9_000)
+            )
+            while not engine.requests:
+                await asyncio.sleep(0.01)
+            await asyncio.sleep(0.1)
+            await engine.stop()
+            await sending
+
+        self.assert_recorded(self.run_case(case), 'broken off', 306)
--- a/sniperudder/forwarding/__init__.py
+++ b/sniperudder/forwarding/__init__.py
@@ -1,6 +1,7 @@
 """HTTP server for callers and forwarding of their requests to endpoints."""
 
-from sniperudder.forwarding._caller_server import CallerLimits
+from sniperudder.forwarding._caller_connections import CallerLimits
+from sniperudder.forwarding._caller_connections import Cut
 from sniperudder.forwarding._caller_server import CallerServer
 from sniperudder.forwarding._connections import ConnectionPool
 from sniperudder.forwarding._connections import request_json
@@ -13,6 +14,7 @@
     'CallerLimits',
     'CallerServer',
     'ConnectionPool',
+    'Cut',
     'EngineClient',
     'Forwarder',
     'NoResponse',
--- /dev/null
+++ b/sniperudder/forwarding/_caller_connections.py
@@ -0,0 +1,504 @@
+"""Connections of callers: requests are read, and each gets one response."""
+
+import asyncio
+import dataclasses
+import enum
+
+import h11
+
+from sniperudder.forwarding import _sockets
+from sniperudder.forwarding import _turns
+
+# Number of bytes received from a caller during a response at which reading
+# pauses. Callers normally send nothing then.
+_READ_PAUSE_BYTES = 65_536
+
+# Time for which the rest of a rejected request is read and discarded,
+# seconds. Closing the connection at once would send a reset, which could
+# discard the response.
+_LINGER_S = 1.0
+
+# HTTP status sent if the handler fails to respond. It does not imply whether
+# the request ran.
+_INTERNAL_ERROR_STATUS = 502
+
+# Brings a new parser into the state in which it accepts a response.
+_PLACEHOLDER_REQUEST = b'GET / HTTP/1.1\r\nHost: -\r\n\r\n'
+
+# Limits that apply until a configuration is loaded.
+_DEFAULT_MAX_HEADER_BYTES = 16_384
+_DEFAULT_MAX_BODY_BYTES = 4_194_304
+_DEFAULT_HEADER_TIMEOUT_S = 3.0
+_DEFAULT_IDLE_TIMEOUT_S = 15.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerLimits:
+    """Limits for the requests of callers.
+
+    Attributes
+    ----------
+    max_header_bytes, max_body_bytes : int
+    header_timeout_s : float
+        Timeout for the headers of a request, seconds.
+    idle_timeout_s : float
+        Longest time without data between requests and within a body,
+        seconds.
+    """
+
+    max_header_bytes: int = _DEFAULT_MAX_HEADER_BYTES
+    max_body_bytes: int = _DEFAULT_MAX_BODY_BYTES
+    header_timeout_s: float = _DEFAULT_HEADER_TIMEOUT_S
+    idle_timeout_s: float = _DEFAULT_IDLE_TIMEOUT_S
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerRequest:
+    """A completely received request.
+
+    Attributes
+    ----------
+    method, target : bytes
+    headers : list of (bytes, bytes, bytes)
+        Name in lower case, name as sent, value.
+    body : bytes
+    arrived_at : float
+        Loop time at which the end of the request arrived, seconds.
+    """
+
+    method: bytes
+    target: bytes
+    headers: list
+    body: bytes
+    arrived_at: float
+
+
+class Cut(enum.Enum):
+    """Why a request that was read gets no complete response.
+
+    BROKEN_OFF: the endpoint broke its response off, and nothing can go on.
+
+    OUT_OF_TIME: the time of the request ended within the response.
+
+    CALLER_LEFT: the caller closed the connection, or its sending side.
+
+    STOPPED: the grace period of this instance ended.
+
+    FAULT: the handler failed within the response.
+    """
+
+    BROKEN_OFF = 'broken off'
+    OUT_OF_TIME = 'out of time'
+    CALLER_LEFT = 'caller left'
+    STOPPED = 'stopped'
+    FAULT = 'fault'
+
+
+class NoResponse(Exception):
+    """Raised if a handler ends without a complete response."""
+
+
+class _Phase(enum.Enum):
+    IDLE = 'idle'
+    HEAD = 'head'
+    BODY = 'body'
+    RESPONSE = 'response'
+    CLOSING = 'closing'
+
+
+class CallerConnection(asyncio.Protocol):
+    """A connection opened by a caller.
+
+    Parameters
+    ----------
+    server : CallerServer
+
+    Attributes
+    ----------
+    cut : Cut or None
+        Why the current request gets no complete response.
+    """
+
+    def __init__(self, server):
+        self.cut = None
+        self._server = server
+        self._transport = None
+        self._http = None
+        self._limits = server.limits
+        self._idle_since = 0.0
+        self._phase = _Phase.IDLE
+        self._request = None
+        self._body_chunks = []
+        self._body_size = 0
+        self._task = None
+        # Whether any of the current response was sent.
+        self._head_sent = False
+        self._timer = None
+        self._writable = asyncio.Event()
+        self._writable.set()
+        self._loop = asyncio.get_running_loop()
+
+    def connection_made(self, transport):
+        """See base class."""
+        self._transport = transport
+        self._limits = self._server.limits
+        self._http = self._create_parser()
+        self._idle_since = self._loop.time()
+        _sockets.enable_keepalive(transport.get_extra_info('socket'))
+        self._server.connections.add(self)
+        self._enter_phase(_Phase.IDLE)
+
+    def data_received(self, data):
+        """See base class."""
+        if self._phase is _Phase.CLOSING:
+            return
+        if self._phase is _Phase.IDLE:
+            self._apply_limits()
+        self._http.receive_data(data)
+        if self._phase is _Phase.RESPONSE:
+            pending, _ = self._http.trailing_data
+            if len(pending) > _READ_PAUSE_BYTES:
+                self._transport.pause_reading()
+            return
+        if self._phase is _Phase.IDLE:
+            self._enter_phase(_Phase.HEAD)
+        elif self._phase is _Phase.BODY:
+            self._enter_phase(_Phase.BODY)
+        self._process_events()
+
+    def _create_parser(self):
+        return h11.Connection(
+            h11.SERVER,
+            max_incomplete_event_size=self._limits.max_header_bytes,
+        )
+
+    def _apply_limits(self):
+        """Apply the present limits to the next request of a kept connection.
+
+        They may have changed since the last response.
+        """
+        if self._limits != self._server.limits:
+            self._limits = self._server.limits
+            self._http = self._create_parser()
+
+    def eof_received(self):
+        """See base class."""
+        # A caller that closes only its sending side cannot be told from one
+        # that has left.
+        self._set_cut(Cut.CALLER_LEFT)
+        self._cancel_handler()
+        return False
+
+    def connection_lost(self, exc):
+        """See base class."""
+        self._server.connections.discard(self)
+        self._set_timer(None)
+        self._phase = _Phase.CLOSING
+        self._writable.set()
+        self._set_cut(Cut.CALLER_LEFT)
+        self._cancel_handler()
+
+    def pause_writing(self):
+        """See base class."""
+        self._writable.clear()
+
+    def resume_writing(self):
+        """See base class."""
+        self._writable.set()
+
+    @property
+    def idle(self):
+        """Whether no request is in progress."""
+        return self._phase is _Phase.IDLE
+
+    @property
+    def response_started(self):
+        """Whether the head of a response was sent, but not its end."""
+        return self._http.our_state is h11.SEND_BODY
+
+    def close(self):
+        """Close the connection after the buffered data has been sent."""
+        self._phase = _Phase.CLOSING
+        self._set_timer(None)
+        if self._transport is not None:
+            self._transport.close()
+
+    def abort(self, cut):
+        """Close the connection without completing the response.
+
+        Parameters
+        ----------
+        cut : Cut
+        """
+        self._set_cut(cut)
+        self._phase = _Phase.CLOSING
+        self._set_timer(None)
+        self._transport.abort()
+
+    def send_response(self, status, headers, body):
+        """Send a complete response.
+
+        Parameters
+        ----------
+        status : int
+        headers : list of (bytes, bytes)
+            Content-Length is added, unless they state it.
+        body : bytes
+            Left out where the response has none.
+        """
+        self.start_response(
+            status, [*headers, (b'Content-Length', b'%d' % len(body))]
+        )
+        self.send_data(body)
+        self.end_response()
+
+    def start_response(self, status, headers):
+        """Send the status line and headers of a response."""
+        if self._server.announce_close:
+            headers = [*headers, (b'Connection', b'close')]
+        self._write(h11.Response(status_code=status, headers=headers))
+
+    def send_data(self, data):
+        """Send a part of the response body."""
+        if data:
+            self._write(h11.Data(data=data))
+
+    def end_response(self):
+        """Send the end of the response."""
+        self._write(h11.EndOfMessage())
+
+    async def drain(self):
+        """Wait until the write buffer has room again."""
+        await self._writable.wait()
+
+    def _write(self, event):
+        if self._transport.is_closing():
+            return
+        self._transport.write(self._http.send(event))
+        self._head_sent = True
+
+    def _set_cut(self, cut):
+        """Record why the response stays incomplete; the first reason holds."""
+        if self.cut is None and self._is_responding():
+            self.cut = cut
+
+    def _is_responding(self):
+        """Return whether a request was read and its response is incomplete."""
+        return self._task is not None and self._http.our_state in (
+            h11.SEND_RESPONSE,
+            h11.SEND_BODY,
+            h11.ERROR,
+        )
+
+    def _cancel_handler(self):
+        if self._task is not None:
+            self._task.cancel()
+
+    def _enter_phase(self, phase):
+        if phase is _Phase.IDLE:
+            self._idle_since = self._loop.time()
+        self._phase = phase
+        limits = self._limits
+        if phase is _Phase.HEAD:
+            self._set_timer(limits.header_timeout_s)
+        elif phase in (_Phase.IDLE, _Phase.BODY):
+            self._set_timer(limits.idle_timeout_s)
+        else:
+            self._set_timer(None)
+
+    def _set_timer(self, delay_s):
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        if delay_s is not None:
+            self._timer = self._loop.call_later(delay_s, self._handle_timeout)
+
+    def _handle_timeout(self):
+        if self._phase in (_Phase.HEAD, _Phase.BODY):
+            self._reject(408)
+            return
+        # A caller may use the connection for as long as the present limits
+        # allow, if they are longer than those that held before.
+        idle_timeout_s = self._server.limits.idle_timeout_s
+        remaining_s = self._idle_since + idle_timeout_s - self._loop.time()
+        if remaining_s > 0:
+            self._set_timer(remaining_s)
+        else:
+            self.close()
+
+    def _process_events(self):
+        turn_ends_at = _turns.begin_turn()
+        while self._phase in (_Phase.HEAD, _Phase.BODY):
+            if _turns.read_clock() >= turn_ends_at:
+                self._transport.pause_reading()
+                self._loop.call_soon(self._resume_processing)
+                return
+            try:
+                event = self._http.next_event()
+            except h11.RemoteProtocolError as error:
+                self._reject(error.error_status_hint)
+                return
+            if event is h11.NEED_DATA:
+                if self._http.they_are_waiting_for_100_continue:
+                    self._write(
+                        h11.InformationalResponse(status_code=100, headers=[])
+                    )
+                return
+            self._handle_event(event)
+
+    def _get_max_body_bytes(self):
+        """Return the limit for a body, which may rise while it is read."""
+        return max(
+            self._limits.max_body_bytes, self._server.limits.max_body_bytes
+        )
+
+    def _resume_processing(self):
+        if not self._transport.is_closing():
+            self._transport.resume_reading()
+            self._process_events()
+
+    def _handle_event(self, event):
+        if isinstance(event, h11.Request):
+            self._request = event
+            self._body_chunks = []
+            self._body_size = 0
+            if _compute_head_size(event) > self._limits.max_header_bytes:
+                self._reject(431)
+            elif _get_content_length(event) > self._get_max_body_bytes():
+                self._reject(413)
+            else:
+                self._enter_phase(_Phase.BODY)
+        elif isinstance(event, h11.Data):
+            self._body_chunks.append(bytes(event.data))
+            self._body_size += len(event.data)
+            if self._body_size > self._get_max_body_bytes():
+                self._reject(413)
+        elif isinstance(event, h11.EndOfMessage):
+            self._start_handler()
+        else:
+            self.close()
+
+    def _start_handler(self):
+        self._enter_phase(_Phase.RESPONSE)
+        head = self._request
+        request = CallerRequest(
+            method=bytes(head.method),
+            target=bytes(head.target),
+            headers=[
+                (bytes(name), bytes(raw), bytes(value))
+                for (name, value), (raw, _) in zip(
+                    head.headers, head.headers.raw_items()
+                )
+            ],
+            body=b''.join(self._body_chunks),
+            arrived_at=self._loop.time(),
+        )
+        self._body_chunks = []
+        self.cut = None
+        self._head_sent = False
+        self._task = self._loop.create_task(self._run_handler(request))
+
+    async def _run_handler(self, request):
+        error = None
+        try:
+            await self._server.handle(request, self)
+        except asyncio.CancelledError:
+            # Without a cut, something else than the connection cancelled it.
+            error = NoResponse('handler cancelled')
+        except Exception as raised:
+            error = raised
+        cut = self._end_response_to(error)
+        self._task = None
+        if cut is not None:
+            self._server.report_cut(request, cut)
+        if self._phase is not _Phase.CLOSING:
+            self._prepare_next_request()
+
+    def _end_response_to(self, error):
+        """End the response to the current request, in whichever state it is.
+
+        Parameters
+        ----------
+        error : Exception or None
+            Raised by the handler.
+
+        Returns
+        -------
+        Cut or None
+            Why the response is incomplete.
+        """
+        if not self._is_responding():
+            if error is not None and not isinstance(error, NoResponse):
+                self._server.report_error(error)
+            return None
+        if self.cut is None:
+            self._server.report_error(error or NoResponse('no response'))
+            if not self._head_sent:
+                self._send_internal_error()
+                return None
+        cut = self.cut or Cut.FAULT
+        self.abort(cut)
+        return cut
+
+    def _send_internal_error(self):
+        """Respond with an error after the handler failed to respond."""
+        if self._http.our_state is h11.ERROR:
+            # The parser refused the handler's response before any of it was
+            # sent, and accepts no other.
+            self._http = self._create_parser()
+            self._http.receive_data(_PLACEHOLDER_REQUEST)
+            while self._http.their_state is not h11.DONE:
+                self._http.next_event()
+        self.send_response(
+            _INTERNAL_ERROR_STATUS, [(b'Connection', b'close')], b''
+        )
+
+    def _prepare_next_request(self):
+        """Keep the connection for another request, or close it."""
+        if (
+            self._http.our_state is not h11.DONE
+            or self._http.their_state is not h11.DONE
+            or self._server.close_after_response
+        ):
+            self.close()
+            return
+        self._http.start_next_cycle()
+        pending, _ = self._http.trailing_data
+        self._limits = self._server.limits
+        self._transport.resume_reading()
+        self._enter_phase(_Phase.HEAD if pending else _Phase.IDLE)
+        self._process_events()
+
+    def _reject(self, status):
+        """Respond with an error to a request that is not read completely."""
+        self._server.report_rejection(status)
+        if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            self._write(
+                h11.Response(
+                    status_code=status,
+                    headers=[
+                        (b'Content-Length', b'0'),
+                        (b'Connection', b'close'),
+                    ],
+                )
+            )
+            self._write(h11.EndOfMessage())
+        self._phase = _Phase.CLOSING
+        self._set_timer(None)
+        if self._transport.can_write_eof():
+            self._transport.write_eof()
+        self._loop.call_later(_LINGER_S, self._transport.abort)
+
+
+def _compute_head_size(request):
+    size = len(request.target)
+    for name, value in request.headers:
+        size += len(name) + len(value) + 4
+    return size
+
+
+def _get_content_length(request):
+    for name, value in request.headers:
+        if name == b'content-length':
+            return int(value)
+    return 0
--- a/sniperudder/forwarding/_caller_server.py
+++ b/sniperudder/forwarding/_caller_server.py
@@ -1,395 +1,8 @@
 """HTTP server for callers, the load balancer and metrics scrapers."""
 
 import asyncio
-import dataclasses
-import enum
 
-import h11
-
-from sniperudder.forwarding import _sockets
-from sniperudder.forwarding import _turns
-
-# Number of bytes received from a caller during a response at which reading
-# pauses. Callers normally send nothing then.
-_READ_PAUSE_BYTES = 65_536
-
-# Time for which the rest of a rejected request is read and discarded,
-# seconds. Closing the connection at once would send a reset, which could
-# discard the response.
-_LINGER_S = 1.0
-
-# HTTP status sent if the handler raises an exception. It does not imply
-# whether the request ran.
-_INTERNAL_ERROR_STATUS = 502
-
-# Limits that apply until a configuration is loaded.
-_DEFAULT_MAX_HEADER_BYTES = 16_384
-_DEFAULT_MAX_BODY_BYTES = 4_194_304
-_DEFAULT_HEADER_TIMEOUT_S = 3.0
-_DEFAULT_IDLE_TIMEOUT_S = 15.0
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class CallerLimits:
-    """Limits for the requests of callers.
-
-    Attributes
-    ----------
-    max_header_bytes, max_body_bytes : int
-    header_timeout_s : float
-        Timeout for the headers of a request, seconds.
-    idle_timeout_s : float
-        Longest time without data between requests and within a body,
-        seconds.
-    """
-
-    max_header_bytes: int = _DEFAULT_MAX_HEADER_BYTES
-    max_body_bytes: int = _DEFAULT_MAX_BODY_BYTES
-    header_timeout_s: float = _DEFAULT_HEADER_TIMEOUT_S
-    idle_timeout_s: float = _DEFAULT_IDLE_TIMEOUT_S
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class CallerRequest:
-    """A completely received request.
-
-    Attributes
-    ----------
-    method, target : bytes
-    headers : list of (bytes, bytes, bytes)
-        Name in lower case, name as sent, value.
-    body : bytes
-    arrived_at : float
-        Loop time at which the end of the request arrived, seconds.
-    """
-
-    method: bytes
-    target: bytes
-    headers: list
-    body: bytes
-    arrived_at: float
-
-
-class _Phase(enum.Enum):
-    IDLE = 'idle'
-    HEAD = 'head'
-    BODY = 'body'
-    RESPONSE = 'response'
-    CLOSING = 'closing'
-
-
-class CallerConnection(asyncio.Protocol):
-    """A connection opened by a caller.
-
-    Parameters
-    ----------
-    server : CallerServer
-    """
-
-    def __init__(self, server):
-        self._server = server
-        self._transport = None
-        self._http = None
-        self._limits = server.limits
-        self._idle_since = 0.0
-        self._phase = _Phase.IDLE
-        self._request = None
-        self._body_chunks = []
-        self._body_size = 0
-        self._task = None
-        self._timer = None
-        self._writable = asyncio.Event()
-        self._writable.set()
-        self._loop = asyncio.get_running_loop()
-
-    def connection_made(self, transport):
-        """See base class."""
-        self._transport = transport
-        self._limits = self._server.limits
-        self._http = self._create_parser()
-        self._idle_since = self._loop.time()
-        _sockets.enable_keepalive(transport.get_extra_info('socket'))
-        self._server.connections.add(self)
-        self._enter_phase(_Phase.IDLE)
-
-    def data_received(self, data):
-        """See base class."""
-        if self._phase is _Phase.CLOSING:
-            return
-        if self._phase is _Phase.IDLE:
-            self._apply_limits()
-        self._http.receive_data(data)
-        if self._phase is _Phase.RESPONSE:
-            pending, _ = self._http.trailing_data
-            if len(pending) > _READ_PAUSE_BYTES:
-                self._transport.pause_reading()
-            return
-        if self._phase is _Phase.IDLE:
-            self._enter_phase(_Phase.HEAD)
-        elif self._phase is _Phase.BODY:
-            self._enter_phase(_Phase.BODY)
-        self._process_events()
-
-    def _create_parser(self):
-        return h11.Connection(
-            h11.SERVER,
-            max_incomplete_event_size=self._limits.max_header_bytes,
-        )
-
-    def _apply_limits(self):
-        """Apply the present limits to the next request of a kept connection.
-
-        They may have changed since the last response.
-        """
-        if self._limits != self._server.limits:
-            self._limits = self._server.limits
-            self._http = self._create_parser()
-
-    def eof_received(self):
-        """See base class."""
-        self._cancel_handler()
-        return False
-
-    def connection_lost(self, exc):
-        """See base class."""
-        self._server.connections.discard(self)
-        self._set_timer(None)
-        self._phase = _Phase.CLOSING
-        self._writable.set()
-        self._cancel_handler()
-
-    def pause_writing(self):
-        """See base class."""
-        self._writable.clear()
-
-    def resume_writing(self):
-        """See base class."""
-        self._writable.set()
-
-    @property
-    def idle(self):
-        """Whether no request is in progress."""
-        return self._phase is _Phase.IDLE
-
-    @property
-    def response_started(self):
-        """Whether the head of a response was sent, but not its end."""
-        return self._http.our_state is h11.SEND_BODY
-
-    def close(self):
-        """Close the connection after the buffered data has been sent."""
-        self._phase = _Phase.CLOSING
-        self._set_timer(None)
-        if self._transport is not None:
-            self._transport.close()
-
-    def abort(self):
-        """Close the connection without completing the response."""
-        self._phase = _Phase.CLOSING
-        self._set_timer(None)
-        self._transport.abort()
-
-    def send_response(self, status, headers, body):
-        """Send a complete response.
-
-        Parameters
-        ----------
-        status : int
-        headers : list of (bytes, bytes)
-            Headers other than Content-Length.
-        body : bytes
-        """
-        self.start_response(
-            status, [*headers, (b'Content-Length', b'%d' % len(body))]
-        )
-        self.send_data(body)
-        self.end_response()
-
-    def start_response(self, status, headers):
-        """Send the status line and headers of a response."""
-        if self._server.announce_close:
-            headers = [*headers, (b'Connection', b'close')]
-        self._write(h11.Response(status_code=status, headers=headers))
-
-    def send_data(self, data):
-        """Send a part of the response body."""
-        if data:
-            self._write(h11.Data(data=data))
-
-    def end_response(self):
-        """Send the end of the response."""
-        self._write(h11.EndOfMessage())
-
-    async def drain(self):
-        """Wait until the write buffer has room again."""
-        await self._writable.wait()
-
-    def _write(self, event):
-        if self._transport.is_closing():
-            return
-        self._transport.write(self._http.send(event))
-
-    def _cancel_handler(self):
-        if self._task is not None:
-            self._task.cancel()
-
-    def _enter_phase(self, phase):
-        if phase is _Phase.IDLE:
-            self._idle_since = self._loop.time()
-        self._phase = phase
-        limits = self._limits
-        if phase is _Phase.HEAD:
-            self._set_timer(limits.header_timeout_s)
-        elif phase in (_Phase.IDLE, _Phase.BODY):
-            self._set_timer(limits.idle_timeout_s)
-        else:
-            self._set_timer(None)
-
-    def _set_timer(self, delay_s):
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
-        if delay_s is not None:
-            self._timer = self._loop.call_later(delay_s, self._handle_timeout)
-
-    def _handle_timeout(self):
-        if self._phase in (_Phase.HEAD, _Phase.BODY):
-            self._reject(408)
-            return
-        # A caller may use the connection for as long as the present limits
-        # allow, if they are longer than those that held before.
-        idle_timeout_s = self._server.limits.idle_timeout_s
-        remaining_s = self._idle_since + idle_timeout_s - self._loop.time()
-        if remaining_s > 0:
-            self._set_timer(remaining_s)
-        else:
-            self.close()
-
-    def _process_events(self):
-        turn_ends_at = _turns.begin_turn()
-        while self._phase in (_Phase.HEAD, _Phase.BODY):
-            if _turns.read_clock() >= turn_ends_at:
-                self._transport.pause_reading()
-                self._loop.call_soon(self._resume_processing)
-                return
-            try:
-                event = self._http.next_event()
-            except h11.RemoteProtocolError as error:
-                self._reject(error.error_status_hint)
-                return
-            if event is h11.NEED_DATA:
-                if self._http.they_are_waiting_for_100_continue:
-                    self._write(
-                        h11.InformationalResponse(status_code=100, headers=[])
-                    )
-                return
-            self._handle_event(event)
-
-    def _get_max_body_bytes(self):
-        """Return the limit for a body, which may rise while it is read."""
-        return max(
-            self._limits.max_body_bytes, self._server.limits.max_body_bytes
-        )
-
-    def _resume_processing(self):
-        if not self._transport.is_closing():
-            self._transport.resume_reading()
-            self._process_events()
-
-    def _handle_event(self, event):
-        if isinstance(event, h11.Request):
-            self._request = event
-            self._body_chunks = []
-            self._body_size = 0
-            if _compute_head_size(event) > self._limits.max_header_bytes:
-                self._reject(431)
-            elif _get_content_length(event) > self._get_max_body_bytes():
-                self._reject(413)
-            else:
-                self._enter_phase(_Phase.BODY)
-        elif isinstance(event, h11.Data):
-            self._body_chunks.append(bytes(event.data))
-            self._body_size += len(event.data)
-            if self._body_size > self._get_max_body_bytes():
-                self._reject(413)
-        elif isinstance(event, h11.EndOfMessage):
-            self._start_handler()
-        else:
-            self.close()
-
-    def _start_handler(self):
-        self._enter_phase(_Phase.RESPONSE)
-        head = self._request
-        request = CallerRequest(
-            method=bytes(head.method),
-            target=bytes(head.target),
-            headers=[
-                (bytes(name), bytes(raw), bytes(value))
-                for (name, value), (raw, _) in zip(
-                    head.headers, head.headers.raw_items()
-                )
-            ],
-            body=b''.join(self._body_chunks),
-            arrived_at=self._loop.time(),
-        )
-        self._body_chunks = []
-        self._task = self._loop.create_task(self._run_handler(request))
-
-    async def _run_handler(self, request):
-        try:
-            await self._server.handle(request, self)
-        except asyncio.CancelledError:
-            self.abort()
-            return
-        except Exception as error:
-            # Complete or abort the response after an internal error.
-            self._server.report_error(error)
-            if self._http.our_state is not h11.SEND_RESPONSE:
-                self.abort()
-                return
-            self.send_response(_INTERNAL_ERROR_STATUS, [], b'')
-        finally:
-            self._task = None
-        self._finish_response()
-
-    def _finish_response(self):
-        if self._phase is _Phase.CLOSING:
-            return
-        if self._http.our_state is not h11.DONE:
-            self.close()
-            return
-        if (
-            self._http.their_state is not h11.DONE
-            or self._server.close_after_response
-        ):
-            self.close()
-            return
-        self._http.start_next_cycle()
-        self._limits = self._server.limits
-        self._transport.resume_reading()
-        pending, _ = self._http.trailing_data
-        self._enter_phase(_Phase.HEAD if pending else _Phase.IDLE)
-        self._process_events()
-
-    def _reject(self, status):
-        """Respond with an error to a request that is not read completely."""
-        self._server.report_rejection(status)
-        if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-            self._write(
-                h11.Response(
-                    status_code=status,
-                    headers=[
-                        (b'Content-Length', b'0'),
-                        (b'Connection', b'close'),
-                    ],
-                )
-            )
-            self._write(h11.EndOfMessage())
-        self._phase = _Phase.CLOSING
-        self._set_timer(None)
-        if self._transport.can_write_eof():
-            self._transport.write_eof()
-        self._loop.call_later(_LINGER_S, self._transport.abort)
+from sniperudder.forwarding import _caller_connections
 
 
 class CallerServer:
@@ -405,6 +18,9 @@
     report_rejection : callable
         Called with the HTTP status of a request that was rejected before
         it was read completely.
+    report_cut : callable, optional
+        Called with a `CallerRequest` that was read and gets no complete
+        response, and the `Cut`.
 
     Attributes
     ----------
@@ -419,11 +35,14 @@
         Open connections.
     """
 
-    def __init__(self, handle, report_error, report_rejection):
+    def __init__(
+        self, handle, report_error, report_rejection, report_cut=None
+    ):
         self.handle = handle
         self.report_error = report_error
         self.report_rejection = report_rejection
-        self.limits = CallerLimits()
+        self.report_cut = report_cut or _ignore_cut
+        self.limits = _caller_connections.CallerLimits()
         self.announce_close = False
         self.close_after_response = False
         self.connections = set()
@@ -444,7 +63,7 @@
         """
         host, _, port = address.rpartition(':')
         self._server = await asyncio.get_running_loop().create_server(
-            lambda: CallerConnection(self),
+            lambda: _caller_connections.CallerConnection(self),
             host,
             int(port),
             backlog=1024,
@@ -465,7 +84,7 @@
         if self._server is not None:
             self._server.close()
         for connection in list(self.connections):
-            connection.abort()
+            connection.abort(_caller_connections.Cut.STOPPED)
 
     def close_idle(self):
         """Close the connections on which no request is in progress."""
@@ -474,15 +93,5 @@
                 connection.close()
 
 
-def _compute_head_size(request):
-    size = len(request.target)
-    for name, value in request.headers:
-        size += len(name) + len(value) + 4
-    return size
-
-
-def _get_content_length(request):
-    for name, value in request.headers:
-        if name == b'content-length':
-            return int(value)
-    return 0
+def _ignore_cut(request, cut):
+    """Report nothing: those who read these responses ask again."""
--- a/sniperudder/forwarding/_forwarder.py
+++ b/sniperudder/forwarding/_forwarder.py
@@ -7,6 +7,7 @@
 from sniperudder import clocks
 from sniperudder import digests
 from sniperudder import fleet
+from sniperudder.forwarding import _caller_connections
 from sniperudder.forwarding import _crash_monitor
 from sniperudder.forwarding import _exchanges
 from sniperudder.forwarding import _guards
@@ -107,9 +108,27 @@
         except TimeoutError:
             self._handle_timeout(job, caller)
         except asyncio.CancelledError:
-            self.record_end(job, _Code.CALLER_LEFT)
+            if caller.cut is not None:
+                code = _Code.CALLER_LEFT
+                if caller.cut is _caller_connections.Cut.STOPPED:
+                    code = _Code.STOPPED_WHILE_RUNNING
+                self.record_end(job, code, caller.cut.value)
             raise
 
+    def record_cut(self, request, cut):
+        """Record a request that was read and got no complete response.
+
+        Parameters
+        ----------
+        request : CallerRequest
+        cut : Cut
+        """
+        head = platform.decode_request_head(
+            (name, value) for name, _, value in request.headers
+        )
+        metrics.count_event(self.request_metrics, f'cut:{cut.value}')
+        self.journal.write('request:cut', head.request_id, reason=cut.value)
+
     def apply_settings(self, settings):
         """Apply changed settings; retries already spent remain counted."""
         self.settings = settings
@@ -613,7 +632,7 @@
                 routing.record_refusal(state, self.now())
         if caller.response_started:
             # Omit the end of the body, so that it does not look complete.
-            caller.abort()
+            caller.abort(_caller_connections.Cut.OUT_OF_TIME)
             self.record_end(job, _Code.DEADLINE_WHILE_RUNNING, 'cut')
             return
         if job.may_have_run:
--- a/sniperudder/forwarding/_streams.py
+++ b/sniperudder/forwarding/_streams.py
@@ -4,6 +4,7 @@
 
 from sniperudder import fleet
 from sniperudder.forwarding import _attempts
+from sniperudder.forwarding import _caller_connections
 from sniperudder.forwarding import _events
 from sniperudder.forwarding import _exchanges
 from sniperudder.forwarding import _jobs
@@ -331,7 +332,7 @@
         reason = ''.join(job.send_outcomes[-1:])
         if self._stream.started:
             # Omit the end of the body, so that it does not look complete.
-            caller.abort()
+            caller.abort(_caller_connections.Cut.BROKEN_OFF)
             reason = f'{self._stream.events} events, then {reason}'
             forwarder.record_end(job, _Code.RETRIES_EXHAUSTED, reason)
         elif self._answer is not None:
--- a/sniperudder/forwarding/tests/test_caller_server.py
+++ b/sniperudder/forwarding/tests/test_caller_server.py
@@ -26,9 +26,13 @@
         self.requests = []
         self.rejections = []
         self.faults = []
+        self.cuts = []
         self.address = _processes.find_addresses(1)[0]
         self.server = forwarding.CallerServer(
-            self.handle, self.faults.append, self.rejections.append
+            self.handle,
+            self.faults.append,
+            self.rejections.append,
+            lambda request, cut: self.cuts.append(cut),
         )
         self.server.limits = _LIMITS
 
@@ -37,6 +41,30 @@
         self.requests.append(request)
         if request.target == b'/fault':
             raise RuntimeError('handler error')
+        if request.target == b'/silent':
+            return
+        if request.target == b'/cancelled':
+            raise asyncio.CancelledError
+        if request.target == b'/bad-head':
+            caller.start_response(200, [(b'X', b'a\r\nb')])
+        if request.target == b'/missing':
+            caller.send_response(404, [], b'no such thing')
+            return
+        if request.target.startswith(b'/status/'):
+            caller.send_response(int(request.target[8:]), [], b'')
+            return
+        if request.target == b'/unended':
+            caller.start_response(200, [])
+            caller.send_data(b'part')
+            return
+        if request.target == b'/late-fault':
+            caller.start_response(200, [])
+            caller.send_data(b'part')
+            raise RuntimeError('handler error')
+        if request.target == b'/hang':
+            caller.start_response(200, [])
+            caller.send_data(b'part')
+            await asyncio.Event().wait()
         if request.target == b'/slow':
             caller.start_response(200, [(b'Transfer-Encoding', b'chunked')])
             await asyncio.sleep(0.1)
@@ -66,7 +94,9 @@
         return received
 
 
-class CallerServerTest(testtools.TestCase):
+class CallerServerTestBase(testtools.TestCase):
+    """Runs cases against a server of its own."""
+
     def run_server(self, case):
         """Run a case against a new server and return the server."""
 
@@ -90,6 +120,8 @@
 
         return self.run_server(case), responses[0]
 
+
+class CallerServerTest(CallerServerTestBase):
     def test_chunked_body_is_read_completely(self):
         server, response = self.exchange(
             b'POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n'
@@ -298,3 +330,64 @@
 
         server = self.run_server(case)
         self.assertEqual([], server.faults)
+
+
+class RequestEndTest(CallerServerTestBase):
+    """Each request that was read gets a response, or is cut for a reason."""
+
+    def send(self, target, method='GET'):
+        """Send two requests on a connection; return server and response."""
+        request = (
+            f'{method} {target} HTTP/1.1\r\nHost: h\r\n\r\n'
+            'GET /last HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n'
+        )
+        return self.exchange(request.encode())
+
+    # Guards against: a request whose handler ended without a response, was
+    # cancelled by something else than the caller's leaving, or gave a head
+    # that could not be encoded, got a closed connection and no answer.
+    def test_request_without_a_response_is_answered_with_502(self):
+        for target in ('/silent', '/cancelled', '/bad-head'):
+            server, response = self.send(target)
+            self.assertIn(b'HTTP/1.1 502', response, target)
+            self.assertEqual(1, response.count(b'HTTP/1.1'), target)
+            self.assertEqual(1, len(server.faults), target)
+            self.assertEqual([], server.cuts, target)
+
+    def test_response_without_an_end_is_cut_and_reported(self):
+        for target in ('/unended', '/late-fault'):
+            server, response = self.send(target)
+            self.assertFalse(response.endswith(b'0\r\n\r\n'), target)
+            self.assertEqual([forwarding.Cut.FAULT], server.cuts, target)
+            self.assertEqual(1, len(server.faults), target)
+
+    def test_caller_that_leaves_is_reported_as_such(self):
+        async def case(server):
+            host, _, port = server.address.rpartition(':')
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(b'GET /hang HTTP/1.1\r\nHost: h\r\n\r\n')
+            await reader.readuntil(b'part')
+            writer.close()
+            async with asyncio.timeout(_READ_S):
+                while not server.cuts:
+                    await asyncio.sleep(0.01)
+
+        server = self.run_server(case)
+        self.assertEqual([forwarding.Cut.CALLER_LEFT], server.cuts)
+        self.assertEqual([], server.faults)
+
+    def test_request_that_outlasts_the_server_is_reported_as_such(self):
+        async def case(server):
+            host, _, port = server.address.rpartition(':')
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(b'GET /hang HTTP/1.1\r\nHost: h\r\n\r\n')
+            await reader.readuntil(b'part')
+            server.server.close()
+            async with asyncio.timeout(_READ_S):
+                while not server.cuts:
+                    await asyncio.sleep(0.01)
+            writer.close()
+
+        server = self.run_server(case)
+        self.assertEqual([forwarding.Cut.STOPPED], server.cuts)
+        self.assertEqual([], server.faults)
--- a/sniperudder/outcomes/_codes.py
+++ b/sniperudder/outcomes/_codes.py
@@ -50,6 +50,7 @@
     CALLER_LEFT = 304
     CRASHED_ENDPOINTS = 305
     RETRIES_EXHAUSTED = 306
+    STOPPED_WHILE_RUNNING = 307
 
     ORDER_IN_DOUBT = 400
     ORDER_IN_PROGRESS = 401
@@ -226,6 +227,12 @@
         502,
         'Endpoints failed during the run; the answer is incomplete.',
     ),
+    _create_entry(
+        Code.STOPPED_WHILE_RUNNING,
+        _RAN,
+        502,
+        'This instance stopped during the run; the answer is incomplete.',
+    ),
     _create_entry(
         Code.ORDER_IN_DOUBT,
         _IN_DOUBT,
