Apply limits that change during a response to the next request

Callers on kept connections got 431 for a head that the configuration in force allows: limits that changed during a response were taken over at its end, but the parser kept the old ones, and the comparison at the next bytes found no difference. The parser is replaced together with the limits, and gets the bytes of a pipelined request.

--- a/sniperudder/forwarding/_caller_connections.py
+++ b/sniperudder/forwarding/_caller_connections.py
@@ -471,7 +471,11 @@
             return
         self._http.start_next_cycle()
         pending, _ = self._http.trailing_data
-        self._limits = self._server.limits
+        if self._limits != self._server.limits:
+            self._limits = self._server.limits
+            self._http = self._create_parser()
+            if pending:
+                self._http.receive_data(pending)
         self._transport.resume_reading()
         self._enter_phase(_Phase.HEAD if pending else _Phase.IDLE)
         self._process_events()
--- a/sniperudder/forwarding/tests/test_caller_server.py
+++ b/sniperudder/forwarding/tests/test_caller_server.py
@@ -315,6 +315,24 @@
         self.assertIn(b'HTTP/1.1 502', response)
         self.assertEqual(1, len(server.faults))
 
+    # Guards against: limits that rose during a response were thought to be
+    # applied, and the parser rejected the next head by the old ones.
+    def test_limits_that_change_during_a_response_apply_to_the_next(self):
+        slow = b'GET /slow HTTP/1.1\r\nHost: h\r\n\r\n'
+        head = b'GET / HTTP/1.1\r\nHost: h\r\nX: ' + b'x' * 5_000
+        statuses = self.exchange_beside_change(
+            {'max_header_bytes': 8_000}, (slow, head, b'\r\n\r\n'), 0.15
+        )
+        self.assertEqual([200, 200], statuses)
+
+    def test_limits_that_change_during_a_response_apply_to_a_pipelined(self):
+        slow = b'GET /slow HTTP/1.1\r\nHost: h\r\n\r\n'
+        head = b'GET / HTTP/1.1\r\nHost: h\r\nX: ' + b'x' * 5_000
+        statuses = self.exchange_beside_change(
+            {'max_header_bytes': 8_000}, (slow + head, b'\r\n\r\n'), 0.1
+        )
+        self.assertEqual([200, 200], statuses)
+
     def test_server_survives_random_bytes(self):
         rng = random.Random(8)
 
