--- a/sniperudder/forwarding/_attempts.py
+++ b/sniperudder/forwarding/_attempts.py
@@ -42,6 +42,7 @@
     ----------
     forwarder : Forwarder
     job : Job
+    caller : CallerConnection
     stream : StreamProgress
     stages : tuple of sniperudder.fleet.Stage
 
@@ -57,9 +58,10 @@
         Headers for the caller, once the head of the response has arrived.
     """
 
-    def __init__(self, forwarder, job, stream, stages):
+    def __init__(self, forwarder, job, caller, stream, stages):
         self._forwarder = forwarder
         self._job = job
+        self._caller = caller
         self._stream = stream
         self._stages = stages
         self._began_at = None
@@ -106,24 +108,48 @@
         self._reservation.reserve(self._stages, self._forwarder.now())
         self._forwarder.log_send(job, self._stages, after=self._stream.last_id)
 
-    async def receive(self):
-        """Receive what comes next of the response.
+    async def receive(self, send_events):
+        """Receive the response, and pass its events on.
+
+        Parameters
+        ----------
+        send_events : callable
+            Called with this attempt and a list of events; returns an outcome
+            if they end the attempt, else None.
 
         Returns
         -------
-        list of Event, Signal, Answered, NotRun or Interrupted
-            The attempt goes on after events and `Signal.SILENT`.
+        Signal, Answered, NotRun or Interrupted
+            After `Signal.SILENT`, the call may be repeated.
         """
-        if not self._sent:
-            self._sent = True
-            failure = await self._exchange.open()
-            if failure is not None:
-                return failure
         if self._head is None:
-            outcome = await self._receive_head()
+            outcome = await self._begin_response()
             if outcome is not None:
                 return outcome
-        return await self._receive_events()
+        while True:
+            check_after_s = (
+                _STALL_S if self._stream.started else _FIRST_EVENT_STALL_S
+            )
+            try:
+                event = await self._monitor.receive(
+                    self._exchange.receive, check_after_s
+                )
+                if event is None:
+                    return Signal.SILENT
+                if isinstance(event, h11.EndOfMessage):
+                    return await self._check_end()
+                if not isinstance(event, h11.Data):
+                    return _exchanges.Interrupted('closed within a stream')
+                events = self._splitter.feed(event.data)
+            except (_events.EventTooLong, OSError) as error:
+                return _exchanges.Interrupted(_exchanges.describe_error(error))
+            if events:
+                interrupted = send_events(self, events)
+                if interrupted is not None:
+                    return interrupted
+                if not self._caller.is_writable:
+                    await self._caller.drain()
+                self._monitor.reroute_around_leaving()
 
     def record_progress(self, events):
         """Record that a number of events were passed on to the caller."""
@@ -134,10 +160,6 @@
         elif now - self._began_at > routing.SURVIVAL_S:
             self._record_survival()
 
-    def reroute_around_leaving(self):
-        """See `StreamMonitor.reroute_around_leaving`."""
-        self._monitor.reroute_around_leaving()
-
     def end(self, outcome):
         """End the attempt with an outcome.
 
@@ -167,7 +189,16 @@
             return str(self._stream.last_id)
         return self._job.head.last_event_id
 
-    async def _receive_head(self):
+    async def _begin_response(self):
+        """Send the request, and receive the head of its response.
+
+        Returns None once the head of a stream has arrived.
+        """
+        if not self._sent:
+            self._sent = True
+            failure = await self._exchange.open()
+            if failure is not None:
+                return failure
         head = await self._monitor.receive(
             self._exchange.receive_head, _FIRST_EVENT_STALL_S
         )
@@ -189,27 +220,6 @@
         )
         return None
 
-    async def _receive_events(self):
-        check_after_s = (
-            _STALL_S if self._stream.started else _FIRST_EVENT_STALL_S
-        )
-        while True:
-            try:
-                event = await self._monitor.receive(
-                    self._exchange.receive, check_after_s
-                )
-                if event is None:
-                    return Signal.SILENT
-                if isinstance(event, h11.EndOfMessage):
-                    return await self._check_end()
-                if not isinstance(event, h11.Data):
-                    return _exchanges.Interrupted('closed within a stream')
-                events = self._splitter.feed(event.data)
-            except (_events.EventTooLong, OSError) as error:
-                return _exchanges.Interrupted(_exchanges.describe_error(error))
-            if events:
-                return events
-
     async def _check_end(self):
         """Return whether the end of the response is the end of the stream."""
         if self._splitter.remainder:
--- a/sniperudder/forwarding/_caller_connections.py
+++ b/sniperudder/forwarding/_caller_connections.py
@@ -274,6 +274,11 @@
         """Send the end of the response."""
         self._write(h11.EndOfMessage())
 
+    @property
+    def is_writable(self):
+        """Whether the write buffer has room."""
+        return self._writable.is_set()
+
     async def drain(self):
         """Wait until the write buffer has room again."""
         await self._writable.wait()
--- a/sniperudder/forwarding/_exchanges.py
+++ b/sniperudder/forwarding/_exchanges.py
@@ -195,9 +195,12 @@
                 return Interrupted(f'foreign answer: {describe_error(error)}')
         return Interrupted('only answers to other requests')
 
-    async def receive(self, timeout_s=None):
-        """Return the next h11 event; see `ClientConnection.receive`."""
-        return await self._connection.receive(timeout_s)
+    def receive(self, timeout_s=None):
+        """Return an awaitable of the next h11 event.
+
+        See `ClientConnection.receive`.
+        """
+        return self._connection.receive(timeout_s)
 
     async def receive_rest(self, head):
         """Receive the body and return the outcome of the exchange.
--- a/sniperudder/forwarding/_streams.py
+++ b/sniperudder/forwarding/_streams.py
@@ -110,7 +110,7 @@
 
     def _add_attempt(self, stages):
         attempt = _attempts.Attempt(
-            self._forwarder, self._job, self._stream, stages
+            self._forwarder, self._job, self._caller, self._stream, stages
         )
         self._attempts[attempt] = None
         attempt.begin()
@@ -124,19 +124,17 @@
             `Signal.COMPLETE`, or the outcome of the last attempt.
         """
         while True:
-            attempt, received = await self._receive()
+            if len(self._attempts) == 1 and self._begin_elsewhere_at is None:
+                ((attempt, task),) = self._attempts.items()
+                received = await (task or attempt.receive(self._send_events))
+                self._attempts[attempt] = None
+            else:
+                attempt, received = await self._receive_first()
             if received is _Signal.SILENT:
                 self._begin_elsewhere(attempt)
                 continue
-            if isinstance(received, list):
-                self._end_others(attempt)
-                self._clear_suspicion(attempt)
-                self._begin_elsewhere_at = None
-                received = await self._send_events(attempt, received)
-                if received is None:
-                    continue
-            elif received is _Signal.COMPLETE:
-                self._end_others(attempt)
+            if received is _Signal.COMPLETE:
+                self._prefer(attempt)
                 self._send_end(attempt)
             self._end(attempt, received)
             if not self._attempts or self._is_response(received):
@@ -148,30 +146,32 @@
                     + _jobs.get_not_run_backoff_s(self._job)
                 )
 
-    async def _receive(self):
-        """Return the first attempt that receives something, and what."""
-        if len(self._attempts) == 1:
-            ((attempt, task),) = self._attempts.items()
-            if task is None and self._begin_elsewhere_at is None:
-                return attempt, await attempt.receive()
-        for attempt, task in self._attempts.items():
-            if task is None:
-                self._attempts[attempt] = asyncio.create_task(
-                    attempt.receive()
-                )
-        wait_s = None
-        if self._begin_elsewhere_at is not None:
-            wait_s = max(self._begin_elsewhere_at - self._forwarder.now(), 0.0)
-        done, _ = await asyncio.wait(
-            self._attempts.values(),
-            timeout=wait_s,
-            return_when=asyncio.FIRST_COMPLETED,
-        )
-        for attempt, task in self._attempts.items():
-            if task in done:
-                self._attempts[attempt] = None
-                return attempt, task.result()
-        return next(iter(self._attempts)), _Signal.SILENT
+    async def _receive_first(self):
+        """Return the first attempt that receives no more, and its result.
+
+        Returns a silent attempt if it is time for another one beside it.
+        """
+        while True:
+            for attempt, task in self._attempts.items():
+                if task is None:
+                    self._attempts[attempt] = asyncio.create_task(
+                        attempt.receive(self._send_events)
+                    )
+            wait_s = None
+            if self._begin_elsewhere_at is not None:
+                wait_s = self._begin_elsewhere_at - self._forwarder.now()
+            done, _ = await asyncio.wait(
+                self._attempts.values(),
+                timeout=wait_s,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            for attempt, task in self._attempts.items():
+                if task in done:
+                    self._attempts[attempt] = None
+                    return attempt, task.result()
+            # Otherwise, one of them was ended for the sake of another.
+            if not done and self._begin_elsewhere_at is not None:
+                return next(iter(self._attempts)), _Signal.SILENT
 
     def _begin_elsewhere(self, silent):
         """Begin another attempt beside one whose first stage is silent."""
@@ -194,8 +194,9 @@
             )
         self._add_attempt(stages)
 
-    async def _send_events(self, attempt, events):
+    def _send_events(self, attempt, events):
         """Send events to the caller; return an outcome if that ends them."""
+        self._prefer(attempt)
         sent, interrupted = _progress.forward_events(
             self._forwarder,
             self._caller,
@@ -206,9 +207,6 @@
         )
         if sent:
             attempt.record_progress(sent)
-        if interrupted is None:
-            await self._caller.drain()
-            attempt.reroute_around_leaving()
         return interrupted
 
     def _send_end(self, attempt):
@@ -234,7 +232,7 @@
             job.failed_ids.add(attempt.first_endpoint.id)
 
     def _end_others(self, relayed):
-        """End the other attempts, since one of them makes progress."""
+        """End the other attempts."""
         for attempt in [a for a in self._attempts if a is not relayed]:
             self._remove(attempt)
             if attempt.suspected:
@@ -249,9 +247,13 @@
                 by=relayed.first_endpoint.id,
             )
 
-    def _clear_suspicion(self, attempt):
-        """Record that an attempt whose first stage was silent goes on."""
+    def _prefer(self, attempt):
+        """Relay this attempt from now on, since it makes progress."""
+        self._begin_elsewhere_at = None
+        if len(self._attempts) > 1:
+            self._end_others(attempt)
         if attempt.suspected:
+            # Its first stage was silent and goes on.
             attempt.suspected = False
             routing.record_success(
                 fleet.get_state(self._forwarder.T, attempt.first_endpoint),
