Give up nothing for a second attempt that doesn't serve the stream

Callers saw streams cut, or held to their deadline, where served or failed them sooner:

- An event that arrived during the check of a silent stage was read only after it (a pause of 805 ms instead of 500), and another attempt was begun though the stream went on.
Now the check runs beside the receiving.
- An attempt that was ended before it was sent counted as one of max_attempts, so the stream couldn't be resumed later.
It is taken back now, with its retry.
- The silent attempt was ended before the other one's events could be relayed: a response from the wrong position, without ids, or 404 elsewhere cut the stream.
Now the first event that is sent decides, and a failure ends its own attempt only.
- The crash of an engine that died silently counted against no request, and its run was kept to the deadline (504 after 3.5 s instead of 0.7 s).
The interruption is recorded when the stage is suspected, and the run ends with its entry in the list.
- One silence counted as two failures; refusals elsewhere weren't bounded; the time of the next attempt outlived the silent one; a block was not asked for after a wait; both chains could share stages.

They are one design and go together.

--- /dev/null
+++ b/sniperudder/entry/tests/test_second_attempts.py
@@ -0,0 +1,207 @@
+"""Tests of an attempt at a stream that is begun beside a silent one."""
+
+import asyncio
+
+import h11
+import testtools
+
+from sniperudder.entry.tests import _fleets
+from sniperudder.entry.tests import test_silences
+from standins import fleet as standins
+
+
+class SecondAttemptTest(testtools.TestCase):
+    """One engine serves a stream and falls silent; another one gets it too."""
+
+    def run_case(self, first, make_second, change=None, wait_ms=4_000):
+        """Send a stream; return its outcome and what there was to see.
+
+        Parameters
+        ----------
+        first : callable
+            Returns the script entry of the engine that gets the stream first.
+        make_second : callable
+            Returns the script entries of the other one.
+        change : callable, optional
+            Coroutine function of the fleet and both engines, run meanwhile.
+
+        Returns
+        -------
+        outcome : (int, list of int)
+            Status of the response, and ids of its events.
+        test_fleet : Fleet
+        engines : (SilentEngine, SilentEngine)
+        """
+        engines = [
+            test_silences.SilentEngine('gpu-1'),
+            test_silences.SilentEngine('gpu-2'),
+        ]
+
+        async def run():
+            profile = standins.make_engine(accelerators=_fleets.ACCELERATORS)
+            async with _fleets.run_fleet(
+                *engines, engine=profile
+            ) as test_fleet:
+                for engine in engines:
+                    engine.script.append(first(engine))
+                sending = asyncio.create_task(
+                    test_fleet.send('/stream/a', wait_ms=wait_ms)
+                )
+                while not any(engine.requests for engine in engines):
+                    await asyncio.sleep(0.001)
+                engines.sort(key=lambda e: not e.requests)
+                engines[1].script.clear()
+                engines[1].script.extend(make_second(engines[1]))
+                if change is not None:
+                    await change(test_fleet, *engines)
+                status, _, body = await sending
+                await asyncio.sleep(0.05)
+                outcome = status, _fleets.list_ids(body)
+                self.assert_nothing_held(test_fleet)
+                return outcome, test_fleet, engines
+
+        return asyncio.run(run())
+
+    def assert_nothing_held(self, test_fleet):
+        for state in test_fleet.instance._T.states.values():
+            self.assertEqual((0, 0), (state.requests, state.connections))
+
+    def fall_silent(self, engine):
+        return engine.fall_silent_after(1)
+
+    def pause(self, engine, end):
+        """Return a script entry: half a second of silence, then an ending."""
+
+        async def serve(request, http, writer):
+            await engine.send_stream(request, http, writer, upto=1)
+            engine.begin_silence()
+            await asyncio.sleep(0.5)
+            data = b'id: 2\ndata: 2\n\n'
+            writer.write(http.send(h11.Data(data=data)))
+            await writer.drain()
+            await end(http, writer)
+
+        return serve
+
+    # Guards against: an event that arrived while a silent engine was asked for
+    # its report was relayed only afterwards, and another attempt was begun.
+    def test_event_is_relayed_while_the_stages_are_checked(self):
+        async def end(http, writer):
+            writer.write(http.send(h11.Data(data=b'id: 3\ndata: 3\n\n')))
+            writer.write(http.send(h11.EndOfMessage()))
+
+        outcome, test_fleet, engines = self.run_case(
+            lambda engine: self.pause(engine, end), lambda engine: ()
+        )
+        self.assertEqual((200, [1, 2, 3]), outcome)
+        self.assertEqual([], engines[1].arrivals)
+        (ended,) = test_fleet.journal.list_events('request:end')
+        self.assertLess(ended['pause_ms'], 700)
+
+    # Guards against: an attempt that was ended before it was sent counted
+    # against those that the route allows, and the stream couldn't be resumed.
+    def test_stream_is_resumed_after_a_silence_that_ended(self):
+        async def end(http, writer):
+            await asyncio.sleep(0.6)
+            writer.transport.abort()
+            raise OSError('reset by the script')
+
+        outcome, _, _ = self.run_case(
+            lambda engine: self.pause(engine, end), lambda engine: ()
+        )
+        self.assertEqual((200, [1, 2, 3]), outcome)
+
+    # Guards against: the run at a silent engine was ended for another one
+    # whose response could not be relayed.
+    def test_unusable_response_elsewhere_ends_nothing(self):
+        def ignore_position(engine):
+            async def serve(request, http, writer):
+                headers = [
+                    pair
+                    for pair in request.headers
+                    if pair[0] != b'last-event-id'
+                ]
+                fresh = h11.Request(
+                    method=request.method,
+                    target=request.target,
+                    headers=headers,
+                )
+                await engine.send_stream(fresh, http, writer)
+
+            return [serve]
+
+        def send_comment(engine):
+            async def serve(request, http, writer):
+                headers = [
+                    ('Transfer-Encoding', 'chunked'),
+                    *standins.make_seal(request),
+                ]
+                head = h11.Response(status_code=200, headers=headers)
+                writer.write(http.send(head))
+                writer.write(http.send(h11.Data(data=b': ping\n\n')))
+                await asyncio.sleep(3)
+
+            return [serve]
+
+        def fail(engine):
+            return [engine.fail()]
+
+        def reject(engine):
+            async def serve(request, http, writer):
+                seal = standins.make_seal(request)
+                standins.write_response(http, writer, 404, b'no', seal)
+
+            return [serve]
+
+        for make_second in (ignore_position, send_comment, fail, reject):
+            outcome, _, _ = self.run_case(self.fall_silent, make_second)
+            self.assertEqual((200, [1, 2, 3]), outcome, make_second.__name__)
+
+    # Guards against: the crash of an engine whose run was kept while it was
+    # silent counted against no request, and the run was kept to the end.
+    def test_crash_of_a_silent_engine_is_recorded(self):
+        async def crash(test_fleet, silent, other):
+            silent.silent_until = float('inf')
+            await asyncio.sleep(1.5)
+            test_fleet.store.put('servers', silent.id, None)
+
+        outcome, test_fleet, _ = self.run_case(
+            lambda engine: engine.hang(),
+            lambda engine: [engine.refuse() for _ in range(60)],
+            crash,
+            wait_ms=9_000,
+        )
+        self.assertEqual(502, outcome[0])
+        (crashed,) = test_fleet.journal.list_events('endpoint:crashed')
+        self.assertEqual('listed as gone', crashed['reason'])
+        (ended,) = test_fleet.journal.list_events('request:end')
+        self.assertLess(ended['duration_ms'], 4_000)
+
+    # Guards against: one silence that ended with a break counted as two
+    # failures of the engine, and refusals elsewhere used up the budget.
+    def test_one_silence_is_one_failure_and_few_retries(self):
+        async def end(engine, request, http, writer):
+            await engine.send_stream(request, http, writer, upto=1)
+            engine.begin_silence()
+            await asyncio.sleep(2.6)
+            writer.transport.abort()
+            raise OSError('reset by the script')
+
+        def fall_silent(engine):
+            return lambda *exchange: end(engine, *exchange)
+
+        async def expect_cut(test_fleet, silent, other):
+            await asyncio.sleep(2.3)
+            forwarder = test_fleet.instance._forwarder
+            self.assertEqual(6, len(other.arrivals))
+            state = test_fleet.instance._T.states[silent.id, silent.born]
+            self.assertEqual(1, state.failures)
+            self.assertEqual(6, len(forwarder.get_budget('llm')._retries))
+
+        self.assertRaises(
+            h11.RemoteProtocolError,
+            self.run_case,
+            fall_silent,
+            lambda engine: [engine.refuse() for _ in range(60)],
+            expect_cut,
+        )
--- a/sniperudder/forwarding/_attempts.py
+++ b/sniperudder/forwarding/_attempts.py
@@ -53,7 +53,9 @@
     sent_at : float
         Loop time at which it began, seconds.
     suspected : bool
-        Whether the first stage has been silent.
+        Whether the first stage is silent and was recorded as failed.
+    is_charged : bool
+        Whether it was taken from the budget of retries.
     headers : list of (bytes, bytes) or None
         Headers for the caller, once the head of the response has arrived.
     """
@@ -84,6 +86,7 @@
             forwarder.create_guard(stages[0].endpoint),
         )
         self.number = 0
+        self.is_charged = False
         self.sent_at = forwarder.now()
         self.suspected = False
         self.headers = None
@@ -93,11 +96,26 @@
         """The chain that the request was sent to."""
         return self._stages
 
+    @property
+    def present_stages(self):
+        """The chain that serves the request, which may be rerouted."""
+        return self._monitor.stages
+
     @property
     def first_endpoint(self):
         """The endpoint that the request was sent to."""
         return self._stages[0].endpoint
 
+    @property
+    def was_sent(self):
+        """Whether the request may have reached the endpoint."""
+        return self._exchange.was_sent
+
+    @property
+    def is_listed(self):
+        """Whether the platform lists the run of the first endpoint."""
+        return self._forwarder.crash_monitor.is_listed_run(self.first_endpoint)
+
     def begin(self):
         """Count the attempt; the request is sent by `receive`."""
         job = self._job
@@ -160,6 +178,14 @@
         elif now - self._began_at > routing.SURVIVAL_S:
             self._record_survival()
 
+    def suspect(self):
+        """Record that the first stage is silent, though it may go on.
+
+        If it has crashed, this request may be the cause.
+        """
+        self.suspected = True
+        self._record_interruption('first stage silent')
+
     def end(self, outcome):
         """End the attempt with an outcome.
 
@@ -173,9 +199,10 @@
         elif isinstance(outcome, _exchanges.NotRun):
             self._job.possible_runs -= 1
         elif isinstance(outcome, _exchanges.Interrupted):
-            self._forwarder.crash_monitor.record_interruption(
-                self._job, self._monitor.stages, outcome.reason, self._survived
-            )
+            if self.suspected:
+                self._forwarder.crash_monitor.check(self._monitor.stages[0])
+            else:
+                self._record_interruption(outcome.reason)
         self.close()
 
     def close(self):
@@ -230,6 +257,15 @@
                 return _exchanges.Interrupted('crashed or left at the end')
         return Signal.COMPLETE
 
+    def _record_interruption(self, reason):
+        self._forwarder.crash_monitor.record_interruption(
+            self._job,
+            self._monitor.stages,
+            reason,
+            self._survived,
+            self.number,
+        )
+
     def _record_survival(self):
         if not self._survived:
             self._survived = True
--- a/sniperudder/forwarding/_crash_monitor.py
+++ b/sniperudder/forwarding/_crash_monitor.py
@@ -72,7 +72,7 @@
             'crash_blocks': len(self._table.list_blocks()),
         }
 
-    def record_interruption(self, job, stages, reason, survived):
+    def record_interruption(self, job, stages, reason, survived, attempt=None):
         """Record a request that was interrupted while it ran.
 
         Parameters
@@ -83,11 +83,13 @@
         survived : bool
             Whether the request had run for so long that it cannot be the cause
             of a crash.
+        attempt : int, optional
+            Number of the attempt; the latest one by default.
         """
         self._journal.write(
             'request:interrupted',
             job.head.request_id,
-            attempt=job.attempts,
+            attempt=attempt or job.attempts,
             endpoints=[stage.endpoint.id for stage in stages],
             reason=reason,
             survived=survived,
@@ -103,6 +105,11 @@
         if stages[0].endpoint in serving:
             self._start_check(stages[0].endpoint)
 
+    def check(self, stage):
+        """Find out whether an endpoint that should serve has crashed."""
+        if fleet.is_serving(self._T, stage):
+            self._start_check(stage.endpoint)
+
     async def has_ended_response(self, stage):
         """Find out whether an endpoint ended a response without a length.
 
@@ -126,7 +133,7 @@
             runs = await self._responds(endpoint)
         else:
             runs = await self._keeps_connection(endpoint)
-        runs = runs and self._is_listed_run(endpoint)
+        runs = runs and self.is_listed_run(endpoint)
         if not runs and fleet.is_serving(self._T, stage):
             # For the record of crashes.
             self._start_check(endpoint)
@@ -149,7 +156,8 @@
             self._pool.release(connection)
         return not connection.has_ended()
 
-    def _is_listed_run(self, endpoint):
+    def is_listed_run(self, endpoint):
+        """Return whether the platform lists this run of an endpoint."""
         listed = self._T.endpoints.get(endpoint.id)
         return listed is not None and (
             _get_run_id(listed) == _get_run_id(endpoint)
--- a/sniperudder/forwarding/_exchanges.py
+++ b/sniperudder/forwarding/_exchanges.py
@@ -101,6 +101,11 @@
     address : str
     outgoing : OutgoingRequest
     guard : SendGuard, optional
+
+    Attributes
+    ----------
+    was_sent : bool
+        Whether any of the request may have reached the endpoint.
     """
 
     def __init__(self, pool, address, outgoing, guard=None):
@@ -111,6 +116,7 @@
         self._connection = None
         self._idle_timeout_s = None
         self._opened = False
+        self.was_sent = False
 
     async def open(self):
         """Connect and send the request.
@@ -145,6 +151,7 @@
             )
         except OSError as error:
             return NotRun(describe_error(error))
+        self.was_sent = True
         return None
 
     async def receive_head(self, timeout_s=None):
--- a/sniperudder/forwarding/_forwarder.py
+++ b/sniperudder/forwarding/_forwarder.py
@@ -292,6 +292,10 @@
         """
         return self.may_retry(job) and self._spend_retry(job)
 
+    def give_retry_back(self, job):
+        """Return a retry that was taken and reached no endpoint."""
+        self.get_budget(job.service.name).give_back()
+
     def _spend_retry(self, job):
         budget = self.get_budget(job.service.name)
         return budget.spend(self.now(), self._get_slack())
--- a/sniperudder/forwarding/_monitors.py
+++ b/sniperudder/forwarding/_monitors.py
@@ -19,6 +19,9 @@
 _CHECK_INTERVAL_S = 0.3
 _FREQUENT_CHECKS = 5
 
+# Interval at which the result of a running check is looked for, seconds.
+_CHECK_POLL_S = 0.02
+
 # Time without progress of any stream after which a stage counts as being
 # without progress, seconds; several times the usual interval between events.
 _NO_PROGRESS_S = 0.35
@@ -61,6 +64,7 @@
         self._reroute_at = None
         self._began_at = forwarder.now()
         self._reroute_task = None
+        self._check_task = None
         # Loop time of the next check; None while the stream makes progress.
         self._check_at = None
         self._checks = 0
@@ -85,29 +89,50 @@
         -------
         object or None
             The result of `receive_next`; None if the first stage is silent
-            and the stream may be served elsewhere. May be called again then.
+            and the stream can be resumed. May be called again then.
         """
         if self._check_at is None:
             self._check_at = self._forwarder.now() + check_after_s
             self._checks = 0
             self._check_interval_s = _CHECK_INTERVAL_S
         while True:
-            wait_s = max(self._check_at - self._forwarder.now(), 0.0)
+            is_checking = self._check_task is not None
+            wait_s = (
+                _CHECK_POLL_S
+                if is_checking
+                else max(self._check_at - self._forwarder.now(), 0.0)
+            )
             try:
                 return await receive_next(wait_s)
             except TimeoutError:
-                is_silent = await self._check_stages()
-            # Check a stream that is merely slow less and less often.
-            self._checks += 1
-            if self._checks >= _FREQUENT_CHECKS:
-                self._check_interval_s *= 2
-            self._check_at = self._forwarder.now() + self._check_interval_s
-            if is_silent:
+                if not is_checking:
+                    # Whatever arrives meanwhile is received at once.
+                    self._check_task = asyncio.create_task(
+                        self._check_stages()
+                    )
+                    continue
+            if not self._check_task.done():
+                continue
+            is_silent = self._check_task.result()
+            self._end_check()
+            if is_silent and self._stream.can_resume(self._job):
                 return None
 
+    def _end_check(self):
+        """Set the time of the next check."""
+        self._check_task = None
+        # Check a stream that is merely slow less and less often.
+        self._checks += 1
+        if self._checks >= _FREQUENT_CHECKS:
+            self._check_interval_s *= 2
+        self._check_at = self._forwarder.now() + self._check_interval_s
+
     def postpone_checks(self):
         """Begin to wait for progress anew."""
         self._check_at = None
+        if self._check_task is not None:
+            self._check_task.cancel()
+            self._check_task = None
 
     def record_progress(self, events):
         """Record that a number of events arrived through all stages."""
@@ -118,7 +143,8 @@
             self._get_state(stage).progress_at = now
 
     def close(self):
-        """Cancel a reroute that is in progress."""
+        """Cancel a check and a reroute that are in progress."""
+        self.postpone_checks()
         if self._reroute_task is not None:
             self._reroute_task.cancel()
 
@@ -139,7 +165,7 @@
     async def _check_stages(self):
         """Reroute the stream if a later stage stalls it.
 
-        Returns whether the first stage is silent; see `receive`.
+        Returns whether the first stage is silent.
         """
         rerouter, job = self._forwarder.rerouter, self._job
         self._speed_sampler.restart()
@@ -152,7 +178,7 @@
         if not reached or (
             address is None and self._is_first_stage_without_progress()
         ):
-            return self._may_leave_first_stage()
+            return True
         # Reports lag behind; leaving stages are known without a report.
         excluded = self._list_leaving()
         if address is not None:
@@ -186,16 +212,6 @@
     def _get_state(self, stage):
         return fleet.get_state(self._forwarder.T, stage.endpoint)
 
-    def _may_leave_first_stage(self):
-        """Return whether the stream may be served by another first stage.
-
-        One that is leaving refuses new connections but completes the streams
-        that it has started.
-        """
-        return self._stream.can_resume(self._job) and fleet.is_serving(
-            self._forwarder.T, self.stages[0]
-        )
-
     def _is_first_stage_without_progress(self):
         """Return whether the first stage does not process new requests.
 
--- a/sniperudder/forwarding/_streams.py
+++ b/sniperudder/forwarding/_streams.py
@@ -25,6 +25,10 @@
 # Interval at which a stream that was refused too often is sent again, seconds.
 _REFUSED_INTERVAL_S = 0.2
 
+# Number of sends that were not run after which no more attempts are begun
+# beside a silent one.
+_MAX_REFUSALS_BESIDE = 6
+
 # Number of attempts of one stream that may run at the same time.
 _MAX_CONCURRENT_ATTEMPTS = 2
 
@@ -97,6 +101,8 @@
             # A chain that is full now, or a stage that was silent, may serve
             # the stream a moment later.
             await asyncio.sleep(_RESUME_INTERVAL_S)
+            if not self._forwarder.may_retry(self._job):
+                break
             self._job.failed_ids.clear()
             stages = _selection.choose_stages(self._forwarder, self._job)
         if not stages:
@@ -109,11 +115,13 @@
         return True
 
     def _add_attempt(self, stages):
+        self._begin_elsewhere_at = None
         attempt = _attempts.Attempt(
             self._forwarder, self._job, self._caller, self._stream, stages
         )
         self._attempts[attempt] = None
         attempt.begin()
+        return attempt
 
     async def _relay(self):
         """Relay events until all attempts have ended.
@@ -131,13 +139,15 @@
             else:
                 attempt, received = await self._receive_first()
             if received is _Signal.SILENT:
-                self._begin_elsewhere(attempt)
-                continue
+                if not attempt.suspected or attempt.is_listed:
+                    self._begin_elsewhere(attempt)
+                    continue
+                received = _exchanges.Interrupted('no longer listed')
             if received is _Signal.COMPLETE:
                 self._prefer(attempt)
                 self._send_end(attempt)
             self._end(attempt, received)
-            if not self._attempts or self._is_response(received):
+            if not self._attempts or received is _Signal.COMPLETE:
                 return received
             (remaining,) = self._attempts
             if isinstance(received, _exchanges.NotRun) and remaining.suspected:
@@ -179,24 +189,40 @@
         if len(self._attempts) >= _MAX_CONCURRENT_ATTEMPTS:
             return
         forwarder, job = self._forwarder, self._job
-        excluded = [silent.first_endpoint.id]
-        stages = _selection.choose_stages(forwarder, job, excluded)
-        if not stages and job.failed_ids:
-            # Those that refused it may have room by now.
-            job.failed_ids.clear()
-            stages = _selection.choose_stages(forwarder, job, excluded)
+        if job.sends_not_run >= _MAX_REFUSALS_BESIDE:
+            return
+        if not fleet.is_serving(forwarder.T, silent.stages[0]):
+            # It refuses new connections, but completes what it has begun.
+            return
+        stages = self._choose_other_stages(silent)
         if not stages or not forwarder.take_retry(job):
             return
         if not silent.suspected:
-            silent.suspected = True
+            silent.suspect()
             forwarder.record_outcome(
                 job, silent.stages, _FIRST_STAGE_FAILED, silent.sent_at
             )
-        self._add_attempt(stages)
+        self._add_attempt(stages).is_charged = True
+
+    def _choose_other_stages(self, silent):
+        """Choose a chain with another first stage, best with others only."""
+        chain = [stage.endpoint.id for stage in silent.present_stages]
+        for excluded in (chain, chain[:1]):
+            stages = _selection.choose_stages(
+                self._forwarder, self._job, excluded
+            )
+            if not stages and self._job.failed_ids:
+                # Those that refused it may have room by now.
+                self._job.failed_ids.clear()
+                stages = _selection.choose_stages(
+                    self._forwarder, self._job, excluded
+                )
+            if stages:
+                return stages
+        return ()
 
     def _send_events(self, attempt, events):
         """Send events to the caller; return an outcome if that ends them."""
-        self._prefer(attempt)
         sent, interrupted = _progress.forward_events(
             self._forwarder,
             self._caller,
@@ -206,6 +232,7 @@
             self._job.route.gap_target_s,
         )
         if sent:
+            self._prefer(attempt)
             attempt.record_progress(sent)
         return interrupted
 
@@ -221,9 +248,14 @@
         if outcome is _Signal.COMPLETE:
             return
         forwarder, job = self._forwarder, self._job
-        forwarder.record_outcome(job, attempt.stages, outcome, attempt.sent_at)
+        if not attempt.suspected:
+            forwarder.record_outcome(
+                job, attempt.stages, outcome, attempt.sent_at
+            )
         if isinstance(outcome, _exchanges.NotRun):
             self._code = _Code.TARGET_UNREACHABLE
+            if attempt.is_charged and not outcome.reached_endpoint:
+                forwarder.give_retry_back(job)
         elif isinstance(outcome, _exchanges.Answered):
             self._answer = outcome
             if outcome.status >= _jobs.MIN_SERVER_ERROR_STATUS:
@@ -234,11 +266,19 @@
     def _end_others(self, relayed):
         """End the other attempts."""
         for attempt in [a for a in self._attempts if a is not relayed]:
-            self._remove(attempt)
-            if attempt.suspected:
-                attempt.end(_FIRST_STAGE_FAILED)
+            task = self._attempts[attempt]
+            if (
+                task is not None
+                and task.done()
+                and (task.result() is not _Signal.SILENT)
+            ):
+                self._end(attempt, task.result())
+            elif attempt.suspected:
+                self._remove(attempt).end(_FIRST_STAGE_FAILED)
+            elif attempt.was_sent:
+                self._remove(attempt).close()
             else:
-                attempt.close()
+                self._end_unsent(attempt)
             self._forwarder.journal.write(
                 'request:superseded',
                 self._job.head.request_id,
@@ -247,11 +287,19 @@
                 by=relayed.first_endpoint.id,
             )
 
+    def _end_unsent(self, attempt):
+        """End an attempt that no endpoint knows of, and take it back."""
+        self._remove(attempt).end(_exchanges.NotRun('not sent'))
+        self._job.attempts -= 1
+        if attempt.is_charged:
+            self._forwarder.give_retry_back(self._job)
+
     def _prefer(self, attempt):
         """Relay this attempt from now on, since it makes progress."""
         self._begin_elsewhere_at = None
         if len(self._attempts) > 1:
             self._end_others(attempt)
+            self._job.endpoint = attempt.first_endpoint
         if attempt.suspected:
             # Its first stage was silent and goes on.
             attempt.suspected = False
@@ -268,12 +316,6 @@
             task.add_done_callback(lambda _: attempt.close())
         return attempt
 
-    def _is_response(self, outcome):
-        """Return whether an outcome is the final response to the caller."""
-        return outcome is _Signal.COMPLETE or (
-            _is_accepted(outcome) and not self._stream.started
-        )
-
     async def _take_retry(self, outcome):
         """Take a retry after the last attempt has ended, if it is allowed.
 
--- a/sniperudder/routing/_budgets.py
+++ b/sniperudder/routing/_budgets.py
@@ -118,6 +118,11 @@
         self._retries.append(now)
         return True
 
+    def give_back(self):
+        """Return the last retry, which was not sent."""
+        if self._retries:
+            self._retries.pop()
+
     def has_left(self, now, slack):
         """Return whether `spend` would allow a retry."""
         self._trim(now)
