Record a reset that a write finds as a caller that left

A caller that reset its connection just before the response was written was counted as a fault of this program, with an error in the log: the transport was closing, and the loop told of the loss a turn later. The test failed before (1 failed), and passes now.

--- a/sniperudder/forwarding/_caller_connections.py
+++ b/sniperudder/forwarding/_caller_connections.py
@@ -443,6 +443,9 @@
             if error is not None and not isinstance(error, NoResponse):
                 self._server.report_error(error)
             return None
+        if self._transport.is_closing():
+            # A write found it reset, before the loop reports that it is lost.
+            self._set_cut(Cut.CALLER_LEFT)
         if self.cut is None:
             self._server.report_error(error or NoResponse('no response'))
             if not self._head_sent:
--- a/sniperudder/forwarding/tests/test_caller_server.py
+++ b/sniperudder/forwarding/tests/test_caller_server.py
@@ -4,6 +4,8 @@
 import dataclasses
 import random
 import re
+import socket
+import struct
 
 import testtools
 
@@ -27,6 +29,7 @@
         self.rejections = []
         self.faults = []
         self.cuts = []
+        self.client = None
         self.address = _processes.find_addresses(1)[0]
         self.server = forwarding.CallerServer(
             self.handle,
@@ -61,6 +64,11 @@
             caller.start_response(200, [])
             caller.send_data(b'part')
             raise RuntimeError('handler error')
+        if request.target == b'/reset':
+            # Closing without lingering sends a reset.
+            linger = struct.pack('ii', 1, 0)
+            self.client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            self.client.close()
         if request.target == b'/hang':
             caller.start_response(200, [])
             caller.send_data(b'part')
@@ -413,6 +421,21 @@
         self.assertEqual([forwarding.Cut.CALLER_LEFT], server.cuts)
         self.assertEqual([], server.faults)
 
+    # Guards against: a caller's reset that was found by a write, before the
+    # loop reported it, was recorded as a fault of this program.
+    def test_caller_that_resets_is_reported_as_one_that_left(self):
+        async def case(server):
+            host, _, port = server.address.rpartition(':')
+            server.client = socket.create_connection((host, int(port)))
+            server.client.sendall(b'GET /reset HTTP/1.1\r\nHost: h\r\n\r\n')
+            async with asyncio.timeout(_READ_S):
+                while not server.cuts:
+                    await asyncio.sleep(0.01)
+
+        server = self.run_server(case)
+        self.assertEqual([forwarding.Cut.CALLER_LEFT], server.cuts)
+        self.assertEqual([], server.faults)
+
     def test_request_that_outlasts_the_server_is_reported_as_such(self):
         async def case(server):
             host, _, port = server.address.rpartition(':')
