--- a/sniperudder/forwarding/_attempts.py
+++ b/sniperudder/forwarding/_attempts.py
@@ -18,6 +18,9 @@
 # the stages are checked, seconds. These are half of the time that callers
 # allow for a first event, and twice the longest gap that counts as timely.
 _FIRST_EVENT_STALL_S = 0.4
+
+# Time for which the body of an error response is awaited, seconds.
+_ERROR_TIMEOUT_S = 1.0
 _STALL_S = 0.4
 
 
@@ -111,11 +114,6 @@
         """Whether the request may have reached the endpoint."""
         return self._exchange.was_sent
 
-    @property
-    def is_listed(self):
-        """Whether the platform lists the run of the first endpoint."""
-        return self._forwarder.crash_monitor.is_listed_run(self.first_endpoint)
-
     def begin(self):
         """Count the attempt; the request is sent by `receive`."""
         job = self._job
@@ -235,7 +233,7 @@
             return head
         self._monitor.postpone_checks()
         if head.status_code != 200:
-            return await self._exchange.receive_rest(head)
+            return await self._exchange.receive_rest(head, _ERROR_TIMEOUT_S)
         response_head = platform.decode_response_head(
             head.status_code, head.headers
         )
--- a/sniperudder/forwarding/_crash_monitor.py
+++ b/sniperudder/forwarding/_crash_monitor.py
@@ -133,7 +133,7 @@
             runs = await self._responds(endpoint)
         else:
             runs = await self._keeps_connection(endpoint)
-        runs = runs and self.is_listed_run(endpoint)
+        runs = runs and self._is_listed_run(endpoint)
         if not runs and fleet.is_serving(self._T, stage):
             # For the record of crashes.
             self._start_check(endpoint)
@@ -156,7 +156,7 @@
             self._pool.release(connection)
         return not connection.has_ended()
 
-    def is_listed_run(self, endpoint):
+    def _is_listed_run(self, endpoint):
         """Return whether the platform lists this run of an endpoint."""
         listed = self._T.endpoints.get(endpoint.id)
         return listed is not None and (
--- a/sniperudder/forwarding/_exchanges.py
+++ b/sniperudder/forwarding/_exchanges.py
@@ -213,12 +213,14 @@
         """
         return self._connection.receive(timeout_s)
 
-    async def receive_rest(self, head):
+    async def receive_rest(self, head, timeout_s=None):
         """Receive the body and return the outcome of the exchange.
 
         Parameters
         ----------
         head : h11.Response
+        timeout_s : float, optional
+            Seconds; no limit by default.
 
         Returns
         -------
@@ -228,7 +230,8 @@
             head.status_code, head.headers
         )
         # The head alone tells that the request was not run.
-        timeout_s = _REFUSAL_BODY_TIMEOUT_S if response_head.not_run else None
+        if response_head.not_run:
+            timeout_s = _REFUSAL_BODY_TIMEOUT_S
         try:
             async with asyncio.timeout(timeout_s):
                 body = await _connections.receive_body(self._connection)
--- a/sniperudder/forwarding/_monitors.py
+++ b/sniperudder/forwarding/_monitors.py
@@ -96,27 +96,23 @@
             self._checks = 0
             self._check_interval_s = _CHECK_INTERVAL_S
         while True:
-            is_checking = self._check_task is not None
-            wait_s = (
-                _CHECK_POLL_S
-                if is_checking
-                else max(self._check_at - self._forwarder.now(), 0.0)
-            )
+            wait_s = self._check_at - self._forwarder.now()
+            is_silent = False
+            if self._check_task is not None:
+                wait_s = _CHECK_POLL_S
+                if self._check_task.done():
+                    is_silent = self._check_task.result()
+                    self._end_check()
+                    wait_s = 0.0
+            elif wait_s <= 0:
+                # Whatever arrives meanwhile is received at once.
+                self._check_task = asyncio.create_task(self._check_stages())
+                wait_s = _CHECK_POLL_S
             try:
                 return await receive_next(wait_s)
             except TimeoutError:
-                if not is_checking:
-                    # Whatever arrives meanwhile is received at once.
-                    self._check_task = asyncio.create_task(
-                        self._check_stages()
-                    )
-                    continue
-            if not self._check_task.done():
-                continue
-            is_silent = self._check_task.result()
-            self._end_check()
-            if is_silent and self._stream.can_resume(self._job):
-                return None
+                if is_silent and self._stream.can_resume(self._job):
+                    return None
 
     def _end_check(self):
         """Set the time of the next check."""
--- a/sniperudder/forwarding/_streams.py
+++ b/sniperudder/forwarding/_streams.py
@@ -29,6 +29,10 @@
 # beside a silent one.
 _MAX_REFUSALS_BESIDE = 6
 
+# Time without an event after which another attempt is begun beside one whose
+# first stage is leaving, seconds. Callers leave after 2 s.
+_LEAVING_SILENCE_S = 1.3
+
 # Number of attempts of one stream that may run at the same time.
 _MAX_CONCURRENT_ATTEMPTS = 2
 
@@ -139,10 +143,8 @@
             else:
                 attempt, received = await self._receive_first()
             if received is _Signal.SILENT:
-                if not attempt.suspected or attempt.is_listed:
-                    self._begin_elsewhere(attempt)
-                    continue
-                received = _exchanges.Interrupted('no longer listed')
+                self._begin_elsewhere(attempt)
+                continue
             if received is _Signal.COMPLETE:
                 self._prefer(attempt)
                 self._send_end(attempt)
@@ -191,19 +193,28 @@
         forwarder, job = self._forwarder, self._job
         if job.sends_not_run >= _MAX_REFUSALS_BESIDE:
             return
-        if not fleet.is_serving(forwarder.T, silent.stages[0]):
-            # It refuses new connections, but completes what it has begun.
+        is_serving = fleet.is_serving(forwarder.T, silent.stages[0])
+        if not is_serving and not self._has_waited(silent):
             return
         stages = self._choose_other_stages(silent)
         if not stages or not forwarder.take_retry(job):
             return
-        if not silent.suspected:
+        if is_serving and not silent.suspected:
             silent.suspect()
             forwarder.record_outcome(
                 job, silent.stages, _FIRST_STAGE_FAILED, silent.sent_at
             )
         self._add_attempt(stages).is_charged = True
 
+    def _has_waited(self, silent):
+        """Return whether a leaving stage has been silent for long.
+
+        It refuses new connections, so that no report tells whether it still
+        completes what it has begun.
+        """
+        last_event_at = self._stream.last_event_at or silent.sent_at
+        return self._forwarder.now() - last_event_at >= _LEAVING_SILENCE_S
+
     def _choose_other_stages(self, silent):
         """Choose a chain with another first stage, best with others only."""
         chain = [stage.endpoint.id for stage in silent.present_stages]
@@ -248,13 +259,20 @@
         if outcome is _Signal.COMPLETE:
             return
         forwarder, job = self._forwarder, self._job
-        if not attempt.suspected:
+        if not attempt.suspected or not isinstance(
+            outcome, _exchanges.Interrupted
+        ):
             forwarder.record_outcome(
                 job, attempt.stages, outcome, attempt.sent_at
             )
         if isinstance(outcome, _exchanges.NotRun):
             self._code = _Code.TARGET_UNREACHABLE
-            if attempt.is_charged and not outcome.reached_endpoint:
+            if (
+                attempt.is_charged
+                and not outcome.reached_endpoint
+                and self._attempts
+            ):
+                # The last one's retry serves for the send that follows.
                 forwarder.give_retry_back(job)
         elif isinstance(outcome, _exchanges.Answered):
             self._answer = outcome
