--- a/sniperudder/entry/tests/test_silences.py
+++ b/sniperudder/entry/tests/test_silences.py
@@ -225,3 +225,24 @@
         outcome = self.run_streams(engines, case)
         self.assertEqual((200, [1, 2, 3]), outcome)
         self.assertEqual([1, 1], [len(e.requests) for e in engines])
+
+    # Guards against: a whole stream without a length was broken off because
+    # its engine was silent when it was asked for a sign of life.
+    def test_stream_without_a_length_ends_in_a_silence(self):
+        engine = SilentEngine('gpu-1')
+
+        async def serve(request, http, writer):
+            lines = ['HTTP/1.1 200 OK']
+            seal = standins.make_seal(request)
+            lines += [f'{name}: {value}' for name, value in seal]
+            events = 'id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n'
+            text = '\r\n'.join(lines) + '\r\n\r\n' + events
+            writer.write(text.encode())
+            await writer.drain()
+            engine.begin_silence()
+            raise OSError('closed by the script')
+
+        engine.script.append(serve)
+        outcome = self.run_streams([engine], self.send)
+        self.assertEqual((200, [1, 2]), outcome)
+        self.assertEqual(1, len(engine.requests))
--- a/sniperudder/forwarding/_crash_monitor.py
+++ b/sniperudder/forwarding/_crash_monitor.py
@@ -12,6 +12,10 @@
 # seconds. The kernel ends those that a process has not accepted at its end.
 _ACCEPTED_S = 0.05
 
+# Time for which a sign of life of a silent endpoint is awaited at the end of
+# its response, seconds. Callers leave a stream after 2 s.
+_MAX_SILENCE_S = 1.6
+
 
 class CrashMonitor:
     """Finds out whether an endpoint that interrupted a request has crashed.
@@ -26,7 +30,8 @@
     journal : object
         Event log; see `Forwarder`.
     responds : callable
-        Coroutine function that returns whether an engine responds to a call.
+        Coroutine function that returns whether an engine responds to a call;
+        None if it does not tell in time.
     """
 
     def __init__(self, T, pool, journal, responds):
@@ -125,15 +130,19 @@
         bool
             Whether the endpoint still runs. One that leaves may refuse to
             tell although it completed the response, and counts as ended.
+            One that is silent is asked again for a while.
         """
         endpoint = stage.endpoint
-        if stage.layers is not None:
-            # The kernel accepts connections for a while after the process has
-            # ended, so only a response is evidence.
-            runs = await self._responds(endpoint)
-        else:
-            runs = await self._keeps_connection(endpoint)
-        runs = runs and self._is_listed_run(endpoint)
+        # The kernel accepts connections for a while after the process has
+        # ended, so only a response of an engine is evidence.
+        find_out = (
+            self._keeps_connection if stage.layers is None else self._responds
+        )
+        until = _read_time() + _MAX_SILENCE_S
+        runs = await find_out(endpoint)
+        while runs is None and _read_time() < until:
+            runs = await find_out(endpoint)
+        runs = bool(runs) and self._is_listed_run(endpoint)
         if not runs and fleet.is_serving(self._T, stage):
             # For the record of crashes.
             self._start_check(endpoint)
@@ -144,10 +153,13 @@
     async def _keeps_connection(self, endpoint):
         """Return whether a plain endpoint accepts a connection and keeps it.
 
-        Such an endpoint has no call that runs nothing.
+        Such an endpoint has no call that runs nothing. Returns None if it does
+        not tell in time.
         """
         try:
             connection = await self._pool.open(endpoint.address)
+        except TimeoutError:
+            return None
         except OSError:
             return False
         try:
--- a/sniperudder/forwarding/_engines.py
+++ b/sniperudder/forwarding/_engines.py
@@ -32,9 +32,12 @@
     Attributes
     ----------
     reason : str
+    timed_out : bool
+        Whether nothing came in time, so that the engine may still run.
     """
 
     reason: str
+    timed_out: bool = False
 
 
 class EngineClient:
@@ -123,5 +126,8 @@
                 handle_head=handle_head,
             )
         except OSError as error:
-            return NoResponse(f'{type(error).__name__}: {error}')
+            return NoResponse(
+                f'{type(error).__name__}: {error}',
+                isinstance(error, TimeoutError),
+            )
         return EngineResponse(status, response_body)
--- a/sniperudder/forwarding/_rerouting.py
+++ b/sniperudder/forwarding/_rerouting.py
@@ -55,9 +55,14 @@
         self._reports = {}
 
     async def responds(self, endpoint):
-        """Return whether an engine responds to a report request now."""
+        """Return whether an engine responds to a report request now.
+
+        Returns None if it does not tell in time.
+        """
         report = await self._engine_client.fetch_report(endpoint)
-        return not isinstance(report, _engines.NoResponse)
+        if isinstance(report, _engines.NoResponse):
+            return None if report.timed_out else False
+        return True
 
     async def find_stalling_stage(self, endpoint, request_id):
         """Return the stage that a request is waiting for.
