See callers that leave behind pipelined bytes, and linger at the last answer

A caller that sent more than 64 KB behind its request and left was noticed only when the answer was written: reading was paused, so that its work went on. As much as a next request may have is read now. A connection that ends with its answer was closed at once, and bytes of the caller that were unread reset it, which may discard the answer; it lingers like that of a rejected request. Two faults of the same few lines. Both tests failed on and pass now.

--- a/sniperudder/forwarding/_caller_connections.py
+++ b/sniperudder/forwarding/_caller_connections.py
@@ -10,13 +10,9 @@
 from sniperudder.forwarding import _sockets
 from sniperudder.forwarding import _turns
 
-# Number of bytes received from a caller during a response at which reading
-# pauses. Callers normally send nothing then.
-_READ_PAUSE_BYTES = 65_536
-
-# Time for which the rest of a rejected request is read and discarded,
-# seconds. Closing the connection at once would send a reset, which could
-# discard the response.
+# Time for which what a caller sends after its last response is read and
+# discarded, seconds. Closing the connection at once would send a reset, which
+# could discard the response.
 _LINGER_S = 1.0
 
 # HTTP status sent if the handler fails to respond. It does not imply whether
@@ -158,7 +154,8 @@
         self._http.receive_data(data)
         if self._phase is _Phase.RESPONSE:
             pending, _ = self._http.trailing_data
-            if len(pending) > _READ_PAUSE_BYTES:
+            if len(pending) > self._get_max_pending_bytes():
+                # From here on, it goes unseen if the caller leaves.
                 self._transport.pause_reading()
             return
         if self._phase is _Phase.IDLE:
@@ -364,6 +361,13 @@
             self._limits.max_body_bytes, self._server.limits.max_body_bytes
         )
 
+    def _get_max_pending_bytes(self):
+        """Return the limit for what is read during a response.
+
+        Callers normally send nothing then, and at most the next request.
+        """
+        return self._limits.max_header_bytes + self._get_max_body_bytes()
+
     def _resume_processing(self):
         if not self._transport.is_closing():
             self._transport.resume_reading()
@@ -475,7 +479,8 @@
             or self._http.their_state is not h11.DONE
             or self._server.close_after_response
         ):
-            self.close()
+            self._transport.resume_reading()
+            self._close_after_writing()
             return
         self._http.start_next_cycle()
         pending, _ = self._http.trailing_data
@@ -502,8 +507,14 @@
                 )
             )
             self._write(h11.EndOfMessage())
+        self._close_after_writing()
+
+    def _close_after_writing(self):
+        """Close the connection once the caller has got the response."""
         self._phase = _Phase.CLOSING
         self._set_timer(None)
+        if self._transport.is_closing():
+            return
         if self._transport.can_write_eof():
             self._transport.write_eof()
         self._loop.call_later(_LINGER_S, self._transport.abort)
--- a/sniperudder/forwarding/tests/test_caller_server.py
+++ b/sniperudder/forwarding/tests/test_caller_server.py
@@ -421,6 +421,48 @@
         self.assertEqual([forwarding.Cut.CALLER_LEFT], server.cuts)
         self.assertEqual([], server.faults)
 
+    # Guards against: reading paused after 64 KB behind a request, so that its
+    # caller's leaving was seen only at its end.
+    def test_caller_that_leaves_behind_pipelined_bytes_is_seen(self):
+        async def case(server):
+            server.server.limits = dataclasses.replace(
+                _LIMITS, max_body_bytes=200_000
+            )
+            host, _, port = server.address.rpartition(':')
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(b'GET /hang HTTP/1.1\r\nHost: h\r\n\r\n')
+            await reader.readuntil(b'part')
+            head = b'POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 100000\r\n'
+            writer.write(head + b'\r\n' + b'x' * 100_000)
+            await writer.drain()
+            writer.close()
+            async with asyncio.timeout(_READ_S):
+                while not server.cuts:
+                    await asyncio.sleep(0.01)
+
+        server = self.run_server(case)
+        self.assertEqual([forwarding.Cut.CALLER_LEFT], server.cuts)
+
+    # Guards against: a connection was closed behind its last response while
+    # bytes of the caller were unread, which resets it.
+    def test_last_response_arrives_beside_bytes_of_the_caller(self):
+        async def case(server):
+            host, _, port = server.address.rpartition(':')
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(b'GET /slow HTTP/1.1\r\nHost: h\r\n\r\n')
+            while not server.requests:
+                await asyncio.sleep(0.01)
+            server.server.close_after_response = True
+            for _ in range(30):
+                writer.write(b'x' * 10_000)
+                await asyncio.sleep(0.01)
+            async with asyncio.timeout(_READ_S):
+                response = await reader.read()
+            self.assertTrue(response.endswith(b'0\r\n\r\n'), response)
+            writer.close()
+
+        self.run_server(case)
+
     # Guards against: a caller's reset that was found by a write, before the
     # loop reported it, was recorded as a fault of this program.
     def test_caller_that_resets_is_reported_as_one_that_left(self):
