Report connections that close while a caller's bytes are unread

Of requests that end without any answer, the logs of the instances hold nothing: closing for idleness, in a planned stop, after a last response and at the exit leave no line, nor do connections that wait to be accepted when listening ends. Each such closing is now counted by its reason, and logged with what was unread or unanswered. No logic of closing is changed.

--- a/sniperudder/entry/_entry.py
+++ b/sniperudder/entry/_entry.py
@@ -100,6 +100,8 @@
             self._log_exception,
             self._log_rejection,
             self._forwarder.record_cut,
+            self._record_closure,
+            self._log_queued,
         )
         self._readiness_server = forwarding.CallerServer(
             self._send_readiness, self._log_exception, self._log_rejection
@@ -418,6 +420,23 @@
     def _log_rejection(self, status):
         self._journal.write('request:unread', status=status)
 
+    def _record_closure(self, closure):
+        reason = closure.reason.value
+        metrics.count_event(self._metrics, f'closed:{reason}')
+        if not closure.unread_bytes and not closure.unanswered_bytes:
+            return
+        metrics.count_event(self._metrics, f'closed unread:{reason}')
+        self._journal.write(
+            'connection:closed',
+            reason=reason,
+            unread_bytes=closure.unread_bytes,
+            unanswered_bytes=closure.unanswered_bytes,
+            idle_s=round(closure.idle_s, 3),
+        )
+
+    def _log_queued(self, connections):
+        self._journal.write('connection:queued', connections=connections)
+
 
 def run_entry(path, metrics_port=0):
     """Run an entry instance until a signal stops it.
--- a/sniperudder/forwarding/_caller_connections.py
+++ b/sniperudder/forwarding/_caller_connections.py
@@ -6,6 +6,7 @@
 
 import h11
 
+from sniperudder.forwarding import _closures
 from sniperudder.forwarding import _exchanges
 from sniperudder.forwarding import _sockets
 from sniperudder.forwarding import _turns
@@ -123,6 +124,11 @@
         self._http = None
         self._limits = server.limits
         self._idle_since = 0.0
+        # Bytes read since the last request that was read completely.
+        self._unanswered_bytes = 0
+        # Why this side closed it while it owed no response.
+        self._closure_reason = None
+        self._closure_reported = False
         self._phase = _Phase.IDLE
         self._request = None
         self._body_chunks = []
@@ -147,6 +153,7 @@
 
     def data_received(self, data):
         """See base class."""
+        self._unanswered_bytes += len(data)
         if self._phase is _Phase.CLOSING:
             return
         if self._phase is _Phase.IDLE:
@@ -192,6 +199,7 @@
         self._server.connections.discard(self)
         self._set_timer(None)
         self._phase = _Phase.CLOSING
+        self._report_closure()
         self._writable.set()
         self._set_cut(Cut.CALLER_LEFT)
         self._cancel_handler()
@@ -214,12 +222,18 @@
         """Whether the head of a response was sent, but not its end."""
         return self._http.our_state is h11.SEND_BODY
 
-    def close(self):
-        """Close the connection after the buffered data has been sent."""
+    def close(self, reason):
+        """Close the connection, on which no request is in progress.
+
+        Parameters
+        ----------
+        reason : sniperudder.forwarding._closures.ClosureReason
+        """
+        self._closure_reason = reason
+        self._report_closure()
         self._phase = _Phase.CLOSING
         self._set_timer(None)
-        if self._transport is not None:
-            self._transport.close()
+        self._transport.close()
 
     def abort(self, cut):
         """Close the connection without completing the response.
@@ -229,6 +243,10 @@
         cut : Cut
         """
         self._set_cut(cut)
+        if self.cut is None:
+            if self._closure_reason is None:
+                self._closure_reason = _closures.ClosureReason.EXIT
+            self._report_closure()
         self._phase = _Phase.CLOSING
         self._set_timer(None)
         self._transport.abort()
@@ -333,7 +351,7 @@
         if remaining_s > 0:
             self._set_timer(remaining_s)
         else:
-            self.close()
+            self.close(_closures.ClosureReason.IDLE)
 
     def _process_events(self):
         turn_ends_at = _turns.begin_turn()
@@ -392,7 +410,7 @@
         elif isinstance(event, h11.EndOfMessage):
             self._start_handler()
         else:
-            self.close()
+            self.close(_closures.ClosureReason.AFTER_RESPONSE)
 
     def _start_handler(self):
         self._enter_phase(_Phase.RESPONSE)
@@ -410,6 +428,7 @@
             arrived_at=self._loop.time(),
         )
         self._body_chunks = []
+        self._unanswered_bytes = len(self._http.trailing_data[0])
         self.cut = None
         self._head_sent = False
         self._task = self._loop.create_task(self._run_handler(request))
@@ -480,6 +499,8 @@
             or self._server.close_after_response
         ):
             self._transport.resume_reading()
+            self._closure_reason = _closures.ClosureReason.AFTER_RESPONSE
+            self._idle_since = self._loop.time()
             self._close_after_writing()
             return
         self._http.start_next_cycle()
@@ -509,6 +530,21 @@
             self._write(h11.EndOfMessage())
         self._close_after_writing()
 
+    def _report_closure(self):
+        """Report once, with what has arrived, that this side closed it."""
+        if self._closure_reason is None or self._closure_reported:
+            return
+        self._closure_reported = True
+        sock = self._transport.get_extra_info('socket')
+        self._server.report_closure(
+            _closures.Closure(
+                self._closure_reason,
+                _sockets.count_unread_bytes(sock),
+                self._unanswered_bytes,
+                self._loop.time() - self._idle_since,
+            )
+        )
+
     def _close_after_writing(self):
         """Close the connection once the caller has got the response."""
         self._phase = _Phase.CLOSING
--- a/sniperudder/forwarding/_caller_server.py
+++ b/sniperudder/forwarding/_caller_server.py
@@ -3,6 +3,8 @@
 import asyncio
 
 from sniperudder.forwarding import _caller_connections
+from sniperudder.forwarding import _closures
+from sniperudder.forwarding import _sockets
 
 
 class CallerServer:
@@ -21,6 +23,12 @@
     report_cut : callable, optional
         Called with a `CallerRequest` that was read and gets no complete
         response, and the `Cut`.
+    report_closure : callable, optional
+        Called with the `Closure` of a connection that this side closed and on
+        which no response was owed.
+    report_queued : callable, optional
+        Called with the number of connections that were open when the server
+        stopped listening and that it had not accepted.
 
     Attributes
     ----------
@@ -36,12 +44,20 @@
     """
 
     def __init__(
-        self, handle, report_error, report_rejection, report_cut=None
+        self,
+        handle,
+        report_error,
+        report_rejection,
+        report_cut=None,
+        report_closure=None,
+        report_queued=None,
     ):
         self.handle = handle
         self.report_error = report_error
         self.report_rejection = report_rejection
         self.report_cut = report_cut or _ignore_cut
+        self.report_closure = report_closure or _ignore
+        self._report_queued = report_queued or _ignore
         self.limits = _caller_connections.CallerLimits()
         self.announce_close = False
         self.close_after_response = False
@@ -77,12 +93,12 @@
         is complete.
         """
         self.close_after_response = True
-        self._server.close()
+        self._close_listener()
 
     def close(self):
         """Stop listening and abort all connections."""
         if self._server is not None:
-            self._server.close()
+            self._close_listener()
         for connection in list(self.connections):
             connection.abort(_caller_connections.Cut.STOPPED)
 
@@ -90,8 +106,23 @@
         """Close the connections on which no request is in progress."""
         for connection in list(self.connections):
             if connection.idle:
-                connection.close()
+                connection.close(_closures.ClosureReason.STOPPING)
+
+    def _close_listener(self):
+        if not self._server.is_serving():
+            return
+        queued = sum(
+            _sockets.count_queued_connections(sock)
+            for sock in self._server.sockets
+        )
+        self._server.close()
+        if queued:
+            self._report_queued(queued)
 
 
 def _ignore_cut(request, cut):
     """Report nothing: those who read these responses ask again."""
+
+
+def _ignore(_):
+    """Report nothing."""
--- a/sniperudder/forwarding/_sockets.py
+++ b/sniperudder/forwarding/_sockets.py
@@ -1,6 +1,9 @@
-"""TCP socket options."""
+"""Options and state of TCP sockets."""
 
+import fcntl
 import socket
+import struct
+import termios
 
 # Idle time before the kernel sends the first keepalive probe, interval of
 # the probes in seconds, and number of unanswered probes that close the
@@ -14,6 +17,11 @@
 # Maximum time that sent data may remain unacknowledged, ms.
 _USER_TIMEOUT_MS = 3000
 
+# Offset of tcpi_unacked in struct tcp_info of Linux, and the size up to there.
+# Of a listening socket, it is the number of queued connections.
+_TCP_INFO_UNACKED = 24
+_TCP_INFO_SIZE = 28
+
 
 def enable_keepalive(sock):
     """Have the kernel close a connection whose peer stops responding.
@@ -33,3 +41,47 @@
         (socket.TCP_NODELAY, 1),
     ):
         sock.setsockopt(socket.IPPROTO_TCP, option, value)
+
+
+def count_unread_bytes(sock):
+    """Return the number of bytes that arrived and were not read.
+
+    Parameters
+    ----------
+    sock : socket.socket
+
+    Returns
+    -------
+    int
+        0 if the socket is closed.
+    """
+    buffer = struct.pack('i', 0)
+    try:
+        buffer = fcntl.ioctl(sock.fileno(), termios.FIONREAD, buffer)
+    except OSError:
+        return 0
+    return struct.unpack('i', buffer)[0]
+
+
+def count_queued_connections(sock):
+    """Return the number of connections that wait to be accepted.
+
+    Parameters
+    ----------
+    sock : socket.socket
+        A listening socket.
+
+    Returns
+    -------
+    int
+        0 if the system does not tell.
+    """
+    try:
+        info = sock.getsockopt(
+            socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO_SIZE
+        )
+    except OSError:
+        return 0
+    if len(info) < _TCP_INFO_SIZE:
+        return 0
+    return struct.unpack_from('I', info, _TCP_INFO_UNACKED)[0]
--- a/sniperudder/forwarding/tests/test_caller_server.py
+++ b/sniperudder/forwarding/tests/test_caller_server.py
@@ -29,6 +29,8 @@
         self.rejections = []
         self.faults = []
         self.cuts = []
+        self.closures = []
+        self.queued = []
         self.client = None
         self.address = _processes.find_addresses(1)[0]
         self.server = forwarding.CallerServer(
@@ -36,6 +38,8 @@
             self.faults.append,
             self.rejections.append,
             lambda request, cut: self.cuts.append(cut),
+            self.closures.append,
+            self.queued.append,
         )
         self.server.limits = _LIMITS
 
