Reproduce requests that are closed away without an answer

Four tests, all failing on this code: a request that arrived while a turn of the loop went on is closed away by the idle timeout or by a stop that come in the same turn; connections in the listening queue are reset by the end of listening; after a response that did not announce it, a stop closes the connection and discards the request that follows.

--- a/sniperudder/forwarding/tests/test_closures.py
+++ b/sniperudder/forwarding/tests/test_closures.py
@@ -7,6 +7,8 @@
 from sniperudder.forwarding.tests import test_caller_server
 
 _Reason = _closures.ClosureReason
+_READ_S = 2.0
+_LIMIT_S = 0.4
 _GET = b'GET / HTTP/1.1\r\nHost: h\r\n\r\n'
 
 
@@ -83,3 +85,108 @@
                 server.server.stop_listening()
 
         self.assertEqual([2], self.run_server(case).queued)
+
+
+class UnreadRequestTest(test_caller_server.CallerServerTestBase):
+    """A request that has arrived is answered, not closed away."""
+
+    def receive(self, client):
+        """Return what a client receives until the end or a timeout."""
+        client.settimeout(_READ_S)
+        received = b''
+        try:
+            while data := client.recv(65_536):
+                received += data
+        except (ConnectionResetError, TimeoutError):
+            pass
+        return received
+
+    async def send_during_turn(self, server, close):
+        """Send a request while one turn of the loop ends in a closing.
+
+        The loop does not look at the socket between the two.
+        """
+        loop = asyncio.get_running_loop()
+        with connect(server) as client:
+            await await_connections(server, 1)
+            await asyncio.sleep(0.05)
+            client.send(_GET)
+            close()
+            return await loop.run_in_executor(None, self.receive, client)
+
+    # Guards against: a request that arrived while the loop was busy was closed
+    # away by the idle timeout that became due in the same turn.
+    def test_request_that_arrived_before_the_idle_timeout_is_answered(self):
+        received = []
+
+        async def case(server):
+            def expire():
+                (connection,) = server.server.connections
+                # Due since the loop last looked at the socket.
+                connection._idle_since -= 2 * _LIMIT_S
+                connection._handle_timeout()
+
+            received.append(await self.send_during_turn(server, expire))
+
+        server = self.run_server(case)
+        self.assertIn(b'HTTP/1.1 200', received[0])
+        self.assertEqual(1, len(server.requests))
+
+    # Guards against: a planned stop closed connections as idle on which a
+    # request had arrived and was not read yet.
+    def test_request_that_arrived_before_a_stop_is_answered(self):
+        received = []
+
+        async def case(server):
+            def stop():
+                server.server.announce_close = True
+                server.server.stop_listening()
+                server.server.close_idle()
+
+            received.append(await self.send_during_turn(server, stop))
+
+        self.run_server(case)
+        self.assertIn(b'HTTP/1.1 200', received[0])
+
+    # Guards against: connections that callers had opened were reset by the end
+    # of listening, because the loop had not accepted them yet.
+    def test_connection_that_was_opened_before_a_stop_is_served(self):
+        received = []
+
+        async def case(server):
+            loop = asyncio.get_running_loop()
+            with connect(server) as client:
+                client.send(_GET)
+                server.server.announce_close = True
+                server.server.stop_listening()
+                received.append(
+                    await loop.run_in_executor(None, self.receive, client)
+                )
+
+        self.run_server(case)
+        self.assertIn(b'HTTP/1.1 200', received[0])
+
+    # Guards against: a stop closed a connection right after a response that
+    # had not announced it, and discarded the request that came next.
+    def test_request_after_an_unannounced_last_response_is_answered(self):
+        received = []
+
+        async def case(server):
+            loop = asyncio.get_running_loop()
+            with connect(server) as client:
+                client.send(_GET.replace(b'/', b'/slow', 1))
+                while not server.requests:
+                    await asyncio.sleep(0.01)
+                await asyncio.sleep(0.05)
+                server.server.announce_close = True
+                server.server.stop_listening()
+                server.server.close_idle()
+                await asyncio.sleep(0.2)
+                client.send(_GET)
+                received.append(
+                    await loop.run_in_executor(None, self.receive, client)
+                )
+
+        self.run_server(case)
+        self.assertEqual(2, received[0].count(b'HTTP/1.1 200'), received[0])
+        self.assertEqual(1, received[0].count(b'Connection: close'))
