Close connections only after what has arrived was read

Callers saw their connection end without an answer to a request that they had sent. Idle timeouts and stops that come in the same turn of the loop as a long piece of work closed connections with unread requests, the end of listening reset connections that callers had opened, and a stop closed a connection behind a response that had not announced it, where callers send the next request at once.

Now the socket is asked before a connection is closed as idle; what waits to be accepted is accepted before listening ends; and a connection is closed behind a response only if that response announced it, else after a second without use.

--- a/sniperudder/entry/_entry.py
+++ b/sniperudder/entry/_entry.py
@@ -49,6 +49,10 @@
 # and whose age does no harm, seconds.
 _LIST_POLL_S = 15.0
 
+# Time for which a connection is kept after a response that did not announce its
+# end, while stopping, seconds. Callers often send the next request at once.
+_KEEP_AFTER_RESPONSE_S = 1.0
+
 # Polling interval while stopping, and interval of periodic maintenance.
 _STOP_POLL_S = 0.05
 _MAINTENANCE_INTERVAL_S = 1.0
@@ -390,9 +394,9 @@
         deadline = started_at + self._settings.bounds.grace_s - _EXIT_MARGIN_S
         while loop.time() < started_at + _ACCEPT_AFTER_SIGTERM_S:
             await asyncio.sleep(_STOP_POLL_S)
-        self._caller_server.stop_listening()
+        await self._caller_server.stop_listening()
         while self._caller_server.connections and loop.time() < deadline:
-            self._caller_server.close_idle()
+            self._caller_server.close_idle(_KEEP_AFTER_RESPONSE_S)
             await asyncio.sleep(_STOP_POLL_S)
         self._journal.write(
             'instance:stopped',
--- a/sniperudder/forwarding/_caller_connections.py
+++ b/sniperudder/forwarding/_caller_connections.py
@@ -212,10 +212,21 @@
         """See base class."""
         self._writable.set()
 
-    @property
-    def idle(self):
-        """Whether no request is in progress."""
-        return self._phase is _Phase.IDLE
+    def is_idle(self, min_idle_s=0.0):
+        """Return whether it is unused, and nothing has arrived to be read.
+
+        Parameters
+        ----------
+        min_idle_s : float
+            Time since the last response, seconds.
+        """
+        if self._phase is not _Phase.IDLE:
+            return False
+        if self._loop.time() < self._idle_since + min_idle_s:
+            return False
+        # The loop may not have looked at the socket for a while.
+        sock = self._transport.get_extra_info('socket')
+        return _sockets.count_unread_bytes(sock) == 0
 
     @property
     def response_started(self):
@@ -350,8 +361,10 @@
         remaining_s = self._idle_since + idle_timeout_s - self._loop.time()
         if remaining_s > 0:
             self._set_timer(remaining_s)
-        else:
+        elif self.is_idle():
             self.close(_closures.ClosureReason.IDLE)
+        else:
+            self._set_timer(idle_timeout_s)
 
     def _process_events(self):
         turn_ends_at = _turns.begin_turn()
@@ -496,7 +509,6 @@
         if (
             self._http.our_state is not h11.DONE
             or self._http.their_state is not h11.DONE
-            or self._server.close_after_response
         ):
             self._transport.resume_reading()
             self._closure_reason = _closures.ClosureReason.AFTER_RESPONSE
--- a/sniperudder/forwarding/_caller_server.py
+++ b/sniperudder/forwarding/_caller_server.py
@@ -1,6 +1,7 @@
 """HTTP server for callers, the load balancer and metrics scrapers."""
 
 import asyncio
+import contextlib
 
 from sniperudder.forwarding import _caller_connections
 from sniperudder.forwarding import _closures
@@ -36,9 +37,8 @@
         Limits for new connections and for the next request on open ones.
     announce_close : bool
         Whether responses carry ``Connection: close``, so that callers send
-        further requests on other connections.
-    close_after_response : bool
-        Whether connections are closed after the current response.
+        further requests on other connections. A connection is kept after a
+        response that began earlier.
     connections : set of CallerConnection
         Open connections.
     """
@@ -60,7 +60,6 @@
         self._report_queued = report_queued or _ignore
         self.limits = _caller_connections.CallerLimits()
         self.announce_close = False
-        self.close_after_response = False
         self.connections = set()
         self._server = None
 
@@ -79,21 +78,33 @@
         """
         host, _, port = address.rpartition(':')
         self._server = await asyncio.get_running_loop().create_server(
-            lambda: _caller_connections.CallerConnection(self),
+            self._create_connection,
             host,
             int(port),
             backlog=1024,
             reuse_address=True,
         )
 
-    def stop_listening(self):
-        """Accept neither new connections nor further requests.
+    async def stop_listening(self):
+        """Accept the connections that callers have opened, and no others.
 
-        Connections with a request in progress stay open until its response
-        is complete.
+        Resetting them would lose the requests that were sent on them.
         """
-        self.close_after_response = True
+        if not self._server.is_serving():
+            return
+        accepted = [
+            connection
+            for sock in self._server.sockets
+            for connection in _sockets.accept_queued(sock)
+        ]
         self._close_listener()
+        loop = asyncio.get_running_loop()
+        for connection in accepted:
+            # The caller may have left already.
+            with contextlib.suppress(OSError):
+                await loop.connect_accepted_socket(
+                    self._create_connection, connection
+                )
 
     def close(self):
         """Stop listening and abort all connections."""
@@ -102,12 +113,21 @@
         for connection in list(self.connections):
             connection.abort(_caller_connections.Cut.STOPPED)
 
-    def close_idle(self):
-        """Close the connections on which no request is in progress."""
+    def close_idle(self, min_idle_s=0.0):
+        """Close the connections that are not used.
+
+        Parameters
+        ----------
+        min_idle_s : float
+            Time since the last response on a connection, seconds.
+        """
         for connection in list(self.connections):
-            if connection.idle:
+            if connection.is_idle(min_idle_s):
                 connection.close(_closures.ClosureReason.STOPPING)
 
+    def _create_connection(self):
+        return _caller_connections.CallerConnection(self)
+
     def _close_listener(self):
         if not self._server.is_serving():
             return
--- a/sniperudder/forwarding/_sockets.py
+++ b/sniperudder/forwarding/_sockets.py
@@ -85,3 +85,29 @@
     if len(info) < _TCP_INFO_SIZE:
         return 0
     return struct.unpack_from('I', info, _TCP_INFO_UNACKED)[0]
+
+
+def accept_queued(sock):
+    """Accept the connections that wait to be accepted.
+
+    Parameters
+    ----------
+    sock : socket.socket
+        A listening socket that does not block.
+
+    Returns
+    -------
+    list of socket.socket
+    """
+    accepted = []
+    with sock.dup() as listener:
+        while True:
+            try:
+                connection, _ = listener.accept()
+            except ConnectionAbortedError:
+                continue
+            except OSError:
+                # None are left, or there are no descriptors for them.
+                return accepted
+            connection.setblocking(False)
+            accepted.append(connection)
