--- a/sniperudder/entry/_entry.py
+++ b/sniperudder/entry/_entry.py
@@ -49,8 +49,9 @@
 # and whose age does no harm, seconds.
 _LIST_POLL_S = 15.0
 
-# Time for which a connection is kept, while stopping, after a response that did
-# not announce its end, seconds. Callers often send the next request at once.
+# Time for which a connection is kept, while stopping, after a response that
+# did not announce its end, seconds. Callers often send the next request at
+# once.
 _KEEP_AFTER_RESPONSE_S = 1.0
 
 # Polling interval while stopping, and interval of periodic maintenance.
