Refuse requests at once that would outlast the grace period

Callers got answers that were cut at the end of a planned stop.

Cause: an instance that is stopping accepted whatever came, though it knows how long requests take. It now estimates the duration from recent requests of the route, or of the service, per output token for streams, and refuses what would most likely be cut as not run, so that the caller returns at once, on another connection. What is likely to end in time is served as before.

--- a/sniperudder/entry/_entry.py
+++ b/sniperudder/entry/_entry.py
@@ -393,6 +393,7 @@
         self._feed.stop()
         self._caller_server.announce_close = True
         deadline = started_at + self._settings.bounds.grace_s - _EXIT_MARGIN_S
+        self._forwarder.stop_at = deadline
         while loop.time() < started_at + _ACCEPT_AFTER_SIGTERM_S:
             await asyncio.sleep(_STOP_POLL_S)
         await self._caller_server.stop_listening()
--- a/sniperudder/forwarding/_forwarder.py
+++ b/sniperudder/forwarding/_forwarder.py
@@ -53,6 +53,12 @@
         Event log with a method ``write(event, subject, **fields)``.
     request_metrics : sniperudder.metrics.Metrics
     rng : random.Random, optional
+
+    Attributes
+    ----------
+    stop_at : float or None
+        Loop time at which requests in progress are cut, while the instance is
+        stopping, seconds.
     """
 
     def __init__(self, T, pool, settings, journal, request_metrics, rng=None):
@@ -62,6 +68,8 @@
         self.journal = journal
         self.request_metrics = request_metrics
         self.rng = rng or random.Random()
+        self.stop_at = None
+        self._durations = routing.DurationEstimator()
         self.load_shedder = _shedding.LoadShedder(T, self.rng, journal)
         self.notice_recorder = _notices.NoticeRecorder(T, journal)
         self.rerouter = _rerouting.StreamRerouter(
@@ -91,6 +99,10 @@
         if blocked is not None:
             self._reject_blocked(job, caller, blocked)
             return
+        if self._outlasts_stop(job):
+            reason = 'would outlast the grace period'
+            self.end_with_error(job, caller, _Code.STOPPING, reason)
+            return
         if job.route.streaming and self.load_shedder.should_shed(job.rank):
             reason = f'pressure level {self.load_shedder.shedding_level:.2f}'
             self.end_with_error(job, caller, _Code.SHED, reason)
@@ -448,6 +460,12 @@
         """
         elapsed_s = self.now() - job.request.arrived_at
         organisation = job.organisation.name if job.organisation else ''
+        if code is _Code.ANSWERED:
+            self._durations.record(
+                _jobs.get_duration_key(job),
+                _jobs.get_duration_size(job),
+                elapsed_s,
+            )
         metrics.record_duration(
             self.request_metrics,
             metrics.Timing.TOTAL,
@@ -474,6 +492,15 @@
             duration_ms=round(elapsed_s * 1000),
         )
 
+    def _outlasts_stop(self, job):
+        """Return whether a planned stop would most likely cut a request."""
+        if self.stop_at is None:
+            return False
+        estimate_s = self._durations.estimate_s(
+            _jobs.get_duration_key(job), _jobs.get_duration_size(job)
+        )
+        return self.now() + (estimate_s or 0.0) >= self.stop_at
+
     def _exceeds_limits(self, job):
         """Return whether to reject a request for its rank; drawn at random.
 
--- a/sniperudder/forwarding/_jobs.py
+++ b/sniperudder/forwarding/_jobs.py
@@ -19,9 +19,11 @@
 _NOT_RUN_BACKOFF_S = 0.02
 
 # Values of Retry-After, seconds: short where the cause may be transient;
-# when load is shed, between one and two durations of a stream, randomized
+# none where another instance accepts the request now; when load is shed,
+# between one and two durations of a stream, randomized
 # so that the retries of callers do not arrive at the same time.
 _RETRY_AFTER_S = 0.5
+_STOPPING_RETRY_AFTER_S = 0.0
 _SHED_RETRY_AFTER_S = (2.0, 4.0)
 
 # Lowest HTTP status of the server error class (RFC 9110).
@@ -37,6 +39,7 @@
     _Code.TARGET_UNREACHABLE: 503,
     _Code.DEADLINE_BEFORE_START: 503,
     _Code.SHED: 503,
+    _Code.STOPPING: 503,
     _Code.CONTENT_CONDEMNED: 503,
     _Code.RETRIES_EXHAUSTED: 502,
     _Code.DEADLINE_WHILE_RUNNING: 504,
@@ -197,6 +200,24 @@
     )
 
 
+def get_duration_key(job):
+    """Return the key of a request for estimates of its duration."""
+    return job.service.name, job.route.name
+
+
+def get_duration_size(job):
+    """Return what the duration of a request grows with.
+
+    Returns
+    -------
+    float
+        Number of output tokens of a stream; 1 if it is not known.
+    """
+    if not job.route.streaming:
+        return 1.0
+    return max(get_request_size(job).output_tokens, 1.0)
+
+
 def get_not_run_backoff_s(job):
     """Return the delay before a request that was not run is sent again.
 
@@ -231,7 +252,9 @@
     if status == 503:
         if retry_after_s is None:
             retry_after_s = _RETRY_AFTER_S
-            if code is _Code.SHED:
+            if code is _Code.STOPPING:
+                retry_after_s = _STOPPING_RETRY_AFTER_S
+            elif code is _Code.SHED:
                 retry_after_s = random.uniform(*_SHED_RETRY_AFTER_S)
         headers.append((b'Retry-After', b'%.1f' % retry_after_s))
     caller.send_response(status, headers, body)
--- a/sniperudder/routing/__init__.py
+++ b/sniperudder/routing/__init__.py
@@ -16,6 +16,7 @@
 from sniperudder.routing._crashes import CrashTable
 from sniperudder.routing._crashes import make_crash_keys
 from sniperudder.routing._crashes import SURVIVAL_S
+from sniperudder.routing._durations import DurationEstimator
 from sniperudder.routing._health import is_avoided
 from sniperudder.routing._health import record_dead
 from sniperudder.routing._health import record_failure
@@ -47,6 +48,7 @@
 
 __all__ = [
     'CrashTable',
+    'DurationEstimator',
     'GapCounter',
     'RankCounter',
     'RequestSize',
