Don't time out a request whose rest has arrived unread

The same class as the closing of connections with unread requests: the limits for heads and bodies were judged by the clock alone, so a request that was whole in the socket was rejected with 408 after a long turn of the loop. The socket is asked first.

Closings now also tell of bytes of answers that the caller hadn't accepted; before, such answers were lost at the end of the grace period without a line.

test_request_whose_rest_has_arrived_is_not_too_slow and test_unsent_response_at_the_exit failed on the code before.

--- a/sniperudder/entry/_entry.py
+++ b/sniperudder/entry/_entry.py
@@ -429,14 +429,15 @@
     def _record_closure(self, closure):
         reason = closure.reason.value
         metrics.count_event(self._metrics, f'closed:{reason}')
-        if not closure.unread_bytes and not closure.unanswered_bytes:
+        if closure.is_clean:
             return
-        metrics.count_event(self._metrics, f'closed unread:{reason}')
+        metrics.count_event(self._metrics, f'closed unclean:{reason}')
         self._journal.write(
             'connection:closed',
             reason=reason,
             unread_bytes=closure.unread_bytes,
             unanswered_bytes=closure.unanswered_bytes,
+            unsent_bytes=closure.unsent_bytes,
             idle_s=round(closure.idle_s, 3),
         )
 
--- a/sniperudder/forwarding/_caller_connections.py
+++ b/sniperudder/forwarding/_caller_connections.py
@@ -16,6 +16,10 @@
 # could discard the response.
 _LINGER_S = 1.0
 
+# Time after which a time limit is checked again, if bytes had arrived by then
+# that the loop had not read, seconds.
+_UNREAD_RECHECK_S = 0.05
+
 # HTTP status sent if the handler fails to respond. It does not imply whether
 # the request ran.
 _INTERNAL_ERROR_STATUS = 502
@@ -224,9 +228,7 @@
             return False
         if self._loop.time() < self._idle_since + min_idle_s:
             return False
-        # The loop may not have looked at the socket for a while.
-        sock = self._transport.get_extra_info('socket')
-        return _sockets.count_unread_bytes(sock) == 0
+        return self._count_unread_bytes() == 0
 
     @property
     def response_started(self):
@@ -351,9 +353,17 @@
         if delay_s is not None:
             self._timer = self._loop.call_later(delay_s, self._handle_timeout)
 
+    def _count_unread_bytes(self):
+        """Return how much has arrived since the loop looked at the socket."""
+        sock = self._transport.get_extra_info('socket')
+        return _sockets.count_unread_bytes(sock)
+
     def _handle_timeout(self):
         if self._phase in (_Phase.HEAD, _Phase.BODY):
-            self._reject(408)
+            if self._count_unread_bytes():
+                self._set_timer(_UNREAD_RECHECK_S)
+            else:
+                self._reject(408)
             return
         # A caller may use the connection for as long as the present limits
         # allow, if they are longer than those that held before.
@@ -364,7 +374,7 @@
         elif self.is_idle():
             self.close(_closures.ClosureReason.IDLE)
         else:
-            self._set_timer(idle_timeout_s)
+            self._set_timer(_UNREAD_RECHECK_S)
 
     def _process_events(self):
         turn_ends_at = _turns.begin_turn()
@@ -547,12 +557,12 @@
         if self._closure_reason is None or self._closure_reported:
             return
         self._closure_reported = True
-        sock = self._transport.get_extra_info('socket')
         self._server.report_closure(
             _closures.Closure(
                 self._closure_reason,
-                _sockets.count_unread_bytes(sock),
+                self._count_unread_bytes(),
                 self._unanswered_bytes,
+                self._transport.get_write_buffer_size(),
                 self._loop.time() - self._idle_since,
             )
         )
--- a/sniperudder/forwarding/_closures.py
+++ b/sniperudder/forwarding/_closures.py
@@ -35,6 +35,8 @@
         Bytes that had arrived and were not read.
     unanswered_bytes : int
         Bytes that were read and belong to no request that got a response.
+    unsent_bytes : int
+        Bytes of responses that the caller had not accepted.
     idle_s : float
         Time since the last response or since the connection was opened,
         seconds.
@@ -43,4 +45,12 @@
     reason: ClosureReason
     unread_bytes: int
     unanswered_bytes: int
+    unsent_bytes: int
     idle_s: float
+
+    @property
+    def is_clean(self):
+        """Whether nothing of either side was lost."""
+        return not (
+            self.unread_bytes or self.unanswered_bytes or self.unsent_bytes
+        )
--- a/sniperudder/forwarding/tests/test_caller_server.py
+++ b/sniperudder/forwarding/tests/test_caller_server.py
@@ -77,6 +77,9 @@
             caller.start_response(200, [])
             caller.send_data(b'part')
             await asyncio.Event().wait()
+        if request.target == b'/large':
+            caller.send_response(200, [], b'x' * 20_000_000)
+            return
         if request.target == b'/slow':
             caller.start_response(200, [(b'Transfer-Encoding', b'chunked')])
             await asyncio.sleep(0.1)
--- a/sniperudder/forwarding/tests/test_closures.py
+++ b/sniperudder/forwarding/tests/test_closures.py
@@ -62,6 +62,20 @@
 
         self.assertEqual([(_Reason.EXIT, 0, 9)], self.list_closures(case))
 
+    def test_unsent_response_at_the_exit(self):
+        async def case(server):
+            with connect(server) as client:
+                client.send(_GET.replace(b'/', b'/large', 1))
+                while not server.requests:
+                    await asyncio.sleep(0.01)
+                await asyncio.sleep(0.1)
+                server.server.close()
+
+        (closure,) = self.run_server(case).closures
+        self.assertEqual(_Reason.EXIT, closure.reason)
+        self.assertLess(0, closure.unsent_bytes)
+        self.assertFalse(closure.is_clean)
+
     def test_unread_request_at_the_exit(self):
         async def case(server):
             with connect(server) as client:
@@ -138,6 +152,27 @@
         self.assertIn(b'HTTP/1.1 200', received[0])
         self.assertEqual(1, len(server.requests))
 
+    # Guards against: a request whose rest had arrived was rejected as too
+    # slow, because the loop had been busy past the time limit.
+    def test_request_whose_rest_has_arrived_is_not_too_slow(self):
+        received = []
+
+        async def case(server):
+            loop = asyncio.get_running_loop()
+            with connect(server) as client:
+                client.send(_GET[:9])
+                await await_connections(server, 1)
+                await asyncio.sleep(0.05)
+                client.send(_GET[9:])
+                (connection,) = server.server.connections
+                connection._handle_timeout()
+                received.append(
+                    await loop.run_in_executor(None, self.receive, client)
+                )
+
+        self.run_server(case)
+        self.assertIn(b'HTTP/1.1 200', received[0])
+
     # Guards against: a planned stop closed connections as idle on which a
     # request had arrived and was not read yet.
     def test_request_that_arrived_before_a_stop_is_answered(self):
