Parse a configuration once

A document of the configurations' table was parsed to decode it, and both it and the one in force were parsed again to compare their versions. The event loop is held meanwhile.

ConfigurationDecoder reads a document once, for its version and its records, and remembers the last three. It replaces supersedes_configuration. The decoding of the configuration moves into a module of its own, otherwise unchanged.

--- a/sniperudder/entry/_entry.py
+++ b/sniperudder/entry/_entry.py
@@ -123,10 +123,11 @@
             lambda: self._feed.reads_store,
             settings.is_first_start,
         )
+        self._decoder = platform.ConfigurationDecoder()
         configurations = feeds.TableCopy(
             platform.CONFIGURATION_TABLE,
             self._apply_configuration,
-            platform.supersedes_configuration,
+            self._decoder.supersedes,
         )
         self._recovery = _recovery.ConfigurationRecovery(
             self._T, configurations, self._call_peer, journal
@@ -290,7 +291,7 @@
             if row.key != platform.CONFIGURATION_KEY or row.value is None:
                 continue
             try:
-                configuration = platform.decode_configuration(row.value)
+                configuration = self._decoder.decode(row.value)
             except platform.DocumentError as error:
                 self._journal.write(
                     'configuration:unreadable',
--- a/sniperudder/entry/tests/test_recovery.py
+++ b/sniperudder/entry/tests/test_recovery.py
@@ -42,7 +42,7 @@
         self.copy = feeds.TableCopy(
             platform.CONFIGURATION_TABLE,
             self.apply,
-            platform.supersedes_configuration,
+            platform.ConfigurationDecoder().supersedes,
         )
         self.recovery = _recovery.ConfigurationRecovery(
             self.T, self.copy, self.call_peer, _fleets.RecordingJournal()
--- a/sniperudder/platform/__init__.py
+++ b/sniperudder/platform/__init__.py
@@ -1,7 +1,8 @@
 """Client of the platform: metadata store, documents, headers and orders."""
 
-from sniperudder.platform._documents import CONFIGURATION_KEY
-from sniperudder.platform._documents import decode_configuration
+from sniperudder.platform._configurations import CONFIGURATION_KEY
+from sniperudder.platform._configurations import ConfigurationDecoder
+from sniperudder.platform._configurations import decode_configuration
 from sniperudder.platform._documents import decode_endpoint
 from sniperudder.platform._documents import decode_host
 from sniperudder.platform._documents import decode_port
@@ -9,7 +10,6 @@
 from sniperudder.platform._documents import DocumentError
 from sniperudder.platform._documents import get_field
 from sniperudder.platform._documents import parse_object
-from sniperudder.platform._documents import supersedes_configuration
 from sniperudder.platform._headers import decode_request_head
 from sniperudder.platform._headers import decode_response_head
 from sniperudder.platform._headers import filter_request_headers
@@ -48,6 +48,7 @@
     'BLOCKS_KEY',
     'CONFIGURATION_KEY',
     'CONFIGURATION_TABLE',
+    'ConfigurationDecoder',
     'Conflict',
     'DocumentError',
     'ENDPOINTS_TABLE',
@@ -86,5 +87,4 @@
     'make_request_headers',
     'make_reroute_order',
     'parse_object',
-    'supersedes_configuration',
 ]
--- /dev/null
+++ b/sniperudder/platform/_configurations.py
@@ -0,0 +1,274 @@
+"""Decoding of the operators' configuration.
+
+Versions may follow each other quickly, and a configuration may be large, so
+nothing is done twice.
+"""
+
+import collections
+
+from sniperudder import fleet
+from sniperudder.platform import _documents
+
+# Key of the row of the configurations' table that is in force.
+CONFIGURATION_KEY = 'config'
+
+_REPEATABLE_KIND = 'safe'
+_STREAMING_KIND = 'streaming'
+
+# Documents that are kept: the one in force, one that is compared with it, and
+# one that another instance has sent meanwhile.
+_MAX_DOCUMENTS = 3
+
+
+class ConfigurationDecoder:
+    """Decodes configurations and remembers the last ones.
+
+    Examples
+    --------
+    >>> data = (
+    ...     b'{"version": 3, "routes": [], "services": [], "limits": {'
+    ...     b'"max_header_bytes": 9, "max_body_bytes": 9,'
+    ...     b'"header_timeout_ms": 9, "idle_timeout_ms": 9}}'
+    ... )
+    >>> decoder = ConfigurationDecoder()
+    >>> configuration = decoder.decode(data)
+    >>> configuration.version
+    3
+    >>> decoder.decode(data) is configuration
+    True
+    """
+
+    __slots__ = ('_documents',)
+
+    def __init__(self):
+        # By their bytes, the last used one last.
+        self._documents = collections.OrderedDict()
+
+    def decode(self, data):
+        """Decode the configuration stored in a row.
+
+        Parameters
+        ----------
+        data : bytes
+            Value of the row.
+
+        Returns
+        -------
+        sniperudder.fleet.Configuration
+
+        Raises
+        ------
+        DocumentError
+            If the value is malformed.
+        """
+        document = self._get_document(data)
+        if document.error is not None:
+            raise _documents.DocumentError(document.error)
+        return document.configuration
+
+    def supersedes(self, row, known):
+        """Return whether a row of the table replaces another one.
+
+        The operators' version of a configuration decides, and not the state
+        of the store at which it was written: a configuration that was
+        confirmed stays in force if the store has lost it.
+
+        Parameters
+        ----------
+        row, known : StoredRow
+            Rows with the same key.
+
+        Returns
+        -------
+        bool
+        """
+        if row.key != CONFIGURATION_KEY:
+            return row.revision >= known.revision
+        known_version = self._get_version(known)
+        if known_version is None:
+            return True
+        version = self._get_version(row)
+        return version is not None and version >= known_version
+
+    def _get_version(self, row):
+        """Return the operators' version; None if there is none to be read."""
+        if row.value is None:
+            return None
+        return self._get_document(row.value).version
+
+    def _get_document(self, data):
+        document = self._documents.get(data)
+        if document is None:
+            document = self._documents[data] = _Document(data)
+            if len(self._documents) > _MAX_DOCUMENTS:
+                self._documents.popitem(last=False)
+        else:
+            self._documents.move_to_end(data)
+        return document
+
+
+class _Document:
+    """What was read from a document.
+
+    Attributes
+    ----------
+    version : int or None
+        The operators' version; None if there is none to be read.
+    configuration : sniperudder.fleet.Configuration or None
+    error : str or None
+        Why there is no configuration.
+    """
+
+    __slots__ = ('configuration', 'error', 'version')
+
+    def __init__(self, data):
+        self.version = self.configuration = self.error = None
+        try:
+            value = _documents.parse_object(data)
+            self.version = _documents.get_field(value, 'version', int)
+            self.configuration = _decode_configuration(value, self.version)
+        except _documents.DocumentError as error:
+            self.error = str(error)
+
+
+def decode_configuration(data):
+    """Decode a configuration; see `ConfigurationDecoder.decode`."""
+    return ConfigurationDecoder().decode(data)
+
+
+def _decode_configuration(value, version):
+    routes = {}
+    for entry in _documents.get_field(value, 'routes', list):
+        route = _decode_route(entry)
+        routes.setdefault(route.host, []).append(route)
+    for host_routes in routes.values():
+        host_routes.sort(key=lambda route: -len(route.prefix))
+    services = [
+        _decode_service(entry)
+        for entry in _documents.get_field(value, 'services', list)
+    ]
+    return fleet.Configuration(
+        version=version,
+        routes={host: tuple(routed) for host, routed in routes.items()},
+        services={service.name: service for service in services},
+        keys=_decode_keys(value),
+        limits=_decode_limits(_documents.get_field(value, 'limits', dict)),
+    )
+
+
+def _decode_route(value):
+    kind = _documents.get_field(value, 'kind', str)
+    targets = _documents.get_field(value, 'split', list, [])
+    if not targets:
+        targets = [
+            {
+                'service': _documents.get_field(value, 'service', str),
+                'weight': 1,
+            }
+        ]
+    return fleet.Route(
+        name=_documents.get_field(value, 'name', str),
+        host=_documents.get_field(value, 'host', str).lower(),
+        prefix=_documents.get_field(value, 'prefix', str),
+        targets=tuple(
+            fleet.Target(
+                _documents.get_field(target, 'service', str),
+                _documents.get_field(target, 'weight', float),
+            )
+            for target in targets
+        ),
+        repeatable=kind == _REPEATABLE_KIND,
+        streaming=kind == _STREAMING_KIND,
+        resumable=_documents.get_field(value, 'resumable', bool, False),
+        public=_documents.get_field(value, 'public', bool, False),
+        timeout_s=_documents.get_seconds(value, 'timeout_ms'),
+        gap_target_s=_documents.get_seconds(value, 'gap_target_ms', 0.0),
+        rank=_documents.get_field(value, 'priority', int, 0),
+        max_attempts=max(
+            1, _documents.get_field(value, 'max_attempts', int, 1)
+        ),
+    )
+
+
+def _decode_service(value):
+    name = _documents.get_field(value, 'name', str)
+    engine = value.get('engine')
+    return fleet.Service(
+        name=name,
+        max_connections=_documents.get_field(value, 'max_conns', int, 0),
+        engine=_decode_engine(engine) if isinstance(engine, dict) else None,
+    )
+
+
+def _decode_engine(value):
+    usual = _documents.get_field(value, 'usual', dict, {})
+    models = _documents.get_field(value, 'models', list, [])
+    accelerators = [
+        fleet.Accelerator(
+            name=_documents.get_field(kind, 'name', str),
+            memory_mb=_documents.get_field(kind, 'size_mb', float),
+            step_factor=_documents.get_field(kind, 'pace', float),
+            prefill_factor=_documents.get_field(kind, 'read_factor', float),
+        )
+        for kind in _documents.get_field(value, 'kinds', list, [])
+    ]
+    return fleet.EngineProfile(
+        layer_count=_documents.get_field(value, 'layers', int, 0),
+        layer_mb=_documents.get_field(value, 'layer_mb', float, 0.0),
+        kv_token_bytes=_documents.get_field(
+            value, 'kv_token_bytes', float, 0.0
+        ),
+        step_ms=_documents.get_field(value, 'step_ms', float, 1.0),
+        per_request_ms=_documents.get_field(value, 'per_seq_ms', float, 0.0),
+        context_per_k_ms=_documents.get_field(
+            value, 'context_per_k', float, 0.0
+        ),
+        # Tokens per second become tokens per millisecond.
+        prefill_tokens_per_ms=_documents.get_seconds(
+            value, 'read_per_s', 1000.0
+        ),
+        mean_prompt_tokens=_documents.get_field(usual, 'prompt', float, 0.0),
+        mean_output_tokens=_documents.get_field(usual, 'answer', float, 0.0),
+        load_s=max(
+            (
+                _documents.get_field(model, 'load_s', float, 0.0)
+                for model in models
+            ),
+            default=0.0,
+        ),
+        activation_bytes=_documents.get_field(
+            value, 'activation_bytes', float, 0.0
+        ),
+        link_mbps=_documents.get_field(value, 'pipe_mbps', float, 0.0),
+        accelerators={
+            accelerator.name: accelerator for accelerator in accelerators
+        },
+    )
+
+
+def _decode_keys(value):
+    if 'tenants' not in value:
+        return None
+    keys = {}
+    for tenant in _documents.get_field(value, 'tenants', list):
+        name = _documents.get_field(tenant, 'name', str)
+        rank = tenant.get('priority')
+        organisation = fleet.Organisation(
+            name, rank if type(rank) is int else None
+        )
+        for key in _documents.get_field(tenant, 'api_keys', list):
+            if not isinstance(key, str):
+                raise _documents.DocumentError(
+                    f'api_keys: expected a string, got {key!r}'
+                )
+            keys[key] = organisation
+    return keys
+
+
+def _decode_limits(value):
+    return fleet.Limits(
+        max_header_bytes=_documents.get_field(value, 'max_header_bytes', int),
+        max_body_bytes=_documents.get_field(value, 'max_body_bytes', int),
+        header_timeout_s=_documents.get_seconds(value, 'header_timeout_ms'),
+        idle_timeout_s=_documents.get_seconds(value, 'idle_timeout_ms'),
+    )
--- a/sniperudder/platform/_documents.py
+++ b/sniperudder/platform/_documents.py
@@ -21,8 +21,6 @@
 # shortest one.
 _DEFAULT_CONFIG_MS = 2_000.0
 
-_REPEATABLE_KIND = 'safe'
-_STREAMING_KIND = 'streaming'
 _READY_STATE = 'ready'
 _KNOWN_STATES = (_READY_STATE, 'draining')
 
@@ -34,9 +32,6 @@
 # Used if the settings do not state it, ms.
 _DEFAULT_HEARTBEAT_MS = 1_200.0
 
-# Key of the row of the configurations' table that is in force.
-CONFIGURATION_KEY = 'config'
-
 
 def decode_settings(data):
     """Decode the settings of an instance.
@@ -85,75 +80,6 @@
     )
 
 
-def decode_configuration(data):
-    """Decode the configuration stored in a row.
-
-    Parameters
-    ----------
-    data : bytes
-        Value of the row.
-
-    Returns
-    -------
-    sniperudder.fleet.Configuration
-
-    Raises
-    ------
-    DocumentError
-        If the value is malformed.
-    """
-    value = parse_object(data)
-    routes = {}
-    for entry in get_field(value, 'routes', list):
-        route = _decode_route(entry)
-        routes.setdefault(route.host, []).append(route)
-    for host_routes in routes.values():
-        host_routes.sort(key=lambda route: -len(route.prefix))
-    services = [_decode_service(s) for s in get_field(value, 'services', list)]
-    return fleet.Configuration(
-        version=get_field(value, 'version', int),
-        routes={host: tuple(routed) for host, routed in routes.items()},
-        services={service.name: service for service in services},
-        keys=_decode_keys(value),
-        limits=_decode_limits(get_field(value, 'limits', dict)),
-    )
-
-
-def supersedes_configuration(row, known):
-    """Return whether a row of the configurations' table replaces another one.
-
-    The operators' version of a configuration decides, and not the state of the
-    store at which it was written: a configuration that was confirmed stays in
-    force if the store has lost it.
-
-    Parameters
-    ----------
-    row, known : StoredRow
-        Rows with the same key.
-
-    Returns
-    -------
-    bool
-    """
-    if row.key != CONFIGURATION_KEY:
-        return row.revision >= known.revision
-    known_version = _get_configuration_version(known)
-    if known_version is None:
-        return True
-    version = _get_configuration_version(row)
-    return version is not None and version >= known_version
-
-
-def _get_configuration_version(row):
-    """Return the operators' version; None if there is none to be read."""
-    if row.value is None:
-        return None
-    try:
-        return get_field(parse_object(row.value), 'version', int)
-    except DocumentError:
-        return None
-
-
 def decode_endpoint(name, data):
     """Decode an endpoint from its row.
 
@@ -314,103 +240,3 @@
 def get_seconds(value, field, default=None):
     """Return a field in milliseconds as seconds; see `get_field`."""
     return get_field(value, field, float, default) / _MS_PER_S
-
-
-def _decode_route(value):
-    kind = get_field(value, 'kind', str)
-    targets = get_field(value, 'split', list, [])
-    if not targets:
-        targets = [{'service': get_field(value, 'service', str), 'weight': 1}]
-    return fleet.Route(
-        name=get_field(value, 'name', str),
-        host=get_field(value, 'host', str).lower(),
-        prefix=get_field(value, 'prefix', str),
-        targets=tuple(
-            fleet.Target(
-                get_field(target, 'service', str),
-                get_field(target, 'weight', float),
-            )
-            for target in targets
-        ),
-        repeatable=kind == _REPEATABLE_KIND,
-        streaming=kind == _STREAMING_KIND,
-        resumable=get_field(value, 'resumable', bool, False),
-        public=get_field(value, 'public', bool, False),
-        timeout_s=get_seconds(value, 'timeout_ms'),
-        gap_target_s=get_seconds(value, 'gap_target_ms', 0.0),
-        rank=get_field(value, 'priority', int, 0),
-        max_attempts=max(1, get_field(value, 'max_attempts', int, 1)),
-    )
-
-
-def _decode_service(value):
-    name = get_field(value, 'name', str)
-    engine = value.get('engine')
-    return fleet.Service(
-        name=name,
-        max_connections=get_field(value, 'max_conns', int, 0),
-        engine=_decode_engine(engine) if isinstance(engine, dict) else None,
-    )
-
-
-def _decode_engine(value):
-    usual = get_field(value, 'usual', dict, {})
-    models = get_field(value, 'models', list, [])
-    accelerators = [
-        fleet.Accelerator(
-            name=get_field(kind, 'name', str),
-            memory_mb=get_field(kind, 'size_mb', float),
-            step_factor=get_field(kind, 'pace', float),
-            prefill_factor=get_field(kind, 'read_factor', float),
-        )
-        for kind in get_field(value, 'kinds', list, [])
-    ]
-    return fleet.EngineProfile(
-        layer_count=get_field(value, 'layers', int, 0),
-        layer_mb=get_field(value, 'layer_mb', float, 0.0),
-        kv_token_bytes=get_field(value, 'kv_token_bytes', float, 0.0),
-        step_ms=get_field(value, 'step_ms', float, 1.0),
-        per_request_ms=get_field(value, 'per_seq_ms', float, 0.0),
-        context_per_k_ms=get_field(value, 'context_per_k', float, 0.0),
-        # Tokens per second become tokens per millisecond.
-        prefill_tokens_per_ms=get_seconds(value, 'read_per_s', 1000.0),
-        mean_prompt_tokens=get_field(usual, 'prompt', float, 0.0),
-        mean_output_tokens=get_field(usual, 'answer', float, 0.0),
-        load_s=max(
-            (get_field(model, 'load_s', float, 0.0) for model in models),
-            default=0.0,
-        ),
-        activation_bytes=get_field(value, 'activation_bytes', float, 0.0),
-        link_mbps=get_field(value, 'pipe_mbps', float, 0.0),
-        accelerators={
-            accelerator.name: accelerator for accelerator in accelerators
-        },
-    )
-
-
-def _decode_keys(value):
-    if 'tenants' not in value:
-        return None
-    keys = {}
-    for tenant in get_field(value, 'tenants', list):
-        name = get_field(tenant, 'name', str)
-        rank = tenant.get('priority')
-        organisation = fleet.Organisation(
-            name, rank if type(rank) is int else None
-        )
-        for key in get_field(tenant, 'api_keys', list):
-            if not isinstance(key, str):
-                raise DocumentError(
-                    f'api_keys: expected a string, got {key!r}'
-                )
-            keys[key] = organisation
-    return keys
-
-
-def _decode_limits(value):
-    return fleet.Limits(
-        max_header_bytes=get_field(value, 'max_header_bytes', int),
-        max_body_bytes=get_field(value, 'max_body_bytes', int),
-        header_timeout_s=get_seconds(value, 'header_timeout_ms'),
-        idle_timeout_s=get_seconds(value, 'idle_timeout_ms'),
-    )
