Decode only what a configuration has changed

The change of one route of many decoded all routes, services and organisations again and sorted the routes of all hosts, which held the event loop for a time in proportion to the whole document.

The lists of a document are parsed entry by entry. An entry whose text is known from the last document that could be decoded is neither parsed nor decoded again; where the list has shifted, one entry is parsed to find the place. The routes of a host are sorted only if one of them has changed or moved.

--- a/sniperudder/entry/tests/test_large_configurations.py
+++ b/sniperudder/entry/tests/test_large_configurations.py
@@ -7,6 +7,7 @@
 import testtools
 
 from sniperudder.entry.tests import _fleets
+from sniperudder.platform import _configurations
 from standins import fleet as standins
 
 _ROUTES = 2_000
@@ -61,6 +62,25 @@
         return mock.patch.object(json.JSONDecoder, 'raw_decode', raw_decode)
 
 
+class CallCounter:
+    """Counts the calls of a function of a module."""
+
+    def __init__(self, module, name):
+        self.calls = 0
+        self._module = module
+        self._name = name
+
+    def install(self):
+        """Return a context in which calls are counted."""
+        call = getattr(self._module, self._name)
+
+        def count(*arguments):
+            self.calls += 1
+            return call(*arguments)
+
+        return mock.patch.object(self._module, self._name, count)
+
+
 class ChangeTest(testtools.TestCase):
     def run_change(self, *contexts):
         """Change one route of many while contexts are entered."""
@@ -100,3 +120,19 @@
         self.assertTrue(
             0 < counter.characters <= length, (counter.characters, length)
         )
+
+    # Guards against: the change of one route decoded all others again and
+    # sorted the routes of all hosts.
+    def test_the_change_of_one_route_decodes_one(self):
+        parsing = ParsingCounter()
+        decoding = [
+            CallCounter(_configurations, name)
+            for name in ('_decode_route', '_decode_service', '_sort_routes')
+        ]
+        length = self.run_change(
+            parsing.install(), *(counter.install() for counter in decoding)
+        )
+        # The entries before and after the changed one are found by their
+        # text; the rest of the document has some fields.
+        self.assertTrue(parsing.characters < length / 100, parsing.characters)
+        self.assertEqual([1, 0, 1], [counter.calls for counter in decoding])
--- a/sniperudder/platform/_configurations.py
+++ b/sniperudder/platform/_configurations.py
@@ -1,13 +1,15 @@
 """Decoding of the operators' configuration.
 
 Versions may follow each other quickly, and a configuration may be large, so
-nothing is done twice.
+nothing is done twice: what a new document has in common with the last one is
+neither parsed nor decoded again.
 """
 
 import collections
 
 from sniperudder import fleet
 from sniperudder.platform import _documents
+from sniperudder.platform import _parsing
 
 # Key of the row of the configurations' table that is in force.
 CONFIGURATION_KEY = 'config'
@@ -15,6 +17,11 @@
 _REPEATABLE_KIND = 'safe'
 _STREAMING_KIND = 'streaming'
 
+_ROUTES = 'routes'
+_SERVICES = 'services'
+_ORGANISATIONS = 'tenants'
+_ENTRY_FIELDS = (_ROUTES, _SERVICES, _ORGANISATIONS)
+
 # Documents that are kept: the one in force, one that is compared with it, and
 # one that another instance has sent meanwhile.
 _MAX_DOCUMENTS = 3
@@ -38,9 +45,10 @@
     True
     """
 
-    __slots__ = ('_documents',)
+    __slots__ = ('_documents', '_last')
 
     def __init__(self):
+        self._last = _Decoded()
         # By their bytes, the last used one last.
         self._documents = collections.OrderedDict()
 
@@ -99,7 +107,11 @@
     def _get_document(self, data):
         document = self._documents.get(data)
         if document is None:
-            document = self._documents[data] = _Document(data)
+            document = self._documents[data] = _Document()
+            for _ in document.read(data, self._last):
+                pass
+            if document.decoded is not None:
+                self._last = document.decoded
             if len(self._documents) > _MAX_DOCUMENTS:
                 self._documents.popitem(last=False)
         else:
@@ -107,6 +119,27 @@
         return document
 
 
+class _Decoded:
+    """What the decoding of the next document can use of one.
+
+    Attributes
+    ----------
+    entries : dict of str to Entries
+        By the name of the field.
+    groups : dict of str to list of Route
+        Routes by host in the document's order.
+    routes : dict of str to tuple of Route
+        By host, longest prefix first.
+    """
+
+    __slots__ = ('entries', 'groups', 'routes')
+
+    def __init__(self):
+        self.entries = {field: _parsing.Entries() for field in _ENTRY_FIELDS}
+        self.groups = {}
+        self.routes = {}
+
+
 class _Document:
     """What was read from a document.
 
@@ -115,18 +148,34 @@
     version : int or None
         The operators' version; None if there is none to be read.
     configuration : sniperudder.fleet.Configuration or None
+    decoded : _Decoded or None
     error : str or None
         Why there is no configuration.
     """
 
-    __slots__ = ('configuration', 'error', 'version')
+    __slots__ = ('configuration', 'decoded', 'error', 'version')
 
-    def __init__(self, data):
-        self.version = self.configuration = self.error = None
+    def __init__(self):
+        self.version = self.configuration = None
+        self.decoded = self.error = None
+
+    def read(self, data, last):
+        """Read a document in steps.
+
+        Parameters
+        ----------
+        data : bytes
+        last : _Decoded
+            From an earlier document.
+        """
         try:
-            value = _documents.parse_object(data)
+            value = yield from _parsing.parse_in_steps(data, last.entries)
             self.version = _documents.get_field(value, 'version', int)
-            self.configuration = _decode_configuration(value, self.version)
+            decoded = _Decoded()
+            self.configuration = yield from _decode_in_steps(
+                value, self.version, last, decoded
+            )
+            self.decoded = decoded
         except _documents.DocumentError as error:
             self.error = str(error)
 
@@ -136,26 +185,49 @@
     return ConfigurationDecoder().decode(data)
 
 
-def _decode_configuration(value, version):
-    routes = {}
-    for entry in _documents.get_field(value, 'routes', list):
-        route = _decode_route(entry)
-        routes.setdefault(route.host, []).append(route)
-    for host_routes in routes.values():
-        host_routes.sort(key=lambda route: -len(route.prefix))
-    services = [
-        _decode_service(entry)
-        for entry in _documents.get_field(value, 'services', list)
-    ]
+def _decode_in_steps(value, version, last, decoded):
+    """Decode a configuration; fill ``decoded`` for the next one."""
+    for entry in _get_entries(value, _ROUTES, decoded):
+        route = entry.decode(_decode_route)
+        decoded.groups.setdefault(route.host, []).append(route)
+        yield
+    for host, group in decoded.groups.items():
+        if group == last.groups.get(host):
+            decoded.routes[host] = last.routes[host]
+        else:
+            decoded.routes[host] = _sort_routes(group)
+        yield
+    services = {}
+    for entry in _get_entries(value, _SERVICES, decoded):
+        service = entry.decode(_decode_service)
+        services[service.name] = service
+        yield
+    keys = None
+    if _ORGANISATIONS in value:
+        keys = {}
+        for entry in _get_entries(value, _ORGANISATIONS, decoded):
+            organisation, own_keys = entry.decode(_decode_organisation)
+            keys.update(dict.fromkeys(own_keys, organisation))
+            yield
     return fleet.Configuration(
         version=version,
-        routes={host: tuple(routed) for host, routed in routes.items()},
-        services={service.name: service for service in services},
-        keys=_decode_keys(value),
+        routes=decoded.routes,
+        services=services,
+        keys=keys,
         limits=_decode_limits(_documents.get_field(value, 'limits', dict)),
     )
 
 
+def _get_entries(value, field, decoded):
+    entries = _documents.get_field(value, field, _parsing.Entries)
+    decoded.entries[field] = entries
+    return entries
+
+
+def _sort_routes(group):
+    return tuple(sorted(group, key=lambda route: -len(route.prefix)))
+
+
 def _decode_route(value):
     kind = _documents.get_field(value, 'kind', str)
     targets = _documents.get_field(value, 'split', list, [])
@@ -246,23 +318,20 @@
     )
 
 
-def _decode_keys(value):
-    if 'tenants' not in value:
-        return None
-    keys = {}
-    for tenant in _documents.get_field(value, 'tenants', list):
-        name = _documents.get_field(tenant, 'name', str)
-        rank = tenant.get('priority')
-        organisation = fleet.Organisation(
-            name, rank if type(rank) is int else None
-        )
-        for key in _documents.get_field(tenant, 'api_keys', list):
-            if not isinstance(key, str):
-                raise _documents.DocumentError(
-                    f'api_keys: expected a string, got {key!r}'
-                )
-            keys[key] = organisation
-    return keys
+def _decode_organisation(value):
+    """Return an organisation and its API keys."""
+    name = _documents.get_field(value, 'name', str)
+    rank = value.get('priority')
+    keys = _documents.get_field(value, 'api_keys', list)
+    for key in keys:
+        if not isinstance(key, str):
+            raise _documents.DocumentError(
+                f'api_keys: expected a string, got {key!r}'
+            )
+    organisation = fleet.Organisation(
+        name, rank if type(rank) is int else None
+    )
+    return organisation, tuple(keys)
 
 
 def _decode_limits(value):
