End a stream without a length when its unlisted engine states its run

Callers would see a whole stream with neither a length nor chunks broken off (a plain engine answer: resumed or repeated) when the entry of its engine had lapsed at that moment, though the engine ran on and answered.

Cause: only a listed run counted as running in has_ended_response.

Change: reports carry the start time (born). An engine whose report states the start of the run that sent the response runs, listed or not; one that states none must still be listed. test_stream_is_resumed_if_the_engine_is_no_longer_ listed is unchanged: the stand-in there states no start time.

Plain endpoints have no call that names their run, and stay as they were.

--- a/sniperudder/forwarding/_crash_monitor.py
+++ b/sniperudder/forwarding/_crash_monitor.py
@@ -3,11 +3,14 @@
 import asyncio
 
 from sniperudder import fleet
+from sniperudder.forwarding import _engines
 from sniperudder.forwarding import _exchanges
 from sniperudder import routing
 
 __all__ = ['CrashMonitor']
 
+_SignOfLife = _engines.SignOfLife
+
 # Time for which a new connection must last to show that the endpoint runs,
 # seconds. The kernel ends those that a process has not accepted at its end.
 _ACCEPTED_S = 0.05
@@ -30,8 +33,7 @@
     journal : object
         Event log; see `Forwarder`.
     responds : callable
-        Coroutine function that returns whether an engine responds to a call;
-        None if it does not tell in time.
+        Coroutine function that returns the `SignOfLife` of an engine.
     """
 
     def __init__(self, T, pool, journal, responds):
@@ -130,19 +132,24 @@
         bool
             Whether the endpoint still runs. One that leaves may refuse to
             tell although it completed the response, and counts as ended.
-            One that is silent is asked again for a while.
+            One that is silent is asked again for a while. One that is not
+            listed, which may be for the moment only, must state its start.
         """
         endpoint = stage.endpoint
         # The kernel accepts connections for a while after the process has
         # ended, so only a response of an engine is evidence.
-        find_out = (
-            self._keeps_connection if stage.layers is None else self._responds
+        ask = (
+            self._find_plain_sign_of_life
+            if stage.layers is None
+            else self._responds
         )
         until = _read_time() + _MAX_SILENCE_S
-        runs = await find_out(endpoint)
-        while runs is None and _read_time() < until:
-            runs = await find_out(endpoint)
-        runs = bool(runs) and self._is_listed_run(endpoint)
+        sign = await ask(endpoint)
+        while sign is _SignOfLife.NOT_IN_TIME and _read_time() < until:
+            sign = await ask(endpoint)
+        runs = sign is _SignOfLife.SAME_RUN or (
+            sign is _SignOfLife.SERVES and self._is_listed_run(endpoint)
+        )
         if not runs and fleet.is_serving(self._T, stage):
             # For the record of crashes.
             self._start_check(endpoint)
@@ -150,23 +157,24 @@
                 await asyncio.shield(self._checks[_get_run_id(endpoint)])
         return runs
 
-    async def _keeps_connection(self, endpoint):
-        """Return whether a plain endpoint accepts a connection and keeps it.
+    async def _find_plain_sign_of_life(self, endpoint):
+        """Find out whether an endpoint accepts a connection and keeps it.
 
-        Such an endpoint has no call that runs nothing. Returns None if it does
-        not tell in time.
+        A plain endpoint has no call that runs nothing.
         """
         try:
             connection = await self._pool.open(endpoint.address)
         except TimeoutError:
-            return None
+            return _SignOfLife.NOT_IN_TIME
         except OSError:
-            return False
+            return _SignOfLife.NONE
         try:
             await asyncio.sleep(_ACCEPTED_S)
         finally:
             self._pool.release(connection)
-        return not connection.has_ended()
+        return (
+            _SignOfLife.NONE if connection.has_ended() else _SignOfLife.SERVES
+        )
 
     def _is_listed_run(self, endpoint):
         """Return whether the platform lists this run of an endpoint."""
--- a/sniperudder/forwarding/_engines.py
+++ b/sniperudder/forwarding/_engines.py
@@ -1,12 +1,13 @@
 """Client for the control interface of engines: reports and orders."""
 
 import dataclasses
+import enum
 import uuid
 
 from sniperudder.forwarding import _connections
 from sniperudder import platform
 
-__all__ = ['EngineClient', 'EngineResponse', 'NoResponse']
+__all__ = ['EngineClient', 'EngineResponse', 'NoResponse', 'SignOfLife']
 
 _OK = 200
 
@@ -40,6 +41,24 @@
     timed_out: bool = False
 
 
+class SignOfLife(enum.Enum):
+    """What a call to an endpoint shows.
+
+    NONE: it does not serve at its address.
+
+    NOT_IN_TIME: it does not tell in time, and may still run.
+
+    SERVES: an endpoint of its id serves, perhaps another run of it.
+
+    SAME_RUN: the run that was asked for serves.
+    """
+
+    NONE = 'none'
+    NOT_IN_TIME = 'not in time'
+    SERVES = 'serves'
+    SAME_RUN = 'same run'
+
+
 class EngineClient:
     """Calls the control interface of engines.
 
--- a/sniperudder/forwarding/_rerouting.py
+++ b/sniperudder/forwarding/_rerouting.py
@@ -55,14 +55,24 @@
         self._reports = {}
 
     async def responds(self, endpoint):
-        """Return whether an engine responds to a report request now.
+        """Find out whether an engine responds to a report request now.
 
-        Returns None if it does not tell in time.
+        Parameters
+        ----------
+        endpoint : sniperudder.fleet.Endpoint
+
+        Returns
+        -------
+        SignOfLife
         """
         report = await self._engine_client.fetch_report(endpoint)
         if isinstance(report, _engines.NoResponse):
-            return None if report.timed_out else False
-        return True
+            if report.timed_out:
+                return _engines.SignOfLife.NOT_IN_TIME
+            return _engines.SignOfLife.NONE
+        if report.born_ms == endpoint.born_ms != 0:
+            return _engines.SignOfLife.SAME_RUN
+        return _engines.SignOfLife.SERVES
 
     async def find_stalling_stage(self, endpoint, request_id):
         """Return the stage that a request is waiting for.
--- a/sniperudder/platform/_orders.py
+++ b/sniperudder/platform/_orders.py
@@ -39,12 +39,15 @@
         Layers that the engine holds.
     stalled : tuple of StalledRequest
         Stalled requests for which the engine is the first stage.
+    born_ms : int
+        Wall-clock time of the engine's start, ms; 0 if it is not stated.
     """
 
     orders_begun: int
     busy: bool
     layers: object
     stalled: tuple
+    born_ms: int = 0
 
 
 def make_place_order(layers, orders_begun):
@@ -121,6 +124,7 @@
         busy=_documents.get_field(value, 'busy', bool, False),
         layers=_documents.decode_layers(value),
         stalled=tuple(stalled),
+        born_ms=_documents.get_field(value, 'born', int, 0),
     )
 
 
--- a/standins/fleet/_endpoints.py
+++ b/standins/fleet/_endpoints.py
@@ -111,13 +111,7 @@
             status = self._begin_order(json.loads(body))
             _messages.write_response(http, writer, status, b'', self.notices)
         elif path == '/report':
-            report = {
-                'sequence': len(self.orders),
-                'busy': False,
-                'layers': self._make_layers(),
-                'stalled': self.stalled,
-            }
-            text = json.dumps(report).encode()
+            text = json.dumps(self.make_report()).encode()
             _messages.write_response(http, writer, 200, text, self.notices)
         elif self.script:
             self._record_arrival(request)
@@ -128,6 +122,15 @@
             self.requests.append((request, body))
             await self.respond_normally(request, http, writer)
 
+    def make_report(self):
+        """Return the body of a report, which states no start time."""
+        return {
+            'sequence': len(self.orders),
+            'busy': False,
+            'layers': self._make_layers(),
+            'stalled': self.stalled,
+        }
+
     async def respond_normally(self, request, http, writer):
         """Respond as a healthy endpoint does."""
         if self.accelerator:
