Take a new run of a listed engine for no sign of life of the run before

Callers would see a stream with neither a length nor chunks end as complete midway when its engine crashed and started anew under its id before the entry showed that.

Cause: a report showed that an engine of that id runs; the listed entry, up to a heartbeat old, was taken to say which run.

Change: a report that states another start time than that of the run that sent the response is no sign of life. Reports that state none are judged as before.

--- a/sniperudder/entry/tests/test_lapsed_entries.py
+++ b/sniperudder/entry/tests/test_lapsed_entries.py
@@ -40,8 +40,8 @@
 class UnframedStreamTest(testtools.TestCase):
     """A stream with neither a length nor chunks ends while it is unlisted."""
 
-    def run_stream(self, engine, end):
-        """Send a stream that ends after the entry was removed."""
+    def run_stream(self, engine, end, is_listed=False):
+        """Send a stream that ends after the entry was removed, or not."""
 
         async def case(test_fleet):
             async def serve(request, http, writer):
@@ -50,8 +50,9 @@
                 writer.write(f'HTTP/1.1 200 OK\r\n{head}\r\n'.encode())
                 writer.write(b'id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n')
                 await writer.drain()
-                test_fleet.store.put('servers', engine.id, None)
-                await test_fleet.await_event('endpoint:gone')
+                if not is_listed:
+                    test_fleet.store.put('servers', engine.id, None)
+                    await test_fleet.await_event('endpoint:gone')
                 end(test_fleet)
                 raise OSError('closed by the script')
 
@@ -78,6 +79,17 @@
         with testtools.ExpectedException(h11.RemoteProtocolError):
             self.run_stream(engine, restart)
 
+    # Guards against: a stream ended as complete midway: its engine had
+    # started anew under its id, and the run before was still listed.
+    def test_entry_of_an_earlier_run_is_no_evidence(self):
+        engine = StatingEngine('gpu-1')
+
+        def restart(test_fleet):
+            engine.born += 1
+
+        with testtools.ExpectedException(h11.RemoteProtocolError):
+            self.run_stream(engine, restart, is_listed=True)
+
     def test_stream_of_a_run_that_is_not_stated_does_not_look_complete(self):
         engine = _fleets.create_engine('gpu-1', layers=(0, 8))
         with testtools.ExpectedException(h11.RemoteProtocolError):
--- a/sniperudder/forwarding/_rerouting.py
+++ b/sniperudder/forwarding/_rerouting.py
@@ -70,8 +70,10 @@
             if report.timed_out:
                 return _engines.SignOfLife.NOT_IN_TIME
             return _engines.SignOfLife.NONE
-        if report.born_ms == endpoint.born_ms != 0:
-            return _engines.SignOfLife.SAME_RUN
+        if report.born_ms and endpoint.born_ms:
+            if report.born_ms == endpoint.born_ms:
+                return _engines.SignOfLife.SAME_RUN
+            return _engines.SignOfLife.NONE
         return _engines.SignOfLife.SERVES
 
     async def find_stalling_stage(self, endpoint, request_id):
