Await the late body of an error response to a stream

What callers saw: 502 in place of an engine's own 500 whose body came over 1 s after its head, where the stream could not be resumed, no other chain was free or the others refused it.

Cause: the exchange was broken off 1 s after the head, and only then something else was looked for. Now the body is awaited until the request's time ends; after 1 s without it another attempt is begun beside it, if the stream can be resumed, as beside a silent first stage.

Evidence: the two new tests of test_silences.py failed before (502, code 306) and pass now; test_silences.py and test_second_attempts.py: 21 passed.

--- a/sniperudder/entry/tests/test_silences.py
+++ b/sniperudder/entry/tests/test_silences.py
@@ -209,6 +209,57 @@
         outcome = self.run_streams(engines, case)
         self.assertEqual((200, [1, 2, 3]), outcome)
 
+    # Guards against: an error response whose body came late was replaced by
+    # 502 although the stream could not be sent elsewhere.
+    def test_late_body_of_an_error_is_awaited(self):
+        for target in ('/once/a', '/stream/a'):
+            engine = SilentEngine('gpu-1')
+            engine.script.append(self.fail_late(engine))
+
+            async def case(test_fleet, target=target):
+                return await test_fleet.send(target, wait_ms=4_000)
+
+            status, headers, body = self.run_streams([engine], case)
+            self.assertEqual((500, b'late'), (status, body), target)
+            self.assertEqual('seal', headers['x-sniperudder-response-seal'])
+            self.assertEqual(1, len(engine.requests))
+
+    # Guards against: the same where the other engine refused the stream.
+    def test_late_body_of_an_error_is_awaited_if_others_refuse(self):
+        engines = [SilentEngine('gpu-1'), SilentEngine('gpu-2')]
+
+        async def case(test_fleet):
+            for engine in engines:
+                engine.script.append(self.fail_late(engine))
+            sending = asyncio.create_task(
+                test_fleet.send('/stream/a', wait_ms=4_000)
+            )
+            while not any(engine.requests for engine in engines):
+                await asyncio.sleep(0.001)
+            for engine in engines:
+                engine.script.clear()
+                engine.script.extend(engine.refuse() for _ in range(60))
+            return await sending
+
+        status, _, body = self.run_streams(engines, case)
+        self.assertEqual((500, b'late'), (status, body))
+
+    def fail_late(self, engine):
+        """Return a script entry: an error, and its body after a silence."""
+
+        async def serve(request, http, writer):
+            headers = [('Content-Length', '4'), *standins.make_seal(request)]
+            head = h11.Response(status_code=500, headers=headers)
+            writer.write(http.send(head))
+            writer.write(http.send(h11.Data(data=b'la')))
+            await writer.drain()
+            engine.begin_silence()
+            await engine.end_silence()
+            writer.write(http.send(h11.Data(data=b'te')))
+            writer.write(http.send(h11.EndOfMessage()))
+
+        return serve
+
     def test_stream_is_resumed_where_another_chain_is_free(self):
         engines = [SilentEngine('gpu-1'), SilentEngine('gpu-2')]
         for engine in engines:
--- a/sniperudder/forwarding/_attempts.py
+++ b/sniperudder/forwarding/_attempts.py
@@ -1,5 +1,6 @@
 """One attempt to serve a stream from a chain of endpoints."""
 
+import asyncio
 import enum
 
 import h11
@@ -19,17 +20,19 @@
 # allow for a first event, and twice the longest gap that counts as timely.
 _FIRST_EVENT_STALL_S = 0.4
 
-# Time for which the body of an error response is awaited, seconds.
-_ERROR_TIMEOUT_S = 1.0
 _STALL_S = 0.4
 
+# Time without the whole body of an error response after which another attempt
+# may be begun, seconds.
+_ERROR_STALL_S = 1.0
+
 
 class Signal(enum.Enum):
     """What an attempt reports beside events and outcomes.
 
     SILENT: nothing arrives from the first stage, and it either does not
-    respond to a report request or reports no stage that stalls the stream.
-    The attempt goes on.
+    respond to a report request or reports no stage that stalls the stream;
+    or the body of an error response is late. The attempt goes on.
 
     COMPLETE: the stream has ended as it should.
     """
@@ -73,6 +76,8 @@
         self._survived = False
         self._sent = False
         self._head = None
+        # Receives an error response to its end.
+        self._error_task = None
         self._splitter = _events.EventSplitter()
         self._reservation = _reservations.Reservation(
             forwarder.T, _jobs.get_request_size(job).total
@@ -205,6 +210,8 @@
 
     def close(self):
         """Release everything, so that the endpoints cancel the request."""
+        if self._error_task is not None:
+            self._error_task.cancel()
         self._monitor.close()
         self._exchange.close()
         self._reservation.clear()
@@ -219,6 +226,8 @@
 
         Returns None once the head of a stream has arrived.
         """
+        if self._error_task is not None:
+            return await self._receive_error()
         if not self._sent:
             self._sent = True
             failure = await self._exchange.open()
@@ -233,7 +242,10 @@
             return head
         self._monitor.postpone_checks()
         if head.status_code != 200:
-            return await self._exchange.receive_rest(head, _ERROR_TIMEOUT_S)
+            self._error_task = asyncio.create_task(
+                self._exchange.receive_rest(head)
+            )
+            return await self._receive_error()
         response_head = platform.decode_response_head(
             head.status_code, head.headers
         )
@@ -245,6 +257,15 @@
         )
         return None
 
+    async def _receive_error(self):
+        """Receive the rest of an error response, however late it comes."""
+        is_resumable = self._stream.can_resume(self._job)
+        done, _ = await asyncio.wait(
+            {self._error_task},
+            timeout=_ERROR_STALL_S if is_resumable else None,
+        )
+        return self._error_task.result() if done else Signal.SILENT
+
     async def _check_end(self):
         """Return whether the end of the response is the end of the stream."""
         if self._splitter.remainder:
