Handle what has arrived before the process ends

Callers saw a request that they had sent before the end of a planned stop end without an answer.

Cause: the exit aborted all connections, whatever lay in their sockets.

test_request_that_arrived_before_the_exit_is_answered fails without the wait.

--- a/sniperudder/entry/_entry.py
+++ b/sniperudder/entry/_entry.py
@@ -401,6 +401,8 @@
         while self._caller_server.connections and loop.time() < deadline:
             self._caller_server.close_idle(_KEEP_AFTER_RESPONSE_S)
             await asyncio.sleep(_STOP_POLL_S)
+        # They are refused as not run by now.
+        await self._caller_server.handle_arrived(_EXIT_MARGIN_S / 2)
         self._journal.write(
             'instance:stopped',
             self._settings.name,
--- a/sniperudder/forwarding/_caller_connections.py
+++ b/sniperudder/forwarding/_caller_connections.py
@@ -230,6 +230,17 @@
             return False
         return self._count_unread_bytes() == 0
 
+    @property
+    def has_unread_request(self):
+        """Whether bytes of a request have arrived that were not read."""
+        is_reading = self._phase in (_Phase.IDLE, _Phase.HEAD, _Phase.BODY)
+        return is_reading and self._count_unread_bytes() > 0
+
+    @property
+    def responding(self):
+        """Whether a request was read whose response is not complete."""
+        return self._phase is _Phase.RESPONSE
+
     @property
     def response_started(self):
         """Whether the head of a response was sent, but not its end."""
@@ -360,7 +371,7 @@
 
     def _handle_timeout(self):
         if self._phase in (_Phase.HEAD, _Phase.BODY):
-            if self._count_unread_bytes():
+            if self.has_unread_request:
                 self._set_timer(_UNREAD_RECHECK_S)
             else:
                 self._reject(408)
--- a/sniperudder/forwarding/_caller_server.py
+++ b/sniperudder/forwarding/_caller_server.py
@@ -106,6 +106,24 @@
                     self._create_connection, connection
                 )
 
+    async def handle_arrived(self, timeout_s):
+        """Handle the requests that have arrived and were not read.
+
+        Parameters
+        ----------
+        timeout_s : float
+            Longest time to take, seconds.
+        """
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + timeout_s
+        arrived = set()
+        while loop.time() < deadline:
+            unread = {c for c in self.connections if c.has_unread_request}
+            arrived |= unread
+            if not unread and not any(c.responding for c in arrived):
+                return
+            await asyncio.sleep(0)
+
     def close(self):
         """Stop listening and abort all connections."""
         if self._server is not None:
--- a/sniperudder/forwarding/tests/test_closures.py
+++ b/sniperudder/forwarding/tests/test_closures.py
@@ -230,3 +230,24 @@
         self.run_server(case)
         self.assertEqual(2, received[0].count(b'HTTP/1.1 200'), received[0])
         self.assertEqual(1, received[0].count(b'Connection: close'))
+
+    # Guards against: at the end of a stop, requests that had arrived while the
+    # loop was busy were discarded without an answer.
+    def test_request_that_arrived_before_the_exit_is_answered(self):
+        received = []
+
+        async def case(server):
+            loop = asyncio.get_running_loop()
+            with connect(server) as client:
+                await await_connections(server, 1)
+                await asyncio.sleep(0.05)
+                client.send(_GET)
+                await server.server.handle_arrived(0.5)
+                server.server.close()
+                received.append(
+                    await loop.run_in_executor(None, self.receive, client)
+                )
+
+        server = self.run_server(case)
+        self.assertIn(b'HTTP/1.1 200', received[0])
+        self.assertTrue(all(closure.is_clean for closure in server.closures))
