--- /dev/null
+++ b/sniperudder/entry/tests/_exit_callers.py
@@ -0,0 +1,185 @@
+"""Callers that send requests, drawn from a seed, on one connection."""
+
+import asyncio
+import random
+
+import h11
+
+from sniperudder.entry.tests import _exit_judgement
+from sniperudder.entry.tests import _exit_records
+
+__all__ = ['Caller']
+
+_READ_BYTES = 65_536
+
+# Time past its own within which a request must have ended, seconds.
+_LATE_S = 1.5
+
+_ROUTES = ('stream', 'stream', 'stream', 'once', 'safe', 'safe', 'unsafe')
+
+
+async def _read_bytes(reader):
+    """Read what has arrived, also where the connection was reset later."""
+    try:
+        return await reader.read(_READ_BYTES)
+    except OSError:
+        data = bytes(reader._buffer)
+        reader._buffer.clear()
+        if not data:
+            raise
+        return data
+
+
+class Caller:
+    """A caller with one connection.
+
+    Parameters
+    ----------
+    case : Case
+    number : int
+    """
+
+    def __init__(self, case, number):
+        self._case = case
+        self._number = number
+        self._rng = random.Random(f'{case.seed} caller {number}')
+
+    async def converse(self, after_s):
+        """Send some requests on one connection."""
+        rng = self._rng
+        await asyncio.sleep(after_s)
+        member = rng.choice(self._case.members)
+        host, _, port = member.settings.callers_address.rpartition(':')
+        try:
+            reader, writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            return
+        count, pipelined = rng.choice((1, 1, 2, 3)), rng.random() < 0.3
+        pending, sent, before = b'', [], None
+        try:
+            for n in range(count):
+                request = self._draw_request(
+                    f'{self._case.seed}-{self._number}-{n}'
+                )
+                request.instance, request.follows = member, before
+                request.expects &= not pipelined
+                before = request
+                self._case.requests.append(request)
+                http = h11.Connection(h11.CLIENT)
+                await self._send(request, http, writer)
+                sent.append((request, http))
+                if pipelined and n < count - 1:
+                    continue
+                while sent:
+                    request, http = sent.pop(0)
+                    if pending:
+                        http.receive_data(pending)
+                    await self._read(request, http, reader, writer)
+                    pending = http.trailing_data[0]
+                    if request.outcome != 'whole' or request.announces_close:
+                        return
+                await asyncio.sleep(rng.uniform(0.0, 0.25))
+        finally:
+            for unread, _ in sent:
+                unread.outcome = 'left' if request.outcome == 'left' else 'cut'
+                unread.ended_at = self._case.now()
+            writer.close()
+
+    def _draw_request(self, request_id):
+        route = self._rng.choice(_ROUTES)
+        method = 'POST'
+        if route == 'safe':
+            method = self._rng.choice(('GET', 'HEAD', 'POST'))
+        size = self._rng.choice((0, 10, 10, 3_000, 90_000))
+        body = b'b' * size if method == 'POST' else b''
+        wait_s = self._rng.uniform(2.0, 4.0)
+        if self._rng.random() < 0.15:
+            wait_s = self._rng.uniform(0.3, 0.8)
+        request = _exit_records.Request(
+            request_id, route, method, body, wait_s
+        )
+        if self._rng.random() < 0.1:
+            request.leaves_after_s = self._rng.choice(
+                (0.0, self._rng.random())
+            )
+        request.expects = bool(body) and self._rng.random() < 0.2
+        return request
+
+    async def _send(self, request, http, writer):
+        headers = [
+            ('Host', 'shop.example'),
+            ('X-Sniperudder-Request-Id', request.id),
+            ('X-Sniperudder-Request-Deadline', f'{request.wait_s * 1e3:.0f}'),
+            ('Authorization', 'Token key-1'),
+        ]
+        if request.body and self._rng.random() < 0.2:
+            headers.append(('Transfer-Encoding', 'chunked'))
+        elif request.method == 'POST':
+            headers.append(('Content-Length', str(len(request.body))))
+        if request.expects:
+            headers.append(('Expect', '100-continue'))
+        target = f'/{request.route}/a'
+        head = h11.Request(
+            method=request.method, target=target, headers=headers
+        )
+        self._mark(request)
+        writer.write(http.send(head))
+        if not request.expects:
+            await self._send_body(request, http, writer)
+
+    async def _send_body(self, request, http, writer):
+        size = max(len(request.body) // self._rng.randint(1, 4), 1)
+        for start in range(0, len(request.body), size):
+            piece = request.body[start : start + size]
+            await asyncio.sleep(self._rng.choice((0.0, 0.03)))
+            self._mark(request)
+            writer.write(http.send(h11.Data(data=piece)))
+        writer.write(http.send(h11.EndOfMessage()))
+
+    def _mark(self, request):
+        """Record that the instance has the request from now on."""
+        request.sent_at = self._case.now()
+        version = request.instance.version or 0
+        request.versions = version, version
+
+        def record_next():
+            request.versions = version, request.instance.version or 0
+
+        asyncio.get_running_loop().call_later(
+            _exit_judgement.CLOCK_SLACK_S, record_next
+        )
+
+    async def _read(self, request, http, reader, writer):
+        """Read the answer to a request, unless the caller leaves."""
+        if request.follows and request.follows.ended_at > request.sent_at:
+            self._mark(request)
+        wait_s = request.wait_s + _LATE_S
+        if request.leaves_after_s is not None:
+            wait_s = request.leaves_after_s
+        request.outcome = 'cut'
+        try:
+            async with asyncio.timeout(wait_s):
+                while request.outcome == 'cut':
+                    event = http.next_event()
+                    if event is h11.NEED_DATA:
+                        http.receive_data(await _read_bytes(reader))
+                    elif isinstance(event, h11.InformationalResponse):
+                        await self._send_body(request, http, writer)
+                    elif isinstance(event, h11.Response):
+                        request.status = event.status_code
+                        request.headers = {
+                            name.decode(): value.decode()
+                            for name, value in event.headers
+                        }
+                    elif isinstance(event, h11.Data):
+                        request.answer += bytes(event.data)
+                    elif isinstance(event, h11.EndOfMessage):
+                        request.outcome = 'whole'
+                    else:
+                        break
+        except TimeoutError:
+            left = request.leaves_after_s is not None
+            request.outcome = 'left' if left else 'unanswered'
+        except (OSError, h11.RemoteProtocolError):
+            pass
+        request.ended_at = self._case.now()
