--- a/measurements/exits.py
+++ b/measurements/exits.py
@@ -1,7 +1,9 @@
 """Random cases of the ends of requests.
 
 Run as ``python -m measurements.exits SECONDS SEED``. A failure prints its
-seed, the violation, and what the caller, the endpoints and the log say.
+seed, the violation, and what the caller, the endpoints and the log say. Lawful
+ends that should be rare are counted: requests that crossed the end of their
+connection, and cuts after a run was ended for the sake of another one.
 """
 
 import sys
@@ -21,15 +23,25 @@
         Number of seeds with a violated guarantee.
     """
     deadline = time.monotonic() + seconds
-    failed_seeds = run_count = 0
+    failed_seeds = run_count = request_count = 0
     while time.monotonic() < deadline:
-        faults = _exits.play(seed, *_CASES[seed % len(_CASES)])
-        if faults:
+        verdict = _exits.play(seed, *_CASES[seed % len(_CASES)])
+        if verdict.faults:
             failed_seeds += 1
-            print('\n'.join(faults), flush=True)
+            print('\n'.join(verdict.faults), flush=True)
+        if verdict.crossed or verdict.let_go:
+            print(
+                f'seed {seed}: {verdict.requests} requests, of which'
+                f' {verdict.crossed} crossed the end of their connection and'
+                f' {verdict.let_go} were cut after a run was let go',
+                flush=True,
+            )
         run_count += 1
+        request_count += verdict.requests
         seed += 1
-    print(f'{run_count} cases, {failed_seeds} broken')
+    print(
+        f'{run_count} cases, {request_count} requests, {failed_seeds} broken'
+    )
     return failed_seeds
 
 
--- a/sniperudder/entry/tests/_exit_callers.py
+++ b/sniperudder/entry/tests/_exit_callers.py
@@ -2,13 +2,20 @@
 
 import asyncio
 import random
+import socket
+import time
 
 import h11
 
-from sniperudder.entry.tests import _exit_judgement
 from sniperudder.entry.tests import _exit_records
 
-__all__ = ['Caller']
+__all__ = ['HOLD_S', 'Caller']
+
+# Shortest and longest time for which the loop is held, seconds.
+HOLD_S = 0.1, 0.4
+
+# Part of the limit for unused connections after which callers use none again.
+_REUSE_SHARE = 0.8
 
 _READ_BYTES = 65_536
 
@@ -30,6 +37,27 @@
         return data
 
 
+def _has_ended(sock):
+    """Return whether the other side has closed a connection."""
+    sock.setblocking(False)
+    try:
+        return not sock.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+
+
+class _SocketWriter:
+    """Sends what the loop does not know of yet."""
+
+    def __init__(self, sock):
+        self._sock = sock
+
+    def write(self, data):
+        self._sock.sendall(data)
+
+
 class Caller:
     """A caller with one connection.
 
@@ -55,7 +83,7 @@
         except OSError:
             return
         count, pipelined = rng.choice((1, 1, 2, 3)), rng.random() < 0.3
-        pending, sent, before = b'', [], None
+        pending, sent, before, hold_s = b'', [], None, 0.0
         try:
             for n in range(count):
                 request = self._draw_request(
@@ -67,6 +95,7 @@
                 self._case.requests.append(request)
                 http = h11.Connection(h11.CLIENT)
                 await self._send(request, http, writer)
+                time.sleep(hold_s)
                 sent.append((request, http))
                 if pipelined and n < count - 1:
                     continue
@@ -78,13 +107,72 @@
                     pending = http.trailing_data[0]
                     if request.outcome != 'whole' or request.announces_close:
                         return
-                await asyncio.sleep(rng.uniform(0.0, 0.25))
+                hold_s = await self._pause(member)
+                if reader.at_eof() or hold_s is None:
+                    return
         finally:
             for unread, _ in sent:
                 unread.outcome = 'left' if request.outcome == 'left' else 'cut'
                 unread.ended_at = self._case.now()
             writer.close()
 
+    async def _pause(self, member):
+        """Wait before the next request.
+
+        Returns
+        -------
+        float or None
+            Time for which the loop is held after it is sent, seconds. None if
+            a limit has changed, and the connection is not to be used again.
+        """
+        rng = self._rng
+        if rng.random() < 0.75:
+            await asyncio.sleep(rng.uniform(0.0, 0.25))
+            return 0.0
+        pause_s = member.idle_timeout_s * _REUSE_SHARE * rng.uniform(0.7, 1.0)
+        hold_s = rng.uniform(*HOLD_S) if rng.random() < 0.4 else 0.0
+        await asyncio.sleep(pause_s)
+        return (
+            hold_s if pause_s <= member.idle_timeout_s * _REUSE_SHARE else None
+        )
+
+    async def arrive_held(self, member, after_s, hold_s):
+        """Open a connection, and send a request right before the loop is held.
+
+        Parameters
+        ----------
+        member : PlayedMember
+        after_s : float
+            Time until the request is sent, seconds. The connection is opened
+            half of the times before, else with it.
+        hold_s : float
+        """
+        opens_early = self._rng.random() < 0.5
+        if not opens_early:
+            await asyncio.sleep(after_s)
+        host, _, port = member.settings.callers_address.rpartition(':')
+        try:
+            sock = socket.create_connection((host, int(port)))
+        except OSError:
+            return
+        if opens_early:
+            await asyncio.sleep(after_s)
+        if _has_ended(sock):
+            sock.close()
+            return
+        request = self._draw_request(f'{self._case.seed}-{self._number}')
+        request.body, request.expects = b'', False
+        request.instance = member
+        self._case.requests.append(request)
+        http = h11.Connection(h11.CLIENT)
+        await self._send(request, http, _SocketWriter(sock))
+        time.sleep(hold_s)
+        reader, writer = await asyncio.open_connection(sock=sock)
+        try:
+            await self._read(request, http, reader, writer)
+        finally:
+            writer.close()
+
     def _draw_request(self, request_id):
         route = self._rng.choice(_ROUTES)
         method = 'POST'
@@ -122,7 +210,7 @@
         head = h11.Request(
             method=request.method, target=target, headers=headers
         )
-        self._mark(request)
+        request.sent_at = self._case.now()
         writer.write(http.send(head))
         if not request.expects:
             await self._send_body(request, http, writer)
@@ -132,27 +220,13 @@
         for start in range(0, len(request.body), size):
             piece = request.body[start : start + size]
             await asyncio.sleep(self._rng.choice((0.0, 0.03)))
-            self._mark(request)
+            request.sent_at = self._case.now()
             writer.write(http.send(h11.Data(data=piece)))
         writer.write(http.send(h11.EndOfMessage()))
-
-    def _mark(self, request):
-        """Record that the instance has the request from now on."""
-        request.sent_at = self._case.now()
-        version = request.instance.version or 0
-        request.versions = version, version
-
-        def record_next():
-            request.versions = version, request.instance.version or 0
-
-        asyncio.get_running_loop().call_later(
-            _exit_judgement.CLOCK_SLACK_S, record_next
-        )
+        request.is_sent = True
 
     async def _read(self, request, http, reader, writer):
         """Read the answer to a request, unless the caller leaves."""
-        if request.follows and request.follows.ended_at > request.sent_at:
-            self._mark(request)
         wait_s = request.wait_s + _LATE_S
         if request.leaves_after_s is not None:
             wait_s = request.leaves_after_s
--- a/sniperudder/entry/tests/_exit_endpoints.py
+++ b/sniperudder/entry/tests/_exit_endpoints.py
@@ -52,8 +52,24 @@
         super().__init__(name, service, accelerator=accelerator)
         self.layers = layers
         self.silent_until = 0.0
+        self.is_lapsed = False
         self._case = case
 
+    def lapse(self):
+        """Have the platform remove the entry of this endpoint."""
+        self.is_lapsed = True
+        self._case.store.put('servers', self.id, None)
+
+    def list_again(self, order=None):
+        """Write the entry, unless it has lapsed and the time has not come."""
+        if not self.is_lapsed:
+            self.list_in(self._case.store)
+
+    def end_lapse(self):
+        """Write the entry that had lapsed."""
+        self.is_lapsed = False
+        self.list_again()
+
     async def respond(self, request, body, http, writer):
         """See base class."""
         await self._pause(writer, 0.0)
@@ -65,7 +81,9 @@
         request_id = _read_id(request)
         runs = self._case.runs.setdefault(request_id, [])
         rng = random.Random(f'{self._case.seed} {request_id} {len(runs)}')
-        run = _exit_records.Run(self.id, rng.choice(_ACTS), self._case.now())
+        # A second run often breaks off after its first piece.
+        acts = (*_ACTS, *6 * ('break early',)) if runs else _ACTS
+        run = _exit_records.Run(self.id, rng.choice(acts), self._case.now())
         runs.append(run)
         try:
             target = request.target.decode()
@@ -98,6 +116,8 @@
             pieces = []
         # -1 stands for before the head.
         turn = rng.randint(-1, len(pieces))
+        if run.act == 'break early':
+            turn = min(1, len(pieces))
         if turn < 0:
             await self._take_turn(run, rng, request, writer)
         write = self._start(run, rng, streaming, request, pieces, http, writer)
@@ -134,6 +154,8 @@
 
         def send(piece):
             if without_length and piece is None:
+                # Its end doesn't show without the endpoint's entry.
+                run.is_unlisted = self.is_lapsed
                 raise OSError('the end of an answer without length')
             event = h11.EndOfMessage() if piece is None else h11.Data(piece)
             writer.write(piece if without_length else http.send(event))
@@ -142,7 +164,7 @@
 
     async def _take_turn(self, run, rng, request, writer):
         """Fall silent or break off, as the act says."""
-        if run.act == 'break':
+        if run.act.startswith('break'):
             run.end = 'broke'
             # Close with a reset, which no answer without length survives.
             writer.get_extra_info('socket').setsockopt(
--- a/sniperudder/entry/tests/_exit_judgement.py
+++ b/sniperudder/entry/tests/_exit_judgement.py
@@ -8,11 +8,22 @@
 # Tolerance for times that are measured on a busy machine, seconds.
 CLOCK_SLACK_S = 0.15
 
+# Time before the end of a connection within which a request that was sent on
+# it may not have arrived yet, seconds.
+_CROSSING_S = 0.2
+
 
 class Judgement:
-    """What is wrong with the end of one request."""
+    """What is wrong with the end of one request.
+
+    Attributes
+    ----------
+    has_crossed : bool
+        Whether it was sent whole, and its connection was closed meanwhile.
+    """
 
     def __init__(self, case, request):
+        self.has_crossed = False
         self._case = case
         self._request = request
         self._runs = case.runs.get(request.id, [])
@@ -21,13 +32,26 @@
             for event, _, fields in case.list_lines(request)
             if event == 'request:cut'
         ]
-        self._broke = any(r.end in ('broke', 'failed') for r in self._runs)
-        elapsed_s = request.ended_at - request.sent_at
-        self._is_over = elapsed_s > case.get_time_s(request) - CLOCK_SLACK_S
+        self._broke = any(
+            run.end in ('broke', 'failed') or run.is_unlisted
+            for run in self._runs
+        )
+        self._arrival = request.instance.arrivals.get(request.id)
+        self._is_over = self._arrival is not None and (
+            request.ended_at - self._arrival.at
+            > case.get_time_s(request, self._arrival.version) - CLOCK_SLACK_S
+        )
         target = f'/{request.route}/a'
         pieces = _exit_records.list_pieces(request.id, target, request.body)
         self._whole = b''.join(pieces)
 
+    @property
+    def is_let_go(self):
+        """Whether it was cut after a run was ended for the sake of another."""
+        return 'broken off' in self._cuts and any(
+            run.end == 'left' for run in self._runs
+        )
+
     def list_faults(self):
         """Return what is wrong, as a list of str."""
         request, cuts = self._request, self._cuts
@@ -75,19 +99,29 @@
         return [] if is_lawful.get(status) else [f'unlawful status {status}']
 
     def _judge_cut(self):
-        request, before = self._request, self._request.follows
-        stop_at = request.instance.stop_at
-        if not self._runs and not self._cuts and not request.status:
-            was_last = before is not None and (
-                before.outcome != 'whole' or before.announces_close
-            )
-            stopped = stop_at is not None and request.ended_at >= stop_at
-            unread = was_last or stopped
-            return [] if unread else ['closed without an answer']
+        if self._arrival is None:
+            return self._judge_unread()
         if len(self._cuts) != 1 or self._cuts[0] not in self._list_lawful():
             return [f'unlawful cut: {self._cuts}']
         return self._judge_break() if self._cuts == ['broken off'] else []
 
+    def _judge_unread(self):
+        """Judge a request that the instance has not read whole."""
+        request, before = self._request, self._request.follows
+        if self._runs or self._cuts:
+            return ['ran, or was cut, and was not read']
+        if before is not None and (
+            before.outcome != 'whole' or before.announces_close
+        ):
+            return []
+        if request.is_sent:
+            crossed = request.ended_at - request.sent_at < _CROSSING_S
+            self.has_crossed = crossed
+            return [] if crossed else ['sent whole, closed and not read']
+        stop_at = request.instance.stop_at
+        stopped = stop_at is not None and request.ended_at >= stop_at
+        return [] if stopped else ['closed before it was sent whole']
+
     def _list_lawful(self):
         """Return the lawful reasons of a cut of this request."""
         request, stop_at = self._request, self._request.instance.stop_at
--- a/sniperudder/entry/tests/_exit_members.py
+++ b/sniperudder/entry/tests/_exit_members.py
@@ -3,11 +3,15 @@
 import dataclasses
 
 from sniperudder.entry import _entry
+from sniperudder.entry.tests import _exit_records
 from sniperudder.entry.tests import _members
 from sniperudder import platform
 from sniperudder import revisions
 
-__all__ = ['CLOSES_AFTER_S', 'PlayedMember']
+__all__ = ['ACCEPT_S', 'CLOSES_AFTER_S', 'PlayedMember']
+
+# Time for which an instance accepts connections after a stop began, seconds.
+ACCEPT_S = 0.4
 
 _GRACE_S = 1.6
 
@@ -19,17 +23,43 @@
 
 
 class PlayedMember(_members.Member):
-    """A real instance; a light one is given its tables by hand."""
+    """A real instance; a light one is given its tables by hand.
+
+    Attributes
+    ----------
+    stop_at : float or None
+        Time at which its planned stop began, seconds.
+    arrivals : dict of str to Arrival
+        The requests that it has read, by id.
+    """
 
     def __init__(self, case, name, is_first_start=True):
         super().__init__(name, case.store.address, is_first_start)
         self.stop_at = None
+        self.arrivals = {}
         self._case = case
         bounds = dataclasses.replace(self.settings.bounds, grace_s=_GRACE_S)
         self.settings = dataclasses.replace(self.settings, bounds=bounds)
         self.instance = _entry.Entry(
             self.settings, lambda: self.settings, self.journal
         )
+        self.instance._caller_server.handle = self._handle
+
+    @property
+    def idle_timeout_s(self):
+        """The limit in force for connections that are not used."""
+        return self.instance._caller_server.limits.idle_timeout_s
+
+    async def _handle(self, request, caller):
+        (request_id,) = [
+            value.decode()
+            for name, _, value in request.headers
+            if name == b'x-sniperudder-request-id'
+        ]
+        self.arrivals[request_id] = _exit_records.Arrival(
+            self._case.now(), self.version
+        )
+        await self.instance._forwarder.handle(request, caller)
 
     async def start(self):
         """Start the instance."""
@@ -44,9 +74,14 @@
             instance._caller_server.close()
 
         instance.close = close
-        instance._endpoint_list.apply(self._read_rows('servers'), True, False)
+        self.apply_endpoints()
         self.apply_configuration()
 
+    def apply_endpoints(self):
+        """Apply the list of endpoints that the store holds."""
+        rows = self._read_rows('servers')
+        self.instance._endpoint_list.apply(rows, True, False)
+
     def apply_configuration(self):
         """Apply the configuration that the store holds."""
         self.instance._apply_configuration(self._read_rows('op'), False, False)
--- a/sniperudder/entry/tests/_exit_records.py
+++ b/sniperudder/entry/tests/_exit_records.py
@@ -4,11 +4,19 @@
 import random
 import zlib
 
-__all__ = ['Request', 'Run', 'list_pieces']
+__all__ = ['Arrival', 'Request', 'Run', 'list_pieces']
 
 _LARGE_BYTES = 150_000
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Arrival:
+    """When an instance had read a request whole, and with which version."""
+
+    at: float
+    version: int | None
+
+
 @dataclasses.dataclass
 class Run:
     """A request at an endpoint, and what the endpoint saw."""
@@ -20,6 +28,7 @@
     end: str = 'open'
     ended_at: float = 0.0
     sent_at: list = dataclasses.field(default_factory=list)
+    is_unlisted: bool = False
 
 
 @dataclasses.dataclass
@@ -36,7 +45,7 @@
     expects: bool = False
     follows: object = dataclasses.field(default=None, repr=False)
     sent_at: float = 0.0
-    versions: tuple = (0, 0)
+    is_sent: bool = False
     outcome: str = 'unsent'
     status: int = 0
     headers: dict = dataclasses.field(default_factory=dict)
--- a/sniperudder/entry/tests/_exits.py
+++ b/sniperudder/entry/tests/_exits.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import random
 import unittest.mock
 
@@ -18,9 +19,30 @@
 from sniperudder.entry.tests import _members
 from standins import fleet as standins
 
-__all__ = ['Case', 'play']
+__all__ = ['Case', 'Verdict', 'play']
 
-_ACCEPT_S = 0.4
+
+@dataclasses.dataclass(slots=True)
+class Verdict:
+    """What came of the requests of a case.
+
+    Attributes
+    ----------
+    requests : int
+    crossed : int
+        Requests that were sent whole, and not read, on connections that the
+        instance closed within 0.2 s.
+    let_go : int
+        Requests that were cut after a run that had not broken off was ended
+        for the sake of another one.
+    faults : list of str
+        What is wrong.
+    """
+
+    requests: int = 0
+    crossed: int = 0
+    let_go: int = 0
+    faults: list = dataclasses.field(default_factory=list)
 
 
 class Case:
@@ -44,6 +66,7 @@
     """
 
     def __init__(self, seed, count, light=False):
+        self.count = count
         self.seed = seed
         self.light = light
         self.rng = random.Random(f'{seed} {count}')
@@ -54,7 +77,6 @@
         self.requests = []
         self.changes = []
         self.timeouts = []
-        self._count = count
         self._all_members = []
         self._began_at = 0.0
         self._changes = _exit_changes.Changes(self)
@@ -68,8 +90,7 @@
 
         Returns
         -------
-        list of str
-            What is wrong.
+        Verdict
         """
         rng = self.rng
         async with self._run():
@@ -84,7 +105,7 @@
                 tasks.append(self._changes.act(action, rng.uniform(0.0, 2.5)))
             await asyncio.gather(*tasks)
             await asyncio.sleep(0.3)
-        return self._list_faults()
+        return self._judge()
 
     @contextlib.asynccontextmanager
     async def _run(self):
@@ -94,10 +115,10 @@
         try:
             for endpoint in self.endpoints:
                 await endpoint.start()
-                endpoint.on_order = lambda _, e=endpoint: e.list_in(self.store)
+                endpoint.on_order = endpoint.list_again
                 endpoint.list_in(self.store)
             self._changes.put(self._changes.make_configuration(), 'first')
-            for number in range(self._count):
+            for number in range(self.count):
                 await self.start_member(f'entry-{number}')
             await _members.wait_until(self._is_ready, _members.START_S)
             self._began_at = asyncio.get_running_loop().time()
@@ -123,27 +144,36 @@
         self.members.append(member)
         return member
 
-    def _list_faults(self):
-        faults = [
+    def _judge(self):
+        verdict = Verdict(requests=len(self.requests))
+        verdict.faults = [
             f'seed {self.seed}: {member.name}: {subject} {fields}'
             for member in self._all_members
             for event, subject, fields in member.journal.lines
             if event == 'instance:fault'
         ]
         for request in self.requests:
-            found = _exit_judgement.Judgement(self, request).list_faults()
+            judgement = _exit_judgement.Judgement(self, request)
+            found = judgement.list_faults()
             if found:
-                faults.append(self._describe(request, found))
-        return faults
+                verdict.faults.append(self._describe(request, found))
+            verdict.crossed += judgement.has_crossed
+            verdict.let_go += judgement.is_let_go
+        return verdict
 
     def _describe(self, request, found):
         lines = [
-            f'seed {self.seed}, {self._count} instances: {found}',
+            f'seed {self.seed}, {self.count} instances: {found}',
             f'  caller: {request} {request.answer[:400]}',
             f'  changes: {self.changes}',
         ]
         lines += [f'  endpoint: {r}' for r in self.runs.get(request.id, ())]
         lines += [f'  log: {line}' for line in self.list_lines(request)]
+        lines += [
+            f'  log: {line}'
+            for line in request.instance.journal.lines
+            if line[0] == 'connection:closed'
+        ]
         return '\n'.join(lines)
 
     def list_lines(self, request):
@@ -155,21 +185,15 @@
             if line[1] == request.id
         ]
 
-    def get_time_s(self, request):
-        """Return the shortest time that the request may have had, seconds."""
-        # The versions in force about the arrival of the request.
-        first, last = request.versions
-        times = [
-            timeouts[request.route]
-            for timeouts in self.timeouts[max(first - 1, 0) : last]
-            if request.route in timeouts
-        ]
-        return min([request.wait_s, *times])
+    def get_time_s(self, request, version):
+        """Return the time that a request has with a version, seconds."""
+        timeouts = self.timeouts[version - 1] if version else {}
+        return min(request.wait_s, timeouts.get(request.route, float('inf')))
 
 
 def play(seed, count, conversations, light=False):
-    """Play a case; return what is wrong, as a list of str."""
+    """Play a case; return its `Verdict`."""
     with unittest.mock.patch.object(
-        _entry, '_ACCEPT_AFTER_SIGTERM_S', _ACCEPT_S
+        _entry, '_ACCEPT_AFTER_SIGTERM_S', _exit_members.ACCEPT_S
     ):
         return asyncio.run(Case(seed, count, light).play(conversations))
--- a/sniperudder/entry/tests/test_exits.py
+++ b/sniperudder/entry/tests/test_exits.py
@@ -9,13 +9,14 @@
     """Each request that was read gets a whole answer or a lawful cut.
 
     Guards against: a run at a sound endpoint was given up, a request was cut
-    beside a change of the configuration, or ended without a line in the log.
+    beside a change of the configuration, ended without a line in the log, or
+    was sent in time on a connection that was closed without having been read.
     """
 
     def play(self, seeds, count, conversations, light=False):
         for seed in seeds:
-            faults = _exits.play(seed, count, conversations, light)
-            self.assertEqual([], faults, '\n'.join(faults))
+            verdict = _exits.play(seed, count, conversations, light)
+            self.assertEqual([], verdict.faults, '\n'.join(verdict.faults))
 
     def test_requests_at_one_instance(self):
         self.play((1, 2), 1, 40)
