--- a/sniperudder/entry/tests/_exit_callers.py
+++ b/sniperudder/entry/tests/_exit_callers.py
@@ -90,6 +90,7 @@
                     f'{self._case.seed}-{self._number}-{n}'
                 )
                 request.instance, request.follows = member, before
+                request.address = writer.get_extra_info('sockname')
                 request.expects &= not pipelined
                 before = request
                 self._case.requests.append(request)
@@ -162,7 +163,7 @@
             return
         request = self._draw_request(f'{self._case.seed}-{self._number}')
         request.body, request.expects = b'', False
-        request.instance = member
+        request.instance, request.address = member, sock.getsockname()
         self._case.requests.append(request)
         http = h11.Connection(h11.CLIENT)
         await self._send(request, http, _SocketWriter(sock))
--- a/sniperudder/entry/tests/_exit_judgement.py
+++ b/sniperudder/entry/tests/_exit_judgement.py
@@ -115,9 +115,14 @@
         ):
             return []
         if request.is_sent:
-            crossed = request.ended_at - request.sent_at < _CROSSING_S
-            self.has_crossed = crossed
-            return [] if crossed else ['sent whole, closed and not read']
+            closed_at = request.instance.closings.get(request.address)
+            if closed_at is not None:
+                unread_s = closed_at - request.sent_at
+                self.has_crossed = unread_s < _CROSSING_S
+                if self.has_crossed:
+                    return []
+                return [f'sent whole, unread for {unread_s:.3f} s, closed']
+            return ['sent whole, and lost']
         stop_at = request.instance.stop_at
         stopped = stop_at is not None and request.ended_at >= stop_at
         return [] if stopped else ['closed before it was sent whole']
--- a/sniperudder/entry/tests/_exit_members.py
+++ b/sniperudder/entry/tests/_exit_members.py
@@ -5,6 +5,7 @@
 from sniperudder.entry import _entry
 from sniperudder.entry.tests import _exit_records
 from sniperudder.entry.tests import _members
+from sniperudder.forwarding import _caller_connections
 from sniperudder import platform
 from sniperudder import revisions
 
@@ -22,6 +23,28 @@
 CLOSES_AFTER_S = _GRACE_S - _EXIT_MARGIN_S
 
 
+class _PlayedConnection(_caller_connections.CallerConnection):
+    """A connection whose closing by the instance is recorded."""
+
+    def __init__(self, server, member):
+        super().__init__(server)
+        self._member = member
+
+    def close(self, reason):
+        """See base class."""
+        self._record()
+        super().close(reason)
+
+    def abort(self, cut):
+        """See base class."""
+        self._record()
+        super().abort(cut)
+
+    def _record(self):
+        address = self._transport.get_extra_info('peername')
+        self._member.record_closing(address)
+
+
 class PlayedMember(_members.Member):
     """A real instance; a light one is given its tables by hand.
 
@@ -31,25 +54,37 @@
         Time at which its planned stop began, seconds.
     arrivals : dict of str to Arrival
         The requests that it has read, by id.
+    closings : dict of tuple to float
+        When it closed connections, by the address of the caller, seconds.
     """
 
     def __init__(self, case, name, is_first_start=True):
         super().__init__(name, case.store.address, is_first_start)
         self.stop_at = None
         self.arrivals = {}
+        self.closings = {}
         self._case = case
         bounds = dataclasses.replace(self.settings.bounds, grace_s=_GRACE_S)
         self.settings = dataclasses.replace(self.settings, bounds=bounds)
         self.instance = _entry.Entry(
             self.settings, lambda: self.settings, self.journal
         )
-        self.instance._caller_server.handle = self._handle
+        server = self.instance._caller_server
+        server.handle = self._handle
+        server._create_connection = self._create_connection
 
     @property
     def idle_timeout_s(self):
         """The limit in force for connections that are not used."""
         return self.instance._caller_server.limits.idle_timeout_s
 
+    def _create_connection(self):
+        return _PlayedConnection(self.instance._caller_server, self)
+
+    def record_closing(self, caller_address):
+        """Record that a connection of a caller is being closed."""
+        self.closings.setdefault(caller_address, self._case.now())
+
     async def _handle(self, request, caller):
         (request_id,) = [
             value.decode()
--- a/sniperudder/entry/tests/_exit_records.py
+++ b/sniperudder/entry/tests/_exit_records.py
@@ -44,6 +44,7 @@
     leaves_after_s: float | None = None
     expects: bool = False
     follows: object = dataclasses.field(default=None, repr=False)
+    address: tuple = ()
     sent_at: float = 0.0
     is_sent: bool = False
     outcome: str = 'unsent'
