Test four ends of requests that mutants could remove

On mutants of the code, in a scratch copy: without the wait for the budget of retries, a stream that broke off was cut at the first refusal; without the retry after a break, a stream of which nothing was delivered failed; limits that fell while a request was read were applied to the rest of it (two mutants: all limits, or that of bodies only). Each of the three new tests failed on its mutants and passes on the code. The fourth known survivor, the rest of an event ignored at the end of a stream, needs no new test: test_stream_that_ends_within_event_is_aborted of test_streams.py, which had not been run for it, fails on the mutant. test_caller_server.py, test_request_ends.py, test_exits.py: 40 passed.

--- a/sniperudder/entry/tests/test_request_ends.py
+++ b/sniperudder/entry/tests/test_request_ends.py
@@ -1,11 +1,13 @@
 """Tests of how requests end: whole, or cut for a reason that is recorded."""
 
 import asyncio
+import unittest.mock
 
 import h11
 import testtools
 
 from sniperudder.entry.tests import _fleets
+from sniperudder import routing
 from standins import fleet as standins
 
 
@@ -157,3 +159,73 @@
             await sending
 
         self.assert_recorded(self.run_case(case), 'broken off', 306)
+
+
+class BreakTest(testtools.TestCase):
+    """An engine breaks a stream off, and another one is sound."""
+
+    def run_case(self, events, change=None):
+        """Send a stream; return its status and the ids of its events.
+
+        Parameters
+        ----------
+        events : int
+            Number of events after which the first engine breaks off.
+        change : callable, optional
+            Coroutine function of the fleet, run once the stream was sent.
+        """
+        names = 'gpu-1', 'gpu-2'
+        engines = [
+            _fleets.create_engine(name, layers=(0, 8)) for name in names
+        ]
+
+        def break_off(engine):
+            async def serve(request, http, writer):
+                if events:
+                    await engine.send_stream(
+                        request, http, writer, upto=events
+                    )
+                await asyncio.sleep(0.05)
+                writer.transport.abort()
+                raise OSError('reset by the script')
+
+            return serve
+
+        async def run():
+            profile = standins.make_engine(accelerators=_fleets.ACCELERATORS)
+            async with _fleets.run_fleet(
+                *engines, engine=profile
+            ) as test_fleet:
+                for engine in engines:
+                    engine.script.append(break_off(engine))
+                sending = asyncio.create_task(
+                    test_fleet.send('/stream/a', wait_ms=4_000)
+                )
+                while not any(engine.requests for engine in engines):
+                    await asyncio.sleep(0.001)
+                for engine in engines:
+                    engine.script.clear()
+                if change is not None:
+                    await change(test_fleet)
+                status, _, body = await sending
+                return status, _fleets.list_ids(body)
+
+        return asyncio.run(run())
+
+    # Guards against: a stream of which nothing had been delivered yet was
+    # failed although another chain was free.
+    def test_stream_that_breaks_before_its_first_event_is_sent_again(self):
+        self.assertEqual((200, [1, 2, 3]), self.run_case(0))
+
+    # Guards against: a stream that had begun was cut at the first refusal of a
+    # retry, although the budget had room a moment later.
+    def test_stream_that_breaks_waits_for_the_budget_of_retries(self):
+        async def exhaust(test_fleet):
+            with unittest.mock.patch.object(
+                routing.RetryBudget, 'spend'
+            ) as spend:
+                spend.return_value = False
+                await asyncio.sleep(0.6)
+                self.assertTrue(spend.called)
+
+        self.assertEqual((200, [1, 2, 3]), self.run_case(1, exhaust))
--- a/sniperudder/forwarding/tests/test_caller_server.py
+++ b/sniperudder/forwarding/tests/test_caller_server.py
@@ -313,6 +313,34 @@
         )
         self.assertEqual([200], statuses)
 
+    # Guards against: limits that fell while a request was being read were
+    # applied to the rest of it, and it was rejected.
+    def test_limits_that_fall_apply_from_the_next_request_on(self):
+        head = b'POST / HTTP/1.1\r\nHost: h\r\n'
+        length = b'Content-Length: 400\r\n\r\n'
+        chunked = b'Transfer-Encoding: chunked\r\n\r\n'
+        chunk = b'c8\r\n' + b'x' * 200 + b'\r\n'
+        more = b'X: ' + b'x' * 400 + b'\r\n'
+        for changes, pieces, later_status in (
+            ({'max_body_bytes': 300}, (head, length + b'x' * 400), 413),
+            ({'max_body_bytes': 300}, (head + length, b'x' * 400), 413),
+            (
+                {'max_body_bytes': 300},
+                (head + chunked + chunk, chunk + b'0\r\n\r\n'),
+                413,
+            ),
+            ({'max_header_bytes': 300}, (head, more + b'\r\n'), 431),
+        ):
+            whole = b''.join(pieces)
+            for second, expected in (
+                (b'', [200]),
+                (whole, [200, later_status]),
+            ):
+                statuses = self.exchange_beside_change(
+                    changes, (pieces[0], pieces[1] + second), 0.1
+                )
+                self.assertEqual(expected, statuses, pieces)
+
     # Guards against: a kept connection was closed after the idle timeout of an
     # older configuration, when its caller used it again.
     def test_idle_timeout_that_rises_holds_for_kept_connections(self):
