--- a/sniperudder/entry/_entry.py
+++ b/sniperudder/entry/_entry.py
@@ -393,6 +393,7 @@
         self._feed.stop()
         self._caller_server.announce_close = True
         deadline = started_at + self._settings.bounds.grace_s - _EXIT_MARGIN_S
+        self._forwarder.stop_at = deadline
         while loop.time() < started_at + _ACCEPT_AFTER_SIGTERM_S:
             await asyncio.sleep(_STOP_POLL_S)
         await self._caller_server.stop_listening()
@@ -428,14 +429,15 @@
     def _record_closure(self, closure):
         reason = closure.reason.value
         metrics.count_event(self._metrics, f'closed:{reason}')
-        if not closure.unread_bytes and not closure.unanswered_bytes:
+        if closure.is_clean:
             return
-        metrics.count_event(self._metrics, f'closed unread:{reason}')
+        metrics.count_event(self._metrics, f'closed unclean:{reason}')
         self._journal.write(
             'connection:closed',
             reason=reason,
             unread_bytes=closure.unread_bytes,
             unanswered_bytes=closure.unanswered_bytes,
+            unsent_bytes=closure.unsent_bytes,
             idle_s=round(closure.idle_s, 3),
         )
 
