--- a/sniperudder/forwarding/tests/test_closures.py
+++ b/sniperudder/forwarding/tests/test_closures.py
@@ -121,16 +121,18 @@
             pass
         return received
 
-    async def send_during_turn(self, server, close):
+    async def send_during_turn(self, server, close, read=b'', unread=_GET):
         """Send a request while one turn of the loop ends in a closing.
 
-        The loop does not look at the socket between the two.
+        The loop does not look at the socket between the two, but has read the
+        beginning of the request.
         """
         loop = asyncio.get_running_loop()
         with connect(server) as client:
             await await_connections(server, 1)
+            client.send(read)
             await asyncio.sleep(0.05)
-            client.send(_GET)
+            client.send(unread)
             close()
             return await loop.run_in_executor(None, self.receive, client)
 
@@ -173,6 +175,25 @@
         self.run_server(case)
         self.assertIn(b'HTTP/1.1 200', received[0])
 
+    # Guards against: a body whose rest had arrived was rejected as too slow,
+    # because the loop had been busy past the time limit.
+    def test_body_whose_rest_has_arrived_is_not_too_slow(self):
+        head = b'POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n'
+        for read, unread in ((head, b'xx'), (head + b'x', b'x')):
+            received = []
+
+            async def case(server, read=read, unread=unread, to=received):
+                def expire():
+                    (connection,) = server.server.connections
+                    connection._handle_timeout()
+
+                to.append(
+                    await self.send_during_turn(server, expire, read, unread)
+                )
+
+            self.run_server(case)
+            self.assertIn(b'HTTP/1.1 200', received[0], read)
+
     # Guards against: a planned stop closed connections as idle on which a
     # request had arrived and was not read yet.
     def test_request_that_arrived_before_a_stop_is_answered(self):
