Draw bodies whose rest arrives late while the loop is held

Callers pause within a body for up to 0.8 of the idle timeout and hold the loop right after its rest.

--- a/sniperudder/entry/tests/_exit_judgement.py
+++ b/sniperudder/entry/tests/_exit_judgement.py
@@ -91,6 +91,7 @@
         is_lawful = {
             503: not begun,
             504: self._is_over,
+            408: request.is_late and self._arrival is None,
             **{
                 own: any(done == kind for _, done in self._case.changes)
                 for own, kind in kinds.items()
@@ -114,14 +115,15 @@
             before.outcome != 'whole' or before.announces_close
         ):
             return []
-        if request.is_sent:
-            closed_at = request.instance.closings.get(request.address)
-            if closed_at is not None:
-                unread_s = closed_at - request.sent_at
-                self.has_crossed = unread_s < _CROSSING_S
-                if self.has_crossed:
-                    return []
+        closed_at = request.instance.closings.get(request.address)
+        if closed_at is not None:
+            unread_s = closed_at - request.sent_at
+            self.has_crossed = unread_s < _CROSSING_S
+            if self.has_crossed:
+                return []
+            if request.is_sent:
                 return [f'sent whole, unread for {unread_s:.3f} s, closed']
+        elif request.is_sent:
             return ['sent whole, and lost']
         stop_at = request.instance.stop_at
         stopped = stop_at is not None and request.ended_at >= stop_at
--- a/sniperudder/entry/tests/_exit_records.py
+++ b/sniperudder/entry/tests/_exit_records.py
@@ -47,6 +47,7 @@
     address: tuple = ()
     sent_at: float = 0.0
     is_sent: bool = False
+    is_late: bool = False
     outcome: str = 'unsent'
     status: int = 0
     headers: dict = dataclasses.field(default_factory=dict)
--- a/sniperudder/entry/tests/_exits.py
+++ b/sniperudder/entry/tests/_exits.py
@@ -8,6 +8,7 @@
 import contextlib
 import dataclasses
 import random
+import time
 import unittest.mock
 
 from sniperudder.entry import _entry
@@ -21,6 +22,10 @@
 
 __all__ = ['Case', 'Verdict', 'play']
 
+# Shortest time between two moments in which the loop is held, seconds. The
+# callers share it, and are held as well.
+_HOLD_INTERVAL_S = 0.5
+
 
 @dataclasses.dataclass(slots=True)
 class Verdict:
@@ -79,12 +84,19 @@
         self.timeouts = []
         self._all_members = []
         self._began_at = 0.0
+        self._may_hold_at = 0.0
         self._changes = _exit_changes.Changes(self)
 
     def now(self):
         """Return the time since the case began, seconds."""
         return asyncio.get_running_loop().time() - self._began_at
 
+    def hold(self, seconds):
+        """Hold the loop, unless it was held a moment ago."""
+        if seconds and self.now() >= self._may_hold_at:
+            time.sleep(seconds)
+            self._may_hold_at = self.now() + _HOLD_INTERVAL_S
+
     async def play(self, conversations):
         """Play the case with a number of connections of callers.
 
