Do not believe an empty resumed response beside a silent attempt

What callers saw: a stream that ended as complete before its last event, where another engine had answered the resumed stream with an empty 200 and the silent engine would have gone on.

Cause: an end without an event was believed although the attempt that had served the stream until then was open. Now it ends the stream only if that one ends without a further event, or 1.5 s after the last event, as callers leave after 2 s; it is void once the open attempt goes on.

test_silent_engine_goes_on of EmptyEndTest failed before; test_second_attempts.py, test_silences.py, test_streams.py, test_stages.py: 51 passed.

--- a/sniperudder/entry/tests/test_second_attempts.py
+++ b/sniperudder/entry/tests/test_second_attempts.py
@@ -12,7 +12,7 @@
 from standins import fleet as standins
 
 
-class SecondAttemptTest(testtools.TestCase):
+class _TwoEnginesTest(testtools.TestCase):
     """One engine serves a stream and falls silent; another one gets it too."""
 
     def run_case(self, first, make_second, change=None, wait_ms=4_000):
@@ -91,6 +91,8 @@
         writer.write(http.send(h11.Data(data=b'id: 3\ndata: 3\n\n')))
         writer.write(http.send(h11.EndOfMessage()))
 
+
+class SecondAttemptTest(_TwoEnginesTest):
     # Guards against: an event that arrived while a silent engine was asked for
     # its report was relayed only afterwards, and another attempt was begun.
     def test_event_is_relayed_while_the_stages_are_checked(self):
@@ -329,3 +331,45 @@
             lambda engine: [engine.refuse() for _ in range(60)],
             expect_cut,
         )
+
+
+class EmptyEndTest(_TwoEnginesTest):
+    """The other engine ends a resumed stream without a further event."""
+
+    def end_at_once(self, engine):
+        async def serve(request, http, writer):
+            headers = [
+                ('Transfer-Encoding', 'chunked'),
+                *standins.make_seal(request),
+            ]
+            head = h11.Response(status_code=200, headers=headers)
+            writer.write(http.send(head))
+            writer.write(http.send(h11.EndOfMessage()))
+
+        return [serve]
+
+    # Guards against: an empty response elsewhere ended a stream as complete,
+    # though the silent engine went on.
+    def test_silent_engine_goes_on(self):
+        outcome, _, engines = self.run_case(self.fall_silent, self.end_at_once)
+        self.assertEqual((200, [1, 2, 3]), outcome)
+        self.assertEqual([1, 1], [len(e.requests) for e in engines])
+
+    # Guards against: a stream that was complete except for its end was held
+    # until its caller left.
+    def test_end_holds_if_the_silent_engine_does_not_go_on(self):
+        async def break_off(http, writer):
+            writer.transport.abort()
+            raise OSError('reset by the script')
+
+        for silence_s in (1.0, 9.0):
+            outcome, test_fleet, _ = self.run_case(
+                lambda engine, silence_s=silence_s: self.pause(
+                    engine, break_off, silence_s, with_event=False
+                ),
+                self.end_at_once,
+            )
+            self.assertEqual((200, [1]), outcome, silence_s)
+            (ended,) = test_fleet.journal.list_events('request:end')
+            self.assertEqual(300, ended['code'])
+            self.assertLess(ended['duration_ms'], 1_900)
--- a/sniperudder/forwarding/_attempts.py
+++ b/sniperudder/forwarding/_attempts.py
@@ -62,6 +62,8 @@
         Whether the first stage is silent and was recorded as failed.
     is_charged : bool
         Whether it was taken from the budget of retries.
+    has_events : bool
+        Whether events were passed on.
     headers : list of (bytes, bytes) or None
         Headers for the caller, once the head of the response has arrived.
     """
@@ -97,6 +99,7 @@
         self.is_charged = False
         self.sent_at = forwarder.now()
         self.suspected = False
+        self.has_events = False
         self.headers = None
 
     @property
@@ -174,6 +177,7 @@
 
     def record_progress(self, events):
         """Record that a number of events were passed on to the caller."""
+        self.has_events = True
         self._monitor.record_progress(events)
         now = self._forwarder.now()
         if self._began_at is None:
--- a/sniperudder/forwarding/_streams.py
+++ b/sniperudder/forwarding/_streams.py
@@ -79,6 +79,8 @@
         self._attempts = {}
         # Loop time of the next attempt beside a silent one, or None.
         self._begin_elsewhere_at = None
+        # Attempt that ended without an event beside a silent one.
+        self._empty = None
         self._answer = None
         self._code = _Code.NO_ENDPOINT
 
@@ -136,7 +138,11 @@
             `Signal.COMPLETE`, or the outcome of the last attempt.
         """
         while True:
-            if len(self._attempts) == 1 and self._begin_elsewhere_at is None:
+            if (
+                len(self._attempts) == 1
+                and self._begin_elsewhere_at is None
+                and self._empty is None
+            ):
                 ((attempt, task),) = self._attempts.items()
                 received = await (task or attempt.receive(self._send_events))
                 self._attempts[attempt] = None
@@ -146,11 +152,21 @@
                 self._begin_elsewhere(attempt)
                 continue
             if received is _Signal.COMPLETE:
+                if attempt is self._empty:
+                    return self._end_as_empty()
+                if self._is_doubtful(attempt):
+                    self._remove(attempt).end(received)
+                    self._empty = attempt
+                    continue
                 self._prefer(attempt)
                 self._send_end(attempt)
             self._end(attempt, received)
-            if not self._attempts or received is _Signal.COMPLETE:
+            if received is _Signal.COMPLETE:
                 return received
+            if not self._attempts:
+                return (
+                    received if self._empty is None else self._end_as_empty()
+                )
             (remaining,) = self._attempts
             if isinstance(received, _exchanges.NotRun) and remaining.suspected:
                 self._begin_elsewhere_at = (
@@ -161,7 +177,8 @@
     async def _receive_first(self):
         """Return the first attempt that receives no more, and its result.
 
-        Returns a silent attempt if it is time for another one beside it.
+        Returns a silent attempt if it is time for another one beside it, and
+        the attempt that ended without an event if no other one goes on.
         """
         while True:
             for attempt, task in self._attempts.items():
@@ -170,7 +187,10 @@
                         attempt.receive(self._send_events)
                     )
             wait_s = None
-            if self._begin_elsewhere_at is not None:
+            if self._empty is not None:
+                believed_at = self._stream.last_event_at + _MAX_RESUME_WAIT_S
+                wait_s = max(believed_at - self._forwarder.now(), 0.0)
+            elif self._begin_elsewhere_at is not None:
                 wait_s = self._begin_elsewhere_at - self._forwarder.now()
             done, _ = await asyncio.wait(
                 self._attempts.values(),
@@ -182,12 +202,33 @@
                     self._attempts[attempt] = None
                     return attempt, task.result()
             # Otherwise, one of them was ended for the sake of another.
+            if not done and self._empty is not None:
+                return self._empty, _Signal.COMPLETE
             if not done and self._begin_elsewhere_at is not None:
                 return next(iter(self._attempts)), _Signal.SILENT
 
+    def _is_doubtful(self, attempt):
+        """Return whether an end without an event may not be the stream's.
+
+        A silent attempt that is still open may go on.
+        """
+        return (
+            self._stream.started
+            and not attempt.has_events
+            and len(self._attempts) > 1
+        )
+
+    def _end_as_empty(self):
+        """End the stream, as an attempt did that had no further event."""
+        self._end_others(self._empty)
+        self._send_end(self._empty)
+        return _Signal.COMPLETE
+
     def _begin_elsewhere(self, silent):
         """Begin another attempt beside one whose first stage is silent."""
         self._begin_elsewhere_at = None
+        if self._empty is not None:
+            return
         if len(self._attempts) >= _MAX_CONCURRENT_ATTEMPTS:
             return
         forwarder, job = self._forwarder, self._job
@@ -315,6 +356,7 @@
     def _prefer(self, attempt):
         """Relay this attempt from now on, since it makes progress."""
         self._begin_elsewhere_at = None
+        self._empty = None
         if len(self._attempts) > 1:
             self._end_others(attempt)
             self._job.endpoint = attempt.first_endpoint
