Let a closing take effect in the turn in which it is decided

Cause: a transport that is closed stops reading at once, but its socket is closed in a later turn of the event loop. Beside a storm of large configurations that turn comes 0.1 s later; what the caller sends until then is reset. Now this side shuts down at once, and reads on until the caller has closed (RFC 9112, 9.6), as it did behind last responses. The exit does the same for idle connections.

test_caller_sees_a_closing_in_the_same_turn failed before: the caller's read timed out.

--- a/sniperudder/entry/_entry.py
+++ b/sniperudder/entry/_entry.py
@@ -402,7 +402,9 @@
             self._caller_server.close_idle(_KEEP_AFTER_RESPONSE_S)
             await asyncio.sleep(_STOP_POLL_S)
         # They are refused as not run by now.
-        await self._caller_server.handle_arrived(_EXIT_MARGIN_S / 2)
+        await self._caller_server.handle_arrived(_EXIT_MARGIN_S / 4)
+        self._caller_server.close_idle()
+        await self._caller_server.await_closed(_EXIT_MARGIN_S / 4)
         self._journal.write(
             'instance:stopped',
             self._settings.name,
--- a/sniperudder/forwarding/_caller_connections.py
+++ b/sniperudder/forwarding/_caller_connections.py
@@ -230,6 +230,11 @@
             return False
         return self._count_unread_bytes() == 0
 
+    @property
+    def closing(self):
+        """Whether this side has closed it, and the caller may not have."""
+        return self._phase is _Phase.CLOSING
+
     @property
     def has_unread_request(self):
         """Whether bytes of a request have arrived that were not read."""
@@ -254,10 +259,9 @@
         reason : sniperudder.forwarding._closures.ClosureReason
         """
         self._closure_reason = reason
-        self._report_closure()
-        self._phase = _Phase.CLOSING
-        self._set_timer(None)
-        self._transport.close()
+        # Closing the transport would take effect in a later turn of the loop,
+        # and what arrived until then would be reset.
+        self._close_after_writing()
 
     def abort(self, cut):
         """Close the connection without completing the response.
--- a/sniperudder/forwarding/_caller_server.py
+++ b/sniperudder/forwarding/_caller_server.py
@@ -7,6 +7,9 @@
 from sniperudder.forwarding import _closures
 from sniperudder.forwarding import _sockets
 
+# Interval at which closed connections are looked at, seconds.
+_CLOSED_POLL_S = 0.005
+
 
 class CallerServer:
     """Accepts connections and passes their requests to a handler.
@@ -124,6 +127,21 @@
                 return
             await asyncio.sleep(0)
 
+    async def await_closed(self, timeout_s):
+        """Wait until callers have closed their sides of closed connections.
+
+        Parameters
+        ----------
+        timeout_s : float
+            Longest time to wait, seconds.
+        """
+        deadline = asyncio.get_running_loop().time() + timeout_s
+        while (
+            any(connection.closing for connection in self.connections)
+            and asyncio.get_running_loop().time() < deadline
+        ):
+            await asyncio.sleep(_CLOSED_POLL_S)
+
     def close(self):
         """Stop listening and abort all connections."""
         if self._server is not None:
--- a/sniperudder/forwarding/tests/test_closures.py
+++ b/sniperudder/forwarding/tests/test_closures.py
@@ -272,3 +272,17 @@
         server = self.run_server(case)
         self.assertIn(b'HTTP/1.1 200', received[0])
         self.assertTrue(all(closure.is_clean for closure in server.closures))
+
+    # Guards against: a closing took effect after a turn of the loop, and a
+    # request that the caller sent meanwhile was reset.
+    def test_caller_sees_a_closing_in_the_same_turn(self):
+        async def case(server):
+            with connect(server) as client:
+                client.settimeout(_READ_S)
+                await await_connections(server, 1)
+                (connection,) = server.server.connections
+                connection.close(_Reason.IDLE)
+                # Blocks the loop until the end arrives.
+                self.assertEqual(b'', client.recv(1))
+
+        self.run_server(case)
