Read configurations in turns

A configuration was read in one go, which held the event loop: 44 ms for the first one with 1,740 routes (322 KB, synthetic), 153 ms with 5,000, 545 ms with 20,000; 6.5, 18 and 71 ms after the change of one route. Requests waited, on all instances at the same moment.

The decoder reads a document in steps of one entry. The watcher, the follower and the recovery run the steps in turns of 5 ms before they update the copy; the update itself is as before and finds the document read, so the order of versions is decided at the same place. Each of them reads one document at a time and then asks for the next one: in a storm, what was begun is finished and the next one is the newest. A task that is cancelled leaves its progress to the next one. Tables that come in the same reply are applied first. A half-read document is not dropped when a newer one arrives by another way: that would need a rule against starvation and saves little.

test_other_tasks_get_their_turn failed on the code before: 4,312 entries in one turn, now at most 6. The other new tests guard the new design and have nothing to fail on before: storms, progress that is kept, documents read at the same time, faults beside long reading.

_feed_networks: instances may take time to read a configuration. They then count as disturbed at the start, as those that start later do; the tests without such a time are unchanged.

--- a/sniperudder/entry/_entry.py
+++ b/sniperudder/entry/_entry.py
@@ -128,6 +128,7 @@
             platform.CONFIGURATION_TABLE,
             self._apply_configuration,
             self._decoder.supersedes,
+            self._read_configurations,
         )
         self._recovery = _recovery.ConfigurationRecovery(
             self._T, configurations, self._call_peer, journal
@@ -286,6 +287,11 @@
             self._metrics, metrics.Timing.STORE_CALL, '', '', seconds
         )
 
+    async def _read_configurations(self, rows):
+        for row in rows:
+            if row.key == platform.CONFIGURATION_KEY and row.value is not None:
+                await forwarding.run_in_turns(self._decoder.read(row.value))
+
     def _apply_configuration(self, rows, is_snapshot, is_restored):
         for row in rows:
             if row.key != platform.CONFIGURATION_KEY or row.value is None:
--- a/sniperudder/entry/_feed.py
+++ b/sniperudder/entry/_feed.py
@@ -442,12 +442,11 @@
         except (OSError, feeds.FeedError) as error:
             self._record_no_response(source, error)
             return
-        for changes in reply.changes:
-            copy = self._copies.get(changes.table)
-            if copy is not None:
-                copy.update(changes)
+        self._confirmed_at = max(
+            self._confirmed_at, _read_loop_time() - reply.age_s
+        )
+        await self._apply(reply.changes)
         now = _read_loop_time()
-        self._confirmed_at = max(self._confirmed_at, now - reply.age_s)
         if not 0 < reply.depth < _MAX_DEPTH or self._is_stale(now):
             self._source_depth = 0
             self._disconnected_at[source] = now
@@ -458,6 +457,18 @@
         self._exclusions_s.pop(source, None)
         self._disconnected_at.pop(source, None)
 
+    async def _apply(self, changes_of_tables):
+        updates = [
+            (self._copies[changes.table], changes)
+            for changes in changes_of_tables
+            if changes.table in self._copies
+        ]
+        # The others need not wait for a table that takes long.
+        updates.sort(key=lambda update: update[0].is_prepared)
+        for copy, changes in updates:
+            await copy.prepare(changes.rows)
+            copy.update(changes)
+
     def _record_no_response(self, source, error):
         exclusion_s = self._exclusions_s.get(source, _MIN_EXCLUSION_S)
         self._exclusions_s[source] = min(2 * exclusion_s, _MAX_EXCLUSION_S)
--- a/sniperudder/entry/_recovery.py
+++ b/sniperudder/entry/_recovery.py
@@ -110,6 +110,7 @@
             outcome = 'received'
             for changes in reply.changes:
                 if changes.table == platform.CONFIGURATION_TABLE:
+                    await self._copy.prepare(changes.rows)
                     self._copy.keep_newer_rows(changes.rows)
         self._journal.write(
             'configuration:asked for',
--- a/sniperudder/entry/_watchers.py
+++ b/sniperudder/entry/_watchers.py
@@ -103,6 +103,7 @@
         if isinstance(outcome, platform.Unavailable):
             return self._record_failure(outcome)
         self._record_success()
+        await self._copy.prepare(outcome.rows)
         known = self._copy.revision
         if not self._update(outcome, True):
             # The store returned a stale snapshot; the local copy is newer.
@@ -137,6 +138,7 @@
             self._history_gone = True
             return await self._read_all()
         self._record_success()
+        await self._copy.prepare(outcome.rows)
         self._log_skipped(outcome, after)
         self._update(outcome, False)
         if outcome.rows and self._get_batch_delay_s is not None:
--- a/sniperudder/entry/tests/_feed_networks.py
+++ b/sniperudder/entry/tests/_feed_networks.py
@@ -25,6 +25,8 @@
 _CONNECT_TIMEOUT_S = 0.5
 _DIGEST_INTERVAL_S = 0.25
 _CHECK_INTERVAL_S = 0.1
+# Length of a turn in which a configuration is read.
+_TURN_S = 0.01
 
 # What the store does with the calls of an instance.
 SERVE, REJECT, IGNORE = 'serve', 'reject', 'ignore'
@@ -170,6 +172,8 @@
         self.is_isolated = False
         self.disturbed_at = -CONTACT_S
         self.applied = []
+        # Time for which each value has been read, seconds.
+        self._read_s = {}
 
     @property
     def is_alive(self):
@@ -179,7 +183,8 @@
     def start(self):
         """Start a process that knows nothing."""
         self.applied = []
-        copy = feeds.TableCopy(TABLE, self._apply, _supersedes)
+        self._read_s = {}
+        copy = feeds.TableCopy(TABLE, self._apply, _supersedes, self._prepare)
         self.feed = _feed.Feed(
             StoreClient(self.network.store, self),
             (copy,),
@@ -208,6 +213,13 @@
         """Return whether messages pass between two instances."""
         return other.is_alive and not self.is_isolated | other.is_isolated
 
+    async def _prepare(self, rows):
+        for row in rows:
+            self._read_s.setdefault(row.value, 0.0)
+            while self._read_s[row.value] < self.network.reading_s:
+                self._read_s[row.value] += _TURN_S
+                await asyncio.sleep(_TURN_S)
+
     def _apply(self, rows, is_snapshot, is_restored):
         # As an instance does, which keeps the latest of the operators.
         for row in rows:
@@ -248,10 +260,13 @@
     ----------
     sizes : dict of str to int
         Number of instances by data centre.
+    reading_s : float
+        Time in which an instance reads a configuration in turns, seconds.
     """
 
-    def __init__(self, sizes):
+    def __init__(self, sizes, reading_s=0.0):
         self.store = SharedStore()
+        self.reading_s = reading_s
         self.journal = _fleets.RecordingJournal()
         self.instances = {}
         for data_centre, size in sizes.items():
@@ -279,6 +294,9 @@
         """Run a case while all instances run, and check what must hold."""
         for instance in self.instances.values():
             instance.start()
+            if self.reading_s:
+                # It can't know the first version at once.
+                instance.disturbed_at = read_time()
         tasks = [asyncio.create_task(self._exchange_versions())]
         if check:
             tasks.append(asyncio.create_task(self._check()))
@@ -413,11 +431,11 @@
         target.disturbed_at = read_time()
 
 
-def run_network(sizes, case):
+def run_network(sizes, case, reading_s=0.0):
     """Run a case on a network in virtual time and return the network."""
 
     async def run():
-        network = Network(sizes)
+        network = Network(sizes, reading_s)
         await network.run(case)
         return network
 
--- a/sniperudder/entry/tests/test_feed.py
+++ b/sniperudder/entry/tests/test_feed.py
@@ -19,15 +19,19 @@
 _RESTORED_SEEDS = range(10)
 _DURATION_S = 60.0
 
+# Times in which a configuration is read in turns, seconds.
+_READING_S = 0.2
+_STORM_READING_S = 0.4
+
 # Seeds that failed once, with the cause: 1025, a check of the store that
 # learned that the history is gone left reading the table to the next check.
 _REGRESSION_SEEDS = (1025,)
 
 
 class FeedTest(testtools.TestCase):
-    def run_case(self, case, sizes=None):
+    def run_case(self, case, sizes=None, reading_s=0.0):
         """Run a case and assert that nothing was violated."""
-        network = _feed_networks.run_network(sizes or _SIZES, case)
+        network = _feed_networks.run_network(sizes or _SIZES, case, reading_s)
         self.assertEqual([], network.violations)
         return network
 
@@ -213,6 +217,48 @@
 
         self.run_case(case)
 
+    # Guards against: in a storm, versions that take longer to read than the
+    # next one takes to come were never read to their end.
+    def test_storm_of_versions_that_take_long_to_read(self):
+        async def case(network):
+            await asyncio.sleep(5.0)
+            for _ in range(60):
+                network.store.write()
+                await asyncio.sleep(0.15)
+            await asyncio.sleep(3.0)
+
+        network = self.run_case(case, reading_s=_STORM_READING_S)
+        last, _ = network.store.written[-1]
+        for instance in network.instances.values():
+            self.assertEqual(last, instance.applied[-1])
+            self.assertGreater(len(instance.applied), 10)
+
+
+class ReplyTest(testtools.TestCase):
+    # Guards against: changes of the endpoints waited until a configuration
+    # that came with them had been read.
+    def test_other_tables_do_not_wait_for_one_that_takes_long(self):
+        order = []
+
+        async def prepare(rows):
+            await asyncio.sleep(0)
+            order.append('prepared')
+
+        copies = [
+            feeds.TableCopy(
+                'op', lambda *_: order.append('op'), None, prepare
+            ),
+            feeds.TableCopy('servers', lambda *_: order.append('servers')),
+        ]
+        feed = _feed.Feed(None, copies, None, 'entry-1', None, {}, {}, {}, 2.0)
+        revision = revisions.Revision(1, 5)
+        changes = [
+            feeds.Changes(table, revision, True, ())
+            for table in ('op', 'unknown', 'servers')
+        ]
+        asyncio.run(feed._apply(changes))
+        self.assertEqual(['servers', 'prepared', 'op'], order)
+
 
 class RandomFaultTest(testtools.TestCase):
     """Whatever fails, no copy reverts and undisturbed instances are current.
@@ -221,7 +267,7 @@
     store that have worked for 3 s, each version is applied within 2 s.
     """
 
-    def run_seed(self, seed, restores=False):
+    def run_seed(self, seed, restores=False, reading_s=0.0):
         """Return the violations in a run with random faults.
 
         With `restores`, the store is restored from copies as well.
@@ -231,7 +277,8 @@
             plan = _feed_networks.FaultPlan(network, seed, restores)
             await plan.run(_DURATION_S)
 
-        return _feed_networks.run_network(_SIZES, case).violations
+        network = _feed_networks.run_network(_SIZES, case, reading_s)
+        return network.violations
 
     def test_random_faults(self):
         for seed in (*_SEEDS, *_REGRESSION_SEEDS):
@@ -244,6 +291,13 @@
             found = self.run_seed(seed, restores=True)
             self.assertEqual([], found[:3], f'seed {seed}')
 
+    # Guards against: what was read in turns was applied out of order, or too
+    # late where another source took over meanwhile.
+    def test_random_faults_while_versions_take_long_to_read(self):
+        for seed in _SEEDS:
+            found = self.run_seed(seed, seed % 2, _READING_S)
+            self.assertEqual([], found[:3], f'seed {seed}')
+
     def test_plain_versions_would_be_noticed(self):
         # Copies that compare versions whatever the era.
         def update(copy, changes):
--- a/sniperudder/entry/tests/test_large_configurations.py
+++ b/sniperudder/entry/tests/test_large_configurations.py
@@ -1,13 +1,16 @@
 """Tests of changes of a large configuration, with costs that are counted."""
 
 import asyncio
+import itertools
 import json
 from unittest import mock
 
 import testtools
 
 from sniperudder.entry.tests import _fleets
+from sniperudder.forwarding import _turns
 from sniperudder.platform import _configurations
+from sniperudder.platform import _parsing
 from standins import fleet as standins
 
 _ROUTES = 2_000
@@ -136,3 +139,124 @@
         # text; the rest of the document has some fields.
         self.assertTrue(parsing.characters < length / 100, parsing.characters)
         self.assertEqual([1, 0, 1], [counter.calls for counter in decoding])
+
+
+class TurnCounter:
+    """Counts what is done before other tasks get their turn.
+
+    Attributes
+    ----------
+    most : int
+        Largest number of entries that were read or decoded in one turn.
+    """
+
+    def __init__(self):
+        self.most = 0
+        self._now = 0
+
+    async def run(self):
+        """Count until cancelled."""
+        while True:
+            self._now = 0
+            await asyncio.sleep(0)
+
+    def install(self):
+        """Return the contexts in which entries are counted."""
+        return [
+            mock.patch.object(module, name, self._wrap(getattr(module, name)))
+            for module, name in (
+                (_parsing, 'Entry'),
+                (_configurations, '_decode_route'),
+                (_configurations, '_sort_routes'),
+            )
+        ]
+
+    def _wrap(self, call):
+        def count(*arguments):
+            self._now += 1
+            self.most = max(self.most, self._now)
+            return call(*arguments)
+
+        return count
+
+
+class TurnTest(testtools.TestCase):
+    # Guards against: a large configuration held the event loop until all of
+    # it was decoded, at the start and at each change.
+    def test_other_tasks_get_their_turn(self):
+        # Each look at the clock takes a millisecond.
+        clock = itertools.count()
+        counter = TurnCounter()
+
+        async def run():
+            test_fleet = _fleets.Fleet([_fleets.create_desk()])
+            counting = asyncio.create_task(counter.run())
+            await test_fleet.start(make_large(1))
+            try:
+                await await_version(test_fleet, 1)
+                test_fleet.store.put_json(
+                    'op', 'config', make_large(2, *range(_ROUTES))
+                )
+                await await_version(test_fleet, 2)
+            finally:
+                counting.cancel()
+                await test_fleet.stop()
+
+        contexts = [
+            mock.patch.object(
+                _turns, 'read_clock', lambda: next(clock) / 1_000
+            ),
+            *counter.install(),
+        ]
+        for context in contexts:
+            context.start()
+            self.addCleanup(context.stop)
+        asyncio.run(run())
+        self.assertTrue(0 < counter.most <= 6, counter.most)
+
+
+class StormTest(testtools.TestCase):
+    # Guards against: in a storm, none of the versions that are decoded in
+    # turns was ever decoded to its end, or they came into force out of order.
+    def test_each_version_or_a_newer_one_is_in_force_in_time(self):
+        # Users' bound and interval of a storm, seconds.
+        bound_s, interval_s = 2.0, 0.15
+        written_at, in_force_at, statuses = {}, [], []
+
+        async def run():
+            test_fleet = _fleets.Fleet([_fleets.create_desk()])
+            await test_fleet.start(make_large(1))
+            loop = asyncio.get_running_loop()
+            write = test_fleet.journal.write
+
+            def record(event, subject='', **fields):
+                if event == 'configuration:in force':
+                    in_force_at.append((int(subject), loop.time()))
+                write(event, subject, **fields)
+
+            test_fleet.journal.write = record
+            try:
+                await await_version(test_fleet, 1)
+                await test_fleet.await_ready()
+                for version in range(2, 14):
+                    # All routes change with each version.
+                    changed = range(_ROUTES) if version % 2 else ()
+                    test_fleet.store.put_json(
+                        'op', 'config', make_large(version, *changed)
+                    )
+                    written_at[version] = loop.time()
+                    statuses.append((await test_fleet.send('/safe/a'))[0])
+                    await asyncio.sleep(interval_s)
+                await await_version(test_fleet, 13)
+            finally:
+                await test_fleet.stop()
+
+        # A turn is over after a few steps.
+        with mock.patch.object(_turns, '_TURN_S', 0.0001):
+            asyncio.run(run())
+        versions = [version for version, _ in in_force_at]
+        self.assertEqual(sorted(set(versions)), versions)
+        self.assertEqual({200}, set(statuses))
+        for version, at in written_at.items():
+            delay_s = min(t for v, t in in_force_at if v >= version) - at
+            self.assertTrue(delay_s < bound_s, (version, delay_s))
--- a/sniperudder/feeds/_copies.py
+++ b/sniperudder/feeds/_copies.py
@@ -29,6 +29,9 @@
         Tells from two rows with the same key whether the first one replaces
         the second one. Given for a table whose rows state their own order:
         the newest of them is kept whatever the store has lost.
+    prepare : callable, optional
+        Coroutine function of rows that are about to be applied; does what
+        would take long meanwhile, and gives way to other tasks.
 
     Attributes
     ----------
@@ -63,6 +66,7 @@
     __slots__ = (
         '_apply',
         '_oldest_revision',
+        '_prepare',
         '_rows',
         '_supersedes',
         '_tombstones',
@@ -73,7 +77,7 @@
         'table',
     )
 
-    def __init__(self, table, apply, supersedes=None):
+    def __init__(self, table, apply, supersedes=None, prepare=None):
         self.table = table
         self.revision = revisions.UNKNOWN
         self.changed_revision = revisions.UNKNOWN
@@ -81,12 +85,30 @@
         self.on_applied = None
         self._apply = apply
         self._supersedes = supersedes
+        self._prepare = prepare
         # By key, in the order of their last change; including deleted rows.
         self._rows = {}
         self._tombstones = 0
         # Changes before this revision are not known one by one.
         self._oldest_revision = revisions.UNKNOWN
 
+    @property
+    def is_prepared(self):
+        """Whether `prepare` may take long."""
+        return self._prepare is not None
+
+    async def prepare(self, rows):
+        """Prepare an update with rows; without it, the update takes longer.
+
+        The copy may change meanwhile.
+
+        Parameters
+        ----------
+        rows : iterable of sniperudder.platform.StoredRow
+        """
+        if self._prepare is not None:
+            await self._prepare(rows)
+
     def update(self, changes):
         """Apply changes that are newer than the copy.
 
--- a/sniperudder/forwarding/__init__.py
+++ b/sniperudder/forwarding/__init__.py
@@ -9,6 +9,7 @@
 from sniperudder.forwarding._engines import NoResponse
 from sniperudder.forwarding._forwarder import Forwarder
 from sniperudder.forwarding._notices import NoticeRecorder
+from sniperudder.forwarding._turns import run_in_turns
 
 __all__ = [
     'CallerLimits',
@@ -20,4 +21,5 @@
     'NoResponse',
     'NoticeRecorder',
     'request_json',
+    'run_in_turns',
 ]
--- a/sniperudder/platform/_configurations.py
+++ b/sniperudder/platform/_configurations.py
@@ -22,9 +22,9 @@
 _ORGANISATIONS = 'tenants'
 _ENTRY_FIELDS = (_ROUTES, _SERVICES, _ORGANISATIONS)
 
-# Documents that are kept: the one in force, one that is compared with it, and
-# one that another instance has sent meanwhile.
-_MAX_DOCUMENTS = 3
+# Documents that are kept: the one in force, and those that the store, the feed
+# and a peer have sent and that are read at the same time.
+_MAX_DOCUMENTS = 4
 
 
 class ConfigurationDecoder:
@@ -52,6 +52,28 @@
         # By their bytes, the last used one last.
         self._documents = collections.OrderedDict()
 
+    def read(self, data):
+        """Read a document in small steps, so that decoding it is quick.
+
+        Reading may be given up at any step; it goes on there the next time.
+        Several documents can be read at the same time.
+
+        Parameters
+        ----------
+        data : bytes
+            Value of the row.
+
+        Yields
+        ------
+        None
+            After each step.
+        """
+        document = self._get_document(data)
+        # Not `yield from`, which would end the steps with this iterator.
+        for _ in document.steps:
+            yield
+        self._keep(data, document)
+
     def decode(self, data):
         """Decode the configuration stored in a row.
 
@@ -69,8 +91,8 @@
         DocumentError
             If the value is malformed.
         """
-        document = self._get_document(data)
-        if document.error is not None:
+        document = self._finish(data)
+        if document.configuration is None:
             raise _documents.DocumentError(document.error)
         return document.configuration
 
@@ -102,22 +124,34 @@
         """Return the operators' version; None if there is none to be read."""
         if row.value is None:
             return None
-        return self._get_document(row.value).version
+        return self._finish(row.value).version
+
+    def _finish(self, data):
+        document = self._get_document(data)
+        for _ in document.steps:
+            pass
+        return document
 
     def _get_document(self, data):
         document = self._documents.get(data)
         if document is None:
-            document = self._documents[data] = _Document()
-            for _ in document.read(data, self._last):
-                pass
-            if document.decoded is not None:
-                self._last = document.decoded
-            if len(self._documents) > _MAX_DOCUMENTS:
-                self._documents.popitem(last=False)
-        else:
-            self._documents.move_to_end(data)
+            document = _Document()
+            document.steps = self._read_document(data, document)
+        self._keep(data, document)
         return document
 
+    def _read_document(self, data, document):
+        decoded = yield from document.read(data, self._last)
+        if decoded is not None:
+            self._last = decoded
+
+    def _keep(self, data, document):
+        """Keep a document as the one that was used last."""
+        self._documents[data] = document
+        self._documents.move_to_end(data)
+        if len(self._documents) > _MAX_DOCUMENTS:
+            self._documents.popitem(last=False)
+
 
 class _Decoded:
     """What the decoding of the next document can use of one.
@@ -148,16 +182,18 @@
     version : int or None
         The operators' version; None if there is none to be read.
     configuration : sniperudder.fleet.Configuration or None
-    decoded : _Decoded or None
-    error : str or None
+    error : str
         Why there is no configuration.
+    steps : iterator
+        The steps of reading that are left.
     """
 
-    __slots__ = ('configuration', 'decoded', 'error', 'version')
+    __slots__ = ('configuration', 'error', 'steps', 'version')
 
     def __init__(self):
         self.version = self.configuration = None
-        self.decoded = self.error = None
+        self.error = 'not read to its end'
+        self.steps = iter(())
 
     def read(self, data, last):
         """Read a document in steps.
@@ -167,6 +203,11 @@
         data : bytes
         last : _Decoded
             From an earlier document.
+
+        Returns
+        -------
+        _Decoded or None
+            None if the document is malformed.
         """
         try:
             value = yield from _parsing.parse_in_steps(data, last.entries)
@@ -175,9 +216,10 @@
             self.configuration = yield from _decode_in_steps(
                 value, self.version, last, decoded
             )
-            self.decoded = decoded
         except _documents.DocumentError as error:
             self.error = str(error)
+            return None
+        return decoded
 
 
 def decode_configuration(data):
--- a/sniperudder/platform/tests/test_configurations.py
+++ b/sniperudder/platform/tests/test_configurations.py
@@ -1,6 +1,7 @@
 """Tests of decoding configurations one after the other."""
 
 import copy
+import itertools
 import json
 import random
 from unittest import mock
@@ -206,6 +207,73 @@
             self.assertTrue(parsed <= most_parsed, (parsed, most_parsed))
 
 
+class StepTest(testtools.TestCase):
+    def make_data(self, version, count=300):
+        """Return a document whose routes differ from version to version."""
+        rng = random.Random(version)
+        document = standins.make_configuration(version)
+        document['routes'] += [make_route(rng, n) for n in range(count)]
+        return json.dumps(document).encode()
+
+    def advance(self, steps, count):
+        """Take some steps; return whether there are more."""
+        return len(list(itertools.islice(steps, count))) == count
+
+    # Guards against: reading that was given up each time before its end began
+    # anew, so that a large document was never read.
+    def test_reading_that_is_given_up_goes_on(self):
+        decoder = platform.ConfigurationDecoder()
+        data = self.make_data(1)
+        expected = len(list(platform.ConfigurationDecoder().read(data)))
+        taken = 0
+        while self.advance(decoder.read(data), 50):
+            taken += 50
+        self.assertTrue(expected - 50 <= taken <= expected)
+        self.assertEqual(1, decoder.decode(data).version)
+
+    def test_a_document_that_was_read_is_decoded_without_work(self):
+        decoder = platform.ConfigurationDecoder()
+        data = self.make_data(1)
+        for _ in decoder.read(data):
+            pass
+        with mock.patch.object(
+            _configurations, '_decode_route', autospec=True
+        ) as decoding:
+            decoder.decode(data)
+        self.assertEqual(0, decoding.call_count)
+
+    def test_half_read_document_can_be_decoded(self):
+        decoder = platform.ConfigurationDecoder()
+        data = self.make_data(1)
+        steps = decoder.read(data)
+        self.advance(steps, 100)
+        expected = platform.ConfigurationDecoder().decode(data)
+        self.assertEqual(expected, decoder.decode(data))
+        self.assertEqual([], list(steps))
+
+    def test_documents_read_at_the_same_time_do_not_mix(self):
+        for seed in range(20):
+            rng = random.Random(seed)
+            decoder = platform.ConfigurationDecoder()
+            documents = [self.make_data(n, 30) for n in range(1, 6)]
+            # Twice each, as from two sources.
+            readers = [decoder.read(data) for data in documents * 2]
+            while readers:
+                reader = rng.choice(readers)
+                if not self.advance(reader, rng.randrange(1, 40)):
+                    readers.remove(reader)
+            for data in documents:
+                expected = platform.ConfigurationDecoder().decode(data)
+                self.assertEqual(expected, decoder.decode(data), seed)
+
+    def test_malformed_document_is_read_without_an_exception(self):
+        decoder = platform.ConfigurationDecoder()
+        for data in (b'', b'{"version": 1, "routes": [{}, 3', b'{"routes":1}'):
+            list(decoder.read(data))
+            with testtools.ExpectedException(platform.DocumentError):
+                decoder.decode(data)
+
+
 class VersionTest(testtools.TestCase):
     def make_row(self, value, key=platform.CONFIGURATION_KEY):
         """Return a row of the configurations' table."""
