Test two ends of reading in turns

Two mutants of the reading in turns survived: the recovery that doesn't prepare a peer's configuration, and a document that was forgotten while it was read slowly, which is then read again in one go. The new tests fail on them. They passed on the code before; no fault is mended here.

--- a/sniperudder/entry/tests/test_recovery.py
+++ b/sniperudder/entry/tests/test_recovery.py
@@ -34,6 +34,8 @@
         super().setUp()
         self.T = fleet.FleetTables()
         self.calls = []
+        self.prepared = []
+        self.applied = []
         self.replies = {
             address: make_row(version, revisions.Revision(1, 97))
             for address, version in _PEERS.items()
@@ -43,13 +45,20 @@
             platform.CONFIGURATION_TABLE,
             self.apply,
             platform.ConfigurationDecoder().supersedes,
+            self.prepare,
         )
         self.recovery = _recovery.ConfigurationRecovery(
             self.T, self.copy, self.call_peer, _fleets.RecordingJournal()
         )
 
+    async def prepare(self, rows):
+        """Note rows that are prepared."""
+        await asyncio.sleep(0)
+        self.prepared += rows
+
     def apply(self, rows, is_snapshot, is_restored):
         """Apply configurations."""
+        self.applied += rows
         for row in rows:
             self.T.configuration = platform.decode_configuration(row.value)
 
@@ -99,6 +108,14 @@
         version = self.run_recovery({'h:1': 12, 'h:2': 15})
         self.assertEqual((15, [(0.0, 'h:2')]), (version, self.calls))
 
+    # Guards against: a configuration from a peer was read in one go, which
+    # held the event loop.
+    def test_configuration_of_a_peer_is_prepared_first(self):
+        self.run_recovery({'h:2': 15})
+        # The first one is given to the copy by the test itself.
+        (row,) = self.applied[1:]
+        self.assertEqual([row], self.prepared)
+
     def test_peer_that_does_not_respond_is_passed_over(self):
         version = self.run_recovery({'h:1': 12, 'h:3': 18})
         self.assertEqual(12, version)
--- a/sniperudder/platform/tests/test_configurations.py
+++ b/sniperudder/platform/tests/test_configurations.py
@@ -266,6 +266,19 @@
                 expected = platform.ConfigurationDecoder().decode(data)
                 self.assertEqual(expected, decoder.decode(data), seed)
 
+    # Guards against: a document that was read slowly had been forgotten when
+    # it was applied, and was read again in one go.
+    def test_document_is_known_at_the_end_of_a_long_reading(self):
+        decoder = platform.ConfigurationDecoder()
+        data = self.make_data(1)
+        steps = decoder.read(data)
+        self.advance(steps, 100)
+        for version in range(2, 12):
+            decoder.decode(self.make_data(version))
+        list(steps)
+        self.assertEqual([], list(decoder.read(data)))
+        self.assertEqual(1, decoder.decode(data).version)
+
     def test_malformed_document_is_read_without_an_exception(self):
         decoder = platform.ConfigurationDecoder()
         for data in (b'', b'{"version": 1, "routes": [{}, 3', b'{"routes":1}'):
