Compress a value once for all followers

The instance that a data centre follows compressed a changed configuration anew in the reply to each follower. A reply with 1,740 routes (322 KB, synthetic) took 0.9 ms to encode, with 20,000 routes 10.7 ms, as often as there are followers, at each version.

The last two compressed values are remembered. Further replies with the same value take 0.1 and 0.5 ms (best of five, one core beside other runs); the first one takes as long as before.

test_a_value_is_compressed_once_for_all_followers failed on the code before: 30 compressions for 30 replies, now one.

--- a/sniperudder/feeds/_codec.py
+++ b/sniperudder/feeds/_codec.py
@@ -1,5 +1,6 @@
 """Serialization of feed requests and replies as Thrift structures."""
 
+import functools
 import zlib
 
 from thrift.protocol import TCompactProtocol
@@ -140,8 +141,13 @@
     version, era = row.revision.version, row.revision.era
     if row.value is None or len(row.value) < _MIN_COMPRESSED_BYTES:
         return ttypes.Row(row.key, version, row.value, era=era)
-    value = zlib.compress(row.value, _COMPRESSION_LEVEL)
-    return ttypes.Row(row.key, version, value, True, era)
+    return ttypes.Row(row.key, version, _compress(row.value), True, era)
+
+
+# Followers ask for the same version at about the same time.
+@functools.lru_cache(maxsize=2)
+def _compress(value):
+    return zlib.compress(value, _COMPRESSION_LEVEL)
 
 
 def _decode_changes(changes):
--- a/sniperudder/feeds/tests/test_codec.py
+++ b/sniperudder/feeds/tests/test_codec.py
@@ -1,6 +1,7 @@
 """Tests of the serialization of feeds."""
 
 import random
+from unittest import mock
 import zlib
 
 import testtools
@@ -73,3 +74,23 @@
             message, _codec._PROTOCOL_FACTORY
         )
         self.assertRaises(feeds.FeedError, feeds.decode_reply, data)
+
+
+class CompressionTest(testtools.TestCase):
+    # Guards against: the instance that a data centre follows compressed a
+    # large configuration once for each follower.
+    def test_a_value_is_compressed_once_for_all_followers(self):
+        revision = revisions.Revision(1, 5)
+        row = platform.StoredRow('config', b'{"a": 1}' * 1_000, revision)
+        changes = feeds.Changes('op', revision, False, (row,))
+        with mock.patch.object(
+            zlib, 'compress', autospec=True, side_effect=zlib.compress
+        ) as compress:
+            replies = [
+                feeds.encode_reply(feeds.FeedReply(1, (changes,), age_s))
+                for age_s in range(30)
+            ]
+        self.assertEqual(1, compress.call_count)
+        for reply in replies:
+            decoded = feeds.decode_reply(reply)
+            self.assertEqual((changes,), decoded.changes)
