Withdraw the crash of a run that is listed again

Callers saw a sound request rejected with 503 and a Retry-After of ten minutes after a long silence of the engines that it had been sent to.

Cause: a silent first stage counts as an interruption; when the entry of a silent engine lapses, within 6 s of it, the run counts as crashed. The entry came back under the same start time, but the crash was kept and told to others. Three of these block a request, or a part that has no sound run since.

Change: an entry that is written again after it was removed, or that a whole list of the same era has, shows that its run is alive. The crash is dropped, what others tell of it from before that time is ignored, and a block that keeps fewer than three of its crashes is lifted here and, as cleared keys, at others. Old entries of a restored store show nothing. A new run under the id, and crashes found by a refused connection that stay unlisted, count as before.

Not covered: an instance to which removal and return come in one update sees no return; it forgets what others told it only with a sound run.

--- a/sniperudder/entry/_endpoint_list.py
+++ b/sniperudder/entry/_endpoint_list.py
@@ -123,8 +123,7 @@
             self._remove(row.key, row.revision, now)
             return
         run_id = entry.id, entry.born_ms
-        if not is_snapshot:
-            self._departures.record_written(run_id)
+        is_back = not is_snapshot and self._departures.record_written(run_id)
         if self._departures.has_left(run_id, now):
             known = self._T.endpoints.get(row.key)
             if is_restored and known and known.born_ms != entry.born_ms:
@@ -136,7 +135,10 @@
                 entry = dataclasses.replace(entry, leaving=True)
         else:
             self._doubted.pop(row.key, None)
-            self._departures.record_written(run_id)
+            is_back |= self._departures.record_written(run_id)
+            known = self._T.endpoints.get(row.key, entry)
+            if is_back and known.born_ms == entry.born_ms:
+                self._crash_monitor.record_run_alive(entry)
             if entry.leaving:
                 self._departures.record_leaving(run_id, now)
         if is_snapshot and _is_older(entry, self._T.endpoints.get(row.key)):
--- a/sniperudder/entry/tests/test_endpoint_list.py
+++ b/sniperudder/entry/tests/test_endpoint_list.py
@@ -43,10 +43,14 @@
         super().setUp()
         self.T = fleet.FleetTables()
         self.ended = []
+        self.alive = []
         self.journal = _fleets.RecordingJournal()
         self.list = _endpoint_list.EndpointList(
             self.T,
-            types.SimpleNamespace(record_run_end=self.ended.append),
+            types.SimpleNamespace(
+                record_run_end=self.ended.append,
+                record_run_alive=self.alive.append,
+            ),
             self.journal,
             _HEARTBEAT_S,
         )
@@ -213,3 +217,29 @@
             self.assertEqual({'a'}, self.get_usable())
 
         self.run_case(case)
+
+    def test_run_that_is_listed_again_is_alive(self):
+        async def case():
+            self.list.apply([make_row('a'), make_row('b')], True, False)
+            self.change(make_row('a', 2), make_row('c'))
+            self.assertEqual([], self.alive)
+            self.change(make_row('a', None), make_row('b', None))
+            self.change(make_row('a', 4), make_row('b', 1, born=9))
+            self.assertEqual(['a'], [e.id for e in self.alive])
+            self.change(make_row('a', None))
+            # The changes in between were missed.
+            self.list.apply([make_row('a', 5)], True, False)
+            self.assertEqual(['a', 'a'], [e.id for e in self.alive])
+
+        self.run_case(case)
+
+    def test_old_entry_of_a_restored_store_is_no_sign_of_life(self):
+        async def case():
+            self.list.apply([make_row('a')], True, False)
+            self.change(make_row('a', None))
+            self.restore(make_row('a'))
+            self.assertEqual([], self.alive)
+            self.change(make_row('a', 2))
+            self.assertEqual(['a'], [e.id for e in self.alive])
+
+        self.run_case(case)
--- a/sniperudder/entry/tests/test_lapsed_entries.py
+++ b/sniperudder/entry/tests/test_lapsed_entries.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import contextlib
 
 import h11
 import testtools
@@ -94,3 +95,64 @@
         engine = _fleets.create_engine('gpu-1', layers=(0, 8))
         with testtools.ExpectedException(h11.RemoteProtocolError):
             self.run_stream(engine, lambda test_fleet: None)
+
+
+class FrozenEngine(StatingEngine):
+    """An engine that says nothing while it is frozen."""
+
+    def __init__(self, name):
+        super().__init__(name)
+        self.running = asyncio.Event()
+        self.running.set()
+
+    async def respond(self, request, body, http, writer):
+        """See base class."""
+        await self.running.wait()
+        await super().respond(request, body, http, writer)
+
+
+class LapsedCrashTest(testtools.TestCase):
+    """Engines are silent for so long that their entries lapse."""
+
+    def run_silence(self, end_silence, lapsed_s=0.5):
+        """Repeat a request in a silence of all; return what it gets later."""
+        engines = [FrozenEngine(f'gpu-{number}') for number in range(3)]
+
+        async def case(test_fleet):
+            for engine in engines:
+                engine.running.clear()
+            suspected = set()
+            while len(suspected) < len(engines):
+                with contextlib.suppress(h11.RemoteProtocolError):
+                    await test_fleet.send('/stream/a')
+                for line in test_fleet.journal.list_events(
+                    'request:interrupted'
+                ):
+                    suspected.update(line['endpoints'])
+            for engine in engines:
+                test_fleet.store.put('servers', engine.id, None)
+            await asyncio.sleep(lapsed_s)
+            for engine in engines:
+                engine.running.set()
+                end_silence(engine)
+                engine.list_in(test_fleet.store)
+            await asyncio.sleep(0.5)
+            crashes = test_fleet.journal.list_events('endpoint:crashed')
+            status, _, _ = await test_fleet.send('/stream/a')
+            return status, len(crashes)
+
+        return run_engines(engines, case)
+
+    # Guards against: a request that was at engines in their silence was
+    # rejected for ten minutes, as each entry that lapsed counted as a crash
+    # also once it was back.
+    def test_silent_run_that_is_listed_again_has_not_crashed(self):
+        for lapsed_s in (0.5, 2.5):
+            status, crashes = self.run_silence(lambda engine: None, lapsed_s)
+            self.assertEqual((200, 3), (status, crashes), lapsed_s)
+
+    def test_run_that_is_replaced_by_another_has_crashed(self):
+        def restart(engine):
+            engine.born += 1
+
+        self.assertEqual((503, 3), self.run_silence(restart))
--- a/sniperudder/fleet/_departures.py
+++ b/sniperudder/fleet/_departures.py
@@ -53,8 +53,14 @@
         _record(self._removed, run_id, now)
 
     def record_written(self, run_id):
-        """Record that a run has written its entry, and so is live."""
-        self._removed.pop(run_id, None)
+        """Record that a run has written its entry, and so is live.
+
+        Returns
+        -------
+        bool
+            Whether its entry had been removed.
+        """
+        return self._removed.pop(run_id, None) is not None
 
     def begin_restoration(self, now):
         """Doubt the entries of runs that left before the store was lost."""
--- a/sniperudder/forwarding/_crash_monitor.py
+++ b/sniperudder/forwarding/_crash_monitor.py
@@ -193,6 +193,13 @@
         self._refusing.discard(_get_run_id(endpoint))
         self._record_crash(endpoint, 'listed as gone')
 
+    def record_run_alive(self, endpoint):
+        """Record that a run is listed again, and so had not crashed."""
+        run_id = _get_run_id(endpoint)
+        lifted = self._table.record_run_alive(run_id, _read_time())
+        for keys in lifted:
+            self._log_unblocked(keys, f'{endpoint.id} had not crashed')
+
     def update(self):
         """Keep the verdicts that hold, and drop what has expired."""
         added, ended = self._table.update(_read_time())
--- a/sniperudder/routing/_crashes.py
+++ b/sniperudder/routing/_crashes.py
@@ -117,15 +117,19 @@
     ----------
     crashed_at : float
         Loop time of the last crash that is counted against them, seconds.
+    run_ids : set of (str, int)
+        Runs whose crashes led to the block; empty if others told of it.
     """
 
     crashed_at: float
+    run_ids: set = dataclasses.field(default_factory=set)
 
 
 class CrashTable:
     """Crashes of endpoints, the requests suspected, and those blocked."""
 
     __slots__ = (
+        '_alive',
         '_blocks',
         '_cleared',
         '_condemned',
@@ -141,6 +145,9 @@
         self._interrupted = {}
         # Crashes by run id, in the order in which they became known.
         self._crashes = {}
+        # Runs that were taken for crashed: the time at which each was known
+        # to run on.
+        self._alive = collections.OrderedDict()
         # Time of the last sound run and number of runs, by key of a part. For
         # suspects, what others should know: the time of the last sound run,
         # and the time of that or of the crash, if it came later.
@@ -202,6 +209,41 @@
             self._record_victims(run_id, interruptions)
         return since_s
 
+    def record_run_alive(self, run_id, now):
+        """Withdraw the crash of a run that turned out to run on.
+
+        Parameters
+        ----------
+        run_id : (str, int)
+        now : float
+            Loop time, seconds.
+
+        Returns
+        -------
+        list of frozenset
+            Keys of the requests that are no longer blocked.
+        """
+        self._alive.pop(run_id, None)
+        self._alive[run_id] = now
+        while len(self._alive) > _MAX_CRASHES:
+            self._alive.popitem(last=False)
+        if self._crashes.pop(run_id, None) is None:
+            return []
+        self._invalidate()
+        unfounded = []
+        for keys, block in self._blocks.items():
+            if run_id in block.run_ids:
+                block.run_ids.remove(run_id)
+                if len(block.run_ids) < _suspects.MIN_CRASHES:
+                    unfounded.append(keys)
+        lifted = []
+        for key in frozenset().union(*unfounded):
+            if key in self._survivals:
+                _, count = self._survivals[key]
+                self._survivals[key] = now, count
+            lifted += self._clear(key, now)
+        return lifted
+
     def record_survival(self, keys, now):
         """Record that an endpoint runs on although it began a request.
 
@@ -266,7 +308,14 @@
                 if keys not in self._blocks:
                     added.append(keys)
                     self._invalidate()
-                self._blocks[keys] = _Block(self._get_last_crash(keys))
+                self._blocks[keys] = _Block(
+                    self._get_last_crash(keys),
+                    {
+                        run_id
+                        for run_id, crash in self._crashes.items()
+                        if keys <= crash.victims.keys()
+                    },
+                )
         ended = [
             keys
             for keys, block in self._blocks.items()
@@ -400,6 +449,8 @@
         self._add_crash(run_id, at, victims)
 
     def _add_crash(self, run_id, at, victims):
+        if run_id in self._alive and at <= self._alive[run_id]:
+            return
         kept = {}
         for key, count in victims.items():
             survived_at = self._get_survival(key)
@@ -518,6 +569,9 @@
                 self._interrupted[run_id] = kept
             else:
                 del self._interrupted[run_id]
+        for run_id, alive_at in list(self._alive.items()):
+            if now - alive_at > _BLOCK_S:
+                del self._alive[run_id]
         for run_id, crash in list(self._crashes.items()):
             expired = now - crash.at > _BLOCK_S
             # An empty one is kept while digests may still name it.
--- a/sniperudder/routing/tests/test_crashes.py
+++ b/sniperudder/routing/tests/test_crashes.py
@@ -166,6 +166,69 @@
         self.assertLess(len(report), 10_000)
 
 
+class WithdrawnCrashTest(testtools.TestCase):
+    """A run that was taken for crashed runs on."""
+
+    def make_table(self, crashes):
+        """Return a table with a block after crashes by one part."""
+        keys = [make_keys('bad', body=b'%d' % n) for n in range(crashes)]
+        table = _crash_fleets.make_table(*keys)
+        table.update(20.0)
+        added, _ = table.update(22.0)
+        self.assertEqual([block('part:bad')], added)
+        return table
+
+    def test_block_is_lifted_if_too_few_crashes_are_left(self):
+        table = self.make_table(crashes=3)
+        lifted = table.record_run_alive(('gpu-1', 1), 23.0)
+        self.assertEqual([block('part:bad')], lifted)
+        self.assertIsNone(table.find_block(make_keys('bad')))
+        self.assertEqual(([], []), table.update(30.0))
+
+    def test_block_stays_if_the_other_crashes_suffice(self):
+        table = self.make_table(crashes=4)
+        self.assertEqual([], table.record_run_alive(('gpu-1', 1), 23.0))
+        self.assertIsNotNone(table.find_block(make_keys('bad')))
+        self.assertEqual(
+            [block('part:bad')], table.record_run_alive(('gpu-2', 1), 24.0)
+        )
+
+    def test_block_stays_if_another_run_is_alive(self):
+        table = self.make_table(crashes=3)
+        self.assertEqual([], table.record_run_alive(('gpu-1', 2), 23.0))
+        self.assertIsNotNone(table.find_block(make_keys('bad')))
+
+    def test_late_report_of_another_instance_does_not_count(self):
+        table = _crash_fleets.make_table(
+            *(make_keys('bad', body=b'%d' % n) for n in range(3))
+        )
+        late = table.make_report(3.0)
+        table.record_run_alive(('gpu-1', 1), 3.0)
+        table.apply_report(late, 3.2)
+        self.assertIsNone(table.find_block(make_keys('bad')))
+
+    def test_others_that_were_told_of_the_block_lift_it(self):
+        table, other = self.make_table(crashes=3), routing.CrashTable()
+        other.apply_report(table.make_report(22.0), 22.0)
+        self.assertIsNotNone(other.find_block(make_keys('bad')))
+        late = other.make_report(23.0)
+        table.record_run_alive(('gpu-1', 1), 23.0)
+        table.apply_report(late, 23.1)
+        self.assertIsNone(table.find_block(make_keys('bad')))
+        other.apply_report(table.make_report(23.2), 23.2)
+        self.assertIsNone(other.find_block(make_keys('bad')))
+
+    def test_next_crash_of_that_run_counts(self):
+        table = self.make_table(crashes=3)
+        table.record_run_alive(('gpu-1', 1), 23.0)
+        for number in range(3):
+            run_id = f'gpu-{number}', 1 + (number != 1)
+            keys = make_keys('bad', body=b'new%d' % number)
+            table.record_interruption(keys, [run_id], 24.0 + number)
+            table.record_run_end(run_id, 24.5 + number)
+        self.assertIsNotNone(table.find_block(make_keys('bad')))
+
+
 class AttributionTest(testtools.TestCase):
     def test_part_that_all_requests_share_is_not_blocked(self):
         # Each crash interrupts sound requests of the route as well, and none
