Repeat a reroute order that a silent first stage didn't answer in time

A stream whose first stage was silent when it was ordered to reroute, and obeyed afterwards, was taken to run through the stage before: it wasn't rerouted when the new stage left, its places were counted at the wrong stage, and the next reroute started from the wrong chain.

Other failures of the call end the reroute as before.

--- a/sniperudder/entry/tests/test_stages.py
+++ b/sniperudder/entry/tests/test_stages.py
@@ -222,6 +222,63 @@
         self.assertLess(gaps[0], 200)
 
 
+class UnansweredOrderTest(testtools.TestCase):
+    # Guards against: the first stage was silent when it was ordered to reroute
+    # a stream, and obeyed later. The stream was then taken to run through the
+    # stage before, and wasn't rerouted when the new one left.
+    def test_stream_is_rerouted_again_after_an_order_without_an_answer(self):
+        first = _fleets.create_engine('gpu-1', 'half', (0, 4))
+        others = [
+            _fleets.create_engine(name, 'half', (4, 8))
+            for name in ('gpu-2', 'gpu-3')
+        ]
+        paths = []
+
+        def list_paths():
+            return [o['path'] for o in first.orders if 'path' in o]
+
+        async def run():
+            profile = standins.make_engine(accelerators=_fleets.ACCELERATORS)
+            async with _fleets.run_fleet(
+                first, *others, engine=profile
+            ) as test_fleet:
+
+                async def stall(request, http, writer):
+                    path = standins.read_header(
+                        request, 'x-sniperudder-hop-count'
+                    )
+                    address = path.split(',')[1].partition('=')[0]
+                    (new,) = [e for e in others if e.address != address]
+                    first.stalled = [{'id': 'r-1', 'address': address}]
+                    first.order_s = 0.6
+                    await first.send_stream(request, http, writer, upto=1)
+                    while not list_paths():
+                        await asyncio.sleep(0.01)
+                    first.stalled, first.order_s = [], 0.0
+                    orders = []
+                    for number in range(2, 40):
+                        data = f'id: {number}\ndata: {number}\n\n'.encode()
+                        writer.write(http.send(h11.Data(data=data)))
+                        await asyncio.sleep(0.1)
+                        if number == 10:
+                            orders = list_paths()
+                            new.list_in(test_fleet.store, state='draining')
+                    writer.write(http.send(h11.EndOfMessage()))
+                    paths.extend(
+                        new.address in path
+                        for path in (orders[-1], list_paths()[-1])
+                    )
+
+                first.script.append(stall)
+                return await test_fleet.send('/stream/a', wait_ms=9_000)
+
+        status, _, body = asyncio.run(run())
+        self.assertEqual(200, status)
+        self.assertEqual(list(range(1, 40)), _fleets.list_ids(body))
+        # Through the new stage, and around it once it leaves.
+        self.assertEqual([True, False], paths)
+
+
 class SlowEngineTest(testtools.TestCase):
     def test_slow_engine_is_logged(self):
         # One of two engines runs at a fifth of its normal speed. If its
--- a/sniperudder/forwarding/_rerouting.py
+++ b/sniperudder/forwarding/_rerouting.py
@@ -127,19 +127,26 @@
         tuple of sniperudder.fleet.Stage
             The chain in use afterwards; `stages` itself if the stream
             could not be rerouted.
+
+        Notes
+        -----
+        A silent first stage may obey an order later. The order is therefore
+        repeated, rather than taken for refused, so that the chain is known.
         """
         excluded = set(excluded)
+        new_stages = None
         for _ in range(_MAX_REROUTE_ORDERS):
-            new_stages = routing.replace_stages(
-                self._T,
-                fleet.list_endpoints(self._T, service),
-                engine,
-                request_size,
-                stages,
-                excluded,
-                asyncio.get_running_loop().time(),
-                self._rng,
-            )
+            if new_stages is None:
+                new_stages = routing.replace_stages(
+                    self._T,
+                    fleet.list_endpoints(self._T, service),
+                    engine,
+                    request_size,
+                    stages,
+                    excluded,
+                    asyncio.get_running_loop().time(),
+                    self._rng,
+                )
             if not new_stages:
                 self._log_reroute(
                     request_id,
@@ -157,6 +164,8 @@
                 self._log_reroute(
                     request_id, new_stages, excluded, response.reason
                 )
+                if response.timed_out:
+                    continue
                 return stages
             self._log_reroute(
                 request_id, new_stages, excluded, f'status {response.status}'
@@ -167,6 +176,7 @@
             if response.status != _CONFLICT or missing_address is None:
                 return stages
             excluded.add(missing_address)
+            new_stages = None
         return stages
 
     async def _get_report(self, endpoint):
