--- a/measurements/exits.py
+++ b/measurements/exits.py
@@ -31,9 +31,9 @@
             print('\n'.join(verdict.faults), flush=True)
         if verdict.crossed or verdict.let_go:
             print(
-                f'seed {seed}: {verdict.requests} requests, of which'
-                f' {verdict.crossed} crossed the end of their connection and'
-                f' {verdict.let_go} were cut after a run was let go',
+                f'seed {seed}: {verdict.requests} requests; crossed the end of'
+                f' their connection: {verdict.crossed}; cut after a run was'
+                f' let go: {verdict.let_go}',
                 flush=True,
             )
         run_count += 1
--- a/sniperudder/entry/tests/_exit_callers.py
+++ b/sniperudder/entry/tests/_exit_callers.py
@@ -21,6 +21,9 @@
 # Time past its own within which a request must have ended, seconds.
 _LATE_S = 1.5
 
+# Time within which an instance has read what was sent, seconds.
+_READING_S = 0.03
+
 _ROUTES = ('stream', 'stream', 'stream', 'once', 'safe', 'safe', 'unsafe')
 
 
@@ -217,18 +220,22 @@
 
     async def _send_body(self, request, http, writer):
         size = max(len(request.body) // self._rng.randint(1, 4), 1)
-        limit_s = request.instance.idle_timeout_s
         for start in range(0, len(request.body), size):
             piece = request.body[start : start + size]
-            is_late = start and self._rng.random() < 0.05
-            pause_s, hold_s = self._rng.choice((0.0, 0.03)), 0.0
-            if is_late:
-                pause_s = limit_s * _REUSE_SHARE * self._rng.uniform(0.7, 1.0)
+            is_paused = start and self._rng.random() < 0.05
+            await asyncio.sleep(
+                _READING_S if is_paused else self._rng.choice((0.0, 0.03))
+            )
+            hold_s = 0.0
+            if is_paused:
+                limit_s = self._get_idle_timeout_s(request)
+                share = _REUSE_SHARE * self._rng.uniform(0.7, 1.0)
+                await asyncio.sleep(limit_s * share - _READING_S)
                 hold_s = self._rng.uniform(*HOLD_S)
-            await asyncio.sleep(pause_s)
             now = self._case.now()
             # The loop of the caller may have been held as well.
-            request.is_late |= now - request.sent_at >= limit_s
+            silence_s = now - request.sent_at
+            request.is_late |= silence_s >= self._get_idle_timeout_s(request)
             request.sent_at = now
             writer.write(http.send(h11.Data(data=piece)))
             if start + size >= len(request.body):
@@ -238,6 +245,11 @@
             writer.write(http.send(h11.EndOfMessage()))
         request.is_sent = True
 
+    def _get_idle_timeout_s(self, request):
+        """Return the limit that applies to a request that is being sent."""
+        connection = request.instance.connections.get(request.address)
+        return (connection or request.instance).idle_timeout_s
+
     async def _read(self, request, http, reader, writer):
         """Read the answer to a request, unless the caller leaves."""
         wait_s = request.wait_s + _LATE_S
--- a/sniperudder/entry/tests/_exit_endpoints.py
+++ b/sniperudder/entry/tests/_exit_endpoints.py
@@ -70,6 +70,10 @@
         self.is_lapsed = False
         self.list_again()
 
+    def make_report(self):
+        """See base class."""
+        return {**super().make_report(), 'born': self.born}
+
     async def respond(self, request, body, http, writer):
         """See base class."""
         await self._pause(writer, 0.0)
@@ -154,8 +158,9 @@
 
         def send(piece):
             if without_length and piece is None:
-                # Its end doesn't show without the endpoint's entry.
-                run.is_unlisted = self.is_lapsed
+                # A plain endpoint can't show that it still runs without its
+                # entry.
+                run.is_unlisted = self.is_lapsed and self.layers is None
                 raise OSError('the end of an answer without length')
             event = h11.EndOfMessage() if piece is None else h11.Data(piece)
             writer.write(piece if without_length else http.send(event))
--- a/sniperudder/entry/tests/_exit_judgement.py
+++ b/sniperudder/entry/tests/_exit_judgement.py
@@ -18,12 +18,13 @@
 
     Attributes
     ----------
-    has_crossed : bool
-        Whether it was sent whole, and its connection was closed meanwhile.
+    crossed_s : float or None
+        Time from its sending to the closing of its connection, if it was not
+        read because the two crossed, seconds.
     """
 
     def __init__(self, case, request):
-        self.has_crossed = False
+        self.crossed_s = None
         self._case = case
         self._request = request
         self._runs = case.runs.get(request.id, [])
@@ -118,8 +119,8 @@
         closed_at = request.instance.closings.get(request.address)
         if closed_at is not None:
             unread_s = closed_at - request.sent_at
-            self.has_crossed = unread_s < _CROSSING_S
-            if self.has_crossed:
+            if unread_s < _CROSSING_S:
+                self.crossed_s = unread_s
                 return []
             if request.is_sent:
                 return [f'sent whole, unread for {unread_s:.3f} s, closed']
--- a/sniperudder/entry/tests/_exit_members.py
+++ b/sniperudder/entry/tests/_exit_members.py
@@ -30,6 +30,17 @@
         super().__init__(server)
         self._member = member
 
+    def connection_made(self, transport):
+        """See base class."""
+        super().connection_made(transport)
+        address = transport.get_extra_info('peername')
+        self._member.connections[address] = self
+
+    @property
+    def idle_timeout_s(self):
+        """The limit that applies to the request that is being read."""
+        return self._limits.idle_timeout_s
+
     def close(self, reason):
         """See base class."""
         self._record()
@@ -56,6 +67,8 @@
         The requests that it has read, by id.
     closings : dict of tuple to float
         When it closed connections, by the address of the caller, seconds.
+    connections : dict of tuple to _PlayedConnection
+        Those it has accepted, by the address of the caller.
     """
 
     def __init__(self, case, name, is_first_start=True):
@@ -63,6 +76,7 @@
         self.stop_at = None
         self.arrivals = {}
         self.closings = {}
+        self.connections = {}
         self._case = case
         bounds = dataclasses.replace(self.settings.bounds, grace_s=_GRACE_S)
         self.settings = dataclasses.replace(self.settings, bounds=bounds)
--- a/sniperudder/entry/tests/_exits.py
+++ b/sniperudder/entry/tests/_exits.py
@@ -34,9 +34,10 @@
     Attributes
     ----------
     requests : int
-    crossed : int
-        Requests that were sent whole, and not read, on connections that the
-        instance closed within 0.2 s.
+    crossed : list of float
+        Of each request that was not read because it crossed the end of its
+        connection, the time from its sending to the closing, seconds.
+        Negative if it was sent when the caller hadn't seen the end yet.
     let_go : int
         Requests that were cut after a run that had not broken off was ended
         for the sake of another one.
@@ -45,7 +46,7 @@
     """
 
     requests: int = 0
-    crossed: int = 0
+    crossed: list = dataclasses.field(default_factory=list)
     let_go: int = 0
     faults: list = dataclasses.field(default_factory=list)
 
@@ -169,7 +170,8 @@
             found = judgement.list_faults()
             if found:
                 verdict.faults.append(self._describe(request, found))
-            verdict.crossed += judgement.has_crossed
+            if judgement.crossed_s is not None:
+                verdict.crossed.append(round(judgement.crossed_s, 3))
             verdict.let_go += judgement.is_let_go
         return verdict
 
