Reproduce an error in the loop behind a response to a caller that left

The 408 is reset at once, so that write_eof in _close_after_writing raises ENOTCONN in a callback of the loop; the connection is closed by the reset all the same.

--- a/sniperudder/forwarding/tests/test_caller_server.py
+++ b/sniperudder/forwarding/tests/test_caller_server.py
@@ -515,6 +515,31 @@
         self.assertEqual([forwarding.Cut.CALLER_LEFT], server.cuts)
         self.assertEqual([], server.faults)
 
+    # Guards against: a response to a caller that had left, which the loop had
+    # not seen yet, was reset at once, and its end raised an error in the loop.
+    def test_timeout_of_a_caller_that_has_left_raises_nothing(self):
+        errors = []
+
+        async def case(server):
+            loop = asyncio.get_running_loop()
+            loop.set_exception_handler(
+                lambda _, context: errors.append(context)
+            )
+            host, _, port = server.address.rpartition(':')
+            client = socket.create_connection((host, int(port)))
+            client.sendall(b'GET / HTTP/1.1\r\n')
+            await asyncio.sleep(0.05)
+            (connection,) = server.server.connections
+            client.close()
+            # Due before the loop looks at the socket again.
+            loop.call_soon(connection._handle_timeout)
+            async with asyncio.timeout(_READ_S):
+                while server.server.connections:
+                    await asyncio.sleep(0.01)
+
+        self.run_server(case)
+        self.assertEqual([], errors)
+
     def test_request_that_outlasts_the_server_is_reported_as_such(self):
         async def case(server):
             host, _, port = server.address.rpartition(':')
