--- a/sniperudder/forwarding/_caller_connections.py
+++ b/sniperudder/forwarding/_caller_connections.py
@@ -588,8 +588,12 @@
         self._set_timer(None)
         if self._transport.is_closing():
             return
-        if self._transport.can_write_eof():
+        try:
             self._transport.write_eof()
+        except OSError:
+            # The caller has reset it.
+            self._transport.abort()
+            return
         self._loop.call_later(_LINGER_S, self._transport.abort)
 
 
