Test that requests that were not run are refused as such; judge 502 and 504

An exit without an endpoint answered with 502 instead of 503 (mutant) passed the tests of sniperudder/forwarding, request ends, second attempts, silences and exits. The new test demands 503 with its code for each kind of route.

--- a/sniperudder/entry/tests/_exit_judgement.py
+++ b/sniperudder/entry/tests/_exit_judgement.py
@@ -87,11 +87,13 @@
                 expected = b''
             return [] if request.answer == expected else ['another body']
         if status == 502:
+            if any(run.end == 'failed' for run in self._runs):
+                return ['an answer of an endpoint was replaced']
             return self._judge_break()
         kinds = {401: 'keys', 404: 'removed', 413: 'limits'}
         is_lawful = {
             503: not begun,
-            504: self._is_over,
+            504: self._is_over and self._may_have_run(),
             408: request.is_late and self._arrival is None,
             **{
                 own: any(done == kind for _, done in self._case.changes)
@@ -100,6 +102,16 @@
         }
         return [] if is_lawful.get(status) else [f'unlawful status {status}']
 
+    def _may_have_run(self):
+        """Return whether a send was not refused."""
+        sends = [
+            event
+            for event, _, _ in self._case.list_lines(self._request)
+            if event == 'request:sent'
+        ]
+        refused = [run for run in self._runs if run.end == 'refused']
+        return len(sends) > len(refused)
+
     def _judge_cut(self):
         if self._arrival is None:
             return self._judge_unread()
--- a/sniperudder/entry/tests/test_request_ends.py
+++ b/sniperudder/entry/tests/test_request_ends.py
@@ -88,6 +88,44 @@
         asyncio.run(run())
 
 
+class NotRunTest(testtools.TestCase):
+    """A request that no endpoint has run is refused as such."""
+
+    def send(self, target, refuses, wait_ms=4_000):
+        """Send a request where no endpoint serves it, or the only one refuses.
+
+        Returns
+        -------
+        (int, int)
+            Status and code of the response.
+        """
+        engine = _fleets.create_engine('gpu-1', layers=(0, 8))
+        desk = _fleets.create_desk()
+
+        async def run():
+            profile = standins.make_engine(accelerators=_fleets.ACCELERATORS)
+            endpoints = (engine, desk) if refuses else ()
+            async with _fleets.run_fleet(
+                *endpoints, engine=profile
+            ) as test_fleet:
+                for endpoint in endpoints:
+                    endpoint.script.extend(
+                        endpoint.refuse() for _ in range(60)
+                    )
+                response = await test_fleet.send(target, wait_ms=wait_ms)
+                return response[0], _fleets.read_body(response)['code']
+
+        return asyncio.run(run())
+
+    # Guards against: a request that no endpoint had run was answered as one
+    # that may have run, and its caller could not send it again.
+    def test_request_that_was_not_run_is_refused_as_such(self):
+        for target in ('/stream/a', '/once/a', '/safe/a', '/unsafe/a'):
+            for refuses, code in ((False, 203), (True, 201)):
+                outcome = self.send(target, refuses)
+                self.assertEqual((503, code), outcome, (target, refuses))
+
+
 class CutRecordTest(testtools.TestCase):
     """The id of a cut request leads to its reason, in log and metrics."""
 
