Don't time out a request that is parsed in several turns

Callers with a body in many small chunks got 408 for a request that they had sent whole, while the machine was busy.

Cause: the same class as unread bytes: the limit for a body was judged by the clock although the rest had arrived, read by the loop and waiting for its turn.

test_request_that_is_parsed_in_turns_is_not_too_slow failed before (408).

--- a/sniperudder/forwarding/_caller_connections.py
+++ b/sniperudder/forwarding/_caller_connections.py
@@ -130,6 +130,8 @@
         self._idle_since = 0.0
         # Bytes read since the last request that was read completely.
         self._unanswered_bytes = 0
+        # Whether bytes were read that a later turn parses.
+        self._has_unparsed = False
         # Why this side closed it while it owed no response.
         self._closure_reason = None
         self._closure_reported = False
@@ -237,9 +239,10 @@
 
     @property
     def has_unread_request(self):
-        """Whether bytes of a request have arrived that were not read."""
-        is_reading = self._phase in (_Phase.IDLE, _Phase.HEAD, _Phase.BODY)
-        return is_reading and self._count_unread_bytes() > 0
+        """Whether bytes of a request have arrived that were not parsed."""
+        if self._phase not in (_Phase.IDLE, _Phase.HEAD, _Phase.BODY):
+            return False
+        return self._has_unparsed or self._count_unread_bytes() > 0
 
     @property
     def responding(self):
@@ -395,6 +398,7 @@
         turn_ends_at = _turns.begin_turn()
         while self._phase in (_Phase.HEAD, _Phase.BODY):
             if _turns.read_clock() >= turn_ends_at:
+                self._has_unparsed = True
                 self._transport.pause_reading()
                 self._loop.call_soon(self._resume_processing)
                 return
@@ -425,6 +429,7 @@
         return self._limits.max_header_bytes + self._get_max_body_bytes()
 
     def _resume_processing(self):
+        self._has_unparsed = False
         if not self._transport.is_closing():
             self._transport.resume_reading()
             self._process_events()
--- a/sniperudder/forwarding/tests/test_closures.py
+++ b/sniperudder/forwarding/tests/test_closures.py
@@ -1,11 +1,13 @@
 """Tests of closed connections on which no response was owed."""
 
 import asyncio
+import itertools
 import socket
 import unittest.mock
 
 from sniperudder.forwarding import _closures
 from sniperudder.forwarding import _sockets
+from sniperudder.forwarding import _turns
 from sniperudder.forwarding.tests import test_caller_server
 
 _Reason = _closures.ClosureReason
@@ -286,3 +288,31 @@
                 self.assertEqual(b'', client.recv(1))
 
         self.run_server(case)
+
+    # Guards against: a body that had arrived was rejected as too slow, because
+    # it was parsed in several turns and these took long.
+    def test_request_that_is_parsed_in_turns_is_not_too_slow(self):
+        received = []
+        clock = itertools.count()
+        head = b'POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n'
+        body = b'1\r\nx\r\n' * 200 + b'0\r\n\r\n'
+
+        async def case(server):
+            loop = asyncio.get_running_loop()
+            with connect(server) as client:
+                await await_connections(server, 1)
+                (connection,) = server.server.connections
+                client.send(head + b'\r\n' + body)
+                # A turn parses five pieces.
+                with unittest.mock.patch.object(
+                    _turns, 'read_clock', lambda: next(clock) / 1_000
+                ):
+                    while not server.requests and not server.rejections:
+                        connection._handle_timeout()
+                        await asyncio.sleep(0)
+                received.append(
+                    await loop.run_in_executor(None, self.receive, client)
+                )
+
+        self.run_server(case)
+        self.assertIn(b'HTTP/1.1 200', received[0])
