Keep idle connections while a stop waits for responses

Such a crossing can't be excluded, but most of these closings are needless: the process stays for responses in progress, for several seconds more. Idle connections are now kept for that time, so that the next response on them announces the end.

test_idle_connection_is_kept_beside_a_response failed before.

--- a/sniperudder/entry/_entry.py
+++ b/sniperudder/entry/_entry.py
@@ -405,7 +405,9 @@
             await asyncio.sleep(_STOP_POLL_S)
         await self._caller_server.stop_listening()
         while self._caller_server.connections and loop.time() < deadline:
-            self._caller_server.close_idle(_KEEP_AFTER_RESPONSE_S)
+            if not self._caller_server.is_responding:
+                # Before, callers may use them again and learn of the end.
+                self._caller_server.close_idle(_KEEP_AFTER_RESPONSE_S)
             await asyncio.sleep(_STOP_POLL_S)
         # They are refused as not run by now.
         await self._caller_server.handle_arrived(_EXIT_MARGIN_S / 4)
--- a/sniperudder/entry/tests/test_stops.py
+++ b/sniperudder/entry/tests/test_stops.py
@@ -1,14 +1,18 @@
 """Tests of planned stops under load."""
 
 import asyncio
+import unittest.mock
 
 import testtools
 
+from sniperudder.entry import _entry
 from sniperudder.entry.tests import _fleets
 from standins import fleet as standins
 
 _STREAM_S = 0.3
 _RECORDED = 8
+_LONG_STREAM_S = 2.4
+_IDLE_S = 1.5
 
 
 class LongRequestTest(testtools.TestCase):
@@ -78,3 +82,52 @@
                 self.assertEqual(503, status)
 
         self.assertEqual((0, 0), self.run_beside_stop(case, 0.0))
+
+
+class KeptConnectionTest(testtools.TestCase):
+    """Connections that are not used when their instance begins to stop."""
+
+    # Guards against: a stopping instance closed connections without having
+    # announced it, although it had to wait for a response on another one.
+    def test_idle_connection_is_kept_beside_a_response(self):
+        engine = _fleets.create_engine('gpu-1', layers=(0, 8))
+        desk = _fleets.create_desk()
+        request = (
+            b'GET /safe/a HTTP/1.1\r\nHost: shop.example\r\n'
+            b'Authorization: Token key-1\r\nX-Sniperudder-Request-Id: '
+        )
+
+        engine.events, engine.event_s = 12, _LONG_STREAM_S / 12
+
+        async def run():
+            profile = standins.make_engine(accelerators=_fleets.ACCELERATORS)
+            async with _fleets.run_fleet(
+                engine, desk, engine=profile
+            ) as test_fleet:
+                await test_fleet.await_placed()
+                host, _, port = test_fleet.callers.rpartition(':')
+                reader, writer = await asyncio.open_connection(host, port)
+                writer.write(request + b'r-7\r\n\r\n')
+                first = await reader.readuntil(b'/safe/a')
+                stream = asyncio.create_task(
+                    test_fleet.send('/stream/a', wait_ms=9_000)
+                )
+                while not engine.requests:
+                    await asyncio.sleep(0.01)
+                stopping = asyncio.create_task(test_fleet.instance.stop())
+                await asyncio.sleep(_IDLE_S)
+                writer.write(request + b'r-8\r\n\r\n')
+                second = await reader.read()
+                writer.close()
+                status, _, _ = await stream
+                await stopping
+                return first, second, status
+
+        with unittest.mock.patch.object(
+            _entry, '_ACCEPT_AFTER_SIGTERM_S', 0.1
+        ):
+            first, second, status = asyncio.run(run())
+        self.assertNotIn(b'Connection: close', first)
+        self.assertIn(b'HTTP/1.1 200', second)
+        self.assertIn(b'Connection: close', second)
+        self.assertEqual(200, status)
--- a/sniperudder/forwarding/_caller_server.py
+++ b/sniperudder/forwarding/_caller_server.py
@@ -149,6 +149,11 @@
         for connection in list(self.connections):
             connection.abort(_caller_connections.Cut.STOPPED)
 
+    @property
+    def is_responding(self):
+        """Whether a response is in progress on any connection."""
+        return any(connection.responding for connection in self.connections)
+
     def close_idle(self, min_idle_s=0.0):
         """Close the connections that are not used.
 
