--- a/sniperudder/forwarding/_caller_connections.py
+++ b/sniperudder/forwarding/_caller_connections.py
@@ -230,6 +230,22 @@
             return False
         return self._count_unread_bytes() == 0
 
+    @property
+    def closing(self):
+        """Whether this side has closed it, and the caller may not have."""
+        return self._phase is _Phase.CLOSING
+
+    @property
+    def has_unread_request(self):
+        """Whether bytes of a request have arrived that were not read."""
+        is_reading = self._phase in (_Phase.IDLE, _Phase.HEAD, _Phase.BODY)
+        return is_reading and self._count_unread_bytes() > 0
+
+    @property
+    def responding(self):
+        """Whether a request was read whose response is not complete."""
+        return self._phase is _Phase.RESPONSE
+
     @property
     def response_started(self):
         """Whether the head of a response was sent, but not its end."""
@@ -243,10 +259,9 @@
         reason : sniperudder.forwarding._closures.ClosureReason
         """
         self._closure_reason = reason
-        self._report_closure()
-        self._phase = _Phase.CLOSING
-        self._set_timer(None)
-        self._transport.close()
+        # Closing the transport would take effect in a later turn of the loop,
+        # and what arrived until then would be reset.
+        self._close_after_writing()
 
     def abort(self, cut):
         """Close the connection without completing the response.
@@ -360,7 +375,7 @@
 
     def _handle_timeout(self):
         if self._phase in (_Phase.HEAD, _Phase.BODY):
-            if self._count_unread_bytes():
+            if self.has_unread_request:
                 self._set_timer(_UNREAD_RECHECK_S)
             else:
                 self._reject(408)
@@ -573,8 +588,12 @@
         self._set_timer(None)
         if self._transport.is_closing():
             return
-        if self._transport.can_write_eof():
+        try:
             self._transport.write_eof()
+        except OSError:
+            # The caller has reset it.
+            self._transport.abort()
+            return
         self._loop.call_later(_LINGER_S, self._transport.abort)
 
 
--- a/sniperudder/forwarding/tests/test_closures.py
+++ b/sniperudder/forwarding/tests/test_closures.py
@@ -251,3 +251,38 @@
         self.run_server(case)
         self.assertEqual(2, received[0].count(b'HTTP/1.1 200'), received[0])
         self.assertEqual(1, received[0].count(b'Connection: close'))
+
+    # Guards against: at the end of a stop, requests that had arrived while the
+    # loop was busy were discarded without an answer.
+    def test_request_that_arrived_before_the_exit_is_answered(self):
+        received = []
+
+        async def case(server):
+            loop = asyncio.get_running_loop()
+            with connect(server) as client:
+                await await_connections(server, 1)
+                await asyncio.sleep(0.05)
+                client.send(_GET)
+                await server.server.handle_arrived(0.5)
+                server.server.close()
+                received.append(
+                    await loop.run_in_executor(None, self.receive, client)
+                )
+
+        server = self.run_server(case)
+        self.assertIn(b'HTTP/1.1 200', received[0])
+        self.assertTrue(all(closure.is_clean for closure in server.closures))
+
+    # Guards against: a closing took effect after a turn of the loop, and a
+    # request that the caller sent meanwhile was reset.
+    def test_caller_sees_a_closing_in_the_same_turn(self):
+        async def case(server):
+            with connect(server) as client:
+                client.settimeout(_READ_S)
+                await await_connections(server, 1)
+                (connection,) = server.server.connections
+                connection.close(_Reason.IDLE)
+                # Blocks the loop until the end arrives.
+                self.assertEqual(b'', client.recv(1))
+
+        self.run_server(case)
