Test requests that were not run in time and streams that may have run

Two mutants passed test_request_ends.py and test_exits.py: 303 in place of 206 where no send may have run, and 503 in place of 502 for a stream that an engine broke off before its first event.

--- a/sniperudder/entry/tests/test_request_ends.py
+++ b/sniperudder/entry/tests/test_request_ends.py
@@ -91,20 +91,22 @@
 class NotRunTest(testtools.TestCase):
     """A request that no endpoint has run is refused as such."""
 
-    def send(self, target, refuses, wait_ms=4_000):
-        """Send a request where no endpoint serves it, or the only one refuses.
+    def send(self, target, count, wait_ms=4_000):
+        """Send a request where a number of endpoints refuse it.
 
         Returns
         -------
         (int, int)
             Status and code of the response.
         """
-        engine = _fleets.create_engine('gpu-1', layers=(0, 8))
-        desk = _fleets.create_desk()
+        endpoints = []
+        for number in range(count):
+            name = f'gpu-{number}'
+            endpoints.append(_fleets.create_engine(name, layers=(0, 8)))
+            endpoints.append(_fleets.create_desk(f'desk-{number}'))
 
         async def run():
             profile = standins.make_engine(accelerators=_fleets.ACCELERATORS)
-            endpoints = (engine, desk) if refuses else ()
             async with _fleets.run_fleet(
                 *endpoints, engine=profile
             ) as test_fleet:
@@ -121,9 +123,15 @@
     # that may have run, and its caller could not send it again.
     def test_request_that_was_not_run_is_refused_as_such(self):
         for target in ('/stream/a', '/once/a', '/safe/a', '/unsafe/a'):
-            for refuses, code in ((False, 203), (True, 201)):
-                outcome = self.send(target, refuses)
-                self.assertEqual((503, code), outcome, (target, refuses))
+            for count, code in ((0, 203), (1, 201)):
+                outcome = self.send(target, count)
+                self.assertEqual((503, code), outcome, (target, count))
+
+    # Guards against: the same where the time of the request ended first.
+    def test_request_that_was_not_run_in_its_time_is_refused_as_such(self):
+        for target in ('/stream/a', '/safe/a'):
+            outcome = self.send(target, 5, wait_ms=100)
+            self.assertEqual((503, 206), outcome, target)
 
 
 class CutRecordTest(testtools.TestCase):
@@ -202,7 +210,7 @@
 class BreakTest(testtools.TestCase):
     """An engine breaks a stream off, and another one is sound."""
 
-    def run_case(self, events, change=None):
+    def run_case(self, events, change=None, target='/stream/a'):
         """Send a stream; return its status and the ids of its events.
 
         Parameters
@@ -211,6 +219,7 @@
             Number of events after which the first engine breaks off.
         change : callable, optional
             Coroutine function of the fleet, run once the stream was sent.
+        target : str
         """
         names = 'gpu-1', 'gpu-2'
         engines = [
@@ -237,7 +246,7 @@
                 for engine in engines:
                     engine.script.append(break_off(engine))
                 sending = asyncio.create_task(
-                    test_fleet.send('/stream/a', wait_ms=4_000)
+                    test_fleet.send(target, wait_ms=4_000)
                 )
                 while not any(engine.requests for engine in engines):
                     await asyncio.sleep(0.001)
@@ -255,6 +264,11 @@
     def test_stream_that_breaks_before_its_first_event_is_sent_again(self):
         self.assertEqual((200, [1, 2, 3]), self.run_case(0))
 
+    # Guards against: a stream that an engine had run was refused as not run,
+    # and its caller sent it again.
+    def test_stream_that_cannot_be_sent_again_may_have_run(self):
+        self.assertEqual((502, []), self.run_case(0, target='/once/a'))
+
     # Guards against: a stream that had begun was cut at the first refusal of a
     # retry, although the budget had room a moment later.
     def test_stream_that_breaks_waits_for_the_budget_of_retries(self):
