--- a/sniperudder/forwarding/_crash_monitor.py
+++ b/sniperudder/forwarding/_crash_monitor.py
@@ -32,13 +32,13 @@
     pool : ConnectionPool
     journal : object
         Event log; see `Forwarder`.
-    responds : callable
+    find_sign_of_life : callable
         Coroutine function that returns the `SignOfLife` of an engine.
     """
 
-    def __init__(self, T, pool, journal, responds):
+    def __init__(self, T, pool, journal, find_sign_of_life):
         self._T = T
-        self._responds = responds
+        self._find_sign_of_life = find_sign_of_life
         self._pool = pool
         self._journal = journal
         self._table = routing.CrashTable()
@@ -139,9 +139,9 @@
         # The kernel accepts connections for a while after the process has
         # ended, so only a response of an engine is evidence.
         ask = (
-            self._find_plain_sign_of_life
+            self._find_sign_of_life_of_plain
             if stage.layers is None
-            else self._responds
+            else self._find_sign_of_life
         )
         until = _read_time() + _MAX_SILENCE_S
         sign = await ask(endpoint)
@@ -157,7 +157,7 @@
                 await asyncio.shield(self._checks[_get_run_id(endpoint)])
         return runs
 
-    async def _find_plain_sign_of_life(self, endpoint):
+    async def _find_sign_of_life_of_plain(self, endpoint):
         """Find out whether an endpoint accepts a connection and keeps it.
 
         A plain endpoint has no call that runs nothing.
--- a/sniperudder/forwarding/_forwarder.py
+++ b/sniperudder/forwarding/_forwarder.py
@@ -76,7 +76,7 @@
             T, self.rng, journal, self.notice_recorder
         )
         self.crash_monitor = _crash_monitor.CrashMonitor(
-            T, pool, journal, self.rerouter.responds
+            T, pool, journal, self.rerouter.find_sign_of_life
         )
         self._budgets = {}
         self._rank_counters = collections.defaultdict(routing.RankCounter)
--- a/sniperudder/forwarding/_rerouting.py
+++ b/sniperudder/forwarding/_rerouting.py
@@ -54,7 +54,7 @@
         )
         self._reports = {}
 
-    async def responds(self, endpoint):
+    async def find_sign_of_life(self, endpoint):
         """Find out whether an engine responds to a report request now.
 
         Parameters
