--- a/sniperudder/entry/tests/test_stops.py
+++ b/sniperudder/entry/tests/test_stops.py
@@ -1,6 +1,11 @@
 """Tests of planned stops under load."""
 
 import asyncio
+import contextlib
+import dataclasses
+import socket
+import threading
+import time
 import unittest.mock
 
 import testtools
@@ -12,6 +17,10 @@
 _STREAM_S = 0.3
 _RECORDED = 8
 _LONG_STREAM_S = 2.4
+_GET = (
+    b'GET /safe/a HTTP/1.1\r\nHost: shop.example\r\n'
+    b'Authorization: Token key-1\r\nX-Sniperudder-Request-Id: '
+)
 _IDLE_S = 1.5
 
 
@@ -92,11 +101,6 @@
     def test_idle_connection_is_kept_beside_a_response(self):
         engine = _fleets.create_engine('gpu-1', layers=(0, 8))
         desk = _fleets.create_desk()
-        request = (
-            b'GET /safe/a HTTP/1.1\r\nHost: shop.example\r\n'
-            b'Authorization: Token key-1\r\nX-Sniperudder-Request-Id: '
-        )
-
         engine.events, engine.event_s = 12, _LONG_STREAM_S / 12
 
         async def run():
@@ -107,7 +111,7 @@
                 await test_fleet.await_placed()
                 host, _, port = test_fleet.callers.rpartition(':')
                 reader, writer = await asyncio.open_connection(host, port)
-                writer.write(request + b'r-7\r\n\r\n')
+                writer.write(_GET + b'r-7\r\n\r\n')
                 first = await reader.readuntil(b'/safe/a')
                 stream = asyncio.create_task(
                     test_fleet.send('/stream/a', wait_ms=9_000)
@@ -116,7 +120,7 @@
                     await asyncio.sleep(0.01)
                 stopping = asyncio.create_task(test_fleet.instance.stop())
                 await asyncio.sleep(_IDLE_S)
-                writer.write(request + b'r-8\r\n\r\n')
+                writer.write(_GET + b'r-8\r\n\r\n')
                 second = await reader.read()
                 writer.close()
                 status, _, _ = await stream
@@ -131,3 +135,78 @@
         self.assertIn(b'HTTP/1.1 200', second)
         self.assertIn(b'Connection: close', second)
         self.assertEqual(200, status)
+
+
+class HeldLoopTest(testtools.TestCase):
+    """A request arrives while the loop is held around a step of a stop."""
+
+    def send_while_held(self, hold_at_s, accept_s, grace_s, beside=False):
+        """Return the response to a request that is sent while it is held.
+
+        Parameters
+        ----------
+        hold_at_s : float
+            When the loop is held for 0.2 s, from the begin of the stop.
+        accept_s, grace_s : float
+            End of accepting connections and of the stop.
+        beside : bool
+            Whether another caller holds a connection without using it.
+        """
+        received = []
+
+        def send(address, is_sent):
+            with socket.create_connection(address) as client:
+                client.settimeout(2.0)
+                client.sendall(_GET + b'r-9\r\n\r\n')
+                is_sent.set()
+                with contextlib.suppress(OSError):
+                    while data := client.recv(65_536):
+                        received.append(data)
+
+        async def hold(address):
+            await asyncio.sleep(hold_at_s)
+            is_sent = threading.Event()
+            thread = threading.Thread(target=send, args=(address, is_sent))
+            thread.start()
+            is_sent.wait()
+            time.sleep(0.2)
+            return thread
+
+        async def run():
+            async with _fleets.run_fleet(_fleets.create_desk()) as test_fleet:
+                instance = test_fleet.instance
+                bounds = dataclasses.replace(
+                    instance._settings.bounds, grace_s=grace_s
+                )
+                instance._settings = dataclasses.replace(
+                    instance._settings, bounds=bounds
+                )
+                host, _, port = test_fleet.callers.rpartition(':')
+                address = host, int(port)
+                with contextlib.ExitStack() as stack:
+                    if beside:
+                        stack.enter_context(socket.create_connection(address))
+                    await asyncio.sleep(0.1)
+                    holding = asyncio.create_task(hold(address))
+                    await instance.stop()
+                    return await holding
+
+        with unittest.mock.patch.object(
+            _entry, '_ACCEPT_AFTER_SIGTERM_S', accept_s
+        ):
+            thread = asyncio.run(run())
+        thread.join()
+        return b''.join(received)
+
+    # Guards against: a connection that the loop had accepted in the turn in
+    # which listening ended was not known yet, and the process ended.
+    def test_at_the_end_of_listening(self):
+        for beside in (False, True):
+            received = self.send_while_held(0.22, 0.3, 4.0, beside)
+            self.assertIn(b'HTTP/1.1 ', received, beside)
+
+    # Guards against: what arrived while the loop was held past the end of the
+    # grace period was discarded.
+    def test_at_the_end_of_the_grace_period(self):
+        received = self.send_while_held(0.68, 0.9, 1.0, beside=True)
+        self.assertIn(b'HTTP/1.1 503', received)
--- a/sniperudder/forwarding/_caller_server.py
+++ b/sniperudder/forwarding/_caller_server.py
@@ -1,12 +1,14 @@
 """HTTP server for callers, the load balancer and metrics scrapers."""
 
 import asyncio
-import contextlib
 
 from sniperudder.forwarding import _caller_connections
 from sniperudder.forwarding import _closures
 from sniperudder.forwarding import _sockets
 
+# Number of turns of the loop until an accepted connection is known.
+_ACCEPT_TURNS = 3
+
 # Interval at which closed connections are looked at, seconds.
 _CLOSED_POLL_S = 0.005
 
@@ -102,12 +104,18 @@
         ]
         self._close_listener()
         loop = asyncio.get_running_loop()
-        for connection in accepted:
-            # The caller may have left already.
-            with contextlib.suppress(OSError):
-                await loop.connect_accepted_socket(
-                    self._create_connection, connection
-                )
+        # Callers may have left already.
+        await asyncio.gather(
+            *(
+                loop.connect_accepted_socket(self._create_connection, sock)
+                for sock in accepted
+            ),
+            return_exceptions=True,
+        )
+        # The loop may have accepted others in this turn, and connects them in
+        # the next ones.
+        for _ in range(_ACCEPT_TURNS):
+            await asyncio.sleep(0)
 
     async def handle_arrived(self, timeout_s):
         """Handle the requests that have arrived and were not read.
--- a/sniperudder/forwarding/_sockets.py
+++ b/sniperudder/forwarding/_sockets.py
@@ -1,6 +1,7 @@
 """Options and state of TCP sockets."""
 
 import fcntl
+import select
 import socket
 import struct
 import termios
@@ -58,11 +59,23 @@
     buffer = struct.pack('i', 0)
     try:
         buffer = fcntl.ioctl(sock.fileno(), termios.FIONREAD, buffer)
-    except OSError:
+    except (OSError, ValueError):
         return 0
     return struct.unpack('i', buffer)[0]
 
 
+def is_readable(sock):
+    """Return whether bytes or the end of a connection have arrived.
+
+    Parameters
+    ----------
+    sock : socket.socket
+    """
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
 def count_queued_connections(sock):
     """Return the number of connections that wait to be accepted.
 
@@ -100,7 +113,12 @@
     list of socket.socket
     """
     accepted = []
-    with sock.dup() as listener:
+    try:
+        listener = sock.dup()
+    except OSError:
+        # There are no descriptors for them.
+        return accepted
+    with listener:
         while True:
             try:
                 connection, _ = listener.accept()
