Don't reuse a connection to an endpoint that has ended unseen

A request was sent on a kept connection that its endpoint had closed while the loop was busy; it counted as one that may have run, so an unsafe request got 502 and was not sent elsewhere.

--- a/sniperudder/forwarding/_connections.py
+++ b/sniperudder/forwarding/_connections.py
@@ -130,6 +130,8 @@
             or self._has_stray_data
             or now > self.idle_until
             or self._transport.is_closing()
+            # The loop may not have looked at the socket for a while.
+            or _sockets.is_readable(self._transport.get_extra_info('socket'))
         )
 
     def send_request(self, method, target, headers, body):
--- a/sniperudder/forwarding/tests/test_connections.py
+++ b/sniperudder/forwarding/tests/test_connections.py
@@ -1,6 +1,7 @@
 """Tests of connections to endpoints and their pool."""
 
 import asyncio
+import socket
 
 import testtools
 
@@ -39,6 +40,24 @@
 
         asyncio.run(run())
 
+    # Guards against: a request was sent on a kept connection that its endpoint
+    # had closed while the loop was busy, and counted as one that may have run.
+    def test_connection_that_has_ended_unseen_is_not_reused(self):
+        async def case(endpoint, pool):
+            outgoing = create_outgoing_request('r-1')
+            await _exchanges.run_exchange(pool, endpoint.address, outgoing)
+            await asyncio.sleep(0.05)
+            (idle,) = pool._idle[endpoint.address]
+            for writer in list(endpoint._readers):
+                # The loop doesn't look at the other end between the two.
+                writer.transport.get_extra_info('socket').shutdown(
+                    socket.SHUT_RDWR
+                )
+            connection = await pool.acquire(endpoint.address)
+            self.assertIsNot(idle, connection)
+
+        self.run_endpoint(case)
+
     def test_connection_is_reused(self):
         async def case(endpoint, pool):
             for number in range(3):
