Estimate durations among requests of about the same size

Six short streams among 64 gave an estimate of 60 s for one that takes 4 s, so a stopping instance refused it; the estimate of a service mixed seconds per token with seconds of plain requests.

Durations are now compared within a factor of two in size, and streams apart from plain requests. Resumed streams, which are shorter than they state, are left out.

--- a/sniperudder/forwarding/_forwarder.py
+++ b/sniperudder/forwarding/_forwarder.py
@@ -460,7 +460,7 @@
         """
         elapsed_s = self.now() - job.request.arrived_at
         organisation = job.organisation.name if job.organisation else ''
-        if code is _Code.ANSWERED:
+        if code is _Code.ANSWERED and job.head.last_event_id is None:
             self._durations.record(
                 _jobs.get_duration_key(job),
                 _jobs.get_duration_size(job),
--- a/sniperudder/forwarding/_jobs.py
+++ b/sniperudder/forwarding/_jobs.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import json
+import math
 import random
 
 from sniperudder import fleet
@@ -201,8 +202,14 @@
 
 
 def get_duration_key(job):
-    """Return the key of a request for estimates of its duration."""
-    return job.service.name, job.route.name
+    """Return the key of a request for estimates of its duration.
+
+    Requests of about the same size have one key, as a part of the duration
+    does not grow with it.
+    """
+    kind = 'streaming' if job.route.streaming else 'buffered'
+    _, magnitude = math.frexp(get_duration_size(job))
+    return f'{kind} {job.service.name}', job.route.name, str(magnitude)
 
 
 def get_duration_size(job):
--- a/sniperudder/routing/_durations.py
+++ b/sniperudder/routing/_durations.py
@@ -16,7 +16,7 @@
 _MIN_SAMPLES = 8
 
 # Number of keys that are kept, those without a recent request first left out.
-_MAX_KEYS = 256
+_MAX_KEYS = 512
 
 # Fraction of requests that end within the estimate. Rejecting a request that
 # would have ended in time costs its caller a round trip, and cutting a request
