Keep a connection whose caller still reads its response

A caller that read a large response slowly got a part of it, and nothing was logged: its connection became idle when the response was buffered, and was aborted 1 s after it was shut down.

Connections with unsent bytes are not idle in a stop; an idle timeout gives a caller that reads on as long again; behind a last response, the time to linger begins anew as long as bytes are accepted. What is given up is reported.

--- a/sniperudder/forwarding/_caller_connections.py
+++ b/sniperudder/forwarding/_caller_connections.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import enum
+import math
 
 import h11
 
@@ -130,6 +131,8 @@
         self._idle_since = 0.0
         # Bytes read since the last request that was read completely.
         self._unanswered_bytes = 0
+        # Size of the write buffer when the idle timeout was last checked.
+        self._unsent_bytes = math.inf
         # Whether bytes were read that a later turn parses.
         self._has_unparsed = False
         # Why this side closed it while it owed no response.
@@ -219,7 +222,7 @@
         self._writable.set()
 
     def is_idle(self, min_idle_s=0.0):
-        """Return whether it is unused, and nothing has arrived to be read.
+        """Return whether it is unused, with nothing left to read or to send.
 
         Parameters
         ----------
@@ -230,6 +233,8 @@
             return False
         if self._loop.time() < self._idle_since + min_idle_s:
             return False
+        if self._transport.get_write_buffer_size():
+            return False
         return self._count_unread_bytes() == 0
 
     @property
@@ -355,6 +360,7 @@
     def _enter_phase(self, phase):
         if phase is _Phase.IDLE:
             self._idle_since = self._loop.time()
+            self._unsent_bytes = math.inf
         self._phase = phase
         limits = self._limits
         if phase is _Phase.HEAD:
@@ -389,10 +395,22 @@
         remaining_s = self._idle_since + idle_timeout_s - self._loop.time()
         if remaining_s > 0:
             self._set_timer(remaining_s)
-        elif self.is_idle():
-            self.close(_closures.ClosureReason.IDLE)
-        else:
+        elif self.has_unread_request:
             self._set_timer(_UNREAD_RECHECK_S)
+        elif self._has_read_on():
+            self._set_timer(idle_timeout_s)
+        else:
+            self.close(_closures.ClosureReason.IDLE)
+
+    def _has_read_on(self):
+        """Return whether the caller still accepts the last response.
+
+        That is the case if some of it was unsent, and less than the last time
+        that this was asked.
+        """
+        before = self._unsent_bytes
+        self._unsent_bytes = self._transport.get_write_buffer_size()
+        return 0 < self._unsent_bytes < before
 
     def _process_events(self):
         turn_ends_at = _turns.begin_turn()
@@ -599,7 +617,26 @@
             # The caller has reset it.
             self._transport.abort()
             return
-        self._loop.call_later(_LINGER_S, self._transport.abort)
+        self._linger()
+
+    def _linger(self):
+        """Wait for the caller to close, and to accept what is buffered."""
+        unsent_bytes = self._transport.get_write_buffer_size()
+        self._loop.call_later(_LINGER_S, self._end_linger, unsent_bytes)
+
+    def _end_linger(self, unsent_bytes):
+        """Close the connection unless the caller has read meanwhile.
+
+        Parameters
+        ----------
+        unsent_bytes : int
+            What was buffered when the time began.
+        """
+        if self._transport.get_write_buffer_size() < unsent_bytes:
+            self._linger()
+            return
+        self._report_closure()
+        self._transport.abort()
 
 
 def _compute_head_size(request):
