--- a/sniperudder/entry/tests/test_placement.py
+++ b/sniperudder/entry/tests/test_placement.py
@@ -85,3 +85,45 @@
         self.assertEqual(
             (1, 1), (len(engine.orders), len(engine.refused_orders))
         )
+
+
+class LapsedEntryTest(testtools.TestCase):
+    """A data centre lacks layers while an engine's entry is missing."""
+
+    def run_lapse(self, end_lapse, lapsed_s):
+        """Remove an engine's entry; return the orders to the others."""
+        layers = ((0, 4), (4, 8), (0, 4))
+        engines = [
+            _fleets.create_engine(f'gpu-{n}', 'half', held)
+            for n, held in enumerate(layers)
+        ]
+
+        async def run():
+            profile = standins.make_engine(accelerators=_fleets.ACCELERATORS)
+            async with _fleets.run_fleet(
+                *engines, engine=profile
+            ) as test_fleet:
+                await test_fleet.await_event('lease:taken')
+                await asyncio.sleep(0.5)
+                test_fleet.store.put('servers', 'gpu-1', None)
+                end_lapse(engines[1])
+                await asyncio.sleep(lapsed_s)
+                return [o for e in engines for o in e.orders]
+
+        return asyncio.run(run())
+
+    # Guards against: an engine was ordered to give up its layers for those of
+    # another one, whose entry had only lapsed.
+    def test_no_engine_is_moved_for_one_whose_entry_lapsed(self):
+        orders = self.run_lapse(lambda engine: None, lapsed_s=1.2)
+        self.assertEqual([], orders)
+
+    def test_engine_is_moved_for_one_that_stays_unlisted(self):
+        (order,) = self.run_lapse(lambda engine: None, lapsed_s=3.2)
+        self.assertEqual((4, 8), (order['from'], order['to']))
+
+    def test_engine_is_moved_at_once_for_one_that_ended(self):
+        (order,) = self.run_lapse(
+            lambda engine: engine.refuse_connections(), lapsed_s=1.2
+        )
+        self.assertEqual((4, 8), (order['from'], order['to']))
