--- a/sniperudder/entry/tests/_exit_judgement.py
+++ b/sniperudder/entry/tests/_exit_judgement.py
@@ -103,14 +103,16 @@
         return [] if is_lawful.get(status) else [f'unlawful status {status}']
 
     def _may_have_run(self):
-        """Return whether a send was not refused."""
-        sends = [
-            event
-            for event, _, _ in self._case.list_lines(self._request)
-            if event == 'request:sent'
+        """Return whether the instance knew no outcome of one of the sends."""
+        lines = self._case.list_lines(self._request)
+        sends = [event for event, _, _ in lines if event == 'request:sent']
+        outcomes = [
+            outcome
+            for event, _, fields in lines
+            if event == 'request:end'
+            for outcome in fields['sends']
         ]
-        refused = [run for run in self._runs if run.end == 'refused']
-        return len(sends) > len(refused)
+        return len(sends) > len(outcomes)
 
     def _judge_cut(self):
         if self._arrival is None:
