Begin nothing after listening that a stop may cut

Cause: keeps idle connections while a stop waits for responses, so that streams come on them late, and the estimate of their duration holds for most only. After listening has ended, a stopping instance now takes only requests whose time ends before it, and refuses the others as not run. Before, the estimate decides as it did; callers may then still have few other instances.

test_stream_that_may_be_cut_is_refused_after_listening fails without the rule: the stream is served there. test_stops.py, test_processes.py: 11 passed.

--- a/sniperudder/entry/_entry.py
+++ b/sniperudder/entry/_entry.py
@@ -403,6 +403,7 @@
         self._forwarder.stop_at = deadline
         while loop.time() < started_at + _ACCEPT_AFTER_SIGTERM_S:
             await asyncio.sleep(_STOP_POLL_S)
+        self._forwarder.takes_estimated = False
         await self._caller_server.stop_listening()
         while self._caller_server.connections and loop.time() < deadline:
             if not self._caller_server.is_responding:
--- a/sniperudder/entry/tests/test_stops.py
+++ b/sniperudder/entry/tests/test_stops.py
@@ -84,6 +84,19 @@
 
         self.assertEqual((0, 1), self.run_beside_stop(case, _STREAM_S / 2))
 
+    # Guards against: a stopping instance began a stream on a kept connection
+    # long after the signal, and cut it because it took longer than most.
+    def test_stream_that_may_be_cut_is_refused_after_listening(self):
+        async def case(test_fleet):
+            test_fleet.instance._forwarder.takes_estimated = False
+            status, _, _ = await test_fleet.send('/stream/a')
+            self.assertEqual(503, status)
+            status, _, _ = await test_fleet.send('/unsafe/a', wait_ms=500)
+            self.assertEqual(200, status)
+
+        # The streams end in time, as the one before, but need not.
+        self.assertEqual((0, 1), self.run_beside_stop(case, 4 * _STREAM_S))
+
     def test_nothing_is_begun_at_the_end(self):
         async def case(test_fleet):
             for target in ('/stream/a', '/unsafe/a'):
--- a/sniperudder/forwarding/_forwarder.py
+++ b/sniperudder/forwarding/_forwarder.py
@@ -59,6 +59,9 @@
     stop_at : float or None
         Loop time at which requests in progress are cut, while the instance is
         stopping, seconds.
+    takes_estimated : bool
+        Whether a request that may outlast the stop is accepted if it most
+        likely does not.
     """
 
     def __init__(self, T, pool, settings, journal, request_metrics, rng=None):
@@ -69,6 +72,7 @@
         self.request_metrics = request_metrics
         self.rng = rng or random.Random()
         self.stop_at = None
+        self.takes_estimated = True
         self._durations = routing.DurationEstimator()
         self.load_shedder = _shedding.LoadShedder(T, self.rng, journal)
         self.notice_recorder = _notices.NoticeRecorder(T, journal)
@@ -493,9 +497,11 @@
         )
 
     def _outlasts_stop(self, job):
-        """Return whether a planned stop would most likely cut a request."""
-        if self.stop_at is None:
+        """Return whether a planned stop would or may cut a request."""
+        if self.stop_at is None or job.deadline <= self.stop_at:
             return False
+        if not self.takes_estimated:
+            return True
         estimate_s = self._durations.estimate_s(
             _jobs.get_duration_key(job), _jobs.get_duration_size(job)
         )
