Test that a stop handles what arrived in its last turn

Callers of a stopping instance see a reset in place of a refusal if their request arrives on a kept connection in the very turn in which the grace period ends.

--- a/sniperudder/entry/tests/test_stops.py
+++ b/sniperudder/entry/tests/test_stops.py
@@ -223,3 +223,36 @@
     def test_at_the_end_of_the_grace_period(self):
         received = self.send_while_held(0.68, 0.9, 1.0, beside=True)
         self.assertIn(b'HTTP/1.1 503', received)
+
+    # Guards against: a request that arrived in the turn in which the grace
+    # period ended, on a connection that was kept, got no response.
+    def test_in_the_last_turn_of_the_grace_period(self):
+        async def run():
+            async with _fleets.run_fleet(_fleets.create_desk()) as test_fleet:
+                instance = test_fleet.instance
+                bounds = dataclasses.replace(
+                    instance._settings.bounds, grace_s=0.5
+                )
+                instance._settings = dataclasses.replace(
+                    instance._settings, bounds=bounds
+                )
+                host, _, port = test_fleet.callers.rpartition(':')
+                reader, writer = await asyncio.open_connection(host, port)
+                await asyncio.sleep(0.1)
+                stop_listening = instance._caller_server.stop_listening
+
+                async def hold():
+                    await stop_listening()
+                    writer.write(_GET + b'r-9\r\n\r\n')
+                    time.sleep(0.5)
+
+                with unittest.mock.patch.object(
+                    instance._caller_server, 'stop_listening', hold
+                ):
+                    await instance.stop()
+                return await reader.read()
+
+        with unittest.mock.patch.object(
+            _entry, '_ACCEPT_AFTER_SIGTERM_S', 0.1
+        ):
+            self.assertIn(b'HTTP/1.1 503', asyncio.run(run()))
