Believe an engine that holds its layers although it states another start

Cause: since a report with another start counts as one of another run, whatever it shows.

By the protocol "workers start and restart empty", so a run that replaced another can't hold its layers a moment later.

Change: an engine that is listed and still holds the layers of the stage counts as serving.

--- a/sniperudder/fleet/_endpoints.py
+++ b/sniperudder/fleet/_endpoints.py
@@ -19,6 +19,10 @@
     def __len__(self):
         return self.end - self.start
 
+    def covers(self, layers):
+        """Return whether the range includes all layers of another one."""
+        return self.start <= layers.start and layers.end <= self.end
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Endpoint:
--- a/sniperudder/forwarding/_crash_monitor.py
+++ b/sniperudder/forwarding/_crash_monitor.py
@@ -33,7 +33,7 @@
     journal : object
         Event log; see `Forwarder`.
     find_sign_of_life : callable
-        Coroutine function that returns the `SignOfLife` of an engine.
+        Coroutine function that returns the `SignOfLife` of a stage's engine.
     """
 
     def __init__(self, T, pool, journal, find_sign_of_life):
@@ -144,9 +144,9 @@
             else self._find_sign_of_life
         )
         until = _read_time() + _MAX_SILENCE_S
-        sign = await ask(endpoint)
+        sign = await ask(stage)
         while sign is _SignOfLife.NOT_IN_TIME and _read_time() < until:
-            sign = await ask(endpoint)
+            sign = await ask(stage)
         runs = sign is _SignOfLife.SAME_RUN or (
             sign is _SignOfLife.SERVES and self._is_listed_run(endpoint)
         )
@@ -157,13 +157,13 @@
                 await asyncio.shield(self._checks[_get_run_id(endpoint)])
         return runs
 
-    async def _find_sign_of_life_of_plain(self, endpoint):
+    async def _find_sign_of_life_of_plain(self, stage):
         """Find out whether an endpoint accepts a connection and keeps it.
 
         A plain endpoint has no call that runs nothing.
         """
         try:
-            connection = await self._pool.open(endpoint.address)
+            connection = await self._pool.open(stage.endpoint.address)
         except TimeoutError:
             return _SignOfLife.NOT_IN_TIME
         except OSError:
--- a/sniperudder/forwarding/_rerouting.py
+++ b/sniperudder/forwarding/_rerouting.py
@@ -54,17 +54,23 @@
         )
         self._reports = {}
 
-    async def find_sign_of_life(self, endpoint):
+    async def find_sign_of_life(self, stage):
         """Find out whether an engine responds to a report request now.
 
         Parameters
         ----------
-        endpoint : sniperudder.fleet.Endpoint
+        stage : sniperudder.fleet.Stage
 
         Returns
         -------
         SignOfLife
+
+        Notes
+        -----
+        An engine that states another start than the platform lists is another
+        run, unless it holds the stage's layers: engines restart without any.
         """
+        endpoint = stage.endpoint
         report = await self._engine_client.fetch_report(endpoint)
         if isinstance(report, _engines.NoResponse):
             if report.timed_out:
@@ -73,7 +79,8 @@
         if report.born_ms and endpoint.born_ms:
             if report.born_ms == endpoint.born_ms:
                 return _engines.SignOfLife.SAME_RUN
-            return _engines.SignOfLife.NONE
+            if report.layers is None or not report.layers.covers(stage.layers):
+                return _engines.SignOfLife.NONE
         return _engines.SignOfLife.SERVES
 
     async def find_stalling_stage(self, endpoint, request_id):
