Keep the layers of engines beside one whose entry has only lapsed

Callers waited while an engine loaded other layers for nothing, and those that it had given up were scarce: it took the place of another engine that was alive and whose entry came back a second later.

Cause: a move is planned from the list alone as soon as a data centre lacks layers; an entry also lapses when its engine is silent or its liveness reports are lost.

Change: an engine that was removed without having announced it is remembered for the 2 s in which the platform lists live ones again. Until then no engine of its data centre is moved, unless a report request shows that it doesn't run; one that says nothing in time may. Time limits of entries that a restored store lacks stay as they were.

--- a/sniperudder/entry/_endpoint_list.py
+++ b/sniperudder/entry/_endpoint_list.py
@@ -12,10 +12,6 @@
 from sniperudder import platform
 from sniperudder import routing
 
-# Time within which live endpoints that a restored store lacks are listed
-# again; what is missing then has gone. Seconds.
-_RELISTING_S = 2.0
-
 # Number of heartbeats that an endpoint may miss before the platform removes
 # its entry.
 _MAX_MISSED_HEARTBEATS = 3
@@ -37,7 +33,9 @@
         self._T = T
         self._crash_monitor = crash_monitor
         self._journal = journal
-        self._expiry_s = _RELISTING_S + _MAX_MISSED_HEARTBEATS * heartbeat_s
+        self._expiry_s = (
+            fleet.RELISTING_S + _MAX_MISSED_HEARTBEATS * heartbeat_s
+        )
         self._departures = fleet.DepartureTable(self._expiry_s)
         # Endpoints that a restored store does not list yet: the number of the
         # restoration by id.
@@ -54,7 +52,7 @@
             self._restorations += 1
             loop = asyncio.get_running_loop()
             loop.call_later(
-                _RELISTING_S, self._remove_missing, self._restorations
+                fleet.RELISTING_S, self._remove_missing, self._restorations
             )
             loop.call_later(self._expiry_s, self._end_doubts)
         if is_snapshot:
@@ -91,7 +89,9 @@
     def _await_missing(self, names):
         for name in sorted(names):
             self._missing[name] = self._restorations
-            self._journal.write('endpoint:awaited', name, wait_s=_RELISTING_S)
+            self._journal.write(
+                'endpoint:awaited', name, wait_s=fleet.RELISTING_S
+            )
 
     def _remove_missing(self, restoration):
         """Remove the endpoints that were not listed again in time."""
@@ -99,6 +99,7 @@
         for name, missing_since in sorted(self._missing.items()):
             if missing_since <= restoration:
                 self._remove(name, None, now)
+                self._T.lapses.drop(name)
         self._finish_update()
 
     def _end_doubts(self):
@@ -153,6 +154,7 @@
             self._crash_monitor.record_run_end(known)
         if entry == known:
             return
+        self._T.lapses.drop(entry.id)
         if (
             known is not None
             and known.born_ms == entry.born_ms
@@ -177,8 +179,11 @@
         self._doubted.pop(name, None)
         known = self._T.endpoints.pop(name, None)
         if known is not None:
-            self._departures.record_removed((name, known.born_ms), now)
+            run_id = name, known.born_ms
+            self._departures.record_removed(run_id, now)
             self._crash_monitor.record_run_end(known)
+            if not (known.leaving or self._T.notices.get(run_id).leaving):
+                self._T.lapses.record_removed(known, now)
             self._journal.write(
                 'endpoint:gone', name, revision=revision and str(revision)
             )
--- a/sniperudder/entry/_placer.py
+++ b/sniperudder/entry/_placer.py
@@ -4,6 +4,7 @@
 import json
 import time
 
+from sniperudder import clocks
 from sniperudder import fleet
 from sniperudder import forwarding
 from sniperudder import placement
@@ -94,6 +95,8 @@
         self._lease = placement.LeaseView()
         self._orders = {}
         self._in_flight = set()
+        # Checks of engines that are no longer listed, by run.
+        self._checks = {}
         self._last_move_at = {}
         self._empty_endpoints = set()
         self._empty_changed_at = 0.0
@@ -266,7 +269,7 @@
                 self._orders[_make_run_id(endpoint)] = _Order(
                     plan[endpoint.id]
                 )
-        self._plan_moves(engine, endpoints, {**assigned, **plan}, now)
+        self._plan_moves(service, endpoints, {**assigned, **plan}, now)
         for endpoint in endpoints:
             self._start_order(engine, endpoint)
 
@@ -288,9 +291,16 @@
                 assigned[endpoint.id] = endpoint.layers
         return assigned
 
-    def _plan_moves(self, engine, endpoints, assigned, now):
-        """Plan one move in each data centre that lacks layers."""
+    def _plan_moves(self, service, endpoints, assigned, now):
+        """Plan one move in each data centre that lacks layers.
+
+        Where an engine may only have lapsed, the others keep their layers.
+        """
+        lapsed = self._list_lapsed(service.name)
+        awaited = {endpoint.data_centre for endpoint in lapsed}
         for data_centre in sorted({e.data_centre for e in endpoints}):
+            if data_centre in awaited:
+                continue
             if (
                 now
                 - self._last_move_at.get(data_centre, -_MIN_MOVE_INTERVAL_S)
@@ -298,7 +308,7 @@
             ):
                 continue
             endpoint, layers = placement.plan_move(
-                engine, endpoints, assigned, data_centre
+                service.engine, endpoints, assigned, data_centre
             )
             if endpoint is None or _make_run_id(endpoint) in self._orders:
                 continue
@@ -314,6 +324,29 @@
                 layers=[layers.start, layers.end],
             )
 
+    def _list_lapsed(self, service):
+        """Return the engines that are not listed and may still run."""
+        lapsed = [
+            endpoint
+            for endpoint in self._T.lapses.list_endpoints(clocks.read_clock())
+            if endpoint.service == service and endpoint.layers is not None
+        ]
+        for endpoint in lapsed:
+            run_id = _make_run_id(endpoint)
+            if run_id not in self._checks:
+                self._checks[run_id] = asyncio.create_task(
+                    self._check_lapsed(endpoint)
+                )
+        return lapsed
+
+    async def _check_lapsed(self, endpoint):
+        """Drop an engine that does not run; one that is silent may."""
+        report = await self._engine_client.fetch_report(endpoint)
+        if isinstance(report, forwarding.NoResponse) and not report.timed_out:
+            self._T.lapses.drop(endpoint.id)
+        await asyncio.sleep(fleet.RELISTING_S)
+        del self._checks[_make_run_id(endpoint)]
+
     def _start_order(self, engine, endpoint):
         run_id = _make_run_id(endpoint)
         order = self._orders.get(run_id)
--- a/sniperudder/entry/tests/test_endpoint_list.py
+++ b/sniperudder/entry/tests/test_endpoint_list.py
@@ -243,3 +243,29 @@
             self.assertEqual(['a'], [e.id for e in self.alive])
 
         self.run_case(case)
+
+    def test_endpoint_that_is_removed_unannounced_may_have_lapsed(self):
+        def list_lapsed():
+            lapsed = self.T.lapses.list_endpoints(clocks.read_clock())
+            return sorted(endpoint.id for endpoint in lapsed)
+
+        async def case():
+            rows = [make_row(name) for name in 'abc']
+            self.list.apply(rows, True, False)
+            self.change(make_row('c', 2, state='draining'))
+            self.change(*(make_row(name, None) for name in 'abc'))
+            self.assertEqual(['a', 'b'], list_lapsed())
+            self.change(make_row('a', 2))
+            self.assertEqual(['b'], list_lapsed())
+
+        self.run_case(case)
+
+    def test_endpoint_that_a_restored_store_lacks_has_not_lapsed(self):
+        async def case():
+            self.list.apply([make_row('a'), make_row('b')], True, False)
+            self.restore(make_row('a'))
+            await asyncio.sleep(_RELISTED_S + 0.1)
+            lapsed = self.T.lapses.list_endpoints(clocks.read_clock())
+            self.assertEqual([], lapsed)
+
+        self.run_case(case)
--- a/sniperudder/fleet/__init__.py
+++ b/sniperudder/fleet/__init__.py
@@ -15,6 +15,8 @@
 from sniperudder.fleet._endpoints import EndpointState
 from sniperudder.fleet._endpoints import Layers
 from sniperudder.fleet._endpoints import Stage
+from sniperudder.fleet._lapses import LapseTable
+from sniperudder.fleet._lapses import RELISTING_S
 from sniperudder.fleet._notices import Notice
 from sniperudder.fleet._notices import NoticeTable
 from sniperudder.fleet._notices import Restrictions
@@ -42,6 +44,7 @@
     'EngineProfile',
     'FleetTables',
     'InstanceSettings',
+    'LapseTable',
     'Layers',
     'Limits',
     'Notice',
@@ -49,6 +52,7 @@
     'Organisation',
     'Quota',
     'QuotaTable',
+    'RELISTING_S',
     'Restrictions',
     'Route',
     'Service',
--- a/sniperudder/fleet/_tables.py
+++ b/sniperudder/fleet/_tables.py
@@ -6,6 +6,7 @@
 from sniperudder import digests
 from sniperudder.fleet import _crossings
 from sniperudder.fleet import _endpoints
+from sniperudder.fleet import _lapses
 from sniperudder.fleet import _notices
 from sniperudder.fleet import _quotas
 from sniperudder.fleet import _speeds
@@ -28,6 +29,8 @@
         By run id; see `Endpoint`.
     endpoints_known : bool
         Whether the list of endpoints has been read since the start.
+    lapses : LapseTable
+        Endpoints that the list lacks and that may still run.
     instances_known : bool
         Whether the list of instances has been read since the start.
     endpoint_list_updates : int
@@ -49,6 +52,9 @@
     endpoints: dict = dataclasses.field(default_factory=dict)
     states: dict = dataclasses.field(default_factory=dict)
     endpoints_known: bool = False
+    lapses: _lapses.LapseTable = dataclasses.field(
+        default_factory=_lapses.LapseTable
+    )
     instances_known: bool = False
     endpoint_list_updates: int = 0
     superseded: frozenset = frozenset()
@@ -114,12 +120,7 @@
         return False
     if stage.layers is None:
         return True
-    held = listed.layers
-    return (
-        held is not None
-        and held.start <= stage.layers.start
-        and stage.layers.end <= held.end
-    )
+    return listed.layers is not None and listed.layers.covers(stage.layers)
 
 
 def list_endpoints(T, service):
