Believe a plain endpoint that runs although its entry has lapsed

Callers got 502 in place of the endpoint's own error, and of its 200, when a response with neither a length nor chunks ended while the entry was missing for a moment.

Cause: only an endpoint that is listed, or an engine that states its start, counted as alive at the end of such a response; a plain endpoint can't state anything.

--- a/sniperudder/entry/tests/test_lapsed_entries.py
+++ b/sniperudder/entry/tests/test_lapsed_entries.py
@@ -118,6 +118,59 @@
             self.run_stream(engine, lambda test_fleet: None)
 
 
+class UnframedErrorTest(testtools.TestCase):
+    """A plain endpoint's error without a length ends while it is unlisted."""
+
+    def run_error(self, state, end):
+        """Return the status that the caller gets.
+
+        Parameters
+        ----------
+        state : str
+            What the entry said before it was removed.
+        end : callable
+            Takes the endpoint when its response ends.
+        """
+        desk = _fleets.create_desk()
+
+        async def case():
+            async with _fleets.run_fleet(desk) as test_fleet:
+
+                async def serve(request, http, writer):
+                    desk.list_in(test_fleet.store, state)
+                    test_fleet.store.put('servers', desk.id, None)
+                    await test_fleet.await_event('endpoint:gone')
+                    seal = standins.make_seal(request)
+                    head = ''.join(
+                        f'{name}: {value}\r\n' for name, value in seal
+                    )
+                    writer.write(f'HTTP/1.1 500 Error\r\n{head}\r\n'.encode())
+                    writer.write(b'failed')
+                    await writer.drain()
+                    end(desk)
+                    raise OSError('closed by the script')
+
+                desk.script.append(serve)
+                status, _, _ = await test_fleet.send('/unsafe/a')
+                return status
+
+        return asyncio.run(case())
+
+    # Guards against: the error response of a plain endpoint, which was alive,
+    # was replaced by 502 because its entry had lapsed at that moment.
+    def test_error_of_an_endpoint_that_runs_is_delivered(self):
+        self.assertEqual(500, self.run_error('ready', lambda desk: None))
+
+    def test_error_of_an_endpoint_that_ended_is_not(self):
+        status = self.run_error(
+            'ready', lambda desk: desk.refuse_connections()
+        )
+        self.assertEqual(502, status)
+
+    def test_error_of_an_endpoint_that_left_is_not(self):
+        self.assertEqual(502, self.run_error('draining', lambda desk: None))
+
+
 class FrozenEngine(StatingEngine):
     """An engine that says nothing while it is frozen."""
 
--- a/sniperudder/forwarding/_crash_monitor.py
+++ b/sniperudder/forwarding/_crash_monitor.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from sniperudder import clocks
 from sniperudder import fleet
 from sniperudder.forwarding import _engines
 from sniperudder.forwarding import _exchanges
@@ -133,7 +134,8 @@
             Whether the endpoint still runs. One that leaves may refuse to
             tell although it completed the response, and counts as ended.
             One that is silent is asked again for a while. One that is not
-            listed, which may be for the moment only, must state its start.
+            listed, which may be for the moment only, must state its start if
+            it is an engine.
         """
         endpoint = stage.endpoint
         # The kernel accepts connections for a while after the process has
@@ -148,7 +150,7 @@
         while sign is _SignOfLife.NOT_IN_TIME and _read_time() < until:
             sign = await ask(stage)
         runs = sign is _SignOfLife.SAME_RUN or (
-            sign is _SignOfLife.SERVES and self._is_listed_run(endpoint)
+            sign is _SignOfLife.SERVES and self._is_known_run(stage)
         )
         if not runs and fleet.is_serving(self._T, stage):
             # For the record of crashes.
@@ -176,12 +178,17 @@
             _SignOfLife.NONE if connection.has_ended() else _SignOfLife.SERVES
         )
 
-    def _is_listed_run(self, endpoint):
-        """Return whether the platform lists this run of an endpoint."""
-        listed = self._T.endpoints.get(endpoint.id)
-        return listed is not None and (
-            _get_run_id(listed) == _get_run_id(endpoint)
-        )
+    def _is_known_run(self, stage):
+        """Return whether the platform lists the run of a stage's endpoint.
+
+        A plain endpoint, which cannot state its start, may have lapsed.
+        """
+        run_id = _get_run_id(stage.endpoint)
+        listed = self._T.endpoints.get(stage.endpoint.id)
+        if listed is not None or stage.layers is not None:
+            return listed is not None and _get_run_id(listed) == run_id
+        lapsed = self._T.lapses.list_endpoints(clocks.read_clock())
+        return run_id in map(_get_run_id, lapsed)
 
     def record_survival(self, job):
         """Record that an endpoint runs on although it began a request."""
