Leave the objects of other tests out of the measure of held loops

Cause: the turns contained full garbage collections of the test process, in which the tests before leave some 250,000 objects; a process of an instance hasn't them.

Evidence: a trace of collections in a run of the whole suite shows full ones of 0.133 to 0.137 s each within this test, at a load of 13, over 252,000 to 254,000 objects.

Change: what exists before a case is collected and frozen for its time. Bound, cases and clock stay, and collections of what the instance makes still count.

--- a/sniperudder/entry/tests/test_endless_bytes.py
+++ b/sniperudder/entry/tests/test_endless_bytes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import gc
 import time
 
 import testtools
@@ -37,7 +38,8 @@
     """Record for how long the event loop was held during the block.
 
     Counts the processor time of its thread between two turns, seconds. Time in
-    which other processes run on the machine is left out.
+    which other processes run on the machine is left out, as are the objects
+    of earlier tests, which no garbage collection then visits.
     """
 
     async def tick():
@@ -46,11 +48,14 @@
             await asyncio.sleep(0.005)
             lags.append(time.thread_time() - slept_at)
 
+    gc.collect()
+    gc.freeze()
     task = asyncio.create_task(tick())
     try:
         yield
     finally:
         task.cancel()
+        gc.unfreeze()
 
 
 class EndlessAnswerTest(testtools.TestCase):
