Plan layers as if engines that may have lapsed were listed

Callers waited for layers that were loaded for nothing, and for others that stayed missing: beside an entry that lapsed, engines of other data centres were moved, an engine that lapsed while it loaded was replaced at once, and any lapse held back the moves that its data centre needed.

Cause: forbade moves in the data centre of a lapsed engine and else planned without it, so that the size of the ranges changed everywhere.

Change: engines that may be listed again keep their layers, or those that they were ordered to load, in the plan; a move that the plan would give to one of them isn't made. Only an address at which nothing or another endpoint serves, a report of another start or a notice of leaving shows that an engine has ended; a reset call doesn't. An old entry of a restored store no longer ends a lapse.

--- a/sniperudder/entry/_endpoint_list.py
+++ b/sniperudder/entry/_endpoint_list.py
@@ -136,6 +136,7 @@
                 entry = dataclasses.replace(entry, leaving=True)
         else:
             self._doubted.pop(row.key, None)
+            self._T.lapses.drop(row.key)
             is_back |= self._departures.record_written(run_id)
             known = self._T.endpoints.get(row.key, entry)
             if is_back and known.born_ms == entry.born_ms:
@@ -154,7 +155,6 @@
             self._crash_monitor.record_run_end(known)
         if entry == known:
             return
-        self._T.lapses.drop(entry.id)
         if (
             known is not None
             and known.born_ms == entry.born_ms
--- a/sniperudder/entry/_placer.py
+++ b/sniperudder/entry/_placer.py
@@ -262,14 +262,17 @@
     def _place_service(self, service, now):
         engine = service.engine
         endpoints = fleet.list_endpoints(self._T, service.name)
-        assigned = self._list_assigned(engine, endpoints, now)
-        plan = placement.plan_layers(engine, endpoints, assigned)
+        lapsed = self._list_lapsed(service.name)
+        assigned = self._list_assigned(engine, [*endpoints, *lapsed], now)
+        # Engines that may be listed again soon keep their layers in the plan.
+        lapsed = [endpoint for endpoint in lapsed if endpoint.id in assigned]
+        plan = placement.plan_layers(engine, [*endpoints, *lapsed], assigned)
         for endpoint in endpoints:
             if endpoint.id in plan:
                 self._orders[_make_run_id(endpoint)] = _Order(
                     plan[endpoint.id]
                 )
-        self._plan_moves(service, endpoints, {**assigned, **plan}, now)
+        self._plan_moves(engine, endpoints, lapsed, {**assigned, **plan}, now)
         for endpoint in endpoints:
             self._start_order(engine, endpoint)
 
@@ -291,16 +294,9 @@
                 assigned[endpoint.id] = endpoint.layers
         return assigned
 
-    def _plan_moves(self, service, endpoints, assigned, now):
-        """Plan one move in each data centre that lacks layers.
-
-        Where an engine may only have lapsed, the others keep their layers.
-        """
-        lapsed = self._list_lapsed(service.name)
-        awaited = {endpoint.data_centre for endpoint in lapsed}
+    def _plan_moves(self, engine, endpoints, lapsed, assigned, now):
+        """Plan one move in each data centre that lacks layers."""
         for data_centre in sorted({e.data_centre for e in endpoints}):
-            if data_centre in awaited:
-                continue
             if (
                 now
                 - self._last_move_at.get(data_centre, -_MIN_MOVE_INTERVAL_S)
@@ -308,9 +304,13 @@
             ):
                 continue
             endpoint, layers = placement.plan_move(
-                service.engine, endpoints, assigned, data_centre
+                engine, [*endpoints, *lapsed], assigned, data_centre
             )
-            if endpoint is None or _make_run_id(endpoint) in self._orders:
+            if (
+                endpoint is None
+                or endpoint in lapsed
+                or _make_run_id(endpoint) in self._orders
+            ):
                 continue
             self._last_move_at[data_centre] = now
             self._orders[_make_run_id(endpoint)] = _Order(
@@ -329,7 +329,7 @@
         lapsed = [
             endpoint
             for endpoint in self._T.lapses.list_endpoints(clocks.read_clock())
-            if endpoint.service == service and endpoint.layers is not None
+            if endpoint.service == service
         ]
         for endpoint in lapsed:
             run_id = _make_run_id(endpoint)
@@ -341,11 +341,18 @@
 
     async def _check_lapsed(self, endpoint):
         """Drop an engine that does not run; one that is silent may."""
-        report = await self._engine_client.fetch_report(endpoint)
-        if isinstance(report, forwarding.NoResponse) and not report.timed_out:
-            self._T.lapses.drop(endpoint.id)
-        await asyncio.sleep(fleet.RELISTING_S)
-        del self._checks[_make_run_id(endpoint)]
+        run_id = _make_run_id(endpoint)
+        try:
+            report = await self._engine_client.fetch_report(endpoint)
+            if isinstance(report, forwarding.NoResponse):
+                has_ended = report.is_elsewhere
+            else:
+                has_ended = report.born_ms not in (0, endpoint.born_ms)
+            if has_ended or self._T.notices.get(run_id).leaving:
+                self._T.lapses.drop(endpoint.id)
+            await asyncio.sleep(fleet.RELISTING_S)
+        finally:
+            del self._checks[run_id]
 
     def _start_order(self, engine, endpoint):
         run_id = _make_run_id(endpoint)
--- a/sniperudder/forwarding/_engines.py
+++ b/sniperudder/forwarding/_engines.py
@@ -10,6 +10,7 @@
 __all__ = ['EngineClient', 'EngineResponse', 'NoResponse', 'SignOfLife']
 
 _OK = 200
+_MISDIRECTED = 421
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -35,10 +36,13 @@
     reason : str
     timed_out : bool
         Whether nothing came in time, so that the engine may still run.
+    is_elsewhere : bool
+        Whether nothing or another endpoint serves at the engine's address.
     """
 
     reason: str
     timed_out: bool = False
+    is_elsewhere: bool = False
 
 
 class SignOfLife(enum.Enum):
@@ -100,7 +104,10 @@
         if isinstance(response, NoResponse):
             return response
         if response.status != _OK:
-            return NoResponse(f'status {response.status}')
+            return NoResponse(
+                f'status {response.status}',
+                is_elsewhere=response.status == _MISDIRECTED,
+            )
         try:
             return platform.decode_report(response.body)
         except platform.DocumentError as error:
@@ -148,5 +155,6 @@
             return NoResponse(
                 f'{type(error).__name__}: {error}',
                 isinstance(error, TimeoutError),
+                isinstance(error, ConnectionRefusedError),
             )
         return EngineResponse(status, response_body)
