Believe no plain endpoint whose address another one has

Callers got a response that was cut off as complete: its plain endpoint had ended, and another one served at the address and accepted the connection that is to show whether it runs.

Cause: an accepted connection tells that something serves at an address, not what.

Change: a listed endpoint that is superseded, and one that has lapsed while another is listed with its address, don't count as running.

--- a/sniperudder/entry/tests/test_lapsed_entries.py
+++ b/sniperudder/entry/tests/test_lapsed_entries.py
@@ -32,6 +32,13 @@
         self.layers = None
 
 
+def make_head(status, request):
+    """Return the head of a response with neither a length nor chunks."""
+    fields = standins.make_seal(request)
+    lines = ''.join(f'{name}: {value}\r\n' for name, value in fields)
+    return f'HTTP/1.1 {status}\r\n{lines}\r\n'.encode()
+
+
 def run_engines(engines, case):
     """Run a case with a fleet; return what it returns."""
 
@@ -51,9 +58,7 @@
 
         async def case(test_fleet):
             async def serve(request, http, writer):
-                seal = standins.make_seal(request)
-                head = ''.join(f'{name}: {value}\r\n' for name, value in seal)
-                writer.write(f'HTTP/1.1 200 OK\r\n{head}\r\n'.encode())
+                writer.write(make_head('200 OK', request))
                 writer.write(b'id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n')
                 await writer.drain()
                 if not is_listed:
@@ -140,11 +145,7 @@
                     desk.list_in(test_fleet.store, state)
                     test_fleet.store.put('servers', desk.id, None)
                     await test_fleet.await_event('endpoint:gone')
-                    seal = standins.make_seal(request)
-                    head = ''.join(
-                        f'{name}: {value}\r\n' for name, value in seal
-                    )
-                    writer.write(f'HTTP/1.1 500 Error\r\n{head}\r\n'.encode())
+                    writer.write(make_head('500 Error', request))
                     writer.write(b'failed')
                     await writer.drain()
                     end(desk)
@@ -170,6 +171,40 @@
     def test_error_of_an_endpoint_that_left_is_not(self):
         self.assertEqual(502, self.run_error('draining', lambda desk: None))
 
+    # Guards against: a response that was cut off looked whole because another
+    # endpoint had been started with the address of the one that sent it.
+    def test_response_is_not_believed_once_another_has_its_address(self):
+        for is_listed in (False, True):
+            desk = _fleets.create_desk('desk-1')
+            successor = _fleets.create_desk('desk-2')
+            successor.born = desk.born + 1
+
+            async def case():
+                async with _fleets.run_fleet(desk) as test_fleet:
+
+                    async def serve(request, http, writer):
+                        if not is_listed:
+                            test_fleet.store.put('servers', desk.id, None)
+                        writer.write(make_head('200 OK', request))
+                        writer.write(b'cut')
+                        await writer.drain()
+                        desk.refuse_connections()
+                        await asyncio.sleep(0.05)
+                        successor.address = desk.address
+                        await successor.start()
+                        successor.list_in(test_fleet.store)
+                        await asyncio.sleep(0.3)
+                        raise OSError('closed by the script')
+
+                    desk.script.append(serve)
+                    try:
+                        status, _, _ = await test_fleet.send('/unsafe/a')
+                    finally:
+                        await successor.stop()
+                    return status
+
+            self.assertEqual(502, asyncio.run(case()), is_listed)
+
 
 class FrozenEngine(StatingEngine):
     """An engine that says nothing while it is frozen."""
--- a/sniperudder/forwarding/_crash_monitor.py
+++ b/sniperudder/forwarding/_crash_monitor.py
@@ -181,12 +181,22 @@
     def _is_known_run(self, stage):
         """Return whether the platform lists the run of a stage's endpoint.
 
-        A plain endpoint, which cannot state its start, may have lapsed.
+        A plain endpoint, which cannot state its start, may have lapsed, unless
+        another one is listed with its address.
         """
-        run_id = _get_run_id(stage.endpoint)
-        listed = self._T.endpoints.get(stage.endpoint.id)
-        if listed is not None or stage.layers is not None:
-            return listed is not None and _get_run_id(listed) == run_id
+        endpoint = stage.endpoint
+        run_id = _get_run_id(endpoint)
+        listed = self._T.endpoints.get(endpoint.id)
+        if listed is not None:
+            return (
+                _get_run_id(listed) == run_id
+                and listed.id not in self._T.superseded
+            )
+        if stage.layers is not None or any(
+            other.address == endpoint.address
+            for other in self._T.endpoints.values()
+        ):
+            return False
         lapsed = self._T.lapses.list_endpoints(clocks.read_clock())
         return run_id in map(_get_run_id, lapsed)
 
