Give new engines the layers of those that have lapsed

Callers waited longer after crashes of engines that end in silence: the engines that were started in their place were given other layers.

Cause: since engines that may have lapsed count as holding their layers for 2 s also when empty engines are planned, which have nothing to give up.

The test test_new_engine_is_given_layers_of_a_silent_one failed on the commit before (0 to 4 in place of 4 to 8).

Change: only moves are planned with the engines that may have lapsed, as a move takes layers away.

--- a/sniperudder/entry/_placer.py
+++ b/sniperudder/entry/_placer.py
@@ -262,17 +262,14 @@
     def _place_service(self, service, now):
         engine = service.engine
         endpoints = fleet.list_endpoints(self._T, service.name)
-        lapsed = self._list_lapsed(service.name)
-        assigned = self._list_assigned(engine, [*endpoints, *lapsed], now)
-        # Engines that may be listed again soon keep their layers in the plan.
-        lapsed = [endpoint for endpoint in lapsed if endpoint.id in assigned]
-        plan = placement.plan_layers(engine, [*endpoints, *lapsed], assigned)
+        assigned = self._list_assigned(engine, endpoints, now)
+        plan = placement.plan_layers(engine, endpoints, assigned)
         for endpoint in endpoints:
             if endpoint.id in plan:
                 self._orders[_make_run_id(endpoint)] = _Order(
                     plan[endpoint.id]
                 )
-        self._plan_moves(engine, endpoints, lapsed, {**assigned, **plan}, now)
+        self._plan_moves(service, endpoints, {**assigned, **plan}, now)
         for endpoint in endpoints:
             self._start_order(engine, endpoint)
 
@@ -294,8 +291,17 @@
                 assigned[endpoint.id] = endpoint.layers
         return assigned
 
-    def _plan_moves(self, engine, endpoints, lapsed, assigned, now):
-        """Plan one move in each data centre that lacks layers."""
+    def _plan_moves(self, service, endpoints, assigned, now):
+        """Plan one move in each data centre that lacks layers.
+
+        Engines that may be listed again soon count as holding theirs. Empty
+        ones, which have nothing to give up, are not kept waiting for them.
+        """
+        engine = service.engine
+        lapsed = self._list_lapsed(service.name)
+        kept = self._list_assigned(engine, lapsed, now)
+        lapsed = [endpoint for endpoint in lapsed if endpoint.id in kept]
+        assigned = {**kept, **assigned}
         for data_centre in sorted({e.data_centre for e in endpoints}):
             if (
                 now
--- a/sniperudder/entry/tests/test_placement.py
+++ b/sniperudder/entry/tests/test_placement.py
@@ -189,6 +189,38 @@
         asyncio.run(run())
         self.assertEqual([], engines[0].orders + engines[2].orders)
 
+    # Guards against: new engines were given other layers than those of engines
+    # that had ended in silence a second before.
+    def test_new_engine_is_given_layers_of_a_silent_one(self):
+        engines = [
+            _fleets.create_engine(f'gpu-{n}', 'half', layers)
+            for n, layers in enumerate(((0, 4), (4, 8)))
+        ]
+        added = _fleets.create_engine('gpu-3', 'half')
+
+        async def keep_silent(request, body, http, writer):
+            await asyncio.sleep(60.0)
+
+        async def run():
+            profile = standins.make_engine(accelerators=_fleets.ACCELERATORS)
+            async with _fleets.run_fleet(
+                *engines, engine=profile
+            ) as test_fleet:
+                await test_fleet.await_event('lease:taken')
+                await asyncio.sleep(0.5)
+                engines[1].respond = keep_silent
+                test_fleet.store.put('servers', 'gpu-1', None)
+                await asyncio.sleep(0.3)
+                await added.start()
+                added.list_in(test_fleet.store)
+                await asyncio.sleep(1.0)
+                await added.stop()
+
+        asyncio.run(run())
+        (order,) = added.orders
+        self.assertEqual((4, 8), (order['from'], order['to']))
+        self.assertEqual([], engines[0].orders)
+
     # Guards against: the ranges of all data centres were laid out anew while
     # the entry of an engine in one of them was missing.
     def test_no_engine_of_another_data_centre_is_moved(self):
