Add settings that switch single features off

An operator who wants one of them off needs a switch, and the bound for memory held for callers needs the memory of the instance.

Change: fleet.Features, decoded from the object 'features' of the settings; memory_mb and max_descriptors from 'limits'. An unknown mode is refused with the name of the field (test).

--- a/sniperudder/fleet/__init__.py
+++ b/sniperudder/fleet/__init__.py
@@ -23,6 +23,7 @@
 from sniperudder.fleet._quotas import Quota
 from sniperudder.fleet._quotas import QuotaTable
 from sniperudder.fleet._settings import Bounds
+from sniperudder.fleet._settings import Features
 from sniperudder.fleet._settings import InstanceSettings
 from sniperudder.fleet._speeds import SpeedTable
 from sniperudder.fleet._tables import drop_ended_states
@@ -42,6 +43,7 @@
     'Endpoint',
     'EndpointState',
     'EngineProfile',
+    'Features',
     'FleetTables',
     'InstanceSettings',
     'LapseTable',
--- a/sniperudder/fleet/_settings.py
+++ b/sniperudder/fleet/_settings.py
@@ -3,6 +3,36 @@
 import dataclasses
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Features:
+    """Features that take effect where the configuration calls for them.
+
+    Attributes
+    ----------
+    organisation_shares : bool
+        Whether capacity may be shared among organisations.
+    uneven_demand : bool
+        Whether first stages and layers may follow demand and free capacity.
+    prompt_reuse : bool
+        Whether chains may be chosen for the prompts that engines keep.
+    stream_handover : bool
+        Whether a stopping instance may end streams for others to resume.
+    early_stall_checks : bool
+        Whether silent streams may be checked earlier than by default, and
+        the speed of engines is exchanged with other instances.
+    caller_memory_mb : float
+        Memory that may be used on behalf of callers, MB; 0 for a share of
+        the instance's memory.
+    """
+
+    organisation_shares: bool = True
+    uneven_demand: bool = True
+    prompt_reuse: bool = True
+    stream_handover: bool = True
+    early_stall_checks: bool = True
+    caller_memory_mb: float = 0.0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Bounds:
     """Time limits and retry quotas that the deployment guarantees.
@@ -59,6 +89,11 @@
         Whether the whole deployment starts for the first time.
     heartbeat_s : float
         Interval at which endpoints write their entries, seconds.
+    features : Features
+    memory_mb : float
+        Memory of the instance, MB; 0 if unknown.
+    max_descriptors : int
+        Largest number of open descriptors of the process; 0 if unknown.
     """
 
     name: str
@@ -72,3 +107,6 @@
     link_mbps: float = 0.0
     is_first_start: bool = False
     heartbeat_s: float = 1.2
+    features: Features = Features()
+    memory_mb: float = 0.0
+    max_descriptors: int = 0
--- a/sniperudder/platform/_documents.py
+++ b/sniperudder/platform/_documents.py
@@ -21,6 +21,9 @@
 # shortest one.
 _DEFAULT_CONFIG_MS = 2_000.0
 
+# What the settings may say of a feature: whether the configuration decides.
+_FEATURE_MODES = {'auto': True, 'off': False}
+
 _READY_STATE = 'ready'
 _KNOWN_STATES = (_READY_STATE, 'draining')
 
@@ -53,6 +56,7 @@
     value = parse_object(data)
     bounds = get_field(value, 'bounds', dict)
     listen = get_field(value, 'listen', dict)
+    limits = get_field(value, 'limits', dict, {})
     return fleet.InstanceSettings(
         name=get_field(value, 'node', str),
         data_centre=get_field(value, 'zone', str),
@@ -72,14 +76,35 @@
             retry_slack=get_field(bounds, 'budget_slack', float),
             config_s=get_seconds(bounds, 'config_ms', _DEFAULT_CONFIG_MS),
         ),
-        link_mbps=get_field(
-            get_field(value, 'limits', dict, {}), 'link_mbps', float, 0.0
-        ),
+        link_mbps=get_field(limits, 'link_mbps', float, 0.0),
         is_first_start=get_field(value, 'first_start', bool, False),
         heartbeat_s=get_seconds(value, 'heartbeat_ms', _DEFAULT_HEARTBEAT_MS),
+        features=_decode_features(get_field(value, 'features', dict, {})),
+        memory_mb=get_field(limits, 'memory_mb', float, 0.0),
+        max_descriptors=get_field(limits, 'max_fds', int, 0),
     )
 
 
+def _decode_features(value):
+    """Decode the object ``features``, which a deployment may leave out."""
+    switches = {}
+    for name in (
+        'organisation_shares',
+        'uneven_demand',
+        'prompt_reuse',
+        'stream_handover',
+        'early_stall_checks',
+    ):
+        mode = get_field(value, name, str, 'auto')
+        if mode not in _FEATURE_MODES:
+            raise DocumentError(f'{name}: expected auto or off, got {mode!r}')
+        switches[name] = _FEATURE_MODES[mode]
+    memory_mb = get_field(value, 'caller_memory_mb', float, 0.0)
+    if memory_mb < 0:
+        raise DocumentError(f'caller_memory_mb: negative: {memory_mb}')
+    return fleet.Features(**switches, caller_memory_mb=memory_mb)
+
+
 def decode_endpoint(name, data):
     """Decode an endpoint from its row.
 
--- a/sniperudder/platform/tests/test_invalid_documents.py
+++ b/sniperudder/platform/tests/test_invalid_documents.py
@@ -154,12 +154,37 @@
                 sender.connect(address)
 
     def test_settings_without_ports_are_invalid(self):
+        for ports in ([], ['a'], [0], [70_000]):
+            with testtools.ExpectedException(
+                platform.DocumentError, '.*port.*'
+            ):
+                self.decode_settings(port_range=ports)
+
+    def test_unknown_mode_of_a_feature_is_invalid(self):
+        for features in (
+            {'prompt_reuse': 'on'},
+            {'prompt_reuse': True},
+            {'caller_memory_mb': -1},
+            {'caller_memory_mb': '64'},
+        ):
+            with testtools.ExpectedException(
+                platform.DocumentError, f'{next(iter(features))}.*'
+            ):
+                self.decode_settings(features=features)
+
+    def test_feature_that_is_off_leaves_the_others_as_they_are(self):
+        decoded = self.decode_settings(features={'prompt_reuse': 'off'})
+        self.assertEqual(fleet.Features(prompt_reuse=False), decoded.features)
+        self.assertEqual(fleet.Features(), self.decode_settings().features)
+
+    def decode_settings(self, **fields):
+        """Decode settings in which some fields are replaced."""
         settings = {
             'node': 'entry-1',
             'zone': 'north',
             'ip': '127.0.0.1',
             'listen': {'front': '127.0.0.1:1', 'ready': '127.0.0.1:2'},
-            'port_range': [],
+            'port_range': [80],
             'platform': {'address': '127.0.0.1:3'},
             'bounds': {
                 'drain_ms': 2_000,
@@ -168,13 +193,9 @@
                 'budget_window_s': 10,
                 'budget_slack': 200,
             },
+            **fields,
         }
-        for ports in ([], ['a'], [0], [70_000]):
-            settings['port_range'] = ports
-            with testtools.ExpectedException(
-                platform.DocumentError, '.*port.*'
-            ):
-                platform.decode_settings(json.dumps(settings).encode())
+        return platform.decode_settings(json.dumps(settings).encode())
 
     @hypothesis.given(strategies.data())
     @hypothesis.settings(max_examples=300, derandomize=True, deadline=None)
