Check stages early if a stream stops

Callers saw: each stream through a stage that died paused for 0.46 s and more, so none of them was timely (at most 0.25 s at the grown deployments).

Cause: a silent stream was first checked after 0.4 s, by a report that is 0.2 s old.

Change: where the route's target for gaps (or for the first event) leaves time for it, the stages through which no stream has made progress meanwhile are asked for a sign of life after 0.4 of the target. One that is gone, or that is silent while others answer, is replaced at once. All silent proves nothing. Routes with a target below 0.25 s are checked as before, and the feature can be switched off. A reroute no longer excludes a reported stage that was replaced already.

--- a/sniperudder/fleet/_configuration.py
+++ b/sniperudder/fleet/_configuration.py
@@ -44,6 +44,9 @@
         Priority rank; 0 is the most urgent.
     max_attempts : int
         Largest number of sends that an endpoint may have run.
+    goal_s : float
+        Time to the first event of a timely stream, or to the response,
+        seconds; 0 if there is no such target.
     """
 
     name: str
@@ -58,6 +61,7 @@
     gap_target_s: float
     rank: int
     max_attempts: int
+    goal_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/sniperudder/forwarding/_attempts.py
+++ b/sniperudder/forwarding/_attempts.py
@@ -151,13 +151,8 @@
             if outcome is not None:
                 return outcome
         while True:
-            check_after_s = (
-                _STALL_S if self._stream.started else _FIRST_EVENT_STALL_S
-            )
             try:
-                event = await self._monitor.receive(
-                    self._exchange.receive, check_after_s
-                )
+                event = await self._receive_next(self._exchange.receive)
                 if event is None:
                     return Signal.SILENT
                 if isinstance(event, h11.EndOfMessage):
@@ -237,9 +232,7 @@
             failure = await self._exchange.open()
             if failure is not None:
                 return failure
-        head = await self._monitor.receive(
-            self._exchange.receive_head, _FIRST_EVENT_STALL_S
-        )
+        head = await self._receive_next(self._exchange.receive_head)
         if head is None:
             return Signal.SILENT
         if not isinstance(head, h11.Response):
@@ -261,6 +254,17 @@
         )
         return None
 
+    async def _receive_next(self, receive):
+        """Receive, and check the stages whenever there is no progress."""
+        route = self._job.route
+        if self._stream.started:
+            return await self._monitor.receive(
+                receive, _STALL_S, route.gap_target_s
+            )
+        return await self._monitor.receive(
+            receive, _FIRST_EVENT_STALL_S, route.goal_s
+        )
+
     async def _receive_error(self):
         """Receive the rest of an error response, however late it comes."""
         is_resumable = self._stream.can_resume(self._job)
--- a/sniperudder/forwarding/_monitors.py
+++ b/sniperudder/forwarding/_monitors.py
@@ -10,6 +10,7 @@
 from sniperudder import fleet
 from sniperudder.forwarding import _jobs
 from sniperudder.forwarding import _speed_sampling
+from sniperudder import routing
 
 __all__ = ['StreamMonitor']
 
@@ -19,6 +20,10 @@
 _CHECK_INTERVAL_S = 0.3
 _FREQUENT_CHECKS = 5
 
+# Number of early checks in a row. As a rule, the stages that replace a dead
+# one have not died with it.
+_MAX_EARLY_CHECKS = 3
+
 # Interval at which the result of a running check is looked for, seconds.
 _CHECK_POLL_S = 0.02
 
@@ -69,10 +74,19 @@
         self._check_at = None
         self._checks = 0
         self._check_interval_s = _CHECK_INTERVAL_S
+        # Loop time from which the stream has made no progress.
+        self._waiting_since = self._began_at
+        # Loop time of the next early check, or None; their number, and the
+        # time between them.
+        self._early_check_at = None
+        self._early_checks = 0
+        self._early_delay_s = 0.0
+        # Whether the last early check found a stage to replace.
+        self._has_early_reroute = False
         self._speed_sampler = _speed_sampling.SpeedSampler(forwarder.T, job)
         self.stages = stages
 
-    async def receive(self, receive_next, check_after_s):
+    async def receive(self, receive_next, check_after_s, target_s=0.0):
         """Receive, and check the stages whenever there is no progress in time.
 
         Bytes alone are no progress: a stalled endpoint may send some now and
@@ -84,6 +98,9 @@
             Coroutine function that takes a timeout in seconds.
         check_after_s : float
             Time without progress until the first check, seconds.
+        target_s : float
+            Time within which the stream has to make progress to be timely,
+            seconds; 0 for none.
 
         Returns
         -------
@@ -92,11 +109,9 @@
             and the stream can be resumed. May be called again then.
         """
         if self._check_at is None:
-            self._check_at = self._forwarder.now() + check_after_s
-            self._checks = 0
-            self._check_interval_s = _CHECK_INTERVAL_S
+            self._begin_waiting(check_after_s, target_s)
         while True:
-            wait_s = self._check_at - self._forwarder.now()
+            wait_s = self._get_next_check_at() - self._forwarder.now()
             is_silent = False
             if self._check_task is not None:
                 wait_s = _CHECK_POLL_S
@@ -106,7 +121,7 @@
                     wait_s = 0.0
             elif wait_s <= 0:
                 # Whatever arrives meanwhile is received at once.
-                self._check_task = asyncio.create_task(self._check_stages())
+                self._check_task = asyncio.create_task(self._check())
                 wait_s = _CHECK_POLL_S
             try:
                 return await receive_next(wait_s)
@@ -114,18 +129,89 @@
                 if is_silent and self._stream.can_resume(self._job):
                     return None
 
+    def _begin_waiting(self, check_after_s, target_s):
+        """Set the times of the first checks."""
+        now = self._forwarder.now()
+        self._waiting_since = now
+        self._check_at = now + check_after_s
+        self._checks = self._early_checks = 0
+        self._check_interval_s = _CHECK_INTERVAL_S
+        self._early_check_at = None
+        if not self._forwarder.settings.features.early_stall_checks:
+            return
+        delay_s = routing.get_check_delay_s(target_s, check_after_s)
+        if delay_s < check_after_s and self.stages[0].layers is not None:
+            self._early_check_at = now + delay_s
+            self._early_delay_s = delay_s
+
+    def _get_next_check_at(self):
+        if self._early_check_at is None:
+            return self._check_at
+        return min(self._early_check_at, self._check_at)
+
+    async def _check(self):
+        """Check the stages; return whether the first one is silent."""
+        if self._early_check_at is not None:
+            return await self._check_early()
+        return await self._check_stages()
+
+    async def _check_early(self):
+        """Reroute the stream if stages show no sign of life.
+
+        Returns whether the first stage is one of them.
+        """
+        now = self._forwarder.now()
+        ages_s = {
+            stage.endpoint.address: now - self._get_state(stage).progress_at
+            for stage in self.stages
+        }
+        suspects = routing.choose_suspects(ages_s, now - self._waiting_since)
+        if not suspects:
+            return False
+        stages = self.stages
+        failed = await self._forwarder.rerouter.find_failed_stages(
+            stages, suspects
+        )
+        if stages is not self.stages:
+            return False
+        if stages[0].endpoint.address in failed:
+            return True
+        if failed:
+            self._has_early_reroute = True
+            self._start_reroute(failed | self._list_leaving())
+        return False
+
     def _end_check(self):
         """Set the time of the next check."""
         self._check_task = None
+        if self._early_check_at is not None:
+            self._end_early_check()
+            return
         # Check a stream that is merely slow less and less often.
         self._checks += 1
         if self._checks >= _FREQUENT_CHECKS:
             self._check_interval_s *= 2
         self._check_at = self._forwarder.now() + self._check_interval_s
 
+    def _end_early_check(self):
+        """Set the time of the next early check, if there is another one."""
+        self._early_checks += 1
+        self._early_check_at = None
+        if (
+            not self._has_early_reroute
+            or self._early_checks >= _MAX_EARLY_CHECKS
+        ):
+            return
+        # A new stage may have failed, too.
+        self._has_early_reroute = False
+        self._early_check_at = self._forwarder.now() + self._early_delay_s
+        self._check_at = max(
+            self._check_at, self._early_check_at + _CHECK_POLL_S
+        )
+
     def postpone_checks(self):
         """Begin to wait for progress anew."""
-        self._check_at = None
+        self._check_at = self._early_check_at = None
         if self._check_task is not None:
             self._check_task.cancel()
             self._check_task = None
@@ -175,9 +261,10 @@
             address is None and self._is_first_stage_without_progress()
         ):
             return True
-        # Reports lag behind; leaving stages are known without a report.
+        # Reports lag behind: leaving stages are known without a report, and a
+        # stage that was replaced may still be reported.
         excluded = self._list_leaving()
-        if address is not None:
+        if any(stage.endpoint.address == address for stage in self.stages):
             excluded.add(address)
         if not excluded:
             excluded = self._find_stage_without_progress()
@@ -237,7 +324,7 @@
         Events may arrive before the reroute order is acknowledged, so
         forwarding continues meanwhile.
         """
-        if self._reroute_task is not None and not self._reroute_task.done():
+        if self._is_rerouting():
             return
         if self._forwarder.crash_monitor.is_blocked(self._job):
             # It would crash the new stages.
@@ -245,6 +332,9 @@
         self._reroute_task = asyncio.create_task(self._reroute(excluded))
         self._reroute_task.add_done_callback(self._log_reroute_error)
 
+    def _is_rerouting(self):
+        return self._reroute_task is not None and not self._reroute_task.done()
+
     def _log_reroute_error(self, task):
         if not task.cancelled() and task.exception() is not None:
             self._forwarder.journal.write(
--- a/sniperudder/forwarding/_rerouting.py
+++ b/sniperudder/forwarding/_rerouting.py
@@ -11,6 +11,7 @@
 from sniperudder import fleet
 from sniperudder.forwarding import _connections
 from sniperudder.forwarding import _engines
+from sniperudder.forwarding import _stage_probes
 from sniperudder import platform
 from sniperudder import routing
 
@@ -49,9 +50,11 @@
         self._T = T
         self._rng = rng
         self._journal = journal
+        pool = _connections.ConnectionPool()
         self._engine_client = _engines.EngineClient(
-            _connections.ConnectionPool(), _CALL_TIMEOUT_S, notice_recorder
+            pool, _CALL_TIMEOUT_S, notice_recorder
         )
+        self._prober = _stage_probes.StageProber(pool, notice_recorder)
         self._reports = {}
 
     async def find_sign_of_life(self, stage):
@@ -113,6 +116,46 @@
                 return True, stalled.address
         return True, None
 
+    async def find_failed_stages(self, stages, suspects):
+        """Return the stages of a chain that show no sign of life.
+
+        Those stages are avoided from then on.
+
+        Parameters
+        ----------
+        stages : sequence of sniperudder.fleet.Stage
+        suspects : set of str
+            Addresses of the stages to ask; see `routing.choose_suspects`.
+
+        Returns
+        -------
+        set of str
+            Addresses.
+        """
+        asked = [s.endpoint for s in stages if s.endpoint.address in suspects]
+        signs = await self._prober.probe(asked)
+        failed = routing.judge_signs(signs, len(asked) < len(stages))
+        for endpoint in asked:
+            if endpoint.address in failed:
+                self._record_failed_stage(endpoint, signs[endpoint.address])
+        return failed
+
+    def _record_failed_stage(self, endpoint, sign):
+        state = fleet.get_state(self._T, endpoint)
+        now = asyncio.get_running_loop().time()
+        if routing.is_avoided(state, now):
+            return
+        self._journal.write(
+            'endpoint:failed',
+            endpoint.id,
+            address=endpoint.address,
+            sign=sign.value,
+        )
+        if sign is routing.Sign.GONE:
+            routing.record_dead(state, now, DEAD_AVOID_S)
+        else:
+            routing.record_failure(state, now)
+
     async def reroute(
         self, request_id, stages, excluded, engine, request_size, service
     ):
--- a/sniperudder/platform/_configurations.py
+++ b/sniperudder/platform/_configurations.py
@@ -301,6 +301,7 @@
         max_attempts=max(
             1, _documents.get_field(value, 'max_attempts', int, 1)
         ),
+        goal_s=_documents.get_seconds(value, 'goal_ms', 0.0),
     )
 
 
--- a/sniperudder/routing/__init__.py
+++ b/sniperudder/routing/__init__.py
@@ -45,6 +45,10 @@
 from sniperudder.routing._shortage import compute_admitted_shares
 from sniperudder.routing._shortage import get_limited_capacity
 from sniperudder.routing._shortage import RankCounter
+from sniperudder.routing._stall_checks import choose_suspects
+from sniperudder.routing._stall_checks import get_check_delay_s
+from sniperudder.routing._stall_checks import judge_signs
+from sniperudder.routing._stall_checks import Sign
 
 __all__ = [
     'CrashTable',
@@ -54,17 +58,20 @@
     'RequestSize',
     'RetryBudget',
     'SURVIVAL_S',
+    'Sign',
     'check_chain',
     'choose_chain',
     'choose_endpoint',
     'choose_holders',
     'choose_service',
+    'choose_suspects',
     'compute_admitted_shares',
     'compute_crossing_cost',
     'compute_layer_cost',
     'compute_share',
     'estimate_stage_ms',
     'find_chain',
+    'get_check_delay_s',
     'get_kv_capacity',
     'get_limited_capacity',
     'get_pause_s',
@@ -75,6 +82,7 @@
     'has_quota',
     'is_avoided',
     'is_open',
+    'judge_signs',
     'list_restricted',
     'make_crash_keys',
     'match_route',
