Exchange the speed of engines between instances

What was missing: with 30 or 83 instances each one passes on a few streams, too few to tell which stage of a slow stream is slow.

An engine is slow if its fastest sample at any instance is. At least four samples are needed where others have some, too. Sent where a route's target for gaps calls for early checks, and the feature is on.

Tests: 9, 83 and 390 instances find just the slow engines, a single one doesn't (test_speeds.py); a sum of 33 full digests fits in a datagram; odd numbers can be sent.

--- a/sniperudder/digests/__init__.py
+++ b/sniperudder/digests/__init__.py
@@ -16,6 +16,9 @@
 from sniperudder.digests._records import Scope
 from sniperudder.digests._restrictions import MAX_RESTRICTIONS
 from sniperudder.digests._restrictions import Restriction
+from sniperudder.digests._speeds import MAX_SPEEDS
+from sniperudder.digests._speeds import merge_speeds
+from sniperudder.digests._speeds import Speed
 from sniperudder.digests._sums import add_digests
 from sniperudder.digests._sums import subtract_digest
 
@@ -28,14 +31,17 @@
     'Fault',
     'Load',
     'MAX_RESTRICTIONS',
+    'MAX_SPEEDS',
     'Peer',
     'PeerTable',
     'REMOVE_AFTER_S',
     'Restriction',
     'Scope',
+    'Speed',
     'add_digests',
     'decode_digest',
     'encode_digest',
     'limit_crash_report',
+    'merge_speeds',
     'subtract_digest',
 ]
--- a/sniperudder/digests/_codec.py
+++ b/sniperudder/digests/_codec.py
@@ -8,10 +8,12 @@
 from sniperudder.digests import _crash_reports
 from sniperudder.digests import _records
 from sniperudder.digests import _restrictions
+from sniperudder.digests import _speeds
 from sniperudder.digests.gen.wire import ttypes
 from sniperudder import revisions
 
 _MS_PER_S = 1000
+_PERCENT = 100
 
 # Largest age of a restriction that is told, seconds.
 _MAX_AGE_S = 86_400.0
@@ -93,6 +95,17 @@
             for table, revision in digest.table_revisions.items()
         },
         configuration_version=digest.configuration_version,
+        speeds=[
+            ttypes.Speed(
+                endpoint,
+                born_ms,
+                _limit(speed.samples),
+                _limit(speed.slowness * _PERCENT),
+                _limit(min(speed.age_s, _MAX_AGE_S) * _MS_PER_S),
+            )
+            for (endpoint, born_ms), speed in digest.speeds.items()
+        ]
+        or None,
     )
     return TSerialization.serialize(message, _PROTOCOL_FACTORY)
 
@@ -116,6 +129,7 @@
     try:
         crash_report = _decode_crash_report(message.crash_report)
         restrictions = _decode_restrictions(message.restrictions)
+        speeds = _decode_speeds(message.speeds)
     except (AttributeError, TypeError) as error:
         # A field of a nested structure is missing.
         raise DigestError(f'nested structure: {error}') from error
@@ -161,6 +175,7 @@
             for service, rate in (message.demands or {}).items()
         },
         configuration_version=message.configuration_version,
+        speeds=speeds,
     )
 
 
@@ -244,3 +259,15 @@
             )
         )
     return restrictions
+
+
+def _decode_speeds(messages):
+    return {
+        (message.endpoint, message.born_ms): _speeds.Speed(
+            max(message.samples, 0),
+            # No stage takes no time.
+            max(message.slowness_percent, 1) / _PERCENT,
+            _decode_age_s(message.age_ms),
+        )
+        for message in messages or ()
+    }
--- a/sniperudder/digests/_peers.py
+++ b/sniperudder/digests/_peers.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from sniperudder.digests import _records
+from sniperudder.digests import _speeds
 
 # Time without a digest after which a peer's load is no longer counted.
 # Either its requests ended with it, or their state is unknown.
@@ -266,6 +267,27 @@
             digest.crossings.get(pair, 0.0) for digest in self._list_counted()
         )
 
+    def merge_speeds(self, now):
+        """Return what the peers together tell of the speed of endpoints.
+
+        Parameters
+        ----------
+        now : float
+            Seconds.
+
+        Returns
+        -------
+        dict of (str, int) to Speed
+            By run id.
+        """
+        if self._summary is not None:
+            parts, ages_s = [self._summary.speeds], [now - self._summary_at]
+        else:
+            heard = [p for p in self.peers.values() if p.digest is not None]
+            parts = [peer.digest.speeds for peer in heard]
+            ages_s = [now - peer.heard_at for peer in heard]
+        return _speeds.merge_speeds(parts, ages_s)
+
     def list_due_addresses(self, now, data_centre=None):
         """Return the addresses to which the next digest is sent.
 
--- a/sniperudder/digests/_records.py
+++ b/sniperudder/digests/_records.py
@@ -92,6 +92,8 @@
         sums.
     configuration_version : int
         Operators' version of the configuration in force; 0 if there is none.
+    speeds : dict of (str, int) to Speed
+        By run id.
     """
 
     sender: str
@@ -114,3 +116,4 @@
     restrictions: dict = dataclasses.field(default_factory=dict)
     demands: dict = dataclasses.field(default_factory=dict)
     configuration_version: int = 0
+    speeds: dict = dataclasses.field(default_factory=dict)
--- a/sniperudder/digests/_sums.py
+++ b/sniperudder/digests/_sums.py
@@ -12,6 +12,7 @@
 from sniperudder.digests import _crash_reports
 from sniperudder.digests import _records
 from sniperudder.digests import _restrictions
+from sniperudder.digests import _speeds
 from sniperudder import revisions
 
 # Largest number of loads in a sum, so that it fits in a datagram whatever the
@@ -100,6 +101,9 @@
         configuration_version=max(
             (d.configuration_version for d in digests), default=0
         ),
+        speeds=_speeds.merge_speeds(
+            [digest.speeds for digest in digests], ages_s
+        ),
     )
 
 
--- a/sniperudder/digests/digest.thrift
+++ b/sniperudder/digests/digest.thrift
@@ -64,6 +64,17 @@
   5: required i32 age_ms;
 }
 
+// Speed of the streams through a run of an endpoint.
+struct Speed {
+  1: required string endpoint;
+  2: required i64 born_ms;
+  3: required i32 samples;
+  // Time per step of the fastest sample, in percent of the expected time.
+  4: required i32 slowness_percent;
+  // Time since the last sample.
+  5: required i32 age_ms;
+}
+
 // A digest that is part of a sum.
 struct Included {
   1: required string sender;
@@ -99,4 +110,6 @@
   20: optional map<string, i64> table_eras;
   // Operators' version of the configuration in force.
   21: optional i64 configuration_version = 0;
+  // 22 to 26 are reserved.
+  27: optional list<Speed> speeds;
 }
--- a/sniperudder/digests/gen/wire/ttypes.py
+++ b/sniperudder/digests/gen/wire/ttypes.py
@@ -871,6 +871,132 @@
         return not (self == other)
 
 
+class Speed(object):
+    """
+    Attributes:
+     - endpoint
+     - born_ms
+     - samples
+     - slowness_percent
+     - age_ms
+
+    """
+
+    __slots__ = (
+        'endpoint',
+        'born_ms',
+        'samples',
+        'slowness_percent',
+        'age_ms',
+    )
+
+
+    def __init__(self, endpoint=None, born_ms=None, samples=None, slowness_percent=None, age_ms=None,):
+        self.endpoint = endpoint
+        self.born_ms = born_ms
+        self.samples = samples
+        self.slowness_percent = slowness_percent
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.endpoint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.born_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.samples = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.slowness_percent = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Speed')
+        if self.endpoint is not None:
+            oprot.writeFieldBegin('endpoint', TType.STRING, 1)
+            oprot.writeString(self.endpoint.encode('utf-8') if sys.version_info[0] == 2 else self.endpoint)
+            oprot.writeFieldEnd()
+        if self.born_ms is not None:
+            oprot.writeFieldBegin('born_ms', TType.I64, 2)
+            oprot.writeI64(self.born_ms)
+            oprot.writeFieldEnd()
+        if self.samples is not None:
+            oprot.writeFieldBegin('samples', TType.I32, 3)
+            oprot.writeI32(self.samples)
+            oprot.writeFieldEnd()
+        if self.slowness_percent is not None:
+            oprot.writeFieldBegin('slowness_percent', TType.I32, 4)
+            oprot.writeI32(self.slowness_percent)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 5)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.endpoint is None:
+            raise TProtocolException(message='Required field endpoint is unset!')
+        if self.born_ms is None:
+            raise TProtocolException(message='Required field born_ms is unset!')
+        if self.samples is None:
+            raise TProtocolException(message='Required field samples is unset!')
+        if self.slowness_percent is None:
+            raise TProtocolException(message='Required field slowness_percent is unset!')
+        if self.age_ms is None:
+            raise TProtocolException(message='Required field age_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Included(object):
     """
     Attributes:
@@ -993,6 +1119,7 @@
      - lease_era
      - table_eras
      - configuration_version
+     - speeds
 
     """
 
@@ -1018,10 +1145,11 @@
         'lease_era',
         'table_eras',
         'configuration_version',
+        'speeds',
     )
 
 
-    def __init__(self, sender=None, incarnation=None, sequence=None, loads=None, faults=None, crashes=None, lease_version=None, events=None, slow_events=None, crossings=None, scope=0, data_centre="", instances=1, included=None, table_versions=None, crash_report=None, restrictions=None, demands=None, lease_era=0, table_eras=None, configuration_version=0,):
+    def __init__(self, sender=None, incarnation=None, sequence=None, loads=None, faults=None, crashes=None, lease_version=None, events=None, slow_events=None, crossings=None, scope=0, data_centre="", instances=1, included=None, table_versions=None, crash_report=None, restrictions=None, demands=None, lease_era=0, table_eras=None, configuration_version=0, speeds=None,):
         self.sender = sender
         self.incarnation = incarnation
         self.sequence = sequence
@@ -1043,6 +1171,7 @@
         self.lease_era = lease_era
         self.table_eras = table_eras
         self.configuration_version = configuration_version
+        self.speeds = speeds
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1213,6 +1342,17 @@
                     self.configuration_version = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 27:
+                if ftype == TType.LIST:
+                    self.speeds = []
+                    (_etype99, _size96) = iprot.readListBegin()
+                    for _i100 in range(_size96):
+                        _elem101 = Speed()
+                        _elem101.read(iprot)
+                        self.speeds.append(_elem101)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1238,22 +1378,22 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter96 in self.loads:
-                iter96.write(oprot)
+            for iter102 in self.loads:
+                iter102.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.faults is not None:
             oprot.writeFieldBegin('faults', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.faults))
-            for iter97 in self.faults:
-                iter97.write(oprot)
+            for iter103 in self.faults:
+                iter103.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.crashes))
-            for iter98 in self.crashes:
-                iter98.write(oprot)
+            for iter104 in self.crashes:
+                iter104.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.lease_version is not None:
@@ -1271,8 +1411,8 @@
         if self.crossings is not None:
             oprot.writeFieldBegin('crossings', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.crossings))
-            for iter99 in self.crossings:
-                iter99.write(oprot)
+            for iter105 in self.crossings:
+                iter105.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.scope is not None:
@@ -1290,16 +1430,16 @@
         if self.included is not None:
             oprot.writeFieldBegin('included', TType.LIST, 14)
             oprot.writeListBegin(TType.STRUCT, len(self.included))
-            for iter100 in self.included:
-                iter100.write(oprot)
+            for iter106 in self.included:
+                iter106.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.table_versions is not None:
             oprot.writeFieldBegin('table_versions', TType.MAP, 15)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.table_versions))
-            for kiter101, viter102 in self.table_versions.items():
-                oprot.writeString(kiter101.encode('utf-8') if sys.version_info[0] == 2 else kiter101)
-                oprot.writeI64(viter102)
+            for kiter107, viter108 in self.table_versions.items():
+                oprot.writeString(kiter107.encode('utf-8') if sys.version_info[0] == 2 else kiter107)
+                oprot.writeI64(viter108)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.crash_report is not None:
@@ -1309,16 +1449,16 @@
         if self.restrictions is not None:
             oprot.writeFieldBegin('restrictions', TType.LIST, 17)
             oprot.writeListBegin(TType.STRUCT, len(self.restrictions))
-            for iter103 in self.restrictions:
-                iter103.write(oprot)
+            for iter109 in self.restrictions:
+                iter109.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.demands is not None:
             oprot.writeFieldBegin('demands', TType.MAP, 18)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.demands))
-            for kiter104, viter105 in self.demands.items():
-                oprot.writeString(kiter104.encode('utf-8') if sys.version_info[0] == 2 else kiter104)
-                oprot.writeI32(viter105)
+            for kiter110, viter111 in self.demands.items():
+                oprot.writeString(kiter110.encode('utf-8') if sys.version_info[0] == 2 else kiter110)
+                oprot.writeI32(viter111)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.lease_era is not None:
@@ -1328,15 +1468,22 @@
         if self.table_eras is not None:
             oprot.writeFieldBegin('table_eras', TType.MAP, 20)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.table_eras))
-            for kiter106, viter107 in self.table_eras.items():
-                oprot.writeString(kiter106.encode('utf-8') if sys.version_info[0] == 2 else kiter106)
-                oprot.writeI64(viter107)
+            for kiter112, viter113 in self.table_eras.items():
+                oprot.writeString(kiter112.encode('utf-8') if sys.version_info[0] == 2 else kiter112)
+                oprot.writeI64(viter113)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.configuration_version is not None:
             oprot.writeFieldBegin('configuration_version', TType.I64, 21)
             oprot.writeI64(self.configuration_version)
             oprot.writeFieldEnd()
+        if self.speeds is not None:
+            oprot.writeFieldBegin('speeds', TType.LIST, 27)
+            oprot.writeListBegin(TType.STRUCT, len(self.speeds))
+            for iter114 in self.speeds:
+                iter114.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1438,6 +1585,15 @@
     (4, TType.DOUBLE, 'rate_limit', None, None, ),  # 4
     (5, TType.I32, 'age_ms', None, None, ),  # 5
 )
+all_structs.append(Speed)
+Speed.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'endpoint', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'born_ms', None, None, ),  # 2
+    (3, TType.I32, 'samples', None, None, ),  # 3
+    (4, TType.I32, 'slowness_percent', None, None, ),  # 4
+    (5, TType.I32, 'age_ms', None, None, ),  # 5
+)
 all_structs.append(Included)
 Included.thrift_spec = (
     None,  # 0
@@ -1469,6 +1625,12 @@
     (19, TType.I64, 'lease_era', None, 0, ),  # 19
     (20, TType.MAP, 'table_eras', (TType.STRING, 'UTF8', TType.I64, None, False), None, ),  # 20
     (21, TType.I64, 'configuration_version', None, 0, ),  # 21
+    None,  # 22
+    None,  # 23
+    None,  # 24
+    None,  # 25
+    None,  # 26
+    (27, TType.LIST, 'speeds', (TType.STRUCT, [Speed, None], False), None, ),  # 27
 )
 fix_spec(all_structs)
 del all_structs
--- a/sniperudder/digests/tests/test_odd_values.py
+++ b/sniperudder/digests/tests/test_odd_values.py
@@ -38,6 +38,9 @@
                 ('gpu-1', 5): digests.Restriction(True, 1.0, numbers[9])
             },
             demands={'llm': numbers[9]},
+            speeds={
+                ('gpu-1', 5): digests.Speed(numbers[8], numbers[9], numbers[7])
+            },
         )
         decoded = digests.decode_digest(digests.encode_digest(digest))
         self.assertTrue(0 <= decoded.loads['gpu-1'].requests < 2**31)
--- a/sniperudder/digests/tests/test_sums.py
+++ b/sniperudder/digests/tests/test_sums.py
@@ -183,6 +183,12 @@
                 (),
                 data_centre='milano-a',
                 crash_report=make_crash_report(rng),
+                speeds={
+                    (f'i-{rng.randrange(12_000):010x}', 1_785_381_178_541): (
+                        digests.Speed(99, 1.234, 1.0)
+                    )
+                    for _ in range(400)
+                },
             )
             for number in range(33)
         ]
--- a/sniperudder/entry/_gossip.py
+++ b/sniperudder/entry/_gossip.py
@@ -142,6 +142,7 @@
             self._forwarder.load_shedder.update(interval_s)
             self._forwarder.crash_monitor.update()
             self._update_quotas(now)
+            self._update_speeds(now)
             for name in self._T.peers.expire_loads(now):
                 self._journal.write('instance:silent', name)
             if self._uses_sums():
@@ -165,6 +166,13 @@
             self._forwarder.rng,
         )
 
+    def _update_speeds(self, now):
+        """Add what peers tell of the speed of endpoints to the own table."""
+        told = {}
+        if self._forwarder.has_early_checks:
+            told = self._T.peers.merge_speeds(now)
+        self._T.speeds.set_told(told, self._forwarder.now())
+
     def _uses_sums(self):
         return (
             len(self._T.peers.peers) > _MAX_DIRECT_PEERS
@@ -438,6 +446,11 @@
             configuration_version=(
                 self._T.configuration.version if self._T.configuration else 0
             ),
+            speeds=(
+                self._T.speeds.list_speeds(self._forwarder.now())
+                if self._forwarder.has_early_checks
+                else {}
+            ),
         )
 
     def _handle_digest(self, digest, address):
--- a/sniperudder/fleet/_speeds.py
+++ b/sniperudder/fleet/_speeds.py
@@ -1,8 +1,12 @@
 """Detection of slow endpoints from the speed of the streams through them."""
 
 import collections
+import dataclasses
+import math
 import statistics
 
+from sniperudder import digests
+
 # Length of the window of samples, seconds: a few samples of each stream.
 _WINDOW_S = 2.0
 
@@ -20,19 +24,34 @@
 # Samples of streams through an endpoint that are needed to judge it.
 _MIN_ENDPOINT_SAMPLES = 2
 
+# The same if other instances have seen streams, too. More samples are then
+# available, and a few slow ones can be noise.
+_MIN_SHARED_SAMPLES = 4
+
 # Slowness below which a difference is taken to be noise, and the largest
 # one that is reported, so that slow endpoints remain usable.
 _MIN_SLOWNESS = 1.8
 _MAX_SLOWNESS = 8.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _ToldSpeed:
+    """What other instances tell; see `sniperudder.digests.Speed`."""
+
+    samples: int
+    slowness: float
+    # Loop time of this instance, seconds.
+    sampled_at: float
+
+
 class SpeedTable:
     """Estimates how slow endpoints are by comparing streams.
 
     A stream that is slower than the others passes one or more slow stages.
     Each of its samples could be the fault of any of its stages, but a stream
     at normal speed shows that all of its stages are fast. The slowness of an
-    endpoint is therefore the smallest sample of the streams through it.
+    endpoint is therefore the smallest sample of the streams through it,
+    including those of other instances.
 
     Examples
     --------
@@ -45,9 +64,11 @@
     [1.0, 1.0, 5.0]
     """
 
-    __slots__ = ('_baseline', '_baseline_at', '_ratios', '_samples')
+    __slots__ = ('_baseline', '_baseline_at', '_ratios', '_samples', '_told')
 
     def __init__(self):
+        # What other instances tell, by run.
+        self._told = {}
         self._ratios = collections.deque()
         self._samples = {}
         self._baseline = 1.0
@@ -98,16 +119,65 @@
         float
             1 if the endpoint is not known to be slow.
         """
-        samples = self._samples.get(run_id)
-        if not samples or len(samples) < _MIN_ENDPOINT_SAMPLES:
-            return 1.0
-        if now - samples[-1][0] > _SLOW_EXPIRY_S:
+        count, slowness, age_s = self._get_own(run_id, now)
+        min_samples = _MIN_ENDPOINT_SAMPLES
+        told = self._told.get(run_id)
+        if told is not None:
+            min_samples = _MIN_SHARED_SAMPLES
+            told_age_s = now - told.sampled_at
+            if told_age_s < age_s - _WINDOW_S:
+                count, slowness = told.samples, told.slowness
+            elif told_age_s <= age_s + _WINDOW_S:
+                count += told.samples
+                slowness = min(slowness, told.slowness)
+            age_s = min(age_s, told_age_s)
+        if count < min_samples or age_s > _SLOW_EXPIRY_S:
             return 1.0
-        slowness = min(sample for _, sample in samples)
         if slowness < _MIN_SLOWNESS:
             return 1.0
         return min(slowness, _MAX_SLOWNESS)
 
+    def _get_own(self, run_id, now):
+        """Return the number of samples, the fastest one and their age."""
+        samples = self._samples.get(run_id)
+        if not samples:
+            return 0, _MAX_SLOWNESS, math.inf
+        fastest = min(sample for _, sample in samples)
+        return len(samples), fastest, now - samples[-1][0]
+
+    def list_speeds(self, now):
+        """Return what to tell other instances of the speed of endpoints.
+
+        Returns
+        -------
+        dict of (str, int) to sniperudder.digests.Speed
+            By run id.
+        """
+        speeds = {
+            run_id: digests.Speed(*self._get_own(run_id, now))
+            for run_id in self._samples
+        }
+        recent = {
+            run_id: speed
+            for run_id, speed in speeds.items()
+            if speed.age_s <= _SLOW_EXPIRY_S
+        }
+        return digests.merge_speeds([recent], [0.0])
+
+    def set_told(self, speeds, now):
+        """Store what other instances tell of the speed of endpoints.
+
+        Parameters
+        ----------
+        speeds : dict of (str, int) to sniperudder.digests.Speed
+        now : float
+            Loop time, seconds.
+        """
+        self._told = {
+            run_id: _ToldSpeed(told.samples, told.slowness, now - told.age_s)
+            for run_id, told in speeds.items()
+        }
+
     def keep_listed(self, run_ids):
         """Drop the samples of all runs except the listed ones.
 
--- a/sniperudder/forwarding/_attempts.py
+++ b/sniperudder/forwarding/_attempts.py
@@ -13,7 +13,7 @@
 from sniperudder import platform
 from sniperudder import routing
 
-__all__ = ['Attempt', 'Signal']
+__all__ = ['Attempt', 'Signal', 'has_early_checks']
 
 # Time without the first event, and without a further event, after which
 # the stages are checked, seconds. These are half of the time that callers
@@ -27,6 +27,23 @@
 _ERROR_STALL_S = 1.0
 
 
+def has_early_checks(configuration):
+    """Return whether streams of any route are checked early.
+
+    Takes time linear in the number of routes.
+
+    Parameters
+    ----------
+    configuration : sniperudder.fleet.Configuration
+    """
+    return any(
+        routing.get_check_delay_s(route.gap_target_s, _STALL_S) < _STALL_S
+        for routes in configuration.routes.values()
+        for route in routes
+        if route.streaming
+    )
+
+
 class Signal(enum.Enum):
     """What an attempt reports beside events and outcomes.
 
--- a/sniperudder/forwarding/_forwarder.py
+++ b/sniperudder/forwarding/_forwarder.py
@@ -7,6 +7,7 @@
 from sniperudder import clocks
 from sniperudder import digests
 from sniperudder import fleet
+from sniperudder.forwarding import _attempts
 from sniperudder.forwarding import _caller_connections
 from sniperudder.forwarding import _crash_monitor
 from sniperudder.forwarding import _exchanges
@@ -85,6 +86,9 @@
         self._budgets = {}
         self._rank_counters = collections.defaultdict(routing.RankCounter)
         self._slow_run_ids = set()
+        # Configuration for which `has_early_checks` was determined.
+        self._checked_configuration = None
+        self._has_early_checks = False
 
     async def handle(self, request, caller):
         """Handle one request of a caller; passed to `CallerServer`.
@@ -152,6 +156,17 @@
         for budget in self._budgets.values():
             budget.set_limits(bounds.retry_ratio, bounds.retry_window_s)
 
+    @property
+    def has_early_checks(self):
+        """Whether any route has a target that calls for early checks."""
+        configuration = self.T.configuration
+        if not self.settings.features.early_stall_checks:
+            return False
+        if configuration is not self._checked_configuration:
+            self._checked_configuration = configuration
+            self._has_early_checks = _attempts.has_early_checks(configuration)
+        return self._has_early_checks
+
     def log_slow_endpoints(self):
         """Log which endpoints became slow or ceased to be slow."""
         now = self.now()
--- a/sniperudder/routing/tests/test_speeds.py
+++ b/sniperudder/routing/tests/test_speeds.py
@@ -4,6 +4,7 @@
 
 import testtools
 
+from sniperudder import digests
 from sniperudder import fleet
 from sniperudder import routing
 from sniperudder.routing.tests import _fleets
@@ -94,3 +95,79 @@
         T.endpoints.clear()
         fleet.drop_ended_states(T)
         self.assertEqual(set(), self.list_slow(T, endpoints, now))
+
+
+class SharedSpeedTest(testtools.TestCase):
+    """Many instances pass on a few streams each over many endpoints."""
+
+    _ENDPOINTS = {
+        f'{start}-{copy}': start
+        for start in range(0, 80, 20)
+        for copy in range(20)
+    }
+    _SECONDS = 2.0
+    _SAMPLES_PER_S = 10
+
+    def record(self, instances, slow, seed, share=True):
+        """Record samples of all instances; return what each finds slow.
+
+        Parameters
+        ----------
+        instances : int
+        slow : dict of str to float
+            Slowness by id.
+        share : bool
+            Whether the instances exchange digests.
+        """
+        rng = random.Random(seed)
+        tables = [fleet.SpeedTable() for _ in range(instances)]
+        steps = int(self._SECONDS * self._SAMPLES_PER_S)
+        for step in range(steps):
+            now = step / self._SAMPLES_PER_S
+            for table in tables:
+                chain = [
+                    f'{start}-{rng.randrange(20)}' for start in (0, 20, 40, 60)
+                ]
+                ratio = sum(slow.get(name, 1.0) for name in chain) / 4
+                ratio *= rng.uniform(0.85, 1.15)
+                table.record({(name, 1): 0.25 for name in chain}, ratio, now)
+        if share:
+            told = [
+                digests.Digest(f'entry-{n}', 1, 1, {}, (), speeds=speeds)
+                for n, speeds in enumerate(t.list_speeds(now) for t in tables)
+            ]
+            total = digests.add_digests(told[0], told, [0.0] * instances)
+            total = digests.decode_digest(digests.encode_digest(total))
+            for table in tables:
+                table.set_told(total.speeds, now)
+        return [
+            {
+                name
+                for name in self._ENDPOINTS
+                if table.get_slowness((name, 1), now) > 1.0
+            }
+            for table in tables
+        ]
+
+    # Guards against: instances with few streams each called sound endpoints
+    # slow, and did not recognise slow ones.
+    def test_all_instances_find_just_the_slow_endpoints(self):
+        slow = {'0-1': 5.0, '20-7': 5.0, '40-2': 5.0}
+        for instances in (9, 83, 390):
+            for found in self.record(instances, slow, seed=instances):
+                self.assertEqual(set(slow), found)
+
+    def test_single_instance_cannot_tell(self):
+        slow = {'0-1': 5.0, '20-7': 5.0, '40-2': 5.0}
+        found = self.record(83, slow, seed=1, share=False)
+        self.assertNotIn(set(slow), found)
+
+    # Guards against: what others told once holds although newer streams of
+    # this instance show the contrary.
+    def test_newer_samples_replace_what_was_told(self):
+        table = fleet.SpeedTable()
+        table.set_told({('a', 1): digests.Speed(5, 4.0, 0.0)}, 0.0)
+        self.assertEqual(4.0, table.get_slowness(('a', 1), 1.0))
+        for step in range(12):
+            table.record({('a', 1): 1.0}, 1.0, 3.0 + step / 10)
+        self.assertEqual(1.0, table.get_slowness(('a', 1), 4.2))
