Call an absent store less and less often for the lease

Change: the delay between failed calls for the lease doubles from 0.25 to 4 s.

Test: 9, 83 and 390 instances call less than once a second each in an outage of 8 s, and one of them holds the lease within 10 s after it; it fails without the change.

--- a/sniperudder/entry/_placer.py
+++ b/sniperudder/entry/_placer.py
@@ -17,6 +17,11 @@
 # whether it should, seconds.
 _COMPETE_INTERVAL_S = 0.5
 
+# Delays between two calls for the lease while the store does not answer,
+# seconds; the delay doubles with each. In an outage all instances compete.
+_MIN_LEASE_BACKOFF_S = 0.25
+_MAX_LEASE_BACKOFF_S = 4.0
+
 # Interval between checks for missing layers.
 _CHECK_INTERVAL_S = 0.25
 
@@ -93,6 +98,9 @@
         self._is_first_start = is_first_start
         self._lease_taken = asyncio.Event()
         self._lease = placement.LeaseView()
+        # Delay until the next call for the lease; None if the store answered
+        # the last one.
+        self._lease_backoff_s = None
         self._orders = {}
         self._in_flight = set()
         # Checks of engines that are no longer listed, by run.
@@ -135,6 +143,8 @@
                 await self._read_lease(now)
             if self._lease.renewal_requested_at is not None:
                 await asyncio.sleep(placement.LEASE_RENEWAL_INTERVAL_S)
+            elif self._lease_backoff_s is not None:
+                await asyncio.sleep(self._lease_backoff_s)
             elif self._lease.seen_at and not self._may_acquire(
                 _read_boot_time()
             ):
@@ -163,6 +173,7 @@
         if isinstance(outcome, platform.Unavailable):
             self._log_lease_failure(outcome)
             return
+        self._lease_backoff_s = None
         found = [row for row in outcome.rows if row.key == _LEASE_KEY]
         self._observe_rows(found, outcome.revision.era, now)
         # A read that found no row also counts as an observation.
@@ -176,6 +187,8 @@
             json.dumps({'holder': self._name}).encode(),
             self._lease.revision,
         )
+        if not isinstance(outcome, platform.Unavailable):
+            self._lease_backoff_s = None
         if isinstance(outcome, platform.Written):
             placement.record_renewal(self._lease, outcome.revision, now)
             self._lease_taken.set()
@@ -201,6 +214,10 @@
             )
 
     def _log_lease_failure(self, outcome):
+        self._lease_backoff_s = min(
+            2 * (self._lease_backoff_s or _MIN_LEASE_BACKOFF_S / 2),
+            _MAX_LEASE_BACKOFF_S,
+        )
         self._journal.write(
             'lease:unread',
             _LEASE_KEY,
--- a/sniperudder/entry/tests/test_lease.py
+++ b/sniperudder/entry/tests/test_lease.py
@@ -38,6 +38,7 @@
         self.row_version = 0
         self.history = []
         self.is_available = True
+        self.calls = 0
 
     def write(self, expected_version):
         """Write the row if it has a version; return whether it had."""
@@ -66,6 +67,7 @@
 
     async def call(self, address, method, target, body, timeout_s, handle):
         """Carry out a call; see `sniperudder.platform.Store`."""
+        self._row.calls += 1
         deadline = read_time() + timeout_s
         is_write = method == 'POST'
         delay_s = self._member.write_delay_s if is_write else 0.0
@@ -216,6 +218,45 @@
             self.assertGreater(min(shares), 0.0)
 
 
+class OutageTest(testtools.TestCase):
+    """The store is away, and all instances compete for the lease."""
+
+    _OUTAGE_S = 8.0
+
+    def count_calls(self, size):
+        """Return the calls in an outage, and whether one holds it later."""
+
+        async def run():
+            self.patch(_placer, '_read_boot_time', read_time)
+            row = SharedRow()
+            members = [Member(row, f'entry-{n}', True) for n in range(size)]
+            tasks = [
+                asyncio.create_task(member.placer.maintain_lease())
+                for member in members
+            ]
+            await asyncio.sleep(6.0)
+            row.is_available, before = False, row.calls
+            await asyncio.sleep(self._OUTAGE_S)
+            row.is_available, calls = True, row.calls - before
+            await asyncio.sleep(10.0)
+            held = sum(member.may_order() for member in members)
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+            return calls, held
+
+        with asyncio.Runner(loop_factory=VirtualTimeLoop) as runner:
+            return runner.run(run())
+
+    # Guards against: each instance called the store four times a second for a
+    # lease that nobody could renew.
+    def test_instances_call_less_and_less_often(self):
+        for size in (9, 83, 390):
+            calls, held = self.count_calls(size)
+            self.assertLess(calls, size * self._OUTAGE_S)
+            self.assertEqual(1, held)
+
+
 class LostLeaseTest(testtools.TestCase):
     """The store was restored to a state without a holder of the lease."""
 
