Watch later stages of streams for their death

Change: an unused connection to each later stage of a stream tells of its death at once, as the end of a process resets its connections; one that was closed is opened again, and only a refusal counts. Calls for signs of life, which find engines that fall silent, are limited to 18 at once and 3 a second an instance, repeated up to three times, and ask each stage without progress for 0.07 s.

--- a/sniperudder/entry/tests/test_early_checks.py
+++ b/sniperudder/entry/tests/test_early_checks.py
@@ -105,6 +105,30 @@
         self.assertEqual([1, 2], self.run_stream(fall_silent))
         self.assertNotIn(self.stopped.address, self.list_reroutes()[0])
 
+    # Guards against: a death is noticed only by a check, when it is too late
+    # for a timely stream.
+    def test_death_of_stage_is_noticed_without_a_check(self):
+        patch = mock.patch.object(_stage_probes, '_MAX_CALLS', 0.0)
+        patch.start()
+        self.addCleanup(patch.stop)
+
+        async def crash(engine):
+            await engine.stop()
+
+        self.assertEqual([1, 2], self.run_stream(crash))
+        self.assertNotIn(self.stopped.address, self.list_reroutes()[0])
+
+    # Guards against: an engine that closes idle connections is taken for dead.
+    def test_stage_that_closes_its_connections_is_not_dead(self):
+        async def close_connections(engine):
+            await asyncio.sleep(0.1)
+            for writer in list(engine._readers):
+                writer.transport.abort()
+
+        self.run_stream(close_connections)
+        self.assertEqual([], self.list_reroutes())
+        self.assertEqual([], self.journal.list_events('endpoint:failed'))
+
     # Guards against: an instance that is cut off takes its engines for dead.
     def test_nothing_is_concluded_if_all_stages_are_silent(self):
         async def fall_silent(engine):
--- a/sniperudder/forwarding/_attempts.py
+++ b/sniperudder/forwarding/_attempts.py
@@ -37,7 +37,7 @@
     configuration : sniperudder.fleet.Configuration
     """
     return any(
-        routing.get_check_delay_s(route.gap_target_s, _STALL_S) < _STALL_S
+        routing.get_early_delay_s(route.gap_target_s) is not None
         for routes in configuration.routes.values()
         for route in routes
         if route.streaming
--- a/sniperudder/forwarding/_monitors.py
+++ b/sniperudder/forwarding/_monitors.py
@@ -20,10 +20,15 @@
 _CHECK_INTERVAL_S = 0.3
 _FREQUENT_CHECKS = 5
 
-# Number of early checks in a row. As a rule, the stages that replace a dead
-# one have not died with it.
+# Number of early checks in a row, until the usual check. A stage that has just
+# died looks alive to the first one if other streams made progress later, and
+# the stages that replace a dead one may have died with it.
 _MAX_EARLY_CHECKS = 3
 
+# Time for which the deaths of stages are gathered, seconds: several engines of
+# a chain may die at the same moment.
+_GATHER_S = 0.01
+
 # Interval at which the result of a running check is looked for, seconds.
 _CHECK_POLL_S = 0.02
 
@@ -74,17 +79,18 @@
         self._check_at = None
         self._checks = 0
         self._check_interval_s = _CHECK_INTERVAL_S
-        # Loop time from which the stream has made no progress.
-        self._waiting_since = self._began_at
         # Loop time of the next early check, or None; their number, and the
         # time between them.
         self._early_check_at = None
         self._early_checks = 0
         self._early_delay_s = 0.0
-        # Whether the last early check found a stage to replace.
-        self._has_early_reroute = False
         self._speed_sampler = _speed_sampling.SpeedSampler(forwarder.T, job)
+        # Addresses of stages that died, and the timer of the reroute.
+        self._gone = set()
+        self._gone_timer = None
+        self._watched = ()
         self.stages = stages
+        self._watch_stages()
 
     async def receive(self, receive_next, check_after_s, target_s=0.0):
         """Receive, and check the stages whenever there is no progress in time.
@@ -129,18 +135,53 @@
                 if is_silent and self._stream.can_resume(self._job):
                     return None
 
+    def _watch_stages(self):
+        """Learn at once if a later stage dies, where streams need it."""
+        if self._get_early_delay_s(self._job.route.gap_target_s) is not None:
+            self._watch(self.stages[1:])
+
+    def _watch(self, stages):
+        watcher = self._forwarder.rerouter.watcher
+        for stage in self._watched:
+            watcher.remove(stage, self._handle_gone)
+        self._watched = stages
+        for stage in stages:
+            watcher.add(stage, self._handle_gone)
+
+    def _handle_gone(self, address):
+        self._gone.add(address)
+        if self._gone_timer is None:
+            self._gone_timer = asyncio.get_running_loop().call_later(
+                _GATHER_S, self._reroute_around_gone
+            )
+
+    def _reroute_around_gone(self):
+        self._gone_timer = None
+        present = {stage.endpoint.address for stage in self.stages}
+        gone = self._gone & present
+        if not gone:
+            return
+        if self._is_rerouting():
+            self._handle_gone(next(iter(gone)))
+        else:
+            self._start_reroute(gone | self._list_leaving())
+
+    def _get_early_delay_s(self, target_s):
+        """Return the delay of early checks, or None if there are none."""
+        features = self._forwarder.settings.features
+        if not features.early_stall_checks or self.stages[0].layers is None:
+            return None
+        return routing.get_early_delay_s(target_s)
+
     def _begin_waiting(self, check_after_s, target_s):
         """Set the times of the first checks."""
         now = self._forwarder.now()
-        self._waiting_since = now
         self._check_at = now + check_after_s
         self._checks = self._early_checks = 0
         self._check_interval_s = _CHECK_INTERVAL_S
         self._early_check_at = None
-        if not self._forwarder.settings.features.early_stall_checks:
-            return
-        delay_s = routing.get_check_delay_s(target_s, check_after_s)
-        if delay_s < check_after_s and self.stages[0].layers is not None:
+        delay_s = self._get_early_delay_s(target_s)
+        if delay_s is not None:
             self._early_check_at = now + delay_s
             self._early_delay_s = delay_s
 
@@ -165,7 +206,7 @@
             stage.endpoint.address: now - self._get_state(stage).progress_at
             for stage in self.stages
         }
-        suspects = routing.choose_suspects(ages_s, now - self._waiting_since)
+        suspects = routing.choose_suspects(ages_s, self._early_delay_s)
         if not suspects:
             return False
         stages = self.stages
@@ -177,7 +218,6 @@
         if stages[0].endpoint.address in failed:
             return True
         if failed:
-            self._has_early_reroute = True
             self._start_reroute(failed | self._list_leaving())
         return False
 
@@ -197,17 +237,10 @@
         """Set the time of the next early check, if there is another one."""
         self._early_checks += 1
         self._early_check_at = None
-        if (
-            not self._has_early_reroute
-            or self._early_checks >= _MAX_EARLY_CHECKS
-        ):
-            return
-        # A new stage may have failed, too.
-        self._has_early_reroute = False
-        self._early_check_at = self._forwarder.now() + self._early_delay_s
-        self._check_at = max(
-            self._check_at, self._early_check_at + _CHECK_POLL_S
-        )
+        if self._early_checks < _MAX_EARLY_CHECKS:
+            self._early_check_at = (
+                self._forwarder.now() + self._early_delay_s / 2
+            )
 
     def postpone_checks(self):
         """Begin to wait for progress anew."""
@@ -227,6 +260,9 @@
     def close(self):
         """Cancel a check and a reroute that are in progress."""
         self.postpone_checks()
+        self._watch(())
+        if self._gone_timer is not None:
+            self._gone_timer.cancel()
         if self._reroute_task is not None:
             self._reroute_task.cancel()
 
@@ -356,5 +392,6 @@
         )
         if rerouted is not self.stages:
             self.stages = rerouted
+            self._watch_stages()
             self._speed_sampler.restart()
             self._reservation.reserve(rerouted, self._forwarder.now())
--- a/sniperudder/forwarding/_rerouting.py
+++ b/sniperudder/forwarding/_rerouting.py
@@ -12,6 +12,7 @@
 from sniperudder.forwarding import _connections
 from sniperudder.forwarding import _engines
 from sniperudder.forwarding import _stage_probes
+from sniperudder.forwarding import _stage_watches
 from sniperudder import platform
 from sniperudder import routing
 
@@ -44,6 +45,10 @@
     journal : object
         Event log; see `Forwarder`.
     notice_recorder : NoticeRecorder
+
+    Attributes
+    ----------
+    watcher : StageWatcher
     """
 
     def __init__(self, T, rng, journal, notice_recorder):
@@ -55,6 +60,12 @@
             pool, _CALL_TIMEOUT_S, notice_recorder
         )
         self._prober = _stage_probes.StageProber(pool, notice_recorder)
+        self.watcher = _stage_watches.StageWatcher(
+            T,
+            lambda endpoint: self._record_failed_stage(
+                endpoint, routing.Sign.GONE
+            ),
+        )
         self._reports = {}
 
     async def find_sign_of_life(self, stage):
--- a/sniperudder/forwarding/_stage_probes.py
+++ b/sniperudder/forwarding/_stage_probes.py
@@ -18,6 +18,11 @@
 # Time for which the result of a call is used for other streams, seconds.
 _MAX_AGE_S = 0.15
 
+# Largest number of calls at once, and calls per second after that. Calls are
+# priced, and under load many sound streams pause for as long as a check takes.
+_MAX_CALLS = 18.0
+_CALLS_PER_S = 3.0
+
 _Sign = routing.Sign
 
 
@@ -31,7 +36,7 @@
     notice_recorder : NoticeRecorder
     """
 
-    __slots__ = ('_calls', '_engine_client')
+    __slots__ = ('_allowed', '_allowed_at', '_calls', '_engine_client')
 
     def __init__(self, pool, notice_recorder):
         self._engine_client = _engines.EngineClient(
@@ -39,6 +44,9 @@
         )
         # Time of the call and its task, by run.
         self._calls = {}
+        # Number of calls that were allowed at a loop time.
+        self._allowed = _MAX_CALLS
+        self._allowed_at = 0.0
 
     async def probe(self, endpoints):
         """Return the sign of life of each endpoint.
@@ -50,8 +58,14 @@
         Returns
         -------
         dict of str to sniperudder.routing.Sign
-            By address; without those that could not be asked.
+            By address; without those that could not be asked, and empty if
+            too many calls were made lately.
         """
+        self._drop_old_calls()
+        endpoints = list(endpoints)
+        new = [e for e in endpoints if _get_run_id(e) not in self._calls]
+        if not self._take_calls(len(new)):
+            return {}
         tasks = {e.address: self._get_call(e) for e in endpoints}
         signs = await asyncio.gather(*map(asyncio.shield, tasks.values()))
         return {
@@ -62,15 +76,28 @@
 
     def _get_call(self, endpoint):
         """Return the task of a recent call to an endpoint, or a new one."""
+        run_id = _get_run_id(endpoint)
+        if run_id not in self._calls:
+            task = asyncio.create_task(self._call(endpoint))
+            self._calls[run_id] = _read_time(), task
+        return self._calls[run_id][1]
+
+    def _drop_old_calls(self):
         now = _read_time()
         for run_id, (called_at, task) in list(self._calls.items()):
             if task.done() and now - called_at > _MAX_AGE_S:
                 del self._calls[run_id]
-        run_id = endpoint.id, endpoint.born_ms
-        if run_id not in self._calls:
-            task = asyncio.create_task(self._call(endpoint))
-            self._calls[run_id] = now, task
-        return self._calls[run_id][1]
+
+    def _take_calls(self, count):
+        """Take a number of calls from those that are allowed, if possible."""
+        now = _read_time()
+        earned = (now - self._allowed_at) * _CALLS_PER_S
+        self._allowed = min(self._allowed + earned, _MAX_CALLS)
+        self._allowed_at = now
+        if count > self._allowed:
+            return False
+        self._allowed -= count
+        return True
 
     async def _call(self, endpoint):
         called_at = _read_time()
@@ -87,5 +114,9 @@
         return _Sign.SILENT
 
 
+def _get_run_id(endpoint):
+    return endpoint.id, endpoint.born_ms
+
+
 def _read_time():
     return asyncio.get_running_loop().time()
--- a/sniperudder/routing/__init__.py
+++ b/sniperudder/routing/__init__.py
@@ -46,7 +46,7 @@
 from sniperudder.routing._shortage import get_limited_capacity
 from sniperudder.routing._shortage import RankCounter
 from sniperudder.routing._stall_checks import choose_suspects
-from sniperudder.routing._stall_checks import get_check_delay_s
+from sniperudder.routing._stall_checks import get_early_delay_s
 from sniperudder.routing._stall_checks import judge_signs
 from sniperudder.routing._stall_checks import Sign
 
@@ -71,7 +71,7 @@
     'compute_share',
     'estimate_stage_ms',
     'find_chain',
-    'get_check_delay_s',
+    'get_early_delay_s',
     'get_kv_capacity',
     'get_limited_capacity',
     'get_pause_s',
--- a/sniperudder/routing/_stall_checks.py
+++ b/sniperudder/routing/_stall_checks.py
@@ -8,18 +8,25 @@
 
 import enum
 
-__all__ = ['Sign', 'choose_suspects', 'get_check_delay_s', 'judge_signs']
+__all__ = ['Sign', 'choose_suspects', 'get_early_delay_s', 'judge_signs']
 
 # Share of the longest gap of a timely stream after which its stages are
 # checked. The new stages have to read the prompt again and make a whole
 # event, which takes about a third of that gap.
-_DELAY_SHARE = 0.4
+_DELAY_SHARE = 0.45
 
 # Shortest delay until a check, seconds. Sound streams under load often pause
 # for less, and each check costs calls to the stages. Routes with a shorter
 # share have no early checks.
 _MIN_DELAY_S = 0.1
 
+# Delay until the usual check, seconds.
+_USUAL_DELAY_S = 0.4
+
+# Share of the delay within which progress shows that a stage runs. Streams
+# through one stage do not make progress at the same moment.
+_PROGRESS_SHARE = 0.6
+
 
 class Sign(enum.Enum):
     """What a call to a stage shows.
@@ -36,29 +43,28 @@
     SILENT = 'silent'
 
 
-def get_check_delay_s(target_s, default_s):
-    """Return the time without an event after which stages are checked.
+def get_early_delay_s(target_s):
+    """Return the time without an event after which stages are checked early.
 
     Parameters
     ----------
     target_s : float
         Longest gap of a timely stream, or its time to the first event,
         seconds; 0 if the route has no target.
-    default_s : float
-        Delay of checks that are not early, seconds.
 
     Returns
     -------
-    float
-        Seconds; `default_s` if the target leaves no time for an early check.
+    float or None
+        Seconds; None if the target leaves no time for an early check, or so
+        much that the usual one comes in time.
 
     Examples
     --------
-    >>> [get_check_delay_s(target_s, 0.4) for target_s in (0.25, 0.2, 0.0)]
-    [0.1, 0.4, 0.4]
+    >>> [get_early_delay_s(target_s) for target_s in (0.25, 0.2, 0.0, 1.0)]
+    [0.1125, None, None, None]
     """
     delay_s = target_s * _DELAY_SHARE
-    return delay_s if _MIN_DELAY_S <= delay_s < default_s else default_s
+    return delay_s if _MIN_DELAY_S <= delay_s < _USUAL_DELAY_S else None
 
 
 def choose_suspects(progress_ages_s, delay_s):
@@ -70,13 +76,13 @@
         Time since any stream made progress through a stage, by address,
         seconds.
     delay_s : float
-        Time since the stream itself made progress, seconds.
+        Time without an event after which the stages are checked, seconds.
 
     Returns
     -------
     set
-        Addresses. Another stream that has made progress since then shows that
-        a stage runs.
+        Addresses. Another stream that has made progress lately shows that a
+        stage runs.
 
     Examples
     --------
@@ -86,7 +92,7 @@
     return {
         address
         for address, age_s in progress_ages_s.items()
-        if age_s >= delay_s
+        if age_s >= delay_s * _PROGRESS_SHARE
     }
 
 
