--- a/sniperudder/forwarding/_stage_probes.py
+++ b/sniperudder/forwarding/_stage_probes.py
@@ -20,8 +20,8 @@
 
 # Largest number of calls at once, and calls per second after that. Calls are
 # priced, and under load many sound streams pause for as long as a check takes.
-_MAX_CALLS = 18.0
-_CALLS_PER_S = 3.0
+_MAX_CALLS = 30.0
+_CALLS_PER_S = 6.0
 
 _Sign = routing.Sign
 
