Spread the streams of a dead stage over its replacements

Cause: all instances replace a dead stage within some 0.1 s, before they learn of each other's choices, and all chose the cheapest engine, which then had to prefill the prompts of all of these streams.

Change: for replacements, the cost of each engine is multiplied by an exponential variate, so that each is chosen inversely to its cost.

Test: 9, 83 and 390 instances with three streams each; with the old factor all of them go to the fast engine.

--- a/sniperudder/routing/_chains.py
+++ b/sniperudder/routing/_chains.py
@@ -104,6 +104,11 @@
     ----------
     limit : float
         Largest utilisation of KV caches, and of the usable share of links.
+    spread : bool
+        Whether many instances choose at the same moment. The cost of each
+        endpoint is then multiplied by an exponential variate, so that the
+        cheapest one is chosen with a probability inversely proportional to
+        its cost.
     """
 
     T: fleet.FleetTables
@@ -113,6 +118,13 @@
     now: float
     rng: random.Random
     limit: float
+    spread: bool = False
+
+    def draw_factor(self):
+        """Return a random factor on the cost of an endpoint."""
+        if self.spread:
+            return self.rng.expovariate(1.0)
+        return 1.0 + _JITTER * self.rng.random()
 
 
 def _find_chain(
@@ -132,7 +144,7 @@
         cost = _costs.compute_layer_cost(endpoint, load, engine, request_size)
         run_id = endpoint.id, endpoint.born_ms
         cost *= T.speeds.get_slowness(run_id, search.now)
-        candidate = endpoint, cost * (1.0 + _JITTER * search.rng.random())
+        candidate = endpoint, cost * search.draw_factor()
         (avoided if search.now < state.avoid_until else usable).append(
             candidate
         )
@@ -173,7 +185,8 @@
     Needed when a stage dies or leaves during a stream. The remaining stages
     keep their KV cache, whereas new ones have to prefill all tokens again,
     so as few stages as possible are replaced. The first stage cannot be
-    replaced.
+    replaced. All instances replace a dead stage at the same moment, before
+    they learn of each other's choices, so the choice is spread.
 
     Parameters
     ----------
@@ -199,7 +212,7 @@
             continue
         unused = [e for e in endpoints if e.address not in used]
         substitutes = _find_chain(
-            _Search(T, unused, engine, request_size, now, rng, math.inf),
+            _Search(T, unused, engine, request_size, now, rng, math.inf, True),
             (stage.layers.start, stage.layers.end),
             chain[-1].endpoint.data_centre,
         )
@@ -219,7 +232,7 @@
         and endpoint.address != first.endpoint.address
     ]
     rest = _find_chain(
-        _Search(T, others, engine, request_size, now, rng, math.inf),
+        _Search(T, others, engine, request_size, now, rng, math.inf, True),
         (first.layers.end, engine.layer_count),
         first.endpoint.data_centre,
     )
--- a/sniperudder/routing/tests/test_chains.py
+++ b/sniperudder/routing/tests/test_chains.py
@@ -1,5 +1,6 @@
 """Tests of the selection and repair of chains."""
 
+import collections
 import dataclasses
 import random
 
@@ -224,3 +225,46 @@
 
     def test_no_replacement_without_a_spare_endpoint(self):
         self.assertEqual((), self.replace(self.chain_endpoints, 'b'))
+
+
+class SimultaneousReplacementTest(testtools.TestCase):
+    """Many instances replace a dead stage at the same moment."""
+
+    # Guards against: all streams through a dead stage were rerouted to the
+    # same engine, which then had to prefill all of their prompts.
+    def test_streams_are_spread_by_speed(self):
+        first = _fleets.create_endpoint('first', 0, 40)
+        dead = _fleets.create_endpoint('dead', 40, 80)
+        spares = [
+            _fleets.create_endpoint('fast-0', 40, 80),
+            *(
+                _fleets.create_endpoint(
+                    f'slow-{n}', 40, 80, accelerator='slow'
+                )
+                for n in range(6)
+            ),
+        ]
+        stages = (
+            fleet.Stage(first, first.layers),
+            fleet.Stage(dead, dead.layers),
+        )
+        for instances in (9, 83, 390):
+            chosen = collections.Counter()
+            for number in range(instances):
+                T = _fleets.create_tables(first, dead, *spares)
+                for stream in range(3):
+                    chain = routing.replace_stages(
+                        T,
+                        [first, *spares],
+                        _fleets.ENGINE,
+                        routing.RequestSize(760.0, 200.0),
+                        stages,
+                        {dead.address},
+                        0.0,
+                        random.Random(1_000 * number + stream),
+                    )
+                    chosen[chain[1].endpoint.id] += 1
+            # The fast one is 6.4 times as fast as a slow one, and makes half
+            # of the tokens that all of them make.
+            self.assertLess(chosen['fast-0'], 0.75 * 3 * instances)
+            self.assertGreater(chosen['fast-0'], 0.25 * 3 * instances)
