Have three instances watch each engine and tell the others

Change: three instances, chosen alike by all, watch each engine. One that sees its death tells all others by a datagram; those with streams through it try to connect, and reroute them if they are refused. A failed engine is avoided for the whole time also if it was avoided already. Loads that sums tell are extrapolated while they rise (LoadTrend): without it, the load of single engines swung between 51 and 133 requests within seconds, as all instances saw the same old loads.

--- a/sniperudder/digests/_peers.py
+++ b/sniperudder/digests/_peers.py
@@ -4,6 +4,7 @@
 
 from sniperudder.digests import _records
 from sniperudder.digests import _speeds
+from sniperudder.digests import _trends
 
 # Time without a digest after which a peer's load is no longer counted.
 # Either its requests ended with it, or their state is unknown.
@@ -63,7 +64,7 @@
         Peers by instance name.
     """
 
-    __slots__ = ('_summary', '_summary_at', '_total_loads', 'peers')
+    __slots__ = ('_summary', '_summary_at', '_total_loads', '_trend', 'peers')
 
     def __init__(self):
         self.peers = {}
@@ -72,6 +73,7 @@
         # there is one, it counts instead of the single digests.
         self._summary = None
         self._summary_at = 0.0
+        self._trend = _trends.LoadTrend()
 
     def add_peer(self, name, address, now, data_centre=''):
         """Add a peer from the platform's list, or update its address."""
@@ -115,10 +117,12 @@
         """Store the sum of the digests of all peers."""
         self._summary = summary
         self._summary_at = now
+        self._trend.record(summary.loads, now)
 
     def drop_summary(self):
         """Count the single digests again."""
         self._summary = None
+        self._trend.clear()
 
     def list_digests(self, now, data_centre):
         """Return the digests to add to the sum of a data centre.
@@ -172,7 +176,7 @@
         """
         silent = []
         if now - self._summary_at > _LOAD_EXPIRY_S:
-            self._summary = None
+            self.drop_summary()
         for name, peer in self.peers.items():
             if (
                 peer.digest is not None
@@ -225,6 +229,8 @@
     def get_load(self, endpoint):
         """Return the load that all peers together put on an endpoint.
 
+        Loads of a sum are extrapolated to the present.
+
         Parameters
         ----------
         endpoint : str
@@ -235,7 +241,7 @@
         Load
         """
         if self._summary is not None:
-            return self._summary.loads.get(endpoint, _NO_LOAD)
+            return self._trend.get_load(endpoint)
         return self._total_loads.get(endpoint, _NO_LOAD)
 
     def count_alive(self):
--- a/sniperudder/digests/_records.py
+++ b/sniperudder/digests/_records.py
@@ -8,11 +8,16 @@
 
 
 class Scope(enum.Enum):
-    """What a digest covers."""
+    """What a digest covers.
+
+    A notice tells of engines that have died and of nothing else; it replaces
+    no digest.
+    """
 
     INSTANCE = 0
     DATA_CENTRE = 1
     FLEET = 2
+    NOTICE = 3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/sniperudder/digests/digest.thrift
+++ b/sniperudder/digests/digest.thrift
@@ -94,7 +94,8 @@
   8: required i32 events;
   9: required i32 slow_events;
   10: required list<Crossing> crossings;
-  // What the digest covers: 0 the sender, 1 its data centre, 2 the fleet.
+  // What the digest covers: 0 the sender, 1 its data centre, 2 the fleet,
+  // 3 nothing but the faults.
   11: optional i32 scope = 0;
   12: optional string data_centre = "";
   13: optional i32 instances = 1;
--- a/sniperudder/entry/_gossip.py
+++ b/sniperudder/entry/_gossip.py
@@ -14,6 +14,7 @@
 from sniperudder import clocks
 from sniperudder import digests
 from sniperudder import feeds
+from sniperudder import forwarding
 from sniperudder import platform
 from sniperudder import revisions
 from sniperudder import routing
@@ -132,9 +133,12 @@
     def close(self):
         """Stop listening for digests."""
         self._exchange.close()
+        self._forwarder.rerouter.watcher.close()
 
     async def send_digests(self):
         """Send digests periodically until cancelled."""
+        watcher = self._forwarder.rerouter.watcher
+        watcher.notify_peers = self._send_notice
         while True:
             interval_s = self._get_interval_s()
             await asyncio.sleep(interval_s)
@@ -143,6 +147,7 @@
             self._forwarder.crash_monitor.update()
             self._update_quotas(now)
             self._update_speeds(now)
+            watcher.update(self._forwarder.has_early_checks)
             for name in self._T.peers.expire_loads(now):
                 self._journal.write('instance:silent', name)
             if self._uses_sums():
@@ -153,6 +158,24 @@
             if addresses:
                 self._exchange.send(self._make_digest(), addresses)
 
+    def _send_notice(self, endpoint):
+        """Tell all peers at once that an engine has died."""
+        notice = digests.Digest(
+            sender=self._settings.name,
+            incarnation=self._incarnation,
+            sequence=0,
+            loads={},
+            faults=(
+                digests.Fault(
+                    endpoint.id, endpoint.born_ms, forwarding.DEAD_AVOID_S
+                ),
+            ),
+            scope=digests.Scope.NOTICE,
+            data_centre=self._settings.data_centre,
+        )
+        peers = self._T.peers.peers.values()
+        self._exchange.send(notice, [peer.address for peer in peers])
+
     def _update_quotas(self, now):
         # As told in the digest that is sent next.
         self._demands = self._forwarder.list_demands()
@@ -457,6 +480,9 @@
         now = _read_monotonic_time()
         if digest.sender == self._settings.name:
             return
+        if digest.scope is digests.Scope.NOTICE:
+            self._apply_notice(digest)
+            return
         if digest.scope is digests.Scope.FLEET:
             if not self._record_summary(digest, now):
                 return
@@ -474,6 +500,13 @@
             f'{address[0]}:{address[1]}', digest.configuration_version
         )
 
+    def _apply_notice(self, notice):
+        self._forwarder.apply_fault_notices(notice.sender, notice.faults)
+        if self._forwarder.has_early_checks:
+            watcher = self._forwarder.rerouter.watcher
+            for fault in notice.faults:
+                watcher.handle_notice((fault.endpoint, fault.born_ms))
+
     def _record_summary(self, total, now):
         """Store a sum of all digests; return whether it was accepted."""
         member = self._members.get(total.sender)
--- a/sniperudder/forwarding/__init__.py
+++ b/sniperudder/forwarding/__init__.py
@@ -9,6 +9,7 @@
 from sniperudder.forwarding._engines import NoResponse
 from sniperudder.forwarding._forwarder import Forwarder
 from sniperudder.forwarding._notices import NoticeRecorder
+from sniperudder.forwarding._rerouting import DEAD_AVOID_S
 from sniperudder.forwarding._turns import run_in_turns
 
 __all__ = [
@@ -16,6 +17,7 @@
     'CallerServer',
     'ConnectionPool',
     'Cut',
+    'DEAD_AVOID_S',
     'EngineClient',
     'Forwarder',
     'NoResponse',
--- a/sniperudder/forwarding/_forwarder.py
+++ b/sniperudder/forwarding/_forwarder.py
@@ -78,7 +78,7 @@
         self.load_shedder = _shedding.LoadShedder(T, self.rng, journal)
         self.notice_recorder = _notices.NoticeRecorder(T, journal)
         self.rerouter = _rerouting.StreamRerouter(
-            T, self.rng, journal, self.notice_recorder
+            T, settings.name, self.rng, journal, self.notice_recorder
         )
         self.crash_monitor = _crash_monitor.CrashMonitor(
             T, pool, journal, self.rerouter.find_sign_of_life
--- a/sniperudder/forwarding/_monitors.py
+++ b/sniperudder/forwarding/_monitors.py
@@ -143,10 +143,10 @@
     def _watch(self, stages):
         watcher = self._forwarder.rerouter.watcher
         for stage in self._watched:
-            watcher.remove(stage, self._handle_gone)
+            watcher.remove_listener(stage, self._handle_gone)
         self._watched = stages
         for stage in stages:
-            watcher.add(stage, self._handle_gone)
+            watcher.add_listener(stage, self._handle_gone)
 
     def _handle_gone(self, address):
         self._gone.add(address)
--- a/sniperudder/forwarding/_rerouting.py
+++ b/sniperudder/forwarding/_rerouting.py
@@ -41,6 +41,8 @@
     Parameters
     ----------
     T : sniperudder.fleet.FleetTables
+    name : str
+        Name of this instance.
     rng : random.Random
     journal : object
         Event log; see `Forwarder`.
@@ -51,7 +53,7 @@
     watcher : StageWatcher
     """
 
-    def __init__(self, T, rng, journal, notice_recorder):
+    def __init__(self, T, name, rng, journal, notice_recorder):
         self._T = T
         self._rng = rng
         self._journal = journal
@@ -62,6 +64,7 @@
         self._prober = _stage_probes.StageProber(pool, notice_recorder)
         self.watcher = _stage_watches.StageWatcher(
             T,
+            name,
             lambda endpoint: self._record_failed_stage(
                 endpoint, routing.Sign.GONE
             ),
@@ -154,14 +157,13 @@
     def _record_failed_stage(self, endpoint, sign):
         state = fleet.get_state(self._T, endpoint)
         now = asyncio.get_running_loop().time()
-        if routing.is_avoided(state, now):
-            return
-        self._journal.write(
-            'endpoint:failed',
-            endpoint.id,
-            address=endpoint.address,
-            sign=sign.value,
-        )
+        if not routing.is_avoided(state, now):
+            self._journal.write(
+                'endpoint:failed',
+                endpoint.id,
+                address=endpoint.address,
+                sign=sign.value,
+            )
         if sign is routing.Sign.GONE:
             routing.record_dead(state, now, DEAD_AVOID_S)
         else:
--- a/sniperudder/routing/__init__.py
+++ b/sniperudder/routing/__init__.py
@@ -26,6 +26,7 @@
 from sniperudder.routing._health import record_refusal
 from sniperudder.routing._health import record_success
 from sniperudder.routing._quotas import choose_holders
+from sniperudder.routing._quotas import choose_watchers
 from sniperudder.routing._quotas import compute_share
 from sniperudder.routing._quotas import has_quota
 from sniperudder.routing._quotas import rank_instances
@@ -65,6 +66,7 @@
     'choose_holders',
     'choose_service',
     'choose_suspects',
+    'choose_watchers',
     'compute_admitted_shares',
     'compute_crossing_cost',
     'compute_layer_cost',
--- a/sniperudder/routing/_quotas.py
+++ b/sniperudder/routing/_quotas.py
@@ -66,7 +66,24 @@
     >>> len(choose_holders(('gpu-1', 5), names, 4.3))
     6
     """
-    count = min(len(names), int(rate_limit) + _EXTRA_HOLDERS)
+    return choose_watchers(run_id, names, int(rate_limit) + _EXTRA_HOLDERS)
+
+
+def choose_watchers(run_id, names, count):
+    """Choose a number of instances for an endpoint, alike at all instances.
+
+    Parameters
+    ----------
+    run_id, names
+        See `choose_holders`.
+    count : int
+
+    Returns
+    -------
+    list of str
+        Fewer if there are fewer instances.
+    """
+    count = min(len(names), count)
     start = bisect.bisect(names, (_hash(f'{run_id[0]}/{run_id[1]}'), ''))
     return [names[(start + offset) % len(names)][1] for offset in range(count)]
 
