Find new slowness within a second, with two watchers an engine

Cause: the fastest sample of the last 2 s counted, at each instance and once more in sums. Where other instances' samples count, too, 0.8 s are enough.

Two watchers now.

--- a/sniperudder/digests/_speeds.py
+++ b/sniperudder/digests/_speeds.py
@@ -12,8 +12,9 @@
 MAX_SPEEDS = 250
 
 # Difference between the ages of two entries above which only the newer one
-# counts, seconds: the window in which an instance samples streams.
-_WINDOW_S = 2.0
+# counts, seconds. A fast sample from before an engine became slow hides for as
+# long that it is slow.
+_WINDOW_S = 0.8
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/sniperudder/fleet/_speeds.py
+++ b/sniperudder/fleet/_speeds.py
@@ -10,6 +10,9 @@
 # Length of the window of samples, seconds: a few samples of each stream.
 _WINDOW_S = 2.0
 
+# The same where samples of other instances count, too, which are many.
+_SHARED_WINDOW_S = 0.8
+
 # Time for which an endpoint counts as slow without new samples, seconds;
 # after that, requests may be sent to it again.
 _SLOW_EXPIRY_S = 6.0
@@ -119,15 +122,19 @@
         float
             1 if the endpoint is not known to be slow.
         """
-        count, slowness, age_s = self._get_own(run_id, now)
-        min_samples = _MIN_ENDPOINT_SAMPLES
         told = self._told.get(run_id)
-        if told is not None:
+        if told is None:
+            min_samples = _MIN_ENDPOINT_SAMPLES
+            count, slowness, age_s = self._get_own(run_id, now, _WINDOW_S)
+        else:
             min_samples = _MIN_SHARED_SAMPLES
+            count, slowness, age_s = self._get_own(
+                run_id, now, _SHARED_WINDOW_S
+            )
             told_age_s = now - told.sampled_at
-            if told_age_s < age_s - _WINDOW_S:
+            if told_age_s < age_s - _SHARED_WINDOW_S:
                 count, slowness = told.samples, told.slowness
-            elif told_age_s <= age_s + _WINDOW_S:
+            elif told_age_s <= age_s + _SHARED_WINDOW_S:
                 count += told.samples
                 slowness = min(slowness, told.slowness)
             age_s = min(age_s, told_age_s)
@@ -137,13 +144,20 @@
             return 1.0
         return min(slowness, _MAX_SLOWNESS)
 
-    def _get_own(self, run_id, now):
-        """Return the number of samples, the fastest one and their age."""
+    def _get_own(self, run_id, now, window_s):
+        """Return the number of the last samples, the fastest, and their age.
+
+        Parameters
+        ----------
+        window_s : float
+            Time before the last sample within which samples count, seconds.
+        """
         samples = self._samples.get(run_id)
         if not samples:
             return 0, _MAX_SLOWNESS, math.inf
-        fastest = min(sample for _, sample in samples)
-        return len(samples), fastest, now - samples[-1][0]
+        oldest = samples[-1][0] - window_s
+        counted = [sample for at, sample in samples if at >= oldest]
+        return len(counted), min(counted), now - samples[-1][0]
 
     def list_speeds(self, now):
         """Return what to tell other instances of the speed of endpoints.
@@ -154,7 +168,9 @@
             By run id.
         """
         speeds = {
-            run_id: digests.Speed(*self._get_own(run_id, now))
+            run_id: digests.Speed(
+                *self._get_own(run_id, now, _SHARED_WINDOW_S)
+            )
             for run_id in self._samples
         }
         recent = {
--- a/sniperudder/forwarding/_stage_watches.py
+++ b/sniperudder/forwarding/_stage_watches.py
@@ -19,8 +19,8 @@
 _CONNECT_TIMEOUT_S = 0.05
 
 # Number of instances that watch an engine. With half of the instances gone,
-# seven of eight engines are still watched.
-_WATCHERS = 3
+# three of four engines are still watched.
+_WATCHERS = 2
 
 # Largest number of connections that an instance keeps. Each takes a
 # descriptor, of which an instance has a few thousand.
