--- a/sniperudder/entry/tests/test_processes.py
+++ b/sniperudder/entry/tests/test_processes.py
@@ -35,11 +35,14 @@
     store : StoreStandin
     folder : str
         Directory of the settings file.
+    limits : dict, optional
+        Limits of the machine, as in the settings file.
     """
 
-    def __init__(self, store, folder):
+    def __init__(self, store, folder, limits=None):
         self._path = pathlib.Path(folder, 'settings.json')
         self._store = store
+        self._limits = limits or {}
         self._child = None
         self._lines = []
         self._reading = None
@@ -65,6 +68,7 @@
             'port_range': [port, port],
             'platform': {'address': self._store.address},
             'bounds': bounds,
+            'limits': self._limits,
         }
         self._path.write_text(json.dumps(settings))
         self._child = await asyncio.create_subprocess_exec(
@@ -79,6 +83,16 @@
             while await self.get_readiness() != 200:
                 await asyncio.sleep(_POLL_S)
 
+    @property
+    def pid(self):
+        """Id of the process."""
+        return self._child.pid
+
+    @property
+    def is_running(self):
+        """Whether the process has not ended."""
+        return self._child.returncode is None
+
     async def get_readiness(self):
         """Return the status of the readiness probe, or None if it fails."""
         try:
@@ -122,17 +136,19 @@
 
 
 @contextlib.asynccontextmanager
-async def run_process(*endpoints, engine=None):
+async def run_process(
+    *endpoints, engine=None, limits=None, configuration=None
+):
     """Run an instance as a process that routes requests to stand-ins."""
     store = standins.StoreStandin()
     await store.start()
     for endpoint in endpoints:
         await endpoint.start()
         endpoint.list_in(store)
-    configuration = standins.make_configuration(engine=engine)
+    configuration = configuration or standins.make_configuration(engine=engine)
     store.put_json('op', 'config', configuration)
     with tempfile.TemporaryDirectory() as folder:
-        process = Process(store, folder)
+        process = Process(store, folder, limits)
         try:
             await process.start()
             yield process
