Read no further request while a caller leaves its responses unread

Callers saw: a process that ran out of memory beside callers that send requests ahead and read no response; ordinary requests unanswered, as the loop was held.

Cause: the next request of a connection was parsed and answered however much of the responses before was unsent; what was sent ahead (up to 4.2 MB a connection, and the kernel's receive buffer of several MB) stayed at hand, and the parser copied all of it for each request (`trailing_data`).

After a response of which over 16 KiB are unsent, a connection is in a phase of its own (FLUSHING) until they are accepted; it is closed (`not read`) if nothing is accepted for the idle timeout. Reading pauses while over 64 KiB are at hand that no body needs. Accepted connections have a receive buffer of 16 KiB: what is paused counts as memory at the platform.

--- a/sniperudder/forwarding/_caller_connections.py
+++ b/sniperudder/forwarding/_caller_connections.py
@@ -9,6 +9,7 @@
 
 from sniperudder.forwarding import _closures
 from sniperudder.forwarding import _exchanges
+from sniperudder.forwarding import _request_reader
 from sniperudder.forwarding import _sockets
 from sniperudder.forwarding import _turns
 
@@ -21,12 +22,16 @@
 # that the loop had not read, seconds.
 _UNREAD_RECHECK_S = 0.05
 
+# Unparsed bytes from which on reading pauses while no response is awaited.
+_READ_AHEAD_BYTES = 65_536
+
 # HTTP status sent if the handler fails to respond. It does not imply whether
 # the request ran.
 _INTERNAL_ERROR_STATUS = 502
 
-# Brings a new parser into the state in which it accepts a response.
-_PLACEHOLDER_REQUEST = b'GET / HTTP/1.1\r\nHost: -\r\n\r\n'
+# Unsent bytes from which on no further request of a connection is read, and
+# streams to it pause. The kernel holds as much as the connection carries.
+_UNSENT_PAUSE_BYTES = 16_384
 
 # Limits that apply until a configuration is loaded.
 _DEFAULT_MAX_HEADER_BYTES = 16_384
@@ -106,6 +111,8 @@
     HEAD = 'head'
     BODY = 'body'
     RESPONSE = 'response'
+    # The response is complete, and the caller has not accepted it.
+    FLUSHING = 'flushing'
     CLOSING = 'closing'
 
 
@@ -126,7 +133,7 @@
         self.cut = None
         self._server = server
         self._transport = None
-        self._http = None
+        self._reader = None
         self._limits = server.limits
         self._idle_since = 0.0
         # Bytes read since the last request that was read completely.
@@ -154,7 +161,10 @@
         """See base class."""
         self._transport = transport
         self._limits = self._server.limits
-        self._http = self._create_parser()
+        transport.set_write_buffer_limits(_UNSENT_PAUSE_BYTES)
+        self._reader = _request_reader.RequestReader(
+            self._limits.max_header_bytes
+        )
         self._idle_since = self._loop.time()
         _sockets.enable_keepalive(transport.get_extra_info('socket'))
         self._server.connections.add(self)
@@ -167,12 +177,9 @@
             return
         if self._phase is _Phase.IDLE:
             self._apply_limits()
-        self._http.receive_data(data)
-        if self._phase is _Phase.RESPONSE:
-            pending, _ = self._http.trailing_data
-            if len(pending) > self._get_max_pending_bytes():
-                # From here on, it goes unseen if the caller leaves.
-                self._transport.pause_reading()
+        self._reader.receive(data)
+        if self._phase in (_Phase.RESPONSE, _Phase.FLUSHING):
+            self._update_reading()
             return
         if self._phase is _Phase.IDLE:
             self._enter_phase(_Phase.HEAD)
@@ -180,12 +187,6 @@
             self._enter_phase(_Phase.BODY)
         self._process_events()
 
-    def _create_parser(self):
-        return h11.Connection(
-            h11.SERVER,
-            max_incomplete_event_size=self._limits.max_header_bytes,
-        )
-
     def _apply_limits(self):
         """Apply the present limits to the next request of a kept connection.
 
@@ -193,7 +194,7 @@
         """
         if self._limits != self._server.limits:
             self._limits = self._server.limits
-            self._http = self._create_parser()
+            self._reader.replace_parser(self._limits.max_header_bytes)
 
     def eof_received(self):
         """See base class."""
@@ -220,6 +221,8 @@
     def resume_writing(self):
         """See base class."""
         self._writable.set()
+        if self._phase is _Phase.FLUSHING:
+            self._begin_next_request()
 
     def is_idle(self, min_idle_s=0.0):
         """Return whether it is unused, with nothing left to read or to send.
@@ -257,7 +260,7 @@
     @property
     def response_started(self):
         """Whether the head of a response was sent, but not its end."""
-        return self._http.our_state is h11.SEND_BODY
+        return self._reader.http.our_state is h11.SEND_BODY
 
     def close(self, reason):
         """Close the connection, on which no request is in progress.
@@ -337,7 +340,7 @@
     def _write(self, event):
         if self._transport.is_closing():
             return
-        self._transport.write(self._http.send(event))
+        self._transport.write(self._reader.http.send(event))
         self._head_sent = True
 
     def _set_cut(self, cut):
@@ -347,7 +350,7 @@
 
     def _is_responding(self):
         """Return whether a request was read and its response is incomplete."""
-        return self._task is not None and self._http.our_state in (
+        return self._task is not None and self._reader.http.our_state in (
             h11.SEND_RESPONSE,
             h11.SEND_BODY,
             h11.ERROR,
@@ -358,14 +361,14 @@
             self._task.cancel()
 
     def _enter_phase(self, phase):
-        if phase is _Phase.IDLE:
+        if phase in (_Phase.IDLE, _Phase.FLUSHING):
             self._idle_since = self._loop.time()
             self._unsent_bytes = math.inf
         self._phase = phase
         limits = self._limits
         if phase is _Phase.HEAD:
             self._set_timer(limits.header_timeout_s)
-        elif phase in (_Phase.IDLE, _Phase.BODY):
+        elif phase in (_Phase.IDLE, _Phase.BODY, _Phase.FLUSHING):
             self._set_timer(limits.idle_timeout_s)
         else:
             self._set_timer(None)
@@ -389,6 +392,12 @@
             else:
                 self._reject(408)
             return
+        if self._phase is _Phase.FLUSHING:
+            if self._has_read_on():
+                self._set_timer(self._server.limits.idle_timeout_s)
+            else:
+                self.close(_closures.ClosureReason.NOT_READ)
+            return
         # A caller may use the connection for as long as the present limits
         # allow, if they are longer than those that held before.
         idle_timeout_s = self._server.limits.idle_timeout_s
@@ -413,6 +422,11 @@
         return 0 < self._unsent_bytes < before
 
     def _process_events(self):
+        self._parse()
+        if not self._has_unparsed and self._phase is not _Phase.CLOSING:
+            self._update_reading()
+
+    def _parse(self):
         turn_ends_at = _turns.begin_turn()
         while self._phase in (_Phase.HEAD, _Phase.BODY):
             if _turns.read_clock() >= turn_ends_at:
@@ -421,12 +435,12 @@
                 self._loop.call_soon(self._resume_processing)
                 return
             try:
-                event = self._http.next_event()
+                event = self._reader.next_event()
             except h11.RemoteProtocolError as error:
                 self._reject(error.error_status_hint)
                 return
             if event is h11.NEED_DATA:
-                if self._http.they_are_waiting_for_100_continue:
+                if self._reader.http.they_are_waiting_for_100_continue:
                     self._write(
                         h11.InformationalResponse(status_code=100, headers=[])
                     )
@@ -439,17 +453,27 @@
             self._limits.max_body_bytes, self._server.limits.max_body_bytes
         )
 
-    def _get_max_pending_bytes(self):
-        """Return the limit for what is read during a response.
+    def _update_reading(self):
+        """Pause reading while more is at hand than is needed."""
+        if self._reader.unparsed_bytes > self._get_max_unparsed_bytes():
+            self._transport.pause_reading()
+        elif self._phase is not _Phase.RESPONSE:
+            # Otherwise, more was read for each of many pipelined requests.
+            self._transport.resume_reading()
+
+    def _get_max_unparsed_bytes(self):
+        """Return the limit for what is read and not parsed.
 
-        Callers normally send nothing then, and at most the next request.
+        During a response, callers normally send at most the next request. If
+        it is not read, it goes unseen that the caller leaves.
         """
-        return self._limits.max_header_bytes + self._get_max_body_bytes()
+        if self._phase is _Phase.RESPONSE:
+            return self._limits.max_header_bytes + self._get_max_body_bytes()
+        return _READ_AHEAD_BYTES
 
     def _resume_processing(self):
         self._has_unparsed = False
         if not self._transport.is_closing():
-            self._transport.resume_reading()
             self._process_events()
 
     def _handle_event(self, event):
@@ -489,7 +513,7 @@
             arrived_at=self._loop.time(),
         )
         self._body_chunks = []
-        self._unanswered_bytes = len(self._http.trailing_data[0])
+        self._unanswered_bytes = self._reader.unparsed_bytes
         self.cut = None
         self._head_sent = False
         self._task = self._loop.create_task(self._run_handler(request))
@@ -541,13 +565,10 @@
 
     def _send_internal_error(self):
         """Respond with an error after the handler failed to respond."""
-        if self._http.our_state is h11.ERROR:
+        if self._reader.http.our_state is h11.ERROR:
             # The parser refused the handler's response before any of it was
             # sent, and accepts no other.
-            self._http = self._create_parser()
-            self._http.receive_data(_PLACEHOLDER_REQUEST)
-            while self._http.their_state is not h11.DONE:
-                self._http.next_event()
+            self._reader.accept_response()
         self.send_response(
             _INTERNAL_ERROR_STATUS, [(b'Connection', b'close')], b''
         )
@@ -555,29 +576,32 @@
     def _prepare_next_request(self):
         """Keep the connection for another request, or close it."""
         if (
-            self._http.our_state is not h11.DONE
-            or self._http.their_state is not h11.DONE
+            self._reader.http.our_state is not h11.DONE
+            or self._reader.http.their_state is not h11.DONE
         ):
             self._transport.resume_reading()
             self._closure_reason = _closures.ClosureReason.AFTER_RESPONSE
             self._idle_since = self._loop.time()
             self._close_after_writing()
             return
-        self._http.start_next_cycle()
-        pending, _ = self._http.trailing_data
-        if self._limits != self._server.limits:
-            self._limits = self._server.limits
-            self._http = self._create_parser()
-            if pending:
-                self._http.receive_data(pending)
-        self._transport.resume_reading()
-        self._enter_phase(_Phase.HEAD if pending else _Phase.IDLE)
+        self._reader.start_next_request()
+        if self._writable.is_set():
+            self._begin_next_request()
+        else:
+            self._enter_phase(_Phase.FLUSHING)
+
+    def _begin_next_request(self):
+        """Read another request, now that the caller accepts responses."""
+        self._apply_limits()
+        is_pending = self._reader.unparsed_bytes > 0
+        self._enter_phase(_Phase.HEAD if is_pending else _Phase.IDLE)
+        self._update_reading()
         self._process_events()
 
     def _reject(self, status):
         """Respond with an error to a request that is not read completely."""
         self._server.report_rejection(status)
-        if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+        if self._reader.http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             self._write(
                 h11.Response(
                     status_code=status,
--- a/sniperudder/forwarding/_caller_server.py
+++ b/sniperudder/forwarding/_caller_server.py
@@ -6,6 +6,12 @@
 from sniperudder.forwarding import _closures
 from sniperudder.forwarding import _sockets
 
+# Connections that may wait to be accepted.
+_BACKLOG = 1024
+
+# Receive buffer of a connection: what arrives while reading is paused.
+_RECEIVE_BUFFER_BYTES = 16_384
+
 # Number of turns of the loop until an accepted connection is known.
 _ACCEPT_TURNS = 3
 
@@ -82,12 +88,11 @@
             If the address cannot be used.
         """
         host, _, port = address.rpartition(':')
+        sock = _sockets.create_listener(
+            host, int(port), _RECEIVE_BUFFER_BYTES, _BACKLOG
+        )
         self._server = await asyncio.get_running_loop().create_server(
-            self._create_connection,
-            host,
-            int(port),
-            backlog=1024,
-            reuse_address=True,
+            self._create_connection, sock=sock, backlog=_BACKLOG
         )
 
     async def stop_listening(self):
--- a/sniperudder/forwarding/_closures.py
+++ b/sniperudder/forwarding/_closures.py
@@ -15,12 +15,16 @@
 
     AFTER_RESPONSE: the response to a request was the last one.
 
+    NOT_READ: the caller had not accepted a response for as long as a
+    connection may be idle.
+
     EXIT: the process was about to end.
     """
 
     IDLE = 'idle'
     STOPPING = 'stopping'
     AFTER_RESPONSE = 'after response'
+    NOT_READ = 'not read'
     EXIT = 'exit'
 
 
--- a/sniperudder/forwarding/_sockets.py
+++ b/sniperudder/forwarding/_sockets.py
@@ -24,6 +24,44 @@
 _TCP_INFO_SIZE = 28
 
 
+def create_listener(host, port, receive_buffer_bytes, backlog):
+    """Return a listening socket.
+
+    Parameters
+    ----------
+    host : str
+        IPv4 address.
+    port : int
+    receive_buffer_bytes : int
+        Receive buffer of the connections that it accepts. The kernel reserves
+        twice as much for it, and by default grows it to several MB.
+    backlog : int
+        Number of connections that may wait to be accepted.
+
+    Returns
+    -------
+    socket.socket
+
+    Raises
+    ------
+    OSError
+        If the address cannot be used.
+    """
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer_bytes
+        )
+        sock.bind((host, port))
+        sock.listen(backlog)
+        sock.setblocking(False)
+    except OSError:
+        sock.close()
+        raise
+    return sock
+
+
 def enable_keepalive(sock):
     """Have the kernel close a connection whose peer stops responding.
 
