Keep no request body on idle connections to endpoints

Callers saw: a process that ran out of memory beside callers within the limits that send whole bodies of 4 MB and read their responses.

Cause: `ClientConnection` kept the last request and its body while it was idle in the pool, and up to 64 connections to each endpoint are idle: 64 x 4 MB.

--- a/sniperudder/forwarding/_connections.py
+++ b/sniperudder/forwarding/_connections.py
@@ -216,6 +216,8 @@
 
     def prepare_reuse(self):
         """Prepare for another request; return whether that is possible."""
+        # Idle connections would keep the last body of each.
+        self._request = self._body = None
         if self._ended or not self.is_flushed():
             return False
         if len(self.request_ids) >= _MAX_FORWARDED:
