Bound the memory that is held for callers

Callers saw: a process that ran out of memory beside many unfinished bodies, in large or very small chunks, announced or not, and the requests in flight lost.

Cause: each body was kept up to `max_body_bytes`, each chunk as an object of its own (43 bytes and more for two), and nothing bounded the sum.

Change: `_caller_memory` keeps the account of what is held for each connection: its objects and receive buffer, unparsed bytes, the body (twice, as it is held once more while it is sent), the objects of a request in progress, unsent responses. Up to 16 KiB of a body are read at once. For more, the whole body (its length, or the limit for chunks) is reserved before it is read; meanwhile, reading pauses. Reservations are granted by age and size, small bodies in a share of their own; one is always granted if none is held. If others wait for half a second, connections that hold a reservation and lag behind 32 KiB/s by a second are given up, the longest first: a byte now and then isn't progress, nor is what came before. What waits for 3 s is rejected with 503 and Retry-After; it has not run. If the charges exceed the limit, `_retention` says which connections are given up. A rejected caller is read on for 1 MiB at most.

A property test over random orders of reservations and connections finds nothing held at the end.

--- a/sniperudder/entry/_entry.py
+++ b/sniperudder/entry/_entry.py
@@ -107,7 +107,9 @@
             self._forwarder.record_cut,
             self._record_closure,
             self._log_queued,
+            self._count_event,
         )
+        self._apply_capacity()
         self._readiness_server = forwarding.CallerServer(
             self._send_readiness, self._log_exception, self._log_rejection
         )
@@ -359,6 +361,8 @@
     async def _send_metrics(self, request, caller):
         gauges = {
             'caller_channels': len(self._caller_server.connections),
+            'caller_memory_bytes': self._caller_server.memory.used_bytes,
+            'caller_memory_waiting': self._caller_server.memory.waiting,
             'endpoint_channels_opened': self._request_pool.opened,
             'endpoints': len(self._T.endpoints),
             'instances': self._T.peers.count_alive(),
@@ -377,8 +381,17 @@
         if self._settings_file.reload():
             self._settings = self._settings_file.settings
             self._forwarder.apply_settings(self._settings)
+            self._apply_capacity()
             self._store.address = self._settings.platform_address
 
+    def _apply_capacity(self):
+        self._caller_server.apply_capacity(
+            forwarding.create_capacity(
+                self._settings.memory_mb,
+                self._settings.features.caller_memory_mb,
+            )
+        )
+
     async def _run_maintenance(self):
         while True:
             await asyncio.sleep(_MAINTENANCE_INTERVAL_S)
@@ -430,6 +443,9 @@
         self._metrics_server.close()
         self._gossip.close()
 
+    def _count_event(self, name):
+        metrics.count_event(self._metrics, name)
+
     def _log_exception(self, error):
         self._journal.write(
             'instance:fault',
--- a/sniperudder/forwarding/__init__.py
+++ b/sniperudder/forwarding/__init__.py
@@ -1,5 +1,7 @@
 """HTTP server for callers and forwarding of their requests to endpoints."""
 
+from sniperudder.forwarding._caller_capacity import CallerCapacity
+from sniperudder.forwarding._caller_capacity import create_capacity
 from sniperudder.forwarding._caller_connections import CallerLimits
 from sniperudder.forwarding._caller_connections import Cut
 from sniperudder.forwarding._caller_server import CallerServer
@@ -13,6 +15,7 @@
 from sniperudder.forwarding._turns import run_in_turns
 
 __all__ = [
+    'CallerCapacity',
     'CallerLimits',
     'CallerServer',
     'ConnectionPool',
@@ -22,6 +25,7 @@
     'Forwarder',
     'NoResponse',
     'NoticeRecorder',
+    'create_capacity',
     'request_json',
     'run_in_turns',
 ]
--- a/sniperudder/forwarding/_caller_connections.py
+++ b/sniperudder/forwarding/_caller_connections.py
@@ -4,12 +4,16 @@
 import dataclasses
 import enum
 import math
+import random
 
 import h11
 
+from sniperudder.forwarding import _caller_memory
 from sniperudder.forwarding import _closures
 from sniperudder.forwarding import _exchanges
+from sniperudder.forwarding import _progress_rates
 from sniperudder.forwarding import _request_reader
+from sniperudder.forwarding import _retention
 from sniperudder.forwarding import _sockets
 from sniperudder.forwarding import _turns
 
@@ -25,6 +29,35 @@
 # Unparsed bytes from which on reading pauses while no response is awaited.
 _READ_AHEAD_BYTES = 65_536
 
+# Memory of the objects of an open connection and of its receive buffer, and of
+# the objects of a request that is handled.
+CONNECTION_BYTES = 28_672
+_REQUEST_BYTES = 32_768
+
+# Size of a body that is read without a reservation.
+_FREE_BODY_BYTES = 16_384
+
+# Largest size of a body that counts as small.
+_SMALL_BODY_BYTES = 262_144
+
+# A body is held once for its request, and once more while it is sent.
+_BODY_COPIES = 2
+
+# Longest time for which a request waits for memory, seconds.
+_MAX_MEMORY_WAIT_S = 3.0
+
+# Range of Retry-After if there is no room for a request, seconds.
+_RETRY_AFTER_S = (1.0, 3.0)
+
+# Lowest rate at which a request that others wait for is sent, and at which a
+# response is accepted, bytes per second, and the lag from which on a caller
+# is considered stalled, seconds.
+_MIN_RATE = 32_768
+_STALLED_S = 1.0
+
+# Bytes that are read and discarded from a caller whose request was rejected.
+_MAX_DISCARDED_BYTES = 1_048_576
+
 # HTTP status sent if the handler fails to respond. It does not imply whether
 # the request ran.
 _INTERNAL_ERROR_STATUS = 502
@@ -92,6 +125,9 @@
 
     STOPPED: the grace period of this instance ended.
 
+    NOT_READ: the caller did not accept the response, and others waited for
+    the memory or the connection.
+
     FAULT: the handler failed within the response.
     """
 
@@ -99,6 +135,7 @@
     OUT_OF_TIME = 'out of time'
     CALLER_LEFT = 'caller left'
     STOPPED = 'stopped'
+    NOT_READ = 'not read'
     FAULT = 'fault'
 
 
@@ -147,8 +184,22 @@
         self._closure_reported = False
         self._phase = _Phase.IDLE
         self._request = None
-        self._body_chunks = []
+        self._body = bytearray()
+        # Size of the body that is read or handled.
         self._body_size = 0
+        self._account = server.memory.open_account()
+        # Lane of the reservation for the body.
+        self._body_lane = None
+        self._awaits_memory = False
+        self._memory_asked_at = 0.0
+        self._receiving = _progress_rates.ProgressMeter(_MIN_RATE)
+        self._sending = _progress_rates.ProgressMeter(_MIN_RATE)
+        # Bytes written, and those of them that were accepted when last asked.
+        self._written_bytes = 0
+        self._accepted_bytes = 0
+        self._discarded_bytes = 0
+        self._has_responded = False
+        self._closed_at = 0.0
         self._task = None
         # Whether any of the current response was sent.
         self._head_sent = False
@@ -167,19 +218,25 @@
         )
         self._idle_since = self._loop.time()
         _sockets.enable_keepalive(transport.get_extra_info('socket'))
-        self._server.connections.add(self)
         self._enter_phase(_Phase.IDLE)
+        self._server.add_connection(self)
+        self._update_account()
 
     def data_received(self, data):
         """See base class."""
         self._unanswered_bytes += len(data)
         if self._phase is _Phase.CLOSING:
+            self._discarded_bytes += len(data)
+            if self._discarded_bytes > _MAX_DISCARDED_BYTES:
+                self._transport.pause_reading()
             return
         if self._phase is _Phase.IDLE:
             self._apply_limits()
         self._reader.receive(data)
+        self._receiving.record(self._loop.time(), len(data))
         if self._phase in (_Phase.RESPONSE, _Phase.FLUSHING):
             self._update_reading()
+            self._update_account()
             return
         if self._phase is _Phase.IDLE:
             self._enter_phase(_Phase.HEAD)
@@ -210,17 +267,28 @@
         self._set_timer(None)
         self._phase = _Phase.CLOSING
         self._report_closure()
+        self._discard_request()
         self._writable.set()
         self._set_cut(Cut.CALLER_LEFT)
+        if self._task is None:
+            self._account.close()
+        else:
+            # The handler holds the request until it has ended.
+            self._task.add_done_callback(lambda _: self._account.close())
         self._cancel_handler()
 
     def pause_writing(self):
         """See base class."""
         self._writable.clear()
+        self._sending.reset()
+        self._measure_sending()
+        self._update_account()
 
     def resume_writing(self):
         """See base class."""
         self._writable.set()
+        self._sending.reset()
+        self._update_account()
         if self._phase is _Phase.FLUSHING:
             self._begin_next_request()
 
@@ -262,6 +330,74 @@
         """Whether the head of a response was sent, but not its end."""
         return self._reader.http.our_state is h11.SEND_BODY
 
+    def get_standing(self, now):
+        """Return what it does for its caller.
+
+        Parameters
+        ----------
+        now : float
+            Loop time, seconds.
+
+        Returns
+        -------
+        sniperudder.forwarding._retention.Standing
+        """
+        condition = _retention.Condition
+        if self._phase is _Phase.CLOSING:
+            return _retention.Standing(condition.CLOSED, now - self._closed_at)
+        if self._awaits_memory:
+            return _retention.Standing(
+                condition.QUEUED, self._memory_asked_at - now
+            )
+        if self._phase in (_Phase.HEAD, _Phase.BODY):
+            lag_s = self._receiving.get_lag_s(now)
+            if lag_s > _STALLED_S:
+                return _retention.Standing(condition.UNFINISHED, lag_s)
+        elif self._phase is _Phase.IDLE:
+            return _retention.Standing(
+                condition.IDLE if self._has_responded else condition.UNUSED,
+                now - self._idle_since,
+            )
+        elif not self._writable.is_set():
+            lag_s = self._measure_sending()
+            if lag_s > _STALLED_S:
+                return _retention.Standing(condition.UNREAD, lag_s)
+        return _retention.Standing(condition.ACTIVE)
+
+    def holds(self, lane):
+        """Return whether it holds a reservation in a lane."""
+        return self._account.get_reserved(lane) > 0
+
+    def give_up(self):
+        """Close the connection for the sake of others, unless it is active.
+
+        A request that was not read completely is rejected as not run.
+
+        Returns
+        -------
+        bool
+            Whether it was closed.
+        """
+        condition = self.get_standing(self._loop.time()).condition
+        if condition is _retention.Condition.CLOSED:
+            self._report_closure()
+            self._transport.abort()
+        elif condition in (
+            _retention.Condition.UNFINISHED,
+            _retention.Condition.QUEUED,
+        ):
+            self._reject_for_now()
+        elif condition is _retention.Condition.UNREAD:
+            if not self._is_responding():
+                self._closure_reason = _closures.ClosureReason.GIVEN_UP
+            self.abort(Cut.NOT_READ)
+        elif self.is_idle():
+            self.close(_closures.ClosureReason.GIVEN_UP)
+        else:
+            return False
+        self._server.count_event(f'given up:{condition.value}')
+        return True
+
     def close(self, reason):
         """Close the connection, on which no request is in progress.
 
@@ -340,8 +476,85 @@
     def _write(self, event):
         if self._transport.is_closing():
             return
-        self._transport.write(self._reader.http.send(event))
+        data = self._reader.http.send(event)
+        self._written_bytes += len(data)
+        self._transport.write(data)
         self._head_sent = True
+        if not self._writable.is_set():
+            self._update_account()
+
+    def _measure_sending(self):
+        """Return for how long the caller has accepted too little, seconds."""
+        now = self._loop.time()
+        accepted = (
+            self._written_bytes - self._transport.get_write_buffer_size()
+        )
+        self._sending.record(now, accepted - self._accepted_bytes)
+        self._accepted_bytes = accepted
+        self._sending.begin(now)
+        return self._sending.get_lag_s(now)
+
+    def _update_account(self):
+        """Charge what the connection holds now."""
+        held = CONNECTION_BYTES + self._reader.unparsed_bytes
+        body_bytes = _BODY_COPIES * self._body_size
+        if self._body_lane is not None:
+            body_bytes -= self._account.get_reserved(self._body_lane)
+        held += max(0, body_bytes)
+        if self._task is not None:
+            held += _REQUEST_BYTES
+        held += self._transport.get_write_buffer_size()
+        self._account.charge(held)
+        self._server.check_memory()
+
+    def _reserve_body(self, size):
+        """Reserve memory for a body; if there is none, wait for it.
+
+        Returns whether it can be read now.
+        """
+        self._body_lane = _caller_memory.Lane.LARGE_BODY
+        if size <= _SMALL_BODY_BYTES:
+            self._body_lane = _caller_memory.Lane.SMALL_BODY
+        now = self._loop.time()
+        if self._account.reserve(
+            self._body_lane, size * _BODY_COPIES, now, self._handle_granted
+        ):
+            return True
+        self._awaits_memory = True
+        self._memory_asked_at = now
+        self._receiving.reset()
+        self._set_timer(_MAX_MEMORY_WAIT_S)
+        self._transport.pause_reading()
+        self._server.count_event('paused:memory')
+        self._server.check_waiting()
+        return False
+
+    def _handle_granted(self):
+        """Read on, now that there is memory for the body."""
+        self._awaits_memory = False
+        self._set_timer(None)
+        self._loop.call_soon(self._continue_body)
+
+    def _continue_body(self):
+        if self._phase is _Phase.BODY:
+            self._enter_phase(_Phase.BODY)
+            self._process_events()
+
+    def _discard_request(self):
+        """Drop what was read of a request that is not handled."""
+        self._awaits_memory = False
+        self._receiving.reset()
+        self._reader.discard()
+        if self._task is None:
+            self._release_body()
+        self._update_account()
+
+    def _release_body(self):
+        self._body = bytearray()
+        self._body_size = 0
+        if self._body_lane is not None:
+            self._account.release(self._body_lane)
+            self._body_lane = None
 
     def _set_cut(self, cut):
         """Record why the response stays incomplete; the first reason holds."""
@@ -386,6 +599,9 @@
         return _sockets.count_unread_bytes(sock)
 
     def _handle_timeout(self):
+        if self._awaits_memory:
+            self._reject_for_now()
+            return
         if self._phase in (_Phase.HEAD, _Phase.BODY):
             if self.has_unread_request:
                 self._set_timer(_UNREAD_RECHECK_S)
@@ -425,10 +641,14 @@
         self._parse()
         if not self._has_unparsed and self._phase is not _Phase.CLOSING:
             self._update_reading()
+        self._update_account()
 
     def _parse(self):
         turn_ends_at = _turns.begin_turn()
-        while self._phase in (_Phase.HEAD, _Phase.BODY):
+        while (
+            self._phase in (_Phase.HEAD, _Phase.BODY)
+            and not self._awaits_memory
+        ):
             if _turns.read_clock() >= turn_ends_at:
                 self._has_unparsed = True
                 self._transport.pause_reading()
@@ -440,6 +660,7 @@
                 self._reject(error.error_status_hint)
                 return
             if event is h11.NEED_DATA:
+                self._receiving.begin(self._loop.time())
                 if self._reader.http.they_are_waiting_for_100_continue:
                     self._write(
                         h11.InformationalResponse(status_code=100, headers=[])
@@ -455,7 +676,10 @@
 
     def _update_reading(self):
         """Pause reading while more is at hand than is needed."""
-        if self._reader.unparsed_bytes > self._get_max_unparsed_bytes():
+        if (
+            self._awaits_memory
+            or self._reader.unparsed_bytes > self._get_max_unparsed_bytes()
+        ):
             self._transport.pause_reading()
         elif self._phase is not _Phase.RESPONSE:
             # Otherwise, more was read for each of many pipelined requests.
@@ -467,7 +691,10 @@
         During a response, callers normally send at most the next request. If
         it is not read, it goes unseen that the caller leaves.
         """
-        if self._phase is _Phase.RESPONSE:
+        if (
+            self._phase is _Phase.RESPONSE
+            and not self._server.memory.is_scarce
+        ):
             return self._limits.max_header_bytes + self._get_max_body_bytes()
         return _READ_AHEAD_BYTES
 
@@ -479,19 +706,27 @@
     def _handle_event(self, event):
         if isinstance(event, h11.Request):
             self._request = event
-            self._body_chunks = []
+            self._body = bytearray()
             self._body_size = 0
+            length = _get_content_length(event)
             if _compute_head_size(event) > self._limits.max_header_bytes:
                 self._reject(431)
-            elif _get_content_length(event) > self._get_max_body_bytes():
+            elif length > self._get_max_body_bytes():
                 self._reject(413)
             else:
                 self._enter_phase(_Phase.BODY)
+                if length > _FREE_BODY_BYTES:
+                    self._reserve_body(length)
         elif isinstance(event, h11.Data):
-            self._body_chunks.append(bytes(event.data))
+            self._body += event.data
             self._body_size += len(event.data)
             if self._body_size > self._get_max_body_bytes():
                 self._reject(413)
+            elif (
+                self._body_size > _FREE_BODY_BYTES and self._body_lane is None
+            ):
+                # It has no announced length.
+                self._reserve_body(self._get_max_body_bytes())
         elif isinstance(event, h11.EndOfMessage):
             self._start_handler()
         else:
@@ -509,10 +744,15 @@
                     head.headers, head.headers.raw_items()
                 )
             ],
-            body=b''.join(self._body_chunks),
+            body=bytes(self._body),
             arrived_at=self._loop.time(),
         )
-        self._body_chunks = []
+        self._body = bytearray()
+        if self._body_lane is not None:
+            self._account.reduce(
+                self._body_lane, self._body_size * _BODY_COPIES
+            )
+        self._receiving.reset()
         self._unanswered_bytes = self._reader.unparsed_bytes
         self.cut = None
         self._head_sent = False
@@ -529,6 +769,9 @@
             error = raised
         cut = self._end_response_to(error)
         self._task = None
+        self._has_responded = True
+        self._release_body()
+        self._update_account()
         if cut is not None:
             self._server.report_cut(request, cut)
         if self._phase is not _Phase.CLOSING:
@@ -598,7 +841,12 @@
         self._update_reading()
         self._process_events()
 
-    def _reject(self, status):
+    def _reject_for_now(self):
+        """Reject a request that is not read, for lack of room."""
+        retry_after_s = random.uniform(*_RETRY_AFTER_S)
+        self._reject(503, [(b'Retry-After', b'%.1f' % retry_after_s)])
+
+    def _reject(self, status, headers=()):
         """Respond with an error to a request that is not read completely."""
         self._server.report_rejection(status)
         if self._reader.http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
@@ -608,6 +856,7 @@
                     headers=[
                         (b'Content-Length', b'0'),
                         (b'Connection', b'close'),
+                        *headers,
                     ],
                 )
             )
@@ -632,9 +881,12 @@
     def _close_after_writing(self):
         """Close the connection once the caller has got the response."""
         self._phase = _Phase.CLOSING
+        self._closed_at = self._loop.time()
         self._set_timer(None)
+        self._discard_request()
         if self._transport.is_closing():
             return
+        self._transport.resume_reading()
         try:
             self._transport.write_eof()
         except OSError:
--- a/sniperudder/forwarding/_caller_server.py
+++ b/sniperudder/forwarding/_caller_server.py
@@ -2,8 +2,11 @@
 
 import asyncio
 
+from sniperudder.forwarding import _caller_capacity
 from sniperudder.forwarding import _caller_connections
+from sniperudder.forwarding import _caller_memory
 from sniperudder.forwarding import _closures
+from sniperudder.forwarding import _retention
 from sniperudder.forwarding import _sockets
 
 # Connections that may wait to be accepted.
@@ -15,6 +18,14 @@
 # Number of turns of the loop until an accepted connection is known.
 _ACCEPT_TURNS = 3
 
+# Interval at which connections are looked at that hold memory for which others
+# wait, and the time for which these have waited then, seconds.
+_WAIT_CHECK_S = 0.25
+_MIN_WAIT_S = 0.5
+
+# Number of connections that are given up at once.
+_GIVE_UP_COUNT = 16
+
 # Interval at which closed connections are looked at, seconds.
 _CLOSED_POLL_S = 0.005
 
@@ -41,6 +52,8 @@
     report_queued : callable, optional
         Called with the number of connections that were open when the server
         stopped listening and that it had not accepted.
+    count_event : callable, optional
+        Called with the name of an event to count.
 
     Attributes
     ----------
@@ -52,6 +65,9 @@
         response that began earlier.
     connections : set of CallerConnection
         Open connections.
+    capacity : CallerCapacity
+    memory : MemoryBudget
+        Memory that is held for all of them.
     """
 
     def __init__(
@@ -62,6 +78,7 @@
         report_cut=None,
         report_closure=None,
         report_queued=None,
+        count_event=None,
     ):
         self.handle = handle
         self.report_error = report_error
@@ -72,6 +89,11 @@
         self.limits = _caller_connections.CallerLimits()
         self.announce_close = False
         self.connections = set()
+        self.count_event = count_event or _ignore
+        self.capacity = _caller_capacity.CallerCapacity()
+        self.memory = _caller_memory.MemoryBudget(self.capacity.memory_bytes)
+        self._frees_memory = False
+        self._checks_waiting = False
         self._server = None
 
     async def start(self, address):
@@ -155,6 +177,63 @@
         ):
             await asyncio.sleep(_CLOSED_POLL_S)
 
+    def apply_capacity(self, capacity):
+        """Apply limits for all callers together.
+
+        Parameters
+        ----------
+        capacity : sniperudder.forwarding.CallerCapacity
+        """
+        self.capacity = capacity
+        self.memory.limit_bytes = capacity.memory_bytes
+        self.check_memory()
+
+    def add_connection(self, connection):
+        """Keep a connection that was accepted."""
+        self.connections.add(connection)
+
+    def check_memory(self):
+        """Give up connections if more is held for callers than allowed."""
+        if self.memory.is_exceeded and not self._frees_memory:
+            self._frees_memory = True
+            # Not within the work on a connection that may be given up.
+            asyncio.get_running_loop().call_soon(self._free_memory)
+
+    def _free_memory(self):
+        self._frees_memory = False
+        now = asyncio.get_running_loop().time()
+        dispensable = _retention.list_dispensable(
+            self.connections, _retention.MEMORY_ORDER, now, _GIVE_UP_COUNT
+        )
+        while dispensable and self.memory.is_exceeded:
+            dispensable.pop().give_up()
+
+    def check_waiting(self):
+        """Look after the reservations that wait, as long as there are any."""
+        if not self._checks_waiting:
+            self._checks_waiting = True
+            asyncio.get_running_loop().call_later(
+                _WAIT_CHECK_S, self._free_reservations
+            )
+
+    def _free_reservations(self):
+        """Give up connections that hold what others wait for, and stall."""
+        self._checks_waiting = False
+        now = asyncio.get_running_loop().time()
+        for lane in _caller_memory.Lane:
+            if self.memory.get_longest_wait_s(lane, now) < _MIN_WAIT_S:
+                continue
+            holders = [c for c in self.connections if c.holds(lane)]
+            for connection in _retention.list_dispensable(
+                holders,
+                _retention.STALLED,
+                now,
+                self.memory.count_waiting(lane),
+            ):
+                connection.give_up()
+        if self.memory.waiting:
+            self.check_waiting()
+
     def close(self):
         """Stop listening and abort all connections."""
         if self._server is not None:
--- a/sniperudder/forwarding/_closures.py
+++ b/sniperudder/forwarding/_closures.py
@@ -18,6 +18,9 @@
     NOT_READ: the caller had not accepted a response for as long as a
     connection may be idle.
 
+    GIVEN_UP: there was no room for all connections, and this one made the
+    least progress.
+
     EXIT: the process was about to end.
     """
 
@@ -25,6 +28,7 @@
     STOPPING = 'stopping'
     AFTER_RESPONSE = 'after response'
     NOT_READ = 'not read'
+    GIVEN_UP = 'given up'
     EXIT = 'exit'
 
 
--- /dev/null
+++ b/sniperudder/forwarding/tests/test_caller_memory.py
@@ -0,0 +1,234 @@
+"""Tests of the memory that is held for callers."""
+
+import asyncio
+import random
+
+import testtools
+
+from sniperudder import forwarding
+from sniperudder.forwarding import _caller_memory
+from sniperudder.forwarding import _progress_rates
+from sniperudder.forwarding.tests import test_caller_server
+
+_Lane = _caller_memory.Lane
+_READ_S = 10.0
+_MAX_BODY_BYTES = 100_000
+
+
+class MemoryBudgetTest(testtools.TestCase):
+    def test_small_reservation_does_not_wait_for_large_ones(self):
+        budget = _caller_memory.MemoryBudget(1_000)
+        accounts = [budget.open_account() for _ in range(3)]
+        for account in accounts[:2]:
+            account.reserve(_Lane.LARGE_BODY, 500, 0.0, self.fail)
+        self.assertTrue(
+            accounts[2].reserve(_Lane.SMALL_BODY, 100, 0.0, self.fail)
+        )
+
+    def test_reservation_beyond_the_limit_is_granted_alone(self):
+        budget = _caller_memory.MemoryBudget(1_000)
+        first, second = budget.open_account(), budget.open_account()
+        granted = []
+        self.assertTrue(first.reserve(_Lane.LARGE_BODY, 5_000, 0.0, self.fail))
+        second.reserve(
+            _Lane.LARGE_BODY, 5_000, 0.0, lambda: granted.append(second)
+        )
+        self.assertEqual([], granted)
+        first.close()
+        self.assertEqual([second], granted)
+
+    def test_reservation_that_is_given_up_lets_others_pass(self):
+        budget = _caller_memory.MemoryBudget(1_000)
+        holder, large, small = (budget.open_account() for _ in range(3))
+        granted = []
+        holder.reserve(_Lane.LARGE_BODY, 300, 0.0, self.fail)
+        large.reserve(_Lane.LARGE_BODY, 400, 0.0, self.fail)
+        small.reserve(
+            _Lane.LARGE_BODY, 200, 9.0, lambda: granted.append(small)
+        )
+        self.assertEqual([], granted)
+        large.close()
+        self.assertEqual([small], granted)
+
+    # Guards against: memory that is returned twice, or never, whichever way a
+    # connection ends.
+    def test_random_orders_return_everything_once(self):
+        for seed in range(200):
+            rng = random.Random(seed)
+            budget = _caller_memory.MemoryBudget(10_000)
+            accounts, granted, asked, now = [], set(), {}, 0.0
+            for _ in range(300):
+                now += rng.random()
+                if not accounts or rng.random() < 0.3:
+                    accounts.append(budget.open_account())
+                account = rng.choice(accounts)
+                lane = rng.choice(list(_Lane))
+                step = rng.randrange(6)
+                if step == 0:
+                    account.charge(rng.randrange(500))
+                elif step == 1:
+                    key = account, lane
+                    granted.discard(key)
+                    size = asked[key] = rng.randrange(1, 9_000)
+                    if account.reserve(
+                        lane, size, now, lambda key=key: granted.add(key)
+                    ):
+                        granted.add(key)
+                elif step == 2:
+                    account.reduce(lane, rng.randrange(1, 500))
+                elif step == 3:
+                    account.release(lane)
+                    granted.discard((account, lane))
+                elif step == 4 and rng.random() < 0.3:
+                    account.close()
+                    accounts.remove(account)
+                    account.close()
+                    account.charge(5)
+                    granted -= {(account, each) for each in _Lane}
+                self.check(budget, accounts, granted)
+            for account in accounts:
+                account.close()
+            self.assertEqual((0, 0), (budget.used_bytes, budget.waiting), seed)
+
+    def check(self, budget, accounts, granted):
+        reserved = {
+            (account, lane): account.get_reserved(lane)
+            for account in accounts
+            for lane in _Lane
+        }
+        self.assertEqual(
+            {key for key, size in reserved.items() if size}, granted
+        )
+        self.assertEqual(
+            budget.used_bytes,
+            sum(reserved.values()) + sum(a._charged for a in accounts),
+        )
+        for lane in _Lane:
+            sizes = [reserved[a, lane] for a in accounts if reserved[a, lane]]
+            share = _caller_memory._LANE_SHARES[lane] * budget.limit_bytes
+            self.assertTrue(len(sizes) <= 1 or sum(sizes) <= share)
+            if not sizes:
+                # Otherwise, all would wait for ever.
+                self.assertEqual(0, budget.count_waiting(lane))
+
+
+class ProgressMeterTest(testtools.TestCase):
+    # Guards against: a byte now and then counted as progress.
+    def test_single_bytes_are_no_progress(self):
+        meter = _progress_rates.ProgressMeter(1_000)
+        for second in range(10):
+            meter.begin(float(second))
+            meter.record(second + 1.0, 1)
+        self.assertAlmostEqual(9.99, meter.get_lag_s(10.0))
+
+    # Guards against: what was sent fast before counted as progress after it
+    # had stopped.
+    def test_earlier_bytes_do_not_count_for_later_silence(self):
+        meter = _progress_rates.ProgressMeter(1_000)
+        meter.begin(0.0)
+        meter.record(1.0, 1_000_000)
+        meter.begin(1.0)
+        self.assertEqual(3.0, meter.get_lag_s(4.0))
+
+
+class HeldMemoryTest(test_caller_server.CallerServerTestBase):
+    """What a server holds for callers, over real connections."""
+
+    def run_server(self, case, memory_bytes=1_000_000):
+        """See base class."""
+
+        async def run(server):
+            server.server.limits = forwarding.CallerLimits(
+                max_body_bytes=_MAX_BODY_BYTES,
+                header_timeout_s=_READ_S,
+                idle_timeout_s=_READ_S,
+            )
+            server.server.apply_capacity(
+                forwarding.CallerCapacity(memory_bytes)
+            )
+            await case(server)
+
+        return super().run_server(run)
+
+    async def await_released(self, server):
+        """Wait until no connection is left; check that nothing is held."""
+        async with asyncio.timeout(_READ_S):
+            while server.server.connections or server.server.memory.used_bytes:
+                await asyncio.sleep(0.01)
+        self.assertEqual(0, server.server.memory.waiting)
+
+    # Guards against: memory that was not returned, in some order of arrival,
+    # pause, progress and end.
+    def test_nothing_is_held_after_random_callers_have_gone(self):
+        head = b'POST %s HTTP/1.1\r\nHost: h\r\n'
+        chunked = head + b'Transfer-Encoding: chunked\r\n\r\n'
+        length = head + b'Content-Length: %d\r\n\r\n'
+
+        async def run_caller(server, rng):
+            host, _, port = server.address.rpartition(':')
+            reader, writer = await asyncio.open_connection(host, int(port))
+            targets = (b'/', b'/hang', b'/fault', b'/large', b'/late-fault')
+            target = rng.choice(targets)
+            size = rng.choice((10, 20_000, 90_000, 150_000))
+            data = length % (target, size) + b'x' * size
+            if rng.random() < 0.5:
+                pieces = size // rng.choice((10, 5_000)) + 1
+                chunk = b'x' * (size // pieces + 1)
+                data = (
+                    chunked % target
+                    + (b'%x\r\n' % len(chunk) + chunk + b'\r\n') * pieces
+                    + b'0\r\n\r\n'
+                )
+            data *= rng.choice((1, 1, 3))
+            if rng.random() < 0.5:
+                data = data[: rng.randrange(len(data))]
+            try:
+                while data:
+                    part = rng.randrange(1, 60_000)
+                    writer.write(data[:part])
+                    data = data[part:]
+                    await asyncio.sleep(rng.random() * 0.02)
+                async with asyncio.timeout(rng.random() * 0.2):
+                    await reader.read(100_000)
+            except (OSError, TimeoutError):
+                pass
+            if rng.random() < 0.5:
+                writer.transport.abort()
+            writer.close()
+
+        for seed in range(4):
+
+            async def case(server, seed=seed):
+                rng = random.Random(seed)
+                await asyncio.gather(
+                    *(run_caller(server, rng) for _ in range(60))
+                )
+                await self.await_released(server)
+
+            self.run_server(case)
+
+    # Guards against: callers that stop short of the end of large bodies held
+    # the memory that others waited for.
+    def test_stalled_body_makes_way_for_one_that_waits(self):
+        head = b'POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 100000\r\n\r\n'
+
+        async def case(server):
+            stalled = [
+                asyncio.create_task(server.exchange(head + b'x' * 99_000))
+                for _ in range(20)
+            ]
+            await asyncio.sleep(0.2)
+            self.assertTrue(server.server.memory.waiting)
+            response = await server.exchange(
+                head.replace(b'Host', b'Connection: close\r\nHost')
+                + b'x' * 100_000
+            )
+            self.assertIn(b'HTTP/1.1 200', response)
+            for received in await asyncio.gather(*stalled):
+                if received:
+                    self.assertIn(b'HTTP/1.1 503', received)
+                    self.assertIn(b'Retry-After: ', received)
+            await self.await_released(server)
+
+        server = self.run_server(case)
+        self.assertEqual(1, len(server.requests))
