Share a bounded part of the event loop among the input of all callers

Callers saw: no answer, and no readiness, as long as some 60 callers sent bodies in chunks of two bytes.

Cause: each connection with input at hand held the loop for 5 ms in each of its turns, and an ordinary request needs several turns (accepted, read, connected, sent, answered). Nothing bounded the connections together.

A connection whose input waits is not read.

--- a/sniperudder/forwarding/_caller_connections.py
+++ b/sniperudder/forwarding/_caller_connections.py
@@ -164,6 +164,8 @@
     ----------
     cut : Cut or None
         Why the current request gets no complete response.
+    turn_time_s : float
+        See `TurnScheduler`.
     """
 
     def __init__(self, server):
@@ -177,8 +179,10 @@
         self._unanswered_bytes = 0
         # Size of the write buffer when the idle timeout was last checked.
         self._unsent_bytes = math.inf
-        # Whether bytes were read that a later turn parses.
+        # Whether the scheduler has yet to parse what was read.
         self._has_unparsed = False
+        # Time that parsing what was sent at once has taken, seconds.
+        self.turn_time_s = 0.0
         # Why this side closed it while it owed no response.
         self._closure_reason = None
         self._closure_reported = False
@@ -638,35 +642,42 @@
         return 0 < self._unsent_bytes < before
 
     def _process_events(self):
-        self._parse()
-        if not self._has_unparsed and self._phase is not _Phase.CLOSING:
+        """Parse what is at hand, now or in later turns of the loop."""
+        if self._has_unparsed:
+            return
+        self._has_unparsed = True
+        self._server.turns.submit(self)
+
+    def do_until(self, ends_at):
+        """Parse until a clock time; see `TurnScheduler`."""
+        self._has_unparsed = self._parse(ends_at)
+        if self._phase is not _Phase.CLOSING:
             self._update_reading()
         self._update_account()
+        return self._has_unparsed
 
-    def _parse(self):
-        turn_ends_at = _turns.begin_turn()
+    def _parse(self, ends_at):
+        """Parse at least one event; return whether there may be more."""
         while (
             self._phase in (_Phase.HEAD, _Phase.BODY)
             and not self._awaits_memory
         ):
-            if _turns.read_clock() >= turn_ends_at:
-                self._has_unparsed = True
-                self._transport.pause_reading()
-                self._loop.call_soon(self._resume_processing)
-                return
             try:
                 event = self._reader.next_event()
             except h11.RemoteProtocolError as error:
                 self._reject(error.error_status_hint)
-                return
+                return False
             if event is h11.NEED_DATA:
                 self._receiving.begin(self._loop.time())
                 if self._reader.http.they_are_waiting_for_100_continue:
                     self._write(
                         h11.InformationalResponse(status_code=100, headers=[])
                     )
-                return
+                return False
             self._handle_event(event)
+            if _turns.read_clock() >= ends_at:
+                return True
+        return False
 
     def _get_max_body_bytes(self):
         """Return the limit for a body, which may rise while it is read."""
@@ -712,6 +723,8 @@
         During a response, callers normally send at most the next request. If
         it is not read, it goes unseen that the caller leaves.
         """
+        if self._has_unparsed:
+            return 0
         if (
             self._phase is _Phase.RESPONSE
             and not self._server.memory.is_scarce
@@ -719,11 +732,6 @@
             return self._limits.max_header_bytes + self._get_max_body_bytes()
         return _READ_AHEAD_BYTES
 
-    def _resume_processing(self):
-        self._has_unparsed = False
-        if not self._transport.is_closing():
-            self._process_events()
-
     def _handle_event(self, event):
         if isinstance(event, h11.Request):
             self._request = event
@@ -858,6 +866,8 @@
         """Read another request, now that the caller accepts responses."""
         self._apply_limits()
         is_pending = self._reader.unparsed_bytes > 0
+        if not is_pending:
+            self.turn_time_s = 0.0
         self._enter_phase(_Phase.HEAD if is_pending else _Phase.IDLE)
         self._update_reading()
         self._process_events()
--- a/sniperudder/forwarding/_caller_server.py
+++ b/sniperudder/forwarding/_caller_server.py
@@ -8,6 +8,7 @@
 from sniperudder.forwarding import _closures
 from sniperudder.forwarding import _retention
 from sniperudder.forwarding import _sockets
+from sniperudder.forwarding import _turn_scheduler
 
 # Connections that may wait to be accepted.
 _BACKLOG = 1024
@@ -72,6 +73,8 @@
     capacity : CallerCapacity
     memory : MemoryBudget
         Memory that is held for all of them.
+    turns : TurnScheduler
+        Time in which what they send is parsed.
     """
 
     def __init__(
@@ -96,6 +99,7 @@
         self.count_event = count_event or _ignore
         self.capacity = _caller_capacity.CallerCapacity()
         self.memory = _caller_memory.MemoryBudget(self.capacity.memory_bytes)
+        self.turns = _turn_scheduler.TurnScheduler()
         self._frees_memory = False
         self._checks_waiting = False
         # Connections that are not read during a response.
