Bound the connections of callers, and refuse what exceeds all memory

Callers saw: no new connection for as long as others held theirs with unfinished bodies, at an instance that said it was ready.

Cause: nothing bounded the open connections of callers; once the descriptors were used up, accepting failed, and the idle time of a body began anew with each byte.

Change: callers have half of `limits.max_fds` less 200, and at most as many connections as take half of their memory (1,395 on the smallest instance, 1,950 with more memory). At that number a connection makes way for a new one (`_retention`): first a request that lags behind 32 KiB/s by a second (503 with Retry-After), then one that carried no request, then the one idle longest, then unread responses, then what waits for memory. One in progress never does; a new one is refused with 503 if there is no other. The loop accepts 16 connections a turn, so that others are closed meanwhile. An instance without a free descriptor is not ready. Beyond 1.25 of the memory for callers, requests are refused before they are handled.

--- a/sniperudder/entry/_entry.py
+++ b/sniperudder/entry/_entry.py
@@ -352,6 +352,7 @@
             and self._T.configuration is not None
             and self._T.endpoints_known
             and not self._stopping.is_set()
+            and self._caller_server.can_accept
             # Its tables may be outdated.
             and not self._supervisor.is_failing()
         )
@@ -389,6 +390,7 @@
             forwarding.create_capacity(
                 self._settings.memory_mb,
                 self._settings.features.caller_memory_mb,
+                self._settings.max_descriptors,
             )
         )
 
--- a/sniperudder/forwarding/_caller_connections.py
+++ b/sniperudder/forwarding/_caller_connections.py
@@ -222,8 +222,10 @@
         )
         self._idle_since = self._loop.time()
         _sockets.enable_keepalive(transport.get_extra_info('socket'))
+        if not self._server.add_connection(self):
+            self._refuse()
+            return
         self._enter_phase(_Phase.IDLE)
-        self._server.add_connection(self)
         self._update_account()
 
     def data_received(self, data):
@@ -267,7 +269,7 @@
 
     def connection_lost(self, exc):
         """See base class."""
-        self._server.connections.discard(self)
+        self._server.remove_connection(self)
         self._set_timer(None)
         self._phase = _Phase.CLOSING
         self._report_closure()
@@ -428,6 +430,7 @@
             self._report_closure()
         self._phase = _Phase.CLOSING
         self._set_timer(None)
+        self._server.note_closing(self)
         self._transport.abort()
 
     def send_response(self, status, headers, body):
@@ -757,7 +760,10 @@
                 # It has no announced length.
                 self._reserve_body(self._get_max_body_bytes())
         elif isinstance(event, h11.EndOfMessage):
-            self._start_handler()
+            if self._server.memory.is_exhausted:
+                self._reject_for_now()
+            else:
+                self._start_handler()
         else:
             self.close(_closures.ClosureReason.AFTER_RESPONSE)
 
@@ -872,25 +878,22 @@
         self._update_reading()
         self._process_events()
 
+    def _refuse(self):
+        """Close a new connection for which there is no room."""
+        self._phase = _Phase.CLOSING
+        self._write(_make_rejection(503, [_make_retry_after()]))
+        # Its descriptor is not held until the caller has closed it.
+        self._transport.close()
+
     def _reject_for_now(self):
         """Reject a request that is not read, for lack of room."""
-        retry_after_s = random.uniform(*_RETRY_AFTER_S)
-        self._reject(503, [(b'Retry-After', b'%.1f' % retry_after_s)])
+        self._reject(503, [_make_retry_after()])
 
     def _reject(self, status, headers=()):
         """Respond with an error to a request that is not read completely."""
         self._server.report_rejection(status)
         if self._reader.http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-            self._write(
-                h11.Response(
-                    status_code=status,
-                    headers=[
-                        (b'Content-Length', b'0'),
-                        (b'Connection', b'close'),
-                        *headers,
-                    ],
-                )
-            )
+            self._write(_make_rejection(status, headers))
             self._write(h11.EndOfMessage())
         self._close_after_writing()
 
@@ -913,6 +916,7 @@
         """Close the connection once the caller has got the response."""
         self._phase = _Phase.CLOSING
         self._closed_at = self._loop.time()
+        self._server.note_closing(self)
         self._set_timer(None)
         self._discard_request()
         if self._transport.is_closing():
@@ -958,3 +962,18 @@
         if name == b'content-length':
             return int(value)
     return 0
+
+
+def _make_rejection(status, headers):
+    return h11.Response(
+        status_code=status,
+        headers=[
+            (b'Content-Length', b'0'),
+            (b'Connection', b'close'),
+            *headers,
+        ],
+    )
+
+
+def _make_retry_after():
+    return b'Retry-After', b'%.1f' % random.uniform(*_RETRY_AFTER_S)
--- a/sniperudder/forwarding/_caller_memory.py
+++ b/sniperudder/forwarding/_caller_memory.py
@@ -16,6 +16,9 @@
 # that the difference takes at this rate, bytes per second.
 _PRIORITY_RATE = 16_777_216
 
+# Multiple of the limit from which on no further request is handled.
+_EXHAUSTED_FACTOR = 1.25
+
 
 class Lane(enum.Enum):
     """What a reservation is for; each has a share of the memory.
@@ -108,6 +111,11 @@
         """Whether more is used than the limit."""
         return self.used_bytes > self.limit_bytes
 
+    @property
+    def is_exhausted(self):
+        """Whether so much more is used that no request should begin."""
+        return self.used_bytes > self.limit_bytes * _EXHAUSTED_FACTOR
+
     @property
     def is_scarce(self):
         """Whether little is left for what callers can do without."""
--- a/sniperudder/forwarding/_caller_server.py
+++ b/sniperudder/forwarding/_caller_server.py
@@ -1,6 +1,7 @@
 """HTTP server for callers, the load balancer and metrics scrapers."""
 
 import asyncio
+import collections
 
 from sniperudder.forwarding import _caller_capacity
 from sniperudder.forwarding import _caller_connections
@@ -10,8 +11,10 @@
 from sniperudder.forwarding import _sockets
 from sniperudder.forwarding import _turn_scheduler
 
-# Connections that may wait to be accepted.
+# Connections that may wait to be accepted, and that are accepted in a turn of
+# the loop.
 _BACKLOG = 1024
+_ACCEPTED_AT_ONCE = 16
 
 # Receive buffer of a connection: what arrives while reading is paused.
 _RECEIVE_BUFFER_BYTES = 16_384
@@ -28,9 +31,16 @@
 # seconds.
 _UNREAD_CHECK_S = 0.2
 
-# Number of connections that are given up at once.
+# Number of connections that are given up at once for memory.
 _GIVE_UP_COUNT = 16
 
+# Number of connections that are found at once to make way for new ones, the
+# interval at which they are sought if there are none, seconds, and the number
+# of those whose callers may still read why they were closed.
+_DISPENSABLE_COUNT = 64
+_SEARCH_INTERVAL_S = 0.1
+_MAX_LINGERING = 16
+
 # Interval at which closed connections are looked at, seconds.
 _CLOSED_POLL_S = 0.005
 
@@ -97,11 +107,17 @@
         self.announce_close = False
         self.connections = set()
         self.count_event = count_event or _ignore
-        self.capacity = _caller_capacity.CallerCapacity()
+        self.capacity = _caller_capacity.create_capacity()
         self.memory = _caller_memory.MemoryBudget(self.capacity.memory_bytes)
         self.turns = _turn_scheduler.TurnScheduler()
         self._frees_memory = False
         self._checks_waiting = False
+        # Connections that this side has not closed, and those that it has.
+        self._open = set()
+        self._lingering = collections.deque()
+        # Connections to give up next.
+        self._dispensable = []
+        self._next_search_at = 0.0
         # Connections that are not read during a response.
         self._unread = set()
         self._server = None
@@ -124,8 +140,10 @@
             host, int(port), _RECEIVE_BUFFER_BYTES, _BACKLOG
         )
         self._server = await asyncio.get_running_loop().create_server(
-            self._create_connection, sock=sock, backlog=_BACKLOG
+            self._create_connection, sock=sock, backlog=_ACCEPTED_AT_ONCE
         )
+        # The loop has set the number that it accepts at once.
+        sock.listen(_BACKLOG)
 
     async def stop_listening(self):
         """Accept the connections that callers have opened, and no others.
@@ -199,8 +217,65 @@
         self.check_memory()
 
     def add_connection(self, connection):
-        """Keep a connection that was accepted."""
+        """Keep a connection that was accepted.
+
+        If there are too many, others make way for it, or it is refused.
+
+        Returns
+        -------
+        bool
+            Whether it is kept.
+        """
+        if (
+            len(self._open) >= self.capacity.max_connections
+            and not self._make_way()
+        ):
+            self.count_event('refused:connection')
+            return False
         self.connections.add(connection)
+        self._open.add(connection)
+        return True
+
+    def _make_way(self):
+        """Give up a connection; return whether there is one to give up."""
+        now = asyncio.get_running_loop().time()
+        if not self._dispensable and now >= self._next_search_at:
+            self._dispensable = _retention.list_dispensable(
+                self._open,
+                _retention.DESCRIPTOR_ORDER,
+                now,
+                _DISPENSABLE_COUNT,
+            )
+            if not self._dispensable:
+                # Searching takes time linear in the number of connections.
+                self._next_search_at = now + _SEARCH_INTERVAL_S
+        while self._dispensable:
+            connection = self._dispensable.pop()
+            if connection in self._open and connection.give_up():
+                return True
+        return False
+
+    def note_closing(self, connection):
+        """Count a connection no longer that this side has closed.
+
+        If there are many connections, few of those that are closed linger.
+        """
+        if connection not in self._open:
+            return
+        self._open.discard(connection)
+        self._lingering.append(connection)
+        is_full = len(self.connections) > self.capacity.max_connections
+        while is_full and len(self._lingering) > _MAX_LINGERING:
+            oldest = self._lingering.popleft()
+            if oldest in self.connections:
+                oldest.give_up()
+
+    def remove_connection(self, connection):
+        """Forget a connection that has ended."""
+        self.connections.discard(connection)
+        self._open.discard(connection)
+        while self._lingering and self._lingering[0] not in self.connections:
+            self._lingering.popleft()
 
     def check_memory(self):
         """Give up connections if more is held for callers than allowed."""
@@ -265,6 +340,13 @@
         for connection in list(self.connections):
             connection.abort(_caller_connections.Cut.STOPPED)
 
+    @property
+    def can_accept(self):
+        """Whether it listens and has a descriptor for a new connection."""
+        return self._server.is_serving() and all(
+            _sockets.has_free_descriptor(sock) for sock in self._server.sockets
+        )
+
     @property
     def is_responding(self):
         """Whether a response is in progress on any connection."""
--- a/sniperudder/forwarding/_retention.py
+++ b/sniperudder/forwarding/_retention.py
@@ -43,9 +43,9 @@
 
 
 # Conditions of connections that are given up, the first ones first. An idle
-# connection holds a descriptor, but hardly any memory.
+# connection holds a descriptor, but hardly any memory, and all open ones
+# together a share of it.
 DESCRIPTOR_ORDER = (
-    Condition.CLOSED,
     Condition.UNFINISHED,
     Condition.UNUSED,
     Condition.IDLE,
@@ -57,8 +57,6 @@
     Condition.UNFINISHED,
     Condition.UNREAD,
     Condition.QUEUED,
-    Condition.UNUSED,
-    Condition.IDLE,
 )
 
 # Conditions in which a connection does not use what it holds.
--- a/sniperudder/forwarding/_sockets.py
+++ b/sniperudder/forwarding/_sockets.py
@@ -114,6 +114,21 @@
     return bool(poll.poll(0))
 
 
+def has_free_descriptor(sock):
+    """Return whether the process may open another descriptor.
+
+    Parameters
+    ----------
+    sock : socket.socket
+        An open socket.
+    """
+    try:
+        sock.dup().close()
+    except OSError:
+        return False
+    return True
+
+
 def has_hung_up(sock):
     """Return whether the peer has closed its sending side, or reset it.
 
--- a/sniperudder/forwarding/tests/test_caller_memory.py
+++ b/sniperudder/forwarding/tests/test_caller_memory.py
@@ -146,7 +146,7 @@
                 idle_timeout_s=_READ_S,
             )
             server.server.apply_capacity(
-                forwarding.CallerCapacity(memory_bytes)
+                forwarding.CallerCapacity(memory_bytes, 1_000)
             )
             await case(server)
 
@@ -254,6 +254,19 @@
 
         self.run_server(case)
 
+    # Guards against: requests that were handled beyond any bound of memory.
+    def test_request_is_refused_while_others_use_all_memory(self):
+        async def case(server):
+            filler = server.server.memory.open_account()
+            filler.charge(2_000_000)
+            request = b'GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n'
+            self.assertIn(b'HTTP/1.1 503', await server.exchange(request))
+            filler.close()
+            self.assertIn(b'HTTP/1.1 200', await server.exchange(request))
+
+        server = self.run_server(case)
+        self.assertEqual(1, len(server.requests))
+
     # Guards against: callers that stop short of the end of large bodies held
     # the memory that others waited for.
     def test_stalled_body_makes_way_for_one_that_waits(self):
