Reserve memory for responses that are collected whole

Callers saw: a process that exceeded its memory beside callers that ask for large responses and read none: 40 responses of 6 MB were collected at the same time.

Cause: a response of up to 8 MB is collected before it is passed on, and nothing bounded the sum; an unread one stays in the write buffer.

Change: beyond 64 KiB, the length (or the limit, if there is none) is reserved in a lane of its own before more is received from the endpoint; the request waits until its deadline at most. The reservation ends once the caller has accepted all but 16 KiB. Callers that accept less than 32 KiB/s, by a second, while others wait, are cut (`not read`), also behind a last response; a response that is accepted is not. What an endpoint's connection holds meanwhile, and behind a stream that is not accepted, is charged (256 KiB). Requests hold reservations for bodies while they wait in this lane, and never the other way round, so that none waits for itself.

--- a/sniperudder/entry/tests/test_hostile_callers.py
+++ b/sniperudder/entry/tests/test_hostile_callers.py
@@ -340,6 +340,29 @@
 
         self.check_crowd(send_ahead_for_large_answers, prepare=prepare)
 
+    # Guards against: many responses were collected whole at the same time.
+    def test_largest_answers_at_once_that_are_not_read(self):
+        def prepare(desk):
+            async def serve(request, http, writer):
+                standins.write_response(
+                    http,
+                    writer,
+                    200,
+                    b'x' * 6_000_000,
+                    standins.make_seal(request),
+                )
+
+            desk.script.extend([desk.respond_normally] + [serve] * 400)
+
+        async def ask(reader, writer):
+            transport = writer.transport
+            transport.pause_reading()
+            writer.write(_SAFE_GET)
+            while not transport.is_closing():
+                await asyncio.sleep(1.0)
+
+        self.check_crowd(ask, prepare=prepare)
+
     # Guards against: connections with unfinished bodies used up the
     # descriptors, and no new caller got one.
     def test_connections_that_stay_open_with_unfinished_bodies(self):
--- a/sniperudder/forwarding/_attempts.py
+++ b/sniperudder/forwarding/_attempts.py
@@ -111,6 +111,7 @@
                 job, stages, self._get_last_event_id()
             ),
             forwarder.create_guard(stages[0].endpoint),
+            caller.reserve_response,
         )
         self.number = 0
         self.is_charged = False
--- a/sniperudder/forwarding/_caller_connections.py
+++ b/sniperudder/forwarding/_caller_connections.py
@@ -34,6 +34,10 @@
 CONNECTION_BYTES = 28_672
 _REQUEST_BYTES = 32_768
 
+# What an endpoint's connection holds of a response that its caller does not
+# accept, or that waits for memory.
+_UNREAD_RESPONSE_BYTES = 262_144
+
 # Size of a body that is read without a reservation.
 _FREE_BODY_BYTES = 16_384
 
@@ -195,6 +199,7 @@
         # Lane of the reservation for the body.
         self._body_lane = None
         self._awaits_memory = False
+        self._response_awaits_memory = False
         self._memory_asked_at = 0.0
         self._receiving = _progress_rates.ProgressMeter(_MIN_RATE)
         self._sending = _progress_rates.ProgressMeter(_MIN_RATE)
@@ -294,6 +299,8 @@
         """See base class."""
         self._writable.set()
         self._sending.reset()
+        if self._task is None:
+            self._account.release(_caller_memory.Lane.RESPONSE)
         self._update_account()
         if self._phase is _Phase.FLUSHING:
             self._begin_next_request()
@@ -349,7 +356,11 @@
         sniperudder.forwarding._retention.Standing
         """
         condition = _retention.Condition
-        if self._phase is _Phase.CLOSING:
+        if not self._writable.is_set():
+            lag_s = self._measure_sending()
+            if lag_s > _STALLED_S:
+                return _retention.Standing(condition.UNREAD, lag_s)
+        elif self._phase is _Phase.CLOSING:
             return _retention.Standing(condition.CLOSED, now - self._closed_at)
         if self._awaits_memory:
             return _retention.Standing(
@@ -364,10 +375,6 @@
                 condition.IDLE if self._has_responded else condition.UNUSED,
                 now - self._idle_since,
             )
-        elif not self._writable.is_set():
-            lag_s = self._measure_sending()
-            if lag_s > _STALLED_S:
-                return _retention.Standing(condition.UNREAD, lag_s)
         return _retention.Standing(condition.ACTIVE)
 
     def holds(self, lane):
@@ -510,10 +517,47 @@
         held += max(0, body_bytes)
         if self._task is not None:
             held += _REQUEST_BYTES
-        held += self._transport.get_write_buffer_size()
+            if self._response_awaits_memory or not self._writable.is_set():
+                held += _UNREAD_RESPONSE_BYTES
+        unsent_bytes = self._transport.get_write_buffer_size()
+        held += max(
+            0,
+            unsent_bytes
+            - self._account.get_reserved(_caller_memory.Lane.RESPONSE),
+        )
         self._account.charge(held)
         self._server.check_memory()
 
+    async def reserve_response(self, size):
+        """Wait until there is memory for a response that is collected whole.
+
+        Parameters
+        ----------
+        size : int
+            Bytes. The reservation ends once the caller has accepted all but a
+            little of the response.
+        """
+        lane = _caller_memory.Lane.RESPONSE
+        granted = self._loop.create_future()
+        if self._account.reserve(
+            lane,
+            size * _BODY_COPIES,
+            self._loop.time(),
+            lambda: granted.done() or granted.set_result(None),
+        ):
+            return
+        self._server.count_event('paused:response')
+        self._server.check_waiting()
+        self._response_awaits_memory = True
+        self._update_account()
+        try:
+            await granted
+        except asyncio.CancelledError:
+            self._account.release(lane)
+            raise
+        finally:
+            self._response_awaits_memory = False
+
     def _reserve_body(self, size):
         """Reserve memory for a body; if there is none, wait for it.
 
@@ -554,6 +598,13 @@
         self._reader.discard()
         if self._task is None:
             self._release_body()
+        if self._writable.is_set():
+            self._account.release(_caller_memory.Lane.RESPONSE)
+        else:
+            self._account.reduce(
+                _caller_memory.Lane.RESPONSE,
+                self._transport.get_write_buffer_size(),
+            )
         self._update_account()
 
     def _release_body(self):
@@ -740,7 +791,7 @@
             self._request = event
             self._body = bytearray()
             self._body_size = 0
-            length = _get_content_length(event)
+            length = _exchanges.get_length(event) or 0
             if _compute_head_size(event) > self._limits.max_header_bytes:
                 self._reject(431)
             elif length > self._get_max_body_bytes():
@@ -957,13 +1008,6 @@
     return size
 
 
-def _get_content_length(request):
-    for name, value in request.headers:
-        if name == b'content-length':
-            return int(value)
-    return 0
-
-
 def _make_rejection(status, headers):
     return h11.Response(
         status_code=status,
--- a/sniperudder/forwarding/_caller_server.py
+++ b/sniperudder/forwarding/_caller_server.py
@@ -41,6 +41,10 @@
 _SEARCH_INTERVAL_S = 0.1
 _MAX_LINGERING = 16
 
+# Multiple of the largest number of connections that includes those which this
+# side has closed and whose responses are being sent.
+_CLOSED_FACTOR = 1.5
+
 # Interval at which closed connections are looked at, seconds.
 _CLOSED_POLL_S = 0.005
 
@@ -226,10 +230,10 @@
         bool
             Whether it is kept.
         """
+        max_connections = self.capacity.max_connections
         if (
-            len(self._open) >= self.capacity.max_connections
-            and not self._make_way()
-        ):
+            len(self._open) >= max_connections and not self._make_way()
+        ) or len(self.connections) > max_connections * _CLOSED_FACTOR:
             self.count_event('refused:connection')
             return False
         self.connections.add(connection)
--- a/sniperudder/forwarding/_connections.py
+++ b/sniperudder/forwarding/_connections.py
@@ -15,6 +15,9 @@
 # responses are its objects, of at most 8 MB.
 _MAX_BODY_BYTES = 8_388_608
 
+# Size of a response body that is collected without a reservation of memory.
+_FREE_BODY_BYTES = 65_536
+
 # Numbers of unread bytes at which reading from the server pauses and resumes.
 _READ_PAUSE_BYTES = 262_144
 _READ_RESUME_BYTES = 65_536
@@ -494,12 +497,17 @@
     raise ConnectionBroken('too many interim responses')
 
 
-async def receive_body(connection):
+async def receive_body(connection, length=None, reserve=None):
     """Receive the complete body of a response whose head was received.
 
     Parameters
     ----------
     connection : ClientConnection
+    length : int, optional
+        Length that the head announces.
+    reserve : callable, optional
+        Coroutine function that waits until there is memory for a number of
+        bytes; called before more than the beginning of the body is received.
 
     Returns
     -------
@@ -521,3 +529,6 @@
         size += len(event.data)
         if size > _MAX_BODY_BYTES:
             raise ConnectionBroken(f'answer of over {_MAX_BODY_BYTES} bytes')
+        if reserve is not None and size > _FREE_BODY_BYTES:
+            await reserve(min(length or _MAX_BODY_BYTES, _MAX_BODY_BYTES))
+            reserve = None
--- a/sniperudder/forwarding/_exchanges.py
+++ b/sniperudder/forwarding/_exchanges.py
@@ -105,6 +105,8 @@
     address : str
     outgoing : OutgoingRequest
     guard : SendGuard, optional
+    reserve : callable, optional
+        See `_connections.receive_body`.
 
     Attributes
     ----------
@@ -112,11 +114,12 @@
         Whether any of the request may have reached the endpoint.
     """
 
-    def __init__(self, pool, address, outgoing, guard=None):
+    def __init__(self, pool, address, outgoing, guard=None, reserve=None):
         self._pool = pool
         self._address = address
         self._outgoing = outgoing
         self._guard = guard
+        self._reserve = reserve
         self._connection = None
         self._idle_timeout_s = None
         self._opened = False
@@ -234,7 +237,9 @@
             timeout_s = _REFUSAL_BODY_TIMEOUT_S
         try:
             async with asyncio.timeout(timeout_s):
-                body = await _connections.receive_body(self._connection)
+                body = await _connections.receive_body(
+                    self._connection, get_length(head), self._reserve
+                )
         except OSError as error:
             if response_head.not_run:
                 return _create_not_run(head, response_head)
@@ -271,7 +276,7 @@
             self._connection = None
 
 
-async def run_exchange(pool, address, outgoing, guard=None):
+async def run_exchange(pool, address, outgoing, guard=None, reserve=None):
     """Send a request and receive the complete response.
 
     Parameters
@@ -280,12 +285,14 @@
     address : str
     outgoing : OutgoingRequest
     guard : SendGuard, optional
+    reserve : callable, optional
+        See `_connections.receive_body`.
 
     Returns
     -------
     Answered, NotRun or Interrupted
     """
-    exchange = Exchange(pool, address, outgoing, guard)
+    exchange = Exchange(pool, address, outgoing, guard, reserve)
     try:
         failure = await exchange.open()
         if failure is not None:
@@ -335,6 +342,19 @@
     return method != b'HEAD' and status not in _STATUSES_WITHOUT_BODY
 
 
+def get_length(head):
+    """Return the length that the head of a message announces, or None.
+
+    Parameters
+    ----------
+    head : h11.Request or h11.Response
+    """
+    for name, value in head.headers:
+        if name == b'content-length':
+            return int(value)
+    return None
+
+
 def ends_with_connection(head):
     """Return whether a body has neither a length nor chunks.
 
--- a/sniperudder/forwarding/_forwarder.py
+++ b/sniperudder/forwarding/_forwarder.py
@@ -602,7 +602,7 @@
                 code = _Code.SHED if endpoints else _Code.NO_ENDPOINT
                 break
             sent_at = self.now()
-            outcome = await self._send_buffered(job, endpoint)
+            outcome = await self._send_buffered(job, endpoint, caller)
             stages = (fleet.Stage(endpoint, None),)
             self.record_outcome(job, stages, outcome, sent_at)
             if isinstance(outcome, _exchanges.Answered):
@@ -639,7 +639,7 @@
                 job, caller, code, ''.join(job.send_outcomes[-1:])
             )
 
-    async def _send_buffered(self, job, endpoint):
+    async def _send_buffered(self, job, endpoint, caller):
         job.attempts += 1
         job.endpoint = endpoint
         stages = (fleet.Stage(endpoint, None),)
@@ -655,6 +655,7 @@
                 endpoint.address,
                 self.create_outgoing_request(job, stages, None),
                 self.create_guard(endpoint),
+                caller.reserve_response,
             )
             if (
                 isinstance(outcome, _exchanges.Answered)
