--- a/Makefile
+++ b/Makefile
@@ -71,3 +71,4 @@
 	$(BIN)/python -m measurements.soak $(SECONDS) $(SEED)
 	$(BIN)/python -m measurements.orders soak $(SECONDS) $(SEED)
 	$(BIN)/python -m measurements.streams $(SECONDS) $(SEED)
+	$(BIN)/python -m measurements.callers $(SECONDS) $(SEED)
--- a/sniperudder/entry/_entry.py
+++ b/sniperudder/entry/_entry.py
@@ -456,6 +456,7 @@
         )
 
     def _log_rejection(self, status):
+        metrics.count_event(self._metrics, f'unread:{status}')
         self._journal.write('request:unread', status=status)
 
     def _record_closure(self, closure):
--- a/sniperudder/entry/_journal.py
+++ b/sniperudder/entry/_journal.py
@@ -1,5 +1,6 @@
 """Rate-limited structured log of decisions."""
 
+import collections
 import time
 
 import eliot
@@ -8,6 +9,11 @@
 # core.
 _MAX_LINES_PER_S = 1000
 
+# Events that callers can cause at any rate, and the number of lines per second
+# that each of them takes at most. The metrics count all.
+_CALLER_EVENTS = frozenset({'connection:closed', 'request:unread'})
+_MAX_CALLER_LINES_PER_S = 50
+
 
 class Journal:
     """Writes structured log lines and counts those over the rate limit.
@@ -21,6 +27,7 @@
     """
 
     __slots__ = (
+        '_caller_lines',
         '_dropped',
         '_max_per_s',
         '_read_clock',
@@ -33,6 +40,8 @@
         self._read_clock = read_clock
         self._second = 0
         self._written = 0
+        # Lines of this second by event that callers cause.
+        self._caller_lines = collections.Counter()
         self._dropped = 0
 
     def write(self, event, subject='', **fields):
@@ -51,9 +60,15 @@
         if second != self._second:
             dropped, self._dropped = self._dropped, 0
             self._second, self._written = second, 0
+            self._caller_lines.clear()
             if dropped:
                 eliot.log_message(message_type='log:dropped', lines=dropped)
-        if self._written >= self._max_per_s:
+        if event in _CALLER_EVENTS:
+            self._caller_lines[event] += 1
+        if (
+            self._written >= self._max_per_s
+            or self._caller_lines[event] > _MAX_CALLER_LINES_PER_S
+        ):
             self._dropped += 1
             return
         self._written += 1
--- a/sniperudder/entry/tests/test_processes.py
+++ b/sniperudder/entry/tests/test_processes.py
@@ -41,7 +41,7 @@
 
     def __init__(self, store, folder, limits=None):
         self._path = pathlib.Path(folder, 'settings.json')
-        self._store = store
+        self.store = store
         self._limits = limits or {}
         self._child = None
         self._lines = []
@@ -66,7 +66,7 @@
             'ip': '127.0.0.1',
             'listen': {'front': self.callers, 'ready': self.ready},
             'port_range': [port, port],
-            'platform': {'address': self._store.address},
+            'platform': {'address': self.store.address},
             'bounds': bounds,
             'limits': self._limits,
         }
--- a/sniperudder/forwarding/_caller_capacity.py
+++ b/sniperudder/forwarding/_caller_capacity.py
@@ -68,12 +68,12 @@
     """
     memory_mb = caller_memory_mb or memory_mb * _MEMORY_SHARE
     memory_bytes = int(memory_mb * _BYTES_PER_MB) or _DEFAULT_MEMORY_BYTES
-    if not max_descriptors:
-        max_descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-    by_descriptors = (max_descriptors - _FILE_DESCRIPTORS) * _DESCRIPTOR_SHARE
-    by_memory = (
+    max_connections = (
         memory_bytes * _CONNECTION_SHARE / _caller_connections.CONNECTION_BYTES
     )
-    return CallerCapacity(
-        memory_bytes, max(1, int(min(by_descriptors, by_memory)))
-    )
+    if not max_descriptors:
+        max_descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if max_descriptors != resource.RLIM_INFINITY:
+        free = max(max_descriptors - _FILE_DESCRIPTORS, max_descriptors // 2)
+        max_connections = min(max_connections, free * _DESCRIPTOR_SHARE)
+    return CallerCapacity(memory_bytes, max(1, int(max_connections)))
