Return the memory of a response once its caller has read it

Callers saw: nothing yet; a kept connection held the reservation of a large response that had been read, so that others waited for it until their deadlines.

Cause: the reservation ended when an unread response was accepted, or with the connection, and not after a response that was accepted at once.

Change: it ends with the handler, down to what is unsent; a second attempt of a request beside the first uses the same one.

Evidence: found by reading; test_response_that_is_read_holds_no_memory fails on the commit before (five kept connections, the second waits for ever) and passes now. 103 tests of forwarding pass.

--- a/sniperudder/forwarding/_caller_connections.py
+++ b/sniperudder/forwarding/_caller_connections.py
@@ -300,7 +300,7 @@
         self._writable.set()
         self._sending.reset()
         if self._task is None:
-            self._account.release(_caller_memory.Lane.RESPONSE)
+            self._release_response()
         self._update_account()
         if self._phase is _Phase.FLUSHING:
             self._begin_next_request()
@@ -538,6 +538,8 @@
             little of the response.
         """
         lane = _caller_memory.Lane.RESPONSE
+        if self.holds(lane):
+            return
         granted = self._loop.create_future()
         if self._account.reserve(
             lane,
@@ -598,13 +600,7 @@
         self._reader.discard()
         if self._task is None:
             self._release_body()
-        if self._writable.is_set():
-            self._account.release(_caller_memory.Lane.RESPONSE)
-        else:
-            self._account.reduce(
-                _caller_memory.Lane.RESPONSE,
-                self._transport.get_write_buffer_size(),
-            )
+        self._release_response()
         self._update_account()
 
     def _release_body(self):
@@ -614,6 +610,15 @@
             self._account.release(self._body_lane)
             self._body_lane = None
 
+    def _release_response(self):
+        """Keep what is reserved for as much of the response as is unsent."""
+        lane = _caller_memory.Lane.RESPONSE
+        if self._writable.is_set():
+            self._account.release(lane)
+        else:
+            unsent_bytes = self._transport.get_write_buffer_size()
+            self._account.reduce(lane, unsent_bytes)
+
     def _set_cut(self, cut):
         """Record why the response stays incomplete; the first reason holds."""
         if self.cut is None and self._is_responding():
@@ -857,6 +862,7 @@
         self._task = None
         self._has_responded = True
         self._release_body()
+        self._release_response()
         self._update_account()
         if cut is not None:
             self._server.report_cut(request, cut)
--- a/sniperudder/forwarding/tests/test_caller_memory.py
+++ b/sniperudder/forwarding/tests/test_caller_memory.py
@@ -292,3 +292,28 @@
 
         server = self.run_server(case)
         self.assertEqual(1, len(server.requests))
+
+    # Guards against: a kept connection held the memory of a large response
+    # that its caller had read, and others waited for it.
+    def test_response_that_is_read_holds_no_memory(self):
+        async def case(server):
+            async def handle(request, caller):
+                await caller.reserve_response(300_000)
+                caller.send_response(200, [], b'x' * 300_000)
+
+            server.server.handle = handle
+            host, _, port = server.address.rpartition(':')
+            callers = []
+            for _ in range(5):
+                reader, writer = await asyncio.open_connection(host, int(port))
+                writer.write(b'GET / HTTP/1.1\r\nHost: h\r\n\r\n')
+                async with asyncio.timeout(_READ_S):
+                    await reader.readuntil(b'\r\n\r\n')
+                    await reader.readexactly(300_000)
+                callers.append(writer)
+            self.assertEqual(5, len(server.server.connections))
+            for writer in callers:
+                writer.close()
+            await self.await_released(server)
+
+        self.run_server(case)
