Look for connections to give up every 0.1 s at most

Callers saw: nothing yet; with more memory used than allowed and all connections active, each turn of the loop looked at all of them.

Cause: the search for memory was repeated whenever an account changed, also if the last one had found nothing; the one for descriptors waits 0.1 s then.

Change: the same interval for both.

--- a/sniperudder/forwarding/_caller_server.py
+++ b/sniperudder/forwarding/_caller_server.py
@@ -35,8 +35,8 @@
 _GIVE_UP_COUNT = 16
 
 # Number of connections that are found at once to make way for new ones, the
-# interval at which they are sought if there are none, seconds, and the number
-# of those whose callers may still read why they were closed.
+# interval at which they are sought if none can be given up, seconds, and the
+# number of those whose callers may still read why they were closed.
 _DISPENSABLE_COUNT = 64
 _SEARCH_INTERVAL_S = 0.1
 _MAX_LINGERING = 16
@@ -121,7 +121,10 @@
         self._lingering = collections.deque()
         # Connections to give up next.
         self._dispensable = []
+        # Loop times from which on connections are sought again to make way for
+        # new ones, and to release memory.
         self._next_search_at = 0.0
+        self._next_release_at = 0.0
         # Connections that are not read during a response.
         self._unread = set()
         self._server = None
@@ -251,7 +254,6 @@
                 _DISPENSABLE_COUNT,
             )
             if not self._dispensable:
-                # Searching takes time linear in the number of connections.
                 self._next_search_at = now + _SEARCH_INTERVAL_S
         while self._dispensable:
             connection = self._dispensable.pop()
@@ -283,10 +285,14 @@
 
     def check_memory(self):
         """Give up connections if more is held for callers than allowed."""
-        if self.memory.is_exceeded and not self._frees_memory:
-            self._frees_memory = True
-            # Not within the work on a connection that may be given up.
-            asyncio.get_running_loop().call_soon(self._free_memory)
+        if not self.memory.is_exceeded or self._frees_memory:
+            return
+        self._frees_memory = True
+        loop = asyncio.get_running_loop()
+        # Not within the work on a connection that may be given up.
+        loop.call_at(
+            max(loop.time(), self._next_release_at), self._free_memory
+        )
 
     def _free_memory(self):
         self._frees_memory = False
@@ -294,6 +300,9 @@
         dispensable = _retention.list_dispensable(
             self.connections, _retention.MEMORY_ORDER, now, _GIVE_UP_COUNT
         )
+        if not dispensable:
+            # Searching takes time linear in the number of connections.
+            self._next_release_at = now + _SEARCH_INTERVAL_S
         while dispensable and self.memory.is_exceeded:
             dispensable.pop().give_up()
 
--- a/sniperudder/forwarding/tests/test_caller_memory.py
+++ b/sniperudder/forwarding/tests/test_caller_memory.py
@@ -4,12 +4,14 @@
 import random
 import socket
 import struct
+from unittest import mock
 
 import testtools
 
 from sniperudder import forwarding
 from sniperudder.forwarding import _caller_memory
 from sniperudder.forwarding import _progress_rates
+from sniperudder.forwarding import _retention
 from sniperudder.forwarding.tests import test_caller_server
 
 _Lane = _caller_memory.Lane
@@ -254,6 +256,29 @@
 
         self.run_server(case)
 
+    # Guards against: all connections were looked at in each turn of the loop
+    # while none of them could be given up.
+    def test_search_is_not_repeated_in_each_turn(self):
+        async def case(server):
+            filler = server.server.memory.open_account()
+            filler.charge(1_100_000)
+            host, _, port = server.address.rpartition(':')
+            reader, writer = await asyncio.open_connection(host, int(port))
+            with mock.patch.object(
+                _retention, 'list_dispensable', return_value=[], autospec=True
+            ) as search:
+                loop = asyncio.get_running_loop()
+                until = loop.time() + 0.5
+                while loop.time() < until:
+                    writer.write(b'GET / HTTP/1.1\r\nHost: h\r\n\r\n')
+                    await reader.readuntil(b'\r\n\r\n0')
+            # Every 0.1 s.
+            self.assertTrue(1 <= search.call_count <= 7, search.call_count)
+            writer.close()
+            filler.close()
+
+        self.run_server(case)
+
     # Guards against: requests that were handled beyond any bound of memory.
     def test_request_is_refused_while_others_use_all_memory(self):
         async def case(server):
