Go on releasing memory while too much is held, and no more than that

Callers saw: nothing yet; if all connections stopped at once with too much memory held, none was given up until something changed, and then more than was needed: up to 16 at a time, as the memory of each is returned in a later turn of the loop.

Cause: the search was only begun by changes of an account, and its loop asked the budget, which did not know yet what had been given up.

Change: while too much is held, the search is repeated every 0.1 s, and each time gives up what covers the surplus.

--- a/sniperudder/forwarding/_caller_connections.py
+++ b/sniperudder/forwarding/_caller_connections.py
@@ -377,6 +377,11 @@
             )
         return _retention.Standing(condition.ACTIVE)
 
+    @property
+    def held_bytes(self):
+        """Memory that is held for its caller, bytes."""
+        return self._account.held_bytes
+
     def holds(self, lane):
         """Return whether it holds a reservation in a lane."""
         return self._account.get_reserved(lane) > 0
--- a/sniperudder/forwarding/_caller_memory.py
+++ b/sniperudder/forwarding/_caller_memory.py
@@ -224,6 +224,11 @@
         self._reservations = {}
         self._closed = False
 
+    @property
+    def held_bytes(self):
+        """All that is charged and reserved, bytes."""
+        return self._charged + sum(self.get_reserved(lane) for lane in Lane)
+
     def charge(self, size):
         """Set what is held outside of reservations, bytes."""
         if self._closed or size == self._charged:
--- a/sniperudder/forwarding/_caller_server.py
+++ b/sniperudder/forwarding/_caller_server.py
@@ -300,11 +300,16 @@
         dispensable = _retention.list_dispensable(
             self.connections, _retention.MEMORY_ORDER, now, _GIVE_UP_COUNT
         )
-        if not dispensable:
-            # Searching takes time linear in the number of connections.
-            self._next_release_at = now + _SEARCH_INTERVAL_S
-        while dispensable and self.memory.is_exceeded:
-            dispensable.pop().give_up()
+        # Searching takes time linear in the number of connections, and what
+        # is given up is returned in a later turn of the loop.
+        self._next_release_at = now + _SEARCH_INTERVAL_S
+        surplus_bytes = self.memory.used_bytes - self.memory.limit_bytes
+        while dispensable and surplus_bytes > 0:
+            connection = dispensable.pop()
+            surplus_bytes -= connection.held_bytes
+            connection.give_up()
+        # Others may stall meanwhile.
+        self.check_memory()
 
     def check_waiting(self):
         """Look after the reservations that wait, as long as there are any."""
--- a/sniperudder/forwarding/tests/test_caller_memory.py
+++ b/sniperudder/forwarding/tests/test_caller_memory.py
@@ -342,3 +342,44 @@
             await self.await_released(server)
 
         self.run_server(case)
+
+    # Guards against: what was held behind streams that nobody read was not
+    # counted.
+    def test_streams_that_are_not_read_make_way(self):
+        async def case(server):
+            async def handle(request, caller):
+                if request.target == b'/last':
+                    caller.send_response(200, [], b'')
+                    return
+                caller.start_response(200, [])
+                while True:
+                    caller.send_data(b'x' * 65_536)
+                    await caller.drain()
+                    await asyncio.sleep(0)
+
+            server.server.handle = handle
+            host, _, port = server.address.rpartition(':')
+            writers = []
+            for _ in range(8):
+                reader, writer = await asyncio.open_connection(host, int(port))
+                writer.transport.pause_reading()
+                writer.write(b'GET / HTTP/1.1\r\nHost: h\r\n\r\n')
+                writers.append(writer)
+            async with asyncio.timeout(_READ_S):
+                while not server.server.memory.is_exceeded:
+                    await asyncio.sleep(0.01)
+                while server.server.memory.is_exceeded:
+                    await asyncio.sleep(0.01)
+            cut = list(server.cuts)
+            response = await server.exchange(
+                b'GET /last HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n'
+            )
+            self.assertIn(b'HTTP/1.1 200', response)
+            # The others go on: there is memory for two or three.
+            self.assertEqual({forwarding.Cut.NOT_READ}, set(cut))
+            self.assertTrue(5 <= len(cut) <= 6, cut)
+            for writer in writers:
+                writer.transport.abort()
+            await self.await_released(server)
+
+        self.run_server(case)
