Leave a margin when memory is released

Callers saw: at an instance with just too much memory held, each new caller with a large body was refused at once, though stalled ones were about to make way.

Tried: to give up what waits only beyond 1.25 of the limit (failed 4 of 4, the limit was met again there).

Change: connections are given up until 0.875 of the limit is held.

--- a/sniperudder/forwarding/_caller_server.py
+++ b/sniperudder/forwarding/_caller_server.py
@@ -31,8 +31,11 @@
 # seconds.
 _UNREAD_CHECK_S = 0.2
 
-# Number of connections that are given up at once for memory.
+# Number of connections that are given up at once for memory, and the share of
+# the limit that the others may hold then. Without a margin, the next caller
+# would be given up, as the one that waits shortest.
 _GIVE_UP_COUNT = 16
+_RELEASE_SHARE = 0.875
 
 # Number of connections that are found at once to make way for new ones, the
 # interval at which they are sought if none can be given up, seconds, and the
@@ -303,7 +306,9 @@
         # Searching takes time linear in the number of connections, and what
         # is given up is returned in a later turn of the loop.
         self._next_release_at = now + _SEARCH_INTERVAL_S
-        surplus_bytes = self.memory.used_bytes - self.memory.limit_bytes
+        surplus_bytes = (
+            self.memory.used_bytes - self.memory.limit_bytes * _RELEASE_SHARE
+        )
         while dispensable and surplus_bytes > 0:
             connection = dispensable.pop()
             surplus_bytes -= connection.held_bytes
