Let requests that are awaited make way for new callers

Callers saw: at an instance whose connections all belong to callers that had just begun a request and paused, a new caller was refused with 503.

Cause: an unfinished request made way only once it lagged by a second; callers that come again after each refusal are rarely that old.

Change: if there is nothing else to give up for a new connection, an unfinished request whose rest has been awaited for over 0.1 s makes way, the longest first.

--- a/sniperudder/forwarding/_caller_connections.py
+++ b/sniperudder/forwarding/_caller_connections.py
@@ -59,6 +59,10 @@
 _MIN_RATE = 32_768
 _STALLED_S = 1.0
 
+# Lag from which on an unfinished request makes way for a new connection, if
+# there is nothing else to give up, seconds.
+_PENDING_S = 0.1
+
 # Bytes that are read and discarded from a caller whose request was rejected.
 _MAX_DISCARDED_BYTES = 1_048_576
 
@@ -370,6 +374,8 @@
             lag_s = self._receiving.get_lag_s(now)
             if lag_s > _STALLED_S:
                 return _retention.Standing(condition.UNFINISHED, lag_s)
+            if lag_s > _PENDING_S:
+                return _retention.Standing(condition.PENDING, lag_s)
         elif self._phase is _Phase.IDLE:
             return _retention.Standing(
                 condition.IDLE if self._has_responded else condition.UNUSED,
@@ -403,6 +409,7 @@
         elif condition in (
             _retention.Condition.UNFINISHED,
             _retention.Condition.QUEUED,
+            _retention.Condition.PENDING,
         ):
             self._reject_for_now()
         elif condition is _retention.Condition.UNREAD:
--- a/sniperudder/forwarding/_retention.py
+++ b/sniperudder/forwarding/_retention.py
@@ -30,6 +30,8 @@
 
     QUEUED: its request waits for memory.
 
+    PENDING: the rest of a request is awaited, not for long yet.
+
     ACTIVE: it makes progress.
     """
 
@@ -39,6 +41,7 @@
     IDLE = 'idle'
     UNREAD = 'unread'
     QUEUED = 'queued'
+    PENDING = 'pending'
     ACTIVE = 'active'
 
 
@@ -51,6 +54,7 @@
     Condition.IDLE,
     Condition.UNREAD,
     Condition.QUEUED,
+    Condition.PENDING,
 )
 MEMORY_ORDER = (
     Condition.CLOSED,
--- a/sniperudder/forwarding/tests/test_retention.py
+++ b/sniperudder/forwarding/tests/test_retention.py
@@ -46,7 +46,8 @@
             set(_Condition) - {_Condition.ACTIVE}, for_memory | for_descriptors
         )
         self.assertEqual(
-            {_Condition.UNUSED, _Condition.IDLE}, for_descriptors - for_memory
+            {_Condition.UNUSED, _Condition.IDLE, _Condition.PENDING},
+            for_descriptors - for_memory,
         )
 
 
