--- a/sniperudder/forwarding/_request_reader.py
+++ b/sniperudder/forwarding/_request_reader.py
@@ -46,11 +46,6 @@
         """Number of bytes that belong to no event yet, or slightly more."""
         return len(self._input) + self._parser_bytes
 
-    @property
-    def has_input(self):
-        """Whether bytes are at hand that the parser has not seen."""
-        return bool(self._input)
-
     def receive(self, data):
         """Add bytes, which `next_event` parses."""
         self._input += data
